--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The load and experiment tool: open-loop workloads, baselines, reports and plots.
+ */
+package io.waxwingquay.bench;
--- /dev/null
+++ b/src/main/java/io/waxwingquay/claim/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * At-most-once execution of non-idempotent calls, through claims in the table service.
+ */
+package io.waxwingquay.claim;
--- /dev/null
+++ b/src/main/java/io/waxwingquay/common/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small shared values: clocks, random sources, identifiers and JSON mapping.
+ */
+package io.waxwingquay.common;
--- /dev/null
+++ b/src/main/java/io/waxwingquay/observe/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What an operator sees: metrics, state dump, health and logging set-up.
+ */
+package io.waxwingquay.observe;
--- /dev/null
+++ b/src/main/java/io/waxwingquay/platform/TableService.java
@@ -0,0 +1,59 @@
+package io.waxwingquay.platform;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The platform's transactional table: keys to values, each with a version that every write raises.
+ *
+ * <p>All futures fail with {@link PlatformException}. {@link PlatformException.Unavailable} says that the
+ * call may or may not have taken effect: a write's answer can be lost after the write.
+ */
+public interface TableService {
+
+    /** The version expected of a key that must not exist yet. */
+    long ABSENT = 0L;
+
+    /**
+     * Reads keys in one consistent snapshot.
+     *
+     * @param keys the keys to read.
+     * @return the rows that exist, by key.
+     */
+    CompletableFuture<Map<String, Row>> read(List<String> keys);
+
+    /**
+     * Commits all writes atomically if every write's expected version holds, else none of them.
+     *
+     * @param writes the conditional writes.
+     * @return the outcome, with the conflicting rows when it was refused.
+     */
+    CompletableFuture<CommitResult> commit(List<Write> writes);
+
+    /**
+     * A stored value.
+     *
+     * @param value the value.
+     * @param version the row's version, 1 or above.
+     */
+    record Row(String value, long version) {}
+
+    /**
+     * One conditional write.
+     *
+     * @param key the key.
+     * @param expectedVersion the version the row must have, or {@link #ABSENT}.
+     * @param value the new value.
+     */
+    record Write(String key, long expectedVersion, String value) {}
+
+    /**
+     * The outcome of a commit.
+     *
+     * @param committed whether all writes took effect.
+     * @param conflicts keys whose version did not match, with the row found there if any.
+     */
+    record CommitResult(boolean committed, Map<String, Optional<Row>> conflicts) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The side process: the only door to its target, for requests and for orders.
+ */
+package io.waxwingquay.side;
--- /dev/null
+++ b/src/main/thrift/waxwingquay.thrift
@@ -0,0 +1,247 @@
+/**
+ * Messages between the processes of waxwingquay. Regenerate with scripts/generate-thrift; the
+ * generated Java is committed, so the build never needs the compiler.
+ */
+namespace java io.waxwingquay.transport.generated
+
+/** Whether work reached its target. UNKNOWN is never reported to a caller as DID_NOT_RUN. */
+enum Execution {
+  DID_NOT_RUN = 1,
+  RAN = 2,
+  UNKNOWN = 3
+}
+
+/** Why a side process refused a submission. Every refusal is final for that attempt. */
+enum RefusalReason {
+  LEAVING = 1,
+  OVERLOADED = 2,
+  DEADLINE = 3,
+  NOT_RESIDENT = 4,
+  QUARANTINED = 5,
+  SUSPECT_BUSY = 6,
+  WRONG_EPOCH = 7,
+  WITHDRAWN = 8,
+  EXPIRED_ATTEMPT = 9,
+  NOT_READY = 10,
+  TARGET_DOWN = 11,
+  MALFORMED = 12,
+  LIMIT = 13
+}
+
+/** State of one attempt inside a side process. */
+enum AttemptState {
+  QUEUED = 1,
+  RUNNING = 2,
+  DONE = 3,
+  FAILED = 4,
+  CANCELLED = 5,
+  ABSENT = 6
+}
+
+/** What kind of target stands behind a side process. */
+enum TargetKind {
+  MODEL_ENGINE = 1,
+  PLAIN_SERVICE = 2
+}
+
+/** Lifecycle of a side process as its peers see it. */
+enum SideState {
+  STARTING = 1,
+  SERVING = 2,
+  LEAVING = 3,
+  GONE = 4
+}
+
+/** Load of one target, as its side process knows it. */
+struct LoadReport {
+  1: i32 running,
+  2: i32 queued,
+  3: i64 queuedTokens,
+  4: double tokensPerSecond,
+  5: i64 freeBytes,
+  6: i64 ageMillis
+}
+
+/** A completion by a model engine. */
+struct ModelCall {
+  1: string model,
+  2: optional string adapter,
+  3: string prompt,
+  4: i32 maxTokens,
+  5: i32 priority,
+  6: i64 prefixHash
+}
+
+/** A call to a plain service. sideEpoch is the boot epoch that a claim names; it is checked when nonIdempotent. */
+struct ServiceCall {
+  1: string operation,
+  2: binary body,
+  3: string contentType,
+  4: bool nonIdempotent,
+  5: optional string idempotencyKey
+}
+
+/** One attempt at one request. issuedAtEpochMillis is the wall clock of the entry that made the attempt. */
+struct Submission {
+  1: string requestId,
+  2: string attemptId,
+  3: string serviceName,
+  4: i64 budgetMillis,
+  5: i64 issuedAtEpochMillis,
+  6: i64 sideEpoch,
+  7: i64 fingerprint,
+  8: optional ModelCall model,
+  9: optional ServiceCall plain
+}
+
+struct Refusal {
+  1: RefusalReason reason,
+  2: string message,
+  3: i64 retryAfterMillis,
+  4: Execution execution
+}
+
+struct SubmitAnswer {
+  1: bool accepted,
+  2: optional Refusal refusal,
+  3: LoadReport load,
+  4: i64 sideEpoch
+}
+
+/** A piece of an answer. offset counts tokens for a model call; a plain answer is one chunk at offset 0. */
+struct Chunk {
+  1: i64 offset,
+  2: binary bytes,
+  3: i32 units
+}
+
+/** Answers within waitMillis even when nothing is new, so that silence means a dead connection. */
+struct PollRequest {
+  1: string attemptId,
+  2: i64 fromOffset,
+  3: i64 waitMillis
+}
+
+/** totalUnits is set only when state is DONE: an answer without it is incomplete. */
+struct PollAnswer {
+  1: AttemptState state,
+  2: list<Chunk> chunks,
+  3: optional i64 totalUnits,
+  4: optional Refusal failure,
+  5: LoadReport load,
+  6: optional i32 statusCode,
+  7: optional string contentType
+}
+
+/** What became of an attempt. withdraw forbids a start from now on if it has not started. */
+struct ResolveRequest {
+  1: string attemptId,
+  2: bool withdraw,
+  3: i64 sideEpoch
+}
+
+struct ResolveAnswer {
+  1: Execution execution,
+  2: AttemptState state
+}
+
+/** One item (model or adapter version) in a side's published residency. demandStep is 0 for none, else 1 + floor(2*log2(units/s)) clamped to 1..60. */
+struct ItemRecord {
+  1: string item,
+  2: bool resident,
+  3: i32 demandStep
+}
+
+/** What a side process publishes of itself. A higher (epoch, version) replaces a lower one. */
+struct SideRecord {
+  1: string sideId,
+  2: string host,
+  3: i32 port,
+  4: string dataCentre,
+  5: string serviceName,
+  6: i32 replica,
+  7: TargetKind kind,
+  8: i64 epoch,
+  9: i64 version,
+  10: SideState state,
+  11: i64 capacityBytes,
+  12: list<ItemRecord> items
+}
+
+/** A request fingerprint that ran on targets that crashed. crashIds names each crash once. */
+struct SuspectRecord {
+  1: i64 fingerprint,
+  2: set<string> crashIds,
+  3: i64 expiresAtEpochMillis,
+  4: bool cleared
+}
+
+/** bucketHashes summarise all side records by hash of the side's name; a difference asks for that bucket. */
+struct GossipRequest {
+  1: string fromId,
+  2: string fromHost,
+  3: i32 fromPort,
+  4: i64 bundleVersion,
+  5: list<i64> bucketHashes,
+  6: list<SideRecord> sides,
+  7: list<SuspectRecord> suspects
+}
+
+struct GossipAnswer {
+  1: i64 bundleVersion,
+  2: list<SideRecord> sides,
+  3: list<SuspectRecord> suspects,
+  4: list<i32> wantedBuckets
+}
+
+/** The signed bundle document and its signature, as accepted. */
+struct BundleRequest {
+  1: i64 aboveVersion
+}
+
+struct BundleAnswer {
+  1: i64 version,
+  2: optional binary document,
+  3: optional string signature,
+  4: optional string keyId
+}
+
+struct SuspectNotice {
+  1: list<SuspectRecord> suspects
+}
+
+/** Asks the home of a shared limit for one of its permits. */
+struct PermitRequest {
+  1: string limit,
+  2: string holderId,
+  3: string permitId,
+  4: i64 leaseMillis
+}
+
+struct PermitAnswer {
+  1: bool granted,
+  2: i64 retryAfterMillis
+}
+
+struct PermitReturn {
+  1: string limit,
+  2: string permitId
+}
+
+/** Spoken between any two processes. */
+service PeerService {
+  GossipAnswer gossip(1: GossipRequest request),
+  BundleAnswer fetchBundle(1: BundleRequest request),
+  bool noteSuspects(1: SuspectNotice notice),
+  PermitAnswer borrowPermit(1: PermitRequest request),
+  bool returnPermit(1: PermitReturn request),
+  bool ping()
+}
+
+/** Spoken by an entry to a side process. */
+service SideService extends PeerService {
+  SubmitAnswer submit(1: Submission submission),
+  PollAnswer poll(1: PollRequest request),
+  bool cancel(1: string attemptId),
+  ResolveAnswer resolve(1: ResolveRequest request)
+}
