Carry calls between processes over Thrift, and tell silence from refusal

Cause: an entry has to know whether a failed call may have been delivered, or a refusal that says did-not-run is a guess; and open connections may go silent for good while new ones work. Ruled out: blocking clients and servers (a thread for each open answer); one multiplexed connection for each pair of processes (at the size aimed at most pairs carry one stream, so batching gains nothing and one silence stops all). Change: non-blocking client with a pool for each process, one call a connection; a call that never wrote a byte is certain not to be delivered; a timed-out call drops every idle connection to that process. Before: no transport. After: 5 tests, a hundred long polls at once, refused, silent and fresh connection. Conclusion: entry and side can meet; the bound on silence is a poll's wait plus the grace.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/transport/ThriftServer.java
@@ -0,0 +1,127 @@
+package io.waxwingquay.transport;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.transport.generated.PeerService;
+import io.waxwingquay.transport.generated.SideService;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadFactory;
+import org.apache.thrift.TProcessor;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.server.TThreadedSelectorServer;
+import org.apache.thrift.transport.TNonblockingServerSocket;
+import org.apache.thrift.transport.TNonblockingSocket;
+import org.apache.thrift.transport.TTransportException;
+
+/**
+ * Serves a {@link PeerProtocol} or {@link SideProtocol} handler over Thrift. No thread waits inside a handler.
+ */
+public final class ThriftServer implements AutoCloseable {
+
+    private static final int SELECTOR_THREADS = 1;
+    private static final int WORKER_THREADS = 2;
+    private static final long MAX_FRAME_BYTES = 16L * 1024 * 1024;
+
+    private final TThreadedSelectorServer server;
+    private final ExecutorService workers;
+    private final HostPort address;
+
+    private ThriftServer(HostPort wanted, TProcessor processor) {
+        try {
+            KeepAliveServerSocket socket = new KeepAliveServerSocket(wanted);
+            this.address = new HostPort(wanted.host(), socket.getPort());
+            this.workers = Executors.newFixedThreadPool(WORKER_THREADS, daemon("thrift-worker-" + address.port()));
+            TThreadedSelectorServer.Args arguments = new TThreadedSelectorServer.Args(socket)
+                    .processor(processor)
+                    .protocolFactory(new TCompactProtocol.Factory())
+                    .selectorThreads(SELECTOR_THREADS)
+                    .executorService(workers);
+            arguments.maxReadBufferBytes = MAX_FRAME_BYTES;
+            this.server = new TThreadedSelectorServer(arguments);
+        } catch (TTransportException failure) {
+            throw new TransportException(false, "cannot listen on " + wanted + "; is the port taken?", failure);
+        }
+        daemon("thrift-server-" + address.port()).newThread(server::serve).start();
+    }
+
+    /**
+     * Serves what any two processes say to each other.
+     *
+     * @param address where to listen; port 0 takes a free one.
+     * @param handler answers the calls.
+     * @return the running server.
+     */
+    public static ThriftServer forPeer(HostPort address, PeerProtocol handler) {
+        return new ThriftServer(address, new PeerService.AsyncProcessor<>(new PeerAdapter(handler)));
+    }
+
+    /**
+     * Serves what an entry says to a side process, and what any two processes say to each other.
+     *
+     * @param address where to listen; port 0 takes a free one.
+     * @param handler answers the calls.
+     * @return the running server.
+     */
+    public static ThriftServer forSide(HostPort address, SideProtocol handler) {
+        return new ThriftServer(address, new SideService.AsyncProcessor<>(new SideAdapter(handler)));
+    }
+
+    /**
+     * Where this server listens.
+     *
+     * @return the address with the port that was taken.
+     */
+    public HostPort address() {
+        return address;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        server.stop();
+        workers.shutdownNow();
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    /**
+     * Turns on TCP keep-alive for accepted connections.
+     *
+     * <p>Failure: a connection goes silent for good and its client has long opened another. Symptom: the server keeps
+     * its socket for ever and runs out of them. Keep-alive makes the kernel close such sockets; no answer depends on
+     * it, so its slowness does not matter.
+     */
+    private static final class KeepAliveServerSocket extends TNonblockingServerSocket {
+
+        private KeepAliveServerSocket(HostPort address) throws TTransportException {
+            super(new InetSocketAddress(address.host(), address.port()));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public TNonblockingSocket accept() throws TTransportException {
+            TNonblockingSocket socket = super.accept();
+            if (socket != null) {
+                keepAlive(socket);
+            }
+            return socket;
+        }
+
+        private static void keepAlive(TNonblockingSocket socket) throws TTransportException {
+            try {
+                socket.getSocketChannel().socket().setKeepAlive(true);
+                socket.getSocketChannel().socket().setTcpNoDelay(true);
+            } catch (SocketException failure) {
+                throw new TTransportException(failure);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/transport/ThriftConnectionsTest.java
@@ -0,0 +1,136 @@
+package io.waxwingquay.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.transport.generated.AttemptState;
+import io.waxwingquay.transport.generated.LoadReport;
+import io.waxwingquay.transport.generated.PollAnswer;
+import io.waxwingquay.transport.generated.PollRequest;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class ThriftConnectionsTest {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final HostPort ANY_PORT = new HostPort(LOOPBACK, 0);
+
+    @Test
+    void carriesManyLongPollsAtOnce() {
+        CompletableFuture<Void> release = new CompletableFuture<>();
+        SideProtocol handler = new ScriptedSide() {
+            @Override
+            public CompletableFuture<PollAnswer> poll(PollRequest request) {
+                return release.thenApply(ignored -> answerFor(request));
+            }
+        };
+        try (ThriftServer server = ThriftServer.forSide(ANY_PORT, handler);
+                ThriftConnections connections = patient().build()) {
+            SideProtocol client = connections.to(server.address());
+            List<CompletableFuture<PollAnswer>> answers = IntStream.range(0, 100)
+                    .mapToObj(number -> client.poll(new PollRequest("attempt", number, 20_000L)))
+                    .toList();
+            assertTrue(client.ping().join());
+            release.complete(null);
+            IntStream.range(0, 100)
+                    .forEach(number ->
+                            assertEquals(number, answers.get(number).join().getTotalUnits()));
+        }
+    }
+
+    @Test
+    void saysForCertainThatARefusedConnectionDeliveredNothing() throws IOException {
+        HostPort closed;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+            closed = new HostPort(LOOPBACK, socket.getLocalPort());
+        }
+        try (ThriftConnections connections = patient().build()) {
+            assertFalse(failureOf(connections.to(closed).ping()).mayBeDelivered());
+        }
+    }
+
+    /*
+     * The caller sees a call fail within its time-out rather than hang.
+     * The other end accepts the connection and the request and never answers.
+     * The call may have been delivered, and no one may say otherwise.
+     */
+    @Test
+    void saysThatASilentCallMayHaveBeenDelivered() throws IOException {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK));
+                ThriftConnections connections =
+                        ThriftConnections.builder().callTimeoutMillis(50L).build()) {
+            CompletableFuture<Boolean> answer = connections
+                    .to(new HostPort(LOOPBACK, silent.getLocalPort()))
+                    .ping();
+            try (Socket accepted = silent.accept()) {
+                assertTrue(accepted.isConnected());
+                assertTrue(failureOf(answer).mayBeDelivered());
+            }
+        }
+    }
+
+    /*
+     * The caller sees its second poll answered although the first connection is dead for good.
+     * The first connection goes silent; its call fails; the connection is dropped and another opened.
+     * Without dropping it, the next call would be sent into the same silence.
+     */
+    @Test
+    void usesAFreshConnectionAfterSilence() {
+        CompletableFuture<Boolean> never = new CompletableFuture<>();
+        int[] calls = {0};
+        SideProtocol handler = new ScriptedSide() {
+            @Override
+            public CompletableFuture<Boolean> ping() {
+                calls[0]++;
+                return calls[0] == 2 ? never : CompletableFuture.completedFuture(true);
+            }
+        };
+        try (ThriftServer server = ThriftServer.forSide(ANY_PORT, handler);
+                ThriftConnections connections =
+                        ThriftConnections.builder().callTimeoutMillis(300L).build()) {
+            SideProtocol client = connections.to(server.address());
+            assertTrue(client.ping().join());
+            failureOf(client.ping());
+            assertTrue(client.ping().join());
+        }
+    }
+
+    @Test
+    void countsTheBytesOfEachKindOfCall() {
+        List<String> seen = new java.util.concurrent.CopyOnWriteArrayList<>();
+        CallObserver observer = (method, writtenBytes, readBytes) -> {
+            if (writtenBytes > 0L && readBytes > 0L) {
+                seen.add(method);
+            }
+        };
+        try (ThriftServer server = ThriftServer.forPeer(ANY_PORT, new ScriptedSide());
+                ThriftConnections connections = patient().observer(observer).build()) {
+            connections.to(server.address()).ping().join();
+            assertEquals(List.of("ping"), seen);
+        }
+    }
+
+    private static ThriftConnections.Builder patient() {
+        return ThriftConnections.builder().callTimeoutMillis(20_000L);
+    }
+
+    private static TransportException failureOf(CompletableFuture<?> future) {
+        CompletionException failure = assertThrows(CompletionException.class, future::join);
+        return assertInstanceOf(TransportException.class, failure.getCause());
+    }
+
+    private static PollAnswer answerFor(PollRequest request) {
+        return new PollAnswer(AttemptState.DONE, List.of(), new LoadReport()).setTotalUnits(request.getFromOffset());
+    }
+}
