Add HTTP clients of the platform and the targets, and the first stand-ins

Cause: the contracts of platform and engine had no implementation that separate processes can use, and nothing to meet on the other end. Ruled out: telling an unsent request by its exception type, since a request that times out while it waits for a connection fails the same way as one on the wire; one thread pool for each stand-in, since hundreds run in one JVM. Change: jetty-client implementations with explicit timeouts and one settled 'was it sent' decision; stand-ins for the platform, plain services, the weight store and a TCP link, with faults set by method or over HTTP. Before: nothing ran. After: it compiles; no test yet.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/platform/HttpVmList.java
@@ -0,0 +1,47 @@
+package io.waxwingquay.platform;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpMethod;
+
+/**
+ * The VM list over HTTP.
+ */
+public final class HttpVmList implements VmList {
+
+    private final HttpPlatformCalls calls;
+
+    /**
+     * A client.
+     *
+     * @param client the shared, started HTTP client.
+     * @param address the platform's address.
+     * @param timeoutMillis the most time a call may take.
+     */
+    public HttpVmList(HttpClient client, HostPort address, long timeoutMillis) {
+        this.calls = new HttpPlatformCalls(client, "VM list", address, timeoutMillis);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<List<Vm>> list() {
+        return calls.send(calls.request(HttpMethod.GET, "/vms"), reply -> reply.read(Listing.class)
+                .vms());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Void> announce(Vm vm) {
+        return calls.send(HttpCalls.json(calls.request(HttpMethod.POST, "/vms"), vm), reply -> null);
+    }
+
+    /**
+     * Answer to a listing.
+     *
+     * @param vms the VMs.
+     */
+    public record Listing(List<Vm> vms) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/LinkStandin.java
@@ -0,0 +1,232 @@
+package io.waxwingquay.standin;
+
+import io.waxwingquay.common.HostPort;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * A link between two processes that forwards TCP and can fail as networks do.
+ */
+public final class LinkStandin implements AutoCloseable {
+
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int CONNECT_MILLIS = 2_000;
+
+    private final HostPort destination;
+    private final ServerSocket listening;
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+    private volatile State state = State.UP;
+    private volatile long delayMillis;
+
+    private LinkStandin(HostPort listen, HostPort destination) throws IOException {
+        this.destination = destination;
+        this.listening = new ServerSocket();
+        listening.setReuseAddress(true);
+        listening.bind(new InetSocketAddress(InetAddress.getByName(listen.host()), listen.port()));
+        daemon("link-accept", this::acceptAll);
+    }
+
+    private enum State {
+        UP,
+        CUT,
+        SILENT
+    }
+
+    /**
+     * Opens a link on a free port of 127.0.0.1.
+     *
+     * @param destination where connections go.
+     * @return the open link.
+     */
+    public static LinkStandin to(HostPort destination) {
+        return between(new HostPort("127.0.0.1", 0), destination);
+    }
+
+    /**
+     * Opens a link.
+     *
+     * @param listen where to listen; port 0 takes a free one.
+     * @param destination where connections go.
+     * @return the open link.
+     */
+    public static LinkStandin between(HostPort listen, HostPort destination) {
+        try {
+            return new LinkStandin(listen, destination);
+        } catch (IOException failure) {
+            throw new IllegalStateException("link cannot listen on " + listen, failure);
+        }
+    }
+
+    /**
+     * The port listened on.
+     *
+     * @return the port.
+     */
+    public int port() {
+        return listening.getLocalPort();
+    }
+
+    /**
+     * The connections that are open, silent ones included.
+     *
+     * @return how many.
+     */
+    public int open() {
+        return connections.size();
+    }
+
+    /** Closes every open connection, and each new one at once, until {@link #heal()}. */
+    public void cut() {
+        state = State.CUT;
+        connections.forEach(Connection::close);
+    }
+
+    /** Closes every open connection; new ones work. */
+    public void closeOpen() {
+        connections.forEach(Connection::close);
+    }
+
+    /** Makes every open connection silent for good, in both directions; new ones work. */
+    public void silenceOpen() {
+        connections.forEach(Connection::silence);
+    }
+
+    /** Makes every connection silent, new ones too, until {@link #heal()}; those of now stay silent for good. */
+    public void silenceAll() {
+        state = State.SILENT;
+        silenceOpen();
+    }
+
+    /** Lets new connections work again. */
+    public void heal() {
+        state = State.UP;
+    }
+
+    /**
+     * Delays what is forwarded from now on.
+     *
+     * @param millis the delay of each piece in each direction.
+     */
+    public void delayMillis(long millis) {
+        this.delayMillis = millis;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        state = State.CUT;
+        closeQuietly(listening);
+        connections.forEach(Connection::close);
+    }
+
+    private void acceptAll() {
+        while (!listening.isClosed()) {
+            try {
+                take(listening.accept());
+            } catch (IOException failure) {
+                continue;
+            }
+        }
+    }
+
+    private void take(Socket near) throws IOException {
+        if (state == State.CUT) {
+            closeQuietly(near);
+            return;
+        }
+        Socket far = new Socket();
+        Connection connection = new Connection(near, far);
+        connections.add(connection);
+        if (state == State.SILENT) {
+            connection.silence();
+        }
+        daemon("link", connection::open);
+    }
+
+    private static void daemon(String name, Runnable task) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void closeQuietly(AutoCloseable closeable) {
+        try {
+            closeable.close();
+        } catch (Exception failure) {
+            System.getLogger("waxwingquay.standin").log(System.Logger.Level.DEBUG, "link: close failed", failure);
+        }
+    }
+
+    private final class Connection {
+
+        private final Socket near;
+        private final Socket far;
+        private volatile boolean silent;
+
+        private Connection(Socket near, Socket far) {
+            this.near = near;
+            this.far = far;
+        }
+
+        private void open() {
+            try {
+                near.setTcpNoDelay(true);
+                far.setTcpNoDelay(true);
+                far.connect(new InetSocketAddress(destination.host(), destination.port()), CONNECT_MILLIS);
+                daemon("link-back", () -> pump(far, near));
+                pump(near, far);
+            } catch (IOException failure) {
+                close();
+            }
+        }
+
+        private void silence() {
+            silent = true;
+        }
+
+        /**
+         * A silent connection swallows bytes and even the close of either end, so neither end learns of it.
+         */
+        private void pump(Socket from, Socket to) {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            try {
+                InputStream input = from.getInputStream();
+                OutputStream output = to.getOutputStream();
+                for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+                    forward(output, buffer, count);
+                }
+            } catch (IOException failure) {
+                System.getLogger("waxwingquay.standin")
+                        .log(System.Logger.Level.DEBUG, "link: a connection ended", failure);
+            }
+            if (!silent) {
+                close();
+            }
+        }
+
+        private void forward(OutputStream output, byte[] buffer, int count) throws IOException {
+            if (delayMillis > 0) {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(delayMillis));
+            }
+            if (!silent) {
+                output.write(buffer, 0, count);
+                output.flush();
+            }
+        }
+
+        private void close() {
+            connections.remove(this);
+            closeQuietly(near);
+            closeQuietly(far);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/LoadPace.java
@@ -0,0 +1,76 @@
+package io.waxwingquay.standin;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.ToLongFunction;
+
+/**
+ * Paces loads: starts are spaced by the rate, and a load that starts while more than the limit are in flight
+ * takes proportionally longer.
+ */
+public final class LoadPace {
+
+    private static final double SECOND_MICROS = 1_000_000.0;
+
+    private final StandinTimer timer;
+    private final int atOnce;
+    private final long spacingMicros;
+    private final ToLongFunction<String> loadMicros;
+    private final RateCount starts;
+    private long nextStartMicros;
+    private int inFlight;
+    private int maxInFlight;
+    private long overLimit;
+
+    LoadPace(StandinTimer timer, int atOnce, double perSecond, ToLongFunction<String> loadMicros) {
+        this.timer = timer;
+        this.atOnce = atOnce;
+        this.spacingMicros = Math.round(SECOND_MICROS / perSecond);
+        this.loadMicros = loadMicros;
+        this.starts = new RateCount(timer);
+        this.nextStartMicros = timer.nowMicros();
+    }
+
+    synchronized CompletableFuture<Void> load(String item) {
+        long nowMicros = timer.nowMicros();
+        long startMicros = Math.max(nowMicros, nextStartMicros);
+        nextStartMicros = startMicros + spacingMicros;
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        if (startMicros == nowMicros) {
+            start(item, done);
+        } else {
+            timer.after(startMicros - nowMicros, () -> start(item, done));
+        }
+        return done;
+    }
+
+    private synchronized void start(String item, CompletableFuture<Void> done) {
+        starts.add(1);
+        inFlight++;
+        maxInFlight = Math.max(maxInFlight, inFlight);
+        if (inFlight > atOnce) {
+            overLimit++;
+        }
+        double slowdown = Math.max(1.0, (double) inFlight / atOnce);
+        timer.after(Math.round(loadMicros.applyAsLong(item) * slowdown), () -> finish(done));
+    }
+
+    private void finish(CompletableFuture<Void> done) {
+        synchronized (this) {
+            inFlight--;
+        }
+        done.complete(null);
+    }
+
+    synchronized Stats stats() {
+        return new Stats(starts.count(), maxInFlight, overLimit);
+    }
+
+    /**
+     * The recorded counts.
+     *
+     * @param starts loads started.
+     * @param maxInFlight the most loads in flight at once.
+     * @param overLimit loads that started beyond the limit.
+     */
+    public record Stats(RateCount.Count starts, int maxInFlight, long overLimit) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/PlatformStandin.java
@@ -0,0 +1,270 @@
+package io.waxwingquay.standin;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.platform.HttpTableService;
+import io.waxwingquay.platform.HttpVmList;
+import io.waxwingquay.platform.TableService;
+import io.waxwingquay.platform.VmList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The platform: a transactional table, an object store and a VM list.
+ */
+public final class PlatformStandin implements AutoCloseable {
+
+    private static final String OBJECTS = "/objects/";
+
+    private final Faults faults = new Faults();
+    private final Map<String, TableService.Row> rows = new LinkedHashMap<>();
+    private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+    private final VmHistory vms;
+    private final RateCount transactions;
+    private final RateCount writes;
+    private final RateCount reads;
+    private final RateCount objectWrites;
+    private final RateCount objectReads;
+    private final RateCount listReads;
+    private final StandinServer server;
+
+    private PlatformStandin(Builder builder) {
+        StandinTimer timer = builder.timer;
+        this.vms = new VmHistory(timer, builder.listLagMillis, builder.listExpiryMillis);
+        this.transactions = new RateCount(timer);
+        this.writes = new RateCount(timer);
+        this.reads = new RateCount(timer);
+        this.objectWrites = new RateCount(timer);
+        this.objectReads = new RateCount(timer);
+        this.listReads = new RateCount(timer);
+        this.server = StandinServer.start(
+                builder.address,
+                timer,
+                faults,
+                this::stats,
+                exchange -> CompletableFuture.completedFuture(serve(exchange)));
+    }
+
+    /**
+     * A builder: port 0, real time, a VM list without lag that forgets a VM 10 s after its last announcement.
+     *
+     * @return the builder.
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * The port listened on.
+     *
+     * @return the port.
+     */
+    public int port() {
+        return server.port();
+    }
+
+    /**
+     * The faults to show.
+     *
+     * @return the faults, to be changed at any time.
+     */
+    public Faults faults() {
+        return faults;
+    }
+
+    /**
+     * The recorded counts.
+     *
+     * @return the counts so far.
+     */
+    public Stats stats() {
+        return new Stats(
+                transactions.count(),
+                writes.count(),
+                reads.count(),
+                objectWrites.count(),
+                objectReads.count(),
+                listReads.count());
+    }
+
+    /**
+     * A row as it stands, seen past every fault.
+     *
+     * @param key the key.
+     * @return the row, or empty.
+     */
+    public Optional<TableService.Row> row(String key) {
+        synchronized (rows) {
+            return Optional.ofNullable(rows.get(key));
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private StandinReply serve(StandinExchange exchange) {
+        if (exchange.is("POST", "/table/read")) {
+            return read(exchange.read(HttpTableService.ReadRequest.class));
+        }
+        if (exchange.is("POST", "/table/commit")) {
+            return commit(exchange.read(HttpTableService.CommitRequest.class));
+        }
+        if (exchange.isUnder("PUT", OBJECTS)) {
+            return put(exchange);
+        }
+        if (exchange.isUnder("GET", OBJECTS)) {
+            return get(exchange);
+        }
+        if (exchange.is("GET", "/vms")) {
+            return list();
+        }
+        if (exchange.is("POST", "/vms")) {
+            vms.announce(exchange.read(VmList.Vm.class));
+            return StandinReply.empty(StandinReply.NO_CONTENT).written();
+        }
+        return StandinReply.error(StandinReply.NOT_FOUND, "no such path");
+    }
+
+    private StandinReply read(HttpTableService.ReadRequest request) {
+        reads.add(request.keys().size());
+        Map<String, TableService.Row> found = new LinkedHashMap<>();
+        synchronized (rows) {
+            request.keys().stream().filter(rows::containsKey).forEach(key -> found.put(key, rows.get(key)));
+        }
+        return StandinReply.json(StandinReply.OK, new HttpTableService.ReadReply(found));
+    }
+
+    private StandinReply commit(HttpTableService.CommitRequest request) {
+        transactions.add(1);
+        Map<String, Optional<TableService.Row>> conflicts = new LinkedHashMap<>();
+        synchronized (rows) {
+            request.writes().stream()
+                    .filter(write -> versionOf(write.key()) != write.expectedVersion())
+                    .forEach(write -> conflicts.put(write.key(), Optional.ofNullable(rows.get(write.key()))));
+            if (conflicts.isEmpty()) {
+                request.writes().forEach(this::write);
+            }
+        }
+        TableService.CommitResult result = new TableService.CommitResult(conflicts.isEmpty(), conflicts);
+        return StandinReply.json(StandinReply.OK, result).written();
+    }
+
+    private void write(TableService.Write write) {
+        writes.add(1);
+        rows.put(write.key(), new TableService.Row(write.value(), write.expectedVersion() + 1));
+    }
+
+    private long versionOf(String key) {
+        TableService.Row row = rows.get(key);
+        return row == null ? TableService.ABSENT : row.version();
+    }
+
+    private StandinReply put(StandinExchange exchange) {
+        objectWrites.add(1);
+        objects.put(exchange.after(OBJECTS), exchange.body());
+        return StandinReply.empty(StandinReply.NO_CONTENT).written();
+    }
+
+    private StandinReply get(StandinExchange exchange) {
+        objectReads.add(1);
+        byte[] object = objects.get(exchange.after(OBJECTS));
+        return object == null
+                ? StandinReply.error(StandinReply.NOT_FOUND, "no such object")
+                : StandinReply.of(StandinReply.OK, "application/octet-stream", object);
+    }
+
+    private StandinReply list() {
+        listReads.add(1);
+        long backwardsMillis = faults.hits(Faults.Kind.LIST_BACKWARDS)
+                ? faults.settings().backwardsMillis().orElse(0L)
+                : 0L;
+        return StandinReply.json(StandinReply.OK, new HttpVmList.Listing(vms.list(backwardsMillis)));
+    }
+
+    /**
+     * The recorded counts. Rows count each, so that one transaction of many claims is not counted as one write.
+     *
+     * @param transactions commits asked for.
+     * @param writes rows written.
+     * @param reads keys read.
+     * @param objectWrites objects stored.
+     * @param objectReads objects fetched.
+     * @param listReads listings of VMs.
+     */
+    public record Stats(
+            RateCount.Count transactions,
+            RateCount.Count writes,
+            RateCount.Count reads,
+            RateCount.Count objectWrites,
+            RateCount.Count objectReads,
+            RateCount.Count listReads) {}
+
+    /** Builds a stand-in. */
+    public static final class Builder {
+
+        private HostPort address = new HostPort("127.0.0.1", 0);
+        private StandinTimer timer = StandinTimer.SYSTEM;
+        private long listLagMillis;
+        private long listExpiryMillis = 10_000L;
+
+        private Builder() {}
+
+        /**
+         * Sets the address.
+         *
+         * @param newAddress where to listen; port 0 takes a free one.
+         * @return this builder.
+         */
+        public Builder address(HostPort newAddress) {
+            this.address = newAddress;
+            return this;
+        }
+
+        /**
+         * Sets the timer.
+         *
+         * @param newTimer the timer.
+         * @return this builder.
+         */
+        public Builder timer(StandinTimer newTimer) {
+            this.timer = newTimer;
+            return this;
+        }
+
+        /**
+         * Sets how old the VM list is.
+         *
+         * @param millis the lag.
+         * @return this builder.
+         */
+        public Builder listLagMillis(long millis) {
+            this.listLagMillis = millis;
+            return this;
+        }
+
+        /**
+         * Sets how long a VM stays listed after its last announcement.
+         *
+         * @param millis the expiry.
+         * @return this builder.
+         */
+        public Builder listExpiryMillis(long millis) {
+            this.listExpiryMillis = millis;
+            return this;
+        }
+
+        /**
+         * Starts the stand-in.
+         *
+         * @return the listening stand-in.
+         */
+        public PlatformStandin start() {
+            return new PlatformStandin(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/StandinExchange.java
@@ -0,0 +1,43 @@
+package io.waxwingquay.standin;
+
+import io.waxwingquay.common.Json;
+import java.io.IOException;
+import java.util.Optional;
+import org.eclipse.jetty.server.Request;
+
+/**
+ * One request to a stand-in, with its whole body.
+ *
+ * @param request the request.
+ * @param body the body.
+ */
+record StandinExchange(Request request, byte[] body) {
+
+    boolean is(String method, String path) {
+        return request.getMethod().equals(method) && path().equals(path);
+    }
+
+    boolean isUnder(String method, String prefix) {
+        return request.getMethod().equals(method) && path().startsWith(prefix);
+    }
+
+    String path() {
+        return Request.getPathInContext(request);
+    }
+
+    String after(String prefix) {
+        return path().substring(prefix.length());
+    }
+
+    Optional<String> header(String name) {
+        return Optional.ofNullable(request.getHeaders().get(name));
+    }
+
+    <T> T read(Class<T> type) {
+        try {
+            return Json.MAPPER.readValue(body, type);
+        } catch (IOException failure) {
+            throw new IllegalArgumentException(failure.getMessage(), failure);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/StandinReply.java
@@ -0,0 +1,87 @@
+package io.waxwingquay.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * What a stand-in answers.
+ *
+ * @param statusCode the HTTP status.
+ * @param contentType type of the body.
+ * @param body the body.
+ * @param wrote whether the request changed the stand-in, so that losing its answer matters.
+ * @param dropped whether the connection is closed instead.
+ * @param stream writes the body piece by piece instead.
+ */
+record StandinReply(
+        int statusCode,
+        String contentType,
+        byte[] body,
+        boolean wrote,
+        boolean dropped,
+        Optional<Consumer<StandinServer.Answering>> stream) {
+
+    static final int OK = 200;
+    static final int ACCEPTED = 202;
+    static final int NO_CONTENT = 204;
+    static final int BAD_REQUEST = 400;
+    static final int NOT_FOUND = 404;
+    static final int CONFLICT = 409;
+    static final int PRECONDITION_FAILED = 412;
+
+    private static final int SERVER_ERROR = 500;
+    private static final String JSON = "application/json";
+
+    static StandinReply of(int statusCode, String contentType, byte[] body) {
+        return new StandinReply(statusCode, contentType, body, false, false, Optional.empty());
+    }
+
+    static StandinReply json(int statusCode, Object value) {
+        return of(statusCode, JSON, StandinServer.json(value).getBytes(StandardCharsets.UTF_8));
+    }
+
+    static StandinReply empty(int statusCode) {
+        return of(statusCode, JSON, new byte[0]);
+    }
+
+    static StandinReply error(int statusCode, String message) {
+        return json(statusCode, new Problem(message));
+    }
+
+    static StandinReply closedConnection() {
+        return new StandinReply(SERVER_ERROR, JSON, new byte[0], false, true, Optional.empty());
+    }
+
+    static StandinReply events(Consumer<StandinServer.Answering> writer) {
+        return new StandinReply(OK, "text/event-stream", new byte[0], false, false, Optional.of(writer));
+    }
+
+    static StandinReply attempt(Supplier<StandinReply> supplier) {
+        try {
+            return supplier.get();
+        } catch (RuntimeException failure) {
+            return ofFailure(failure);
+        }
+    }
+
+    static StandinReply ofFailure(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof IllegalArgumentException
+                ? error(BAD_REQUEST, String.valueOf(cause.getMessage()))
+                : error(SERVER_ERROR, String.valueOf(cause));
+    }
+
+    StandinReply written() {
+        return new StandinReply(statusCode, contentType, body, true, dropped, stream);
+    }
+
+    /**
+     * Why a request was not served.
+     *
+     * @param error a sentence.
+     */
+    record Problem(String error) {}
+}
