--- a/src/main/java/io/waxwingquay/engine/HttpModelEngine.java
+++ b/src/main/java/io/waxwingquay/engine/HttpModelEngine.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.engine;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.common.HttpCalls;
 import java.util.Optional;
@@ -135,6 +136,7 @@
      * @param total length of the whole answer, at its end.
      * @param error why the generation ended early.
      */
+    @JsonInclude(JsonInclude.Include.NON_ABSENT)
     public record StreamEvent(
             Optional<Long> offset,
             Optional<String> text,
--- a/src/main/java/io/waxwingquay/standin/StandinServer.java
+++ b/src/main/java/io/waxwingquay/standin/StandinServer.java
@@ -39,6 +39,7 @@
     private final Faults faults;
     private final Supplier<Object> stats;
     private final Function<StandinExchange, CompletableFuture<StandinReply>> service;
+    private volatile boolean away;
 
     private StandinServer(
             HostPort address,
@@ -82,6 +83,7 @@
 
     /** Closes every connection and the port for a while, as a crashed process would. */
     void goAway(long awayMicros) {
+        away = true;
         SHARED.threads.execute(() -> {
             stopConnector();
             timer.after(awayMicros, () -> SHARED.threads.execute(this::startConnector));
@@ -101,6 +103,7 @@
             return;
         }
         try {
+            away = false;
             connector.start();
         } catch (Exception failure) {
             LOG.log(System.Logger.Level.WARNING, "standin: cannot reopen port " + port(), failure);
@@ -155,7 +158,7 @@
             if (faults.hits(Faults.Kind.SILENT)) {
                 return;
             }
-            if (faults.hits(Faults.Kind.OUT)) {
+            if (away || faults.hits(Faults.Kind.OUT)) {
                 answering.drop();
                 return;
             }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/StandinText.java
@@ -0,0 +1,67 @@
+package io.waxwingquay.standin;
+
+import io.waxwingquay.engine.ModelEngine.Generation;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * The text a stand-in engine generates: a function of model, adapter, prompt and offset, so that a test can tell
+ * that an answer is whole and belongs to its request.
+ */
+public final class StandinText {
+
+    /** Characters of a prompt that count as one token. */
+    public static final int CHARACTERS_PER_TOKEN = 4;
+
+    private StandinText() {}
+
+    /**
+     * One token.
+     *
+     * @param model the model's item.
+     * @param adapter the adapter's item, if any.
+     * @param prompt the prompt.
+     * @param offset position of the token.
+     * @return the token's text.
+     */
+    public static String token(String model, Optional<String> adapter, String prompt, long offset) {
+        return tokenOf(seed(model, adapter, prompt), offset);
+    }
+
+    /**
+     * A whole answer.
+     *
+     * @param model the model's item.
+     * @param adapter the adapter's item, if any.
+     * @param prompt the prompt.
+     * @param tokens its length.
+     * @return the text.
+     */
+    public static String answer(String model, Optional<String> adapter, String prompt, long tokens) {
+        long seed = seed(model, adapter, prompt);
+        return LongStream.range(0, tokens)
+                .mapToObj(offset -> tokenOf(seed, offset))
+                .collect(Collectors.joining());
+    }
+
+    static long seed(Generation generation) {
+        return seed(generation.model(), generation.adapter(), generation.prompt());
+    }
+
+    static String tokenOf(long seed, long offset) {
+        int hash = MurmurHash3.hash32(seed, offset);
+        return "w" + Integer.toHexString(hash & 0xffff) + " ";
+    }
+
+    static int promptTokens(String prompt) {
+        return Math.max(1, (prompt.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN);
+    }
+
+    private static long seed(String model, Optional<String> adapter, String prompt) {
+        byte[] bytes = (model + '\0' + adapter.orElse("") + '\0' + prompt).getBytes(StandardCharsets.UTF_8);
+        return MurmurHash3.hash128x64(bytes)[0];
+    }
+}
