--- /dev/null
+++ b/src/test/java/io/waxwingquay/standin/BatchTest.java
@@ -0,0 +1,66 @@
+package io.waxwingquay.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.engine.ModelEngine.Generation;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class BatchTest {
+
+    private final StandinTimer.ByHand timer = new StandinTimer.ByHand();
+    private final CostModel costs = new CostModel(10, 1, 1_000, 100, 2, 1_024, 0, 5_000, 0);
+    private final Batch batch = new Batch(timer, costs, prompt -> false, () -> {});
+
+    @Test
+    void stepCostsTheBaseAndEachSequenceAndThePrefillOfThoseThatJoin() {
+        Sequence sequence = batch.start(generation("a", "x".repeat(40), 2, 0));
+
+        timer.advance(1_000 + 100 + 10 * 10 - 1);
+        assertEquals(0, sequence.produced());
+        timer.advance(1);
+        assertEquals(1, sequence.produced());
+        timer.advance(1_100);
+        assertTrue(sequence.whole());
+    }
+
+    @Test
+    void higherPriorityJoinsFirstWhenThePlacesAreTaken() {
+        batch.start(generation("a", "p", 3, 0));
+        batch.start(generation("b", "p", 3, 0));
+        Sequence low = batch.start(generation("low", "p", 1, 0));
+        Sequence high = batch.start(generation("high", "p", 50, 5));
+
+        timer.advance(1_000_000);
+        assertTrue(low.whole());
+        assertTrue(high.whole());
+        assertEquals(57, batch.stats().tokens());
+    }
+
+    @Test
+    void promptWithACachedPrefixCostsLess() {
+        String prefix = "s".repeat(640);
+        batch.start(generation("a", prefix + "one", 1, 0));
+        timer.advance(1_000_000);
+        batch.start(generation("b", prefix + "two", 1, 0));
+        timer.advance(1_000_000);
+
+        assertEquals(160, batch.stats().cachedPromptTokens());
+    }
+
+    @Test
+    void loadReportLags() {
+        batch.load();
+        timer.advance(4_000);
+        batch.start(generation("a", "p", 1_000, 0));
+
+        assertEquals(0, batch.load().running());
+        timer.advance(8_000);
+        assertEquals(1, batch.load().running());
+    }
+
+    private static Generation generation(String id, String prompt, int tokens, int priority) {
+        return new Generation(id, "model:m@1", Optional.empty(), prompt, tokens, priority);
+    }
+}
