--- /dev/null
+++ b/src/main/java/io/waxwingquay/permit/PermitHome.java
@@ -0,0 +1,208 @@
+package io.waxwingquay.permit;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.permit.Permits.Limit;
+import io.waxwingquay.transport.generated.PermitAnswer;
+import io.waxwingquay.transport.generated.PermitRequest;
+import io.waxwingquay.transport.generated.PermitReturn;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Lends the permits homed on one replica: slot i of a limit is homed on replica i mod replicas.
+ *
+ * <p>A permit is lent for a lease by the monotonic clock and comes back by return or by the lease's end. A home keeps
+ * nothing on disk, so a restarted one does not know what its predecessor lent: it grants nothing for one longest
+ * lease, after which all of that has ended. A home that was paused may meanwhile have been replaced, and the
+ * replacement lends the same slots: seen from outside, more permits are out than the limit. So a home that notices
+ * a gap in its own heartbeat grants nothing for one lease either, within which membership tells it that it is
+ * superseded.
+ */
+public final class PermitHome {
+
+    private final Clock clock;
+    private final long maxLeaseMillis;
+    private final long pauseMillis;
+    private final Map<Limit, Pool> pools = new EnumMap<>(Limit.class);
+    private Slots slots;
+    private long quietUntilMillis;
+    private long lastBeatMillis;
+    private boolean isSuperseded;
+
+    /**
+     * A home that starts now, and so is quiet for one lease.
+     *
+     * @param clock the time; leases are by its monotonic part.
+     * @param maxLeaseMillis the longest lease granted.
+     * @param pauseMillis the longest gap between heartbeats that is no pause.
+     * @param slots which slots are homed here.
+     */
+    public PermitHome(Clock clock, long maxLeaseMillis, long pauseMillis, Slots slots) {
+        this.clock = clock;
+        this.maxLeaseMillis = maxLeaseMillis;
+        this.pauseMillis = pauseMillis;
+        this.slots = slots;
+        this.lastBeatMillis = clock.monotonicMillis();
+        this.quietUntilMillis = lastBeatMillis + maxLeaseMillis;
+        Arrays.stream(Limit.values()).forEach(limit -> pools.put(limit, new Pool(lastBeatMillis)));
+    }
+
+    /** To be called several times within the pause limit, so that a pause of this process shows as a gap. */
+    public synchronized void heartbeat() {
+        beat();
+    }
+
+    /** Stops granting for good, once membership shows a newer side in this replica's place. */
+    public synchronized void supersede() {
+        isSuperseded = true;
+    }
+
+    /**
+     * Takes the numbers of a new bundle. A slot may have moved from another home that still has it lent, so a
+     * change is followed by a quiet lease.
+     *
+     * @param next the slots homed here from now on.
+     */
+    public synchronized void configure(Slots next) {
+        if (!next.equals(slots)) {
+            slots = next;
+            beQuiet(beat());
+        }
+    }
+
+    /**
+     * Lends a permit, or extends it when the same permit is still out.
+     *
+     * @param request what is asked; the lease is cut to the longest one.
+     * @return whether it was granted, else when to ask again.
+     */
+    public synchronized PermitAnswer borrow(PermitRequest request) {
+        long nowMillis = beat();
+        Optional<Limit> limit = limitNamed(request.getLimit());
+        if (limit.isEmpty() || isSuperseded) {
+            return new PermitAnswer(false, maxLeaseMillis);
+        }
+        if (nowMillis < quietUntilMillis) {
+            return new PermitAnswer(false, quietUntilMillis - nowMillis);
+        }
+        long leaseMillis = Math.max(0, Math.min(request.getLeaseMillis(), maxLeaseMillis));
+        return pools.get(limit.get())
+                .lend(
+                        request.getPermitId(),
+                        nowMillis,
+                        leaseMillis,
+                        slots.of(limit.get()),
+                        slots.startRate(limit.get()));
+    }
+
+    /**
+     * Takes a permit back. A repeated return changes nothing.
+     *
+     * @param request which permit.
+     * @return whether it was out.
+     */
+    public synchronized boolean giveBack(PermitReturn request) {
+        beat();
+        return limitNamed(request.getLimit())
+                .map(limit -> pools.get(limit).leaseEndMillis.remove(request.getPermitId()) != null)
+                .orElse(false);
+    }
+
+    private long beat() {
+        long nowMillis = clock.monotonicMillis();
+        if (nowMillis - lastBeatMillis > pauseMillis) {
+            beQuiet(nowMillis);
+        }
+        lastBeatMillis = nowMillis;
+        return nowMillis;
+    }
+
+    private void beQuiet(long nowMillis) {
+        quietUntilMillis = Math.max(quietUntilMillis, nowMillis + maxLeaseMillis);
+    }
+
+    private static Optional<Limit> limitNamed(String name) {
+        return Arrays.stream(Limit.values())
+                .filter(limit -> limit.name().equals(name))
+                .findFirst();
+    }
+
+    /**
+     * The slots homed on one replica.
+     *
+     * @param replica this replica's number.
+     * @param replicas how many replicas the service has.
+     * @param weightLoadsAtOnce the service's limit of weight loads.
+     * @param weightLoadsPerSecond the service's limit of weight loads started a second; 0 for none.
+     * @param adapterLoadsAtOnce the service's limit of adapter loads.
+     */
+    public record Slots(
+            int replica, int replicas, int weightLoadsAtOnce, double weightLoadsPerSecond, int adapterLoadsAtOnce) {
+
+        /**
+         * How many slots of a limit are homed here.
+         *
+         * @param limit the limit.
+         * @return the number; 0 for most replicas when there are more replicas than slots.
+         */
+        public int of(Limit limit) {
+            int total = total(limit);
+            return replica >= replicas ? 0 : total / replicas + (replica < total % replicas ? 1 : 0);
+        }
+
+        /**
+         * The limit over all replicas.
+         *
+         * @param limit the limit.
+         * @return the number of slots.
+         */
+        public int total(Limit limit) {
+            return limit == Limit.WEIGHT_LOADS ? weightLoadsAtOnce : adapterLoadsAtOnce;
+        }
+
+        /**
+         * This home's share of the rate of starts: the same for each slot.
+         *
+         * @param limit the limit.
+         * @return starts a second, or infinity where no rate is set.
+         */
+        public double startRate(Limit limit) {
+            boolean isLimited = limit == Limit.WEIGHT_LOADS && weightLoadsPerSecond > 0 && weightLoadsAtOnce > 0;
+            return isLimited ? weightLoadsPerSecond * of(limit) / weightLoadsAtOnce : Double.POSITIVE_INFINITY;
+        }
+    }
+
+    /** What is out of one limit, and the token bucket of its starts, which holds at most one token. */
+    private static final class Pool {
+
+        private static final double MILLIS_PER_SECOND = 1000.0;
+        private static final long RETRY_MILLIS = 50;
+
+        private final Map<String, Long> leaseEndMillis = new HashMap<>();
+        private long nextStartMillis;
+
+        private Pool(long nowMillis) {
+            this.nextStartMillis = nowMillis;
+        }
+
+        PermitAnswer lend(String permitId, long nowMillis, long leaseMillis, int slots, double startsPerSecond) {
+            leaseEndMillis.values().removeIf(endMillis -> endMillis <= nowMillis);
+            if (leaseEndMillis.containsKey(permitId)) {
+                leaseEndMillis.merge(permitId, nowMillis + leaseMillis, Math::max);
+                return new PermitAnswer(true, 0);
+            }
+            if (leaseEndMillis.size() >= slots) {
+                return new PermitAnswer(false, RETRY_MILLIS);
+            }
+            if (nowMillis < nextStartMillis) {
+                return new PermitAnswer(false, nextStartMillis - nowMillis);
+            }
+            nextStartMillis = nowMillis + (long) Math.ceil(MILLIS_PER_SECOND / startsPerSecond);
+            leaseEndMillis.put(permitId, nowMillis + leaseMillis);
+            return new PermitAnswer(true, 0);
+        }
+    }
+}
