--- /dev/null
+++ b/src/main/java/io/waxwingquay/membership/Gossip.java
@@ -0,0 +1,386 @@
+package io.waxwingquay.membership;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.suspect.SuspectBook;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.generated.GossipAnswer;
+import io.waxwingquay.transport.generated.GossipRequest;
+import io.waxwingquay.transport.generated.SideRecord;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Spreads side records, suspects and the number of the newest bundle between processes.
+ *
+ * <p>A round sends recent changes and one combined hash to a few peers. Only when nothing is new and the combined
+ * hashes differ are buckets and then digests compared, and at most once in an interval, as hashes differ anyway while
+ * changes are on their way. Rounds are quick while there is urgent news (a new bundle, a side that leaves), slower
+ * while there are other changes, and slow when idle.
+ *
+ * <p>Idle cost by design: a round of one peer is a request of about 60 bytes and an answer of about 15, each process
+ * asks once and is asked once every 2 s on average: (60 + 15) * 2 / 2 = 75 bytes a second. Measured figures stand in
+ * docs/design/membership.md.
+ */
+public final class Gossip {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.membership");
+    private static final double OTHER_DATA_CENTRE_SHARE = 0.25;
+    private static final int MAX_EXCHANGES = 4;
+
+    private final GossipParts parts;
+    private final GossipHandler handler;
+    private final Rumours rumours;
+    private final Connections connections;
+    private final Clock clock;
+    private final Pace pace;
+    private volatile long urgentUntilMillis = Long.MIN_VALUE;
+    private volatile long lastComparedMillis = Long.MIN_VALUE / 2;
+    private volatile long lastBundleVersion;
+
+    private Gossip(Builder wiring) {
+        this.parts = wiring.parts();
+        this.handler = new GossipHandler(parts);
+        this.rumours = new Rumours(parts.table());
+        this.connections = wiring.connections;
+        this.clock = wiring.clock;
+        this.pace = wiring.pace;
+        parts.table().onChange(this::noteChange);
+    }
+
+    /**
+     * Starts the wiring of gossip.
+     *
+     * @param table the side records.
+     * @param peers whom to ask.
+     * @param connections connections to them.
+     * @return a builder.
+     */
+    public static Builder over(MemberTable table, Peers peers, Connections connections) {
+        return new Builder(table, peers, connections);
+    }
+
+    /**
+     * The end that answers.
+     *
+     * @return the handler of this process.
+     */
+    public GossipHandler handler() {
+        return handler;
+    }
+
+    /** Makes the next rounds quick, for news that must be everywhere within seconds. */
+    public void hurry() {
+        urgentUntilMillis = clock.monotonicMillis() + pace.urgentForMillis();
+    }
+
+    /**
+     * How long to wait before the next round.
+     *
+     * @return the delay in milliseconds.
+     */
+    public long nextDelayMillis() {
+        noteOwnBundleVersion();
+        if (isUrgent()) {
+            return pace.urgentMillis();
+        }
+        return rumours.isEmpty() ? pace.idleMillis() : pace.newsMillis();
+    }
+
+    /**
+     * One round.
+     *
+     * @return completes when every peer asked has answered or failed; does not fail.
+     */
+    public CompletableFuture<Void> round() {
+        noteOwnBundleVersion();
+        boolean isIdle = rumours.isEmpty() && !isUrgent();
+        int fanOut = isUrgent() ? pace.urgentFanOut() : isIdle ? 1 : pace.newsFanOut();
+        List<Peers.Peer> peers;
+        synchronized (parts.random()) {
+            peers = parts.peers().pick(fanOut, OTHER_DATA_CENTRE_SHARE, parts.random());
+        }
+        List<SideRecord> news = peers.isEmpty() ? List.of() : rumours.take(parts.maxRecordBytes(), peers.size());
+        return CompletableFuture.allOf(
+                peers.stream().map(peer -> contact(peer, news)).toArray(CompletableFuture[]::new));
+    }
+
+    /**
+     * Runs rounds until closed.
+     *
+     * @param scheduler runs them.
+     * @return stops the rounds when closed.
+     */
+    public AutoCloseable start(ScheduledExecutorService scheduler) {
+        Loop loop = new Loop(scheduler);
+        loop.schedule();
+        return loop;
+    }
+
+    private CompletableFuture<Void> contact(Peers.Peer peer, List<SideRecord> news) {
+        GossipRequest request = request(List.of(parts.table().combinedHash()), news);
+        return ask(peer, request)
+                .thenCompose(answer -> answer.getWantedBucketsSize() > 0 && mayCompare()
+                        ? compare(peer, MAX_EXCHANGES)
+                        : CompletableFuture.<Void>completedFuture(null))
+                .handle((done, failure) -> {
+                    parts.peers().noteOutcome(peer, failure == null);
+                    return null;
+                });
+    }
+
+    private CompletableFuture<Void> compare(Peers.Peer peer, int exchangesLeft) {
+        return ask(peer, request(parts.table().bucketHashes(), List.of()))
+                .thenCompose(answer -> answer.getWantedBucketsSize() == 0
+                        ? CompletableFuture.<Void>completedFuture(null)
+                        : exchange(peer, answer.getWantedBuckets(), exchangesLeft));
+    }
+
+    private CompletableFuture<Void> exchange(Peers.Peer peer, List<Integer> buckets, int exchangesLeft) {
+        List<Long> all = parts.table().bucketHashes();
+        List<Long> hashes = new ArrayList<>(Collections.nCopies(all.size(), GossipHandler.NOT_COMPARED));
+        buckets.forEach(bucket -> hashes.set(bucket, all.get(bucket)));
+        List<SideRecord> digests = parts.table().recordsIn(buckets).stream()
+                .map(GossipHandler::digestOf)
+                .toList();
+        return ask(peer, request(hashes, digests)).thenCompose(answer -> {
+            CompletableFuture<Void> sent = sendWanted(peer, answer);
+            boolean isFull = answer.getSidesSize() > 0 && exchangesLeft > 1;
+            return isFull ? sent.thenCompose(done -> compare(peer, exchangesLeft - 1)) : sent;
+        });
+    }
+
+    private CompletableFuture<Void> sendWanted(Peers.Peer peer, GossipAnswer answer) {
+        List<SideRecord> wanted = answer.getSides().stream()
+                .filter(record -> record.getHost() == null)
+                .flatMap(digest -> parts.table().record(digest.getSideId()).stream())
+                .toList();
+        return wanted.isEmpty()
+                ? CompletableFuture.completedFuture(null)
+                : ask(peer, request(List.of(), parts.bounded(wanted))).thenApply(done -> null);
+    }
+
+    private CompletableFuture<GossipAnswer> ask(Peers.Peer peer, GossipRequest request) {
+        return connections.to(peer.address()).gossip(request).thenApply(answer -> {
+            parts.traffic().asked(request, answer);
+            parts.noteBundleVersion(answer.getBundleVersion(), peer.address());
+            parts.suspects().merge(answer.getSuspects());
+            parts.table().merge(answer.getSides());
+            return answer;
+        });
+    }
+
+    private GossipRequest request(List<Long> hashes, List<SideRecord> sides) {
+        Peers.Peer self = parts.peers().self();
+        return new GossipRequest(
+                self.id(),
+                self.address().host(),
+                self.address().port(),
+                parts.bundleVersion().getAsLong(),
+                hashes,
+                sides,
+                parts.suspectsToSend());
+    }
+
+    private boolean mayCompare() {
+        long nowMillis = clock.monotonicMillis();
+        boolean isDue = nowMillis - lastComparedMillis >= pace.compareMillis();
+        if (isDue) {
+            lastComparedMillis = nowMillis;
+        }
+        return isDue;
+    }
+
+    private void noteChange(SideRecord record) {
+        rumours.add(record);
+        if (Rumours.isUrgent(record)) {
+            hurry();
+        }
+    }
+
+    private void noteOwnBundleVersion() {
+        long version = parts.bundleVersion().getAsLong();
+        if (version > lastBundleVersion) {
+            lastBundleVersion = version;
+            hurry();
+        }
+    }
+
+    private boolean isUrgent() {
+        return clock.monotonicMillis() < urgentUntilMillis;
+    }
+
+    /**
+     * Intervals and fan-outs.
+     *
+     * @param urgentMillis between rounds while there is urgent news.
+     * @param urgentForMillis how long news stays urgent.
+     * @param urgentFanOut peers a round while urgent.
+     * @param newsMillis between rounds while there are other changes.
+     * @param newsFanOut peers a round while there are other changes.
+     * @param idleMillis between rounds when nothing is new.
+     * @param compareMillis between comparisons of buckets.
+     */
+    public record Pace(
+            long urgentMillis,
+            long urgentForMillis,
+            int urgentFanOut,
+            long newsMillis,
+            int newsFanOut,
+            long idleMillis,
+            long compareMillis) {
+
+        /** For a few thousand processes and 9 KB/s each. */
+        public static final Pace DEFAULT = new Pace(250, 2_500, 3, 1_000, 2, 2_000, 10_000);
+    }
+
+    private final class Loop implements AutoCloseable {
+
+        private final ScheduledExecutorService scheduler;
+        private volatile boolean isClosed;
+
+        private Loop(ScheduledExecutorService scheduler) {
+            this.scheduler = scheduler;
+        }
+
+        // The wait is cut into urgent intervals, so that urgent news does not sit out an idle wait.
+        private void schedule() {
+            long dueMillis = clock.monotonicMillis();
+            scheduler.schedule(() -> wake(dueMillis), pace.urgentMillis(), TimeUnit.MILLISECONDS);
+        }
+
+        private void wake(long sinceMillis) {
+            if (isClosed) {
+                return;
+            }
+            if (clock.monotonicMillis() - sinceMillis < nextDelayMillis()) {
+                scheduler.schedule(() -> wake(sinceMillis), pace.urgentMillis(), TimeUnit.MILLISECONDS);
+                return;
+            }
+            runRound();
+            schedule();
+        }
+
+        private void runRound() {
+            try {
+                round();
+            } catch (RuntimeException failure) {
+                LOG.log(System.Logger.Level.WARNING, "membership: a gossip round failed.", failure);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void close() {
+            isClosed = true;
+        }
+    }
+
+    /** Wiring of gossip. */
+    public static final class Builder {
+
+        private static final int DEFAULT_MAX_RECORD_BYTES = 8 * 1024;
+
+        private final MemberTable table;
+        private final Peers peers;
+        private final Connections connections;
+        private SuspectBook suspects;
+        private MeterRegistry registry;
+        private LongSupplier bundleVersion = () -> 0;
+        private BundleNews news = (version, from) -> {};
+        private Clock clock = Clock.SYSTEM;
+        private RandomGenerator random = RandomGenerator.getDefault();
+        private Pace pace = Pace.DEFAULT;
+        private int maxRecordBytes = DEFAULT_MAX_RECORD_BYTES;
+
+        private Builder(MemberTable table, Peers peers, Connections connections) {
+            this.table = table;
+            this.peers = peers;
+            this.connections = connections;
+        }
+
+        /**
+         * Sets the suspects that ride along.
+         *
+         * @param newSuspects the suspects of this process.
+         * @return this builder.
+         */
+        public Builder carrying(SuspectBook newSuspects) {
+            this.suspects = newSuspects;
+            return this;
+        }
+
+        /**
+         * Sets where the bundle's version comes from and who hears of a higher one.
+         *
+         * @param newBundleVersion the version in force here.
+         * @param newNews told of a higher one.
+         * @return this builder.
+         */
+        public Builder announcing(LongSupplier newBundleVersion, BundleNews newNews) {
+            this.bundleVersion = newBundleVersion;
+            this.news = newNews;
+            return this;
+        }
+
+        /**
+         * Sets the time and the randomness.
+         *
+         * @param newClock the time.
+         * @param newRandom picks peers.
+         * @return this builder.
+         */
+        public Builder deciding(Clock newClock, RandomGenerator newRandom) {
+            this.clock = newClock;
+            this.random = newRandom;
+            return this;
+        }
+
+        /**
+         * Sets the intervals and the bound of a message.
+         *
+         * @param newPace intervals and fan-outs.
+         * @param newMaxRecordBytes the most bytes of records in a message.
+         * @return this builder.
+         */
+        public Builder paced(Pace newPace, int newMaxRecordBytes) {
+            this.pace = newPace;
+            this.maxRecordBytes = newMaxRecordBytes;
+            return this;
+        }
+
+        /**
+         * Sets where traffic is counted.
+         *
+         * @param newRegistry the registry.
+         * @return this builder.
+         */
+        public Builder countedBy(MeterRegistry newRegistry) {
+            this.registry = newRegistry;
+            return this;
+        }
+
+        /**
+         * Builds it.
+         *
+         * @return gossip that has not started.
+         */
+        public Gossip build() {
+            Objects.requireNonNull(suspects, "suspects");
+            Objects.requireNonNull(registry, "registry");
+            return new Gossip(this);
+        }
+
+        private GossipParts parts() {
+            return new GossipParts(
+                    table, peers, suspects, bundleVersion, news, random, new GossipTraffic(registry), maxRecordBytes);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/membership/GossipHandler.java
@@ -0,0 +1,122 @@
+package io.waxwingquay.membership;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.transport.generated.GossipAnswer;
+import io.waxwingquay.transport.generated.GossipRequest;
+import io.waxwingquay.transport.generated.SideRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * Answers gossip. What a request holds says which step of the comparison it is:
+ *
+ * <ol>
+ *   <li>one combined hash: the answer wants {@link #ALL_BUCKETS} if it differs;
+ *   <li>a hash for each bucket and no digests: the answer wants some of the buckets that differ;
+ *   <li>hashes of the wanted buckets, the others {@link #NOT_COMPARED}, and digests of the records in them: the
+ *       answer brings the records that the asking process lacks, and digests of those that this one lacks;
+ *   <li>no hash: only news.
+ * </ol>
+ *
+ * <p>A digest is a side record without a host: name, epoch, version and state.
+ */
+public final class GossipHandler {
+
+    /** Wanted in place of a bucket: the combined hashes differ. */
+    static final int ALL_BUCKETS = -1;
+
+    /** The hash of a bucket that is not compared. */
+    static final long NOT_COMPARED = 1L;
+
+    private static final int MAX_RECORDS_COMPARED = 150;
+
+    private final GossipParts parts;
+
+    GossipHandler(GossipParts parts) {
+        this.parts = parts;
+    }
+
+    /**
+     * Takes in a request's news and answers it.
+     *
+     * @param request the request.
+     * @return the answer, bounded in size.
+     */
+    public GossipAnswer answer(GossipRequest request) {
+        HostPort from = new HostPort(request.getFromHost(), request.getFromPort());
+        parts.peers().noteRequest(request.getFromId(), from);
+        parts.noteBundleVersion(request.getBundleVersion(), from);
+        parts.suspects().merge(request.getSuspects());
+        parts.table().merge(request.getSides());
+        GossipAnswer answer = compare(request)
+                .setBundleVersion(parts.bundleVersion().getAsLong())
+                .setSuspects(parts.suspectsToSend());
+        parts.traffic().answered(request, answer);
+        return answer;
+    }
+
+    private GossipAnswer compare(GossipRequest request) {
+        List<Long> hashes = request.getBucketHashes();
+        GossipAnswer answer = new GossipAnswer(0, List.of(), List.of(), List.of());
+        if (hashes.size() == 1) {
+            boolean isEqual = hashes.get(0) == parts.table().combinedHash();
+            return isEqual ? answer : answer.setWantedBuckets(List.of(ALL_BUCKETS));
+        }
+        if (hashes.size() != BucketHashes.BUCKETS) {
+            return answer;
+        }
+        List<Integer> differing = differing(hashes);
+        boolean isDigested = hashes.contains(NOT_COMPARED);
+        return isDigested
+                ? answer.setSides(difference(differing, request.getSides()))
+                : answer.setWantedBuckets(few(differing));
+    }
+
+    private List<Integer> differing(List<Long> hashes) {
+        List<Long> own = parts.table().bucketHashes();
+        return IntStream.range(0, BucketHashes.BUCKETS)
+                .filter(bucket -> hashes.get(bucket) != NOT_COMPARED)
+                .filter(bucket -> !hashes.get(bucket).equals(own.get(bucket)))
+                .boxed()
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    // At least one bucket stays out, so that a request of step three always has NOT_COMPARED in it.
+    private List<Integer> few(List<Integer> differing) {
+        int perBucket = Math.max(1, parts.table().size() / BucketHashes.BUCKETS);
+        int count = Math.max(1, Math.min(MAX_RECORDS_COMPARED / perBucket, BucketHashes.BUCKETS - 1));
+        return parts.sample(differing, count);
+    }
+
+    private List<SideRecord> difference(List<Integer> buckets, List<SideRecord> sent) {
+        Map<String, SideRecord> digests = new HashMap<>();
+        sent.forEach(record -> digests.put(record.getSideId(), record));
+        List<SideRecord> newerHere = parts.table().recordsIn(Set.copyOf(buckets)).stream()
+                .filter(record -> isNews(record, digests.get(record.getSideId())))
+                .toList();
+        List<SideRecord> answer = new ArrayList<>(parts.bounded(newerHere));
+        digests.values().stream()
+                .filter(digest ->
+                        isNews(digest, parts.table().record(digest.getSideId()).orElse(null)))
+                .map(GossipHandler::digestOf)
+                .forEach(answer::add);
+        return answer;
+    }
+
+    private static boolean isNews(SideRecord record, SideRecord known) {
+        return known == null || Records.join(known, record).isPresent();
+    }
+
+    static SideRecord digestOf(SideRecord record) {
+        return new SideRecord()
+                .setSideId(record.getSideId())
+                .setEpoch(record.getEpoch())
+                .setVersion(record.getVersion())
+                .setState(record.getState());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/membership/Peers.java
@@ -0,0 +1,172 @@
+package io.waxwingquay.membership;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.platform.VmList;
+import io.waxwingquay.transport.generated.SideState;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/**
+ * Whom this process may gossip with: sides from the member table, entries and yet unknown processes from seeds, the
+ * platform's list and requests. Safe for concurrent use.
+ */
+public final class Peers {
+
+    private static final int FORGET_AFTER_FAILURES = 5;
+    private static final String UNKNOWN = "";
+
+    private final Peer self;
+    private final MemberTable table;
+    private final Map<HostPort, Peer> others = new ConcurrentHashMap<>();
+    private final Map<HostPort, Integer> failures = new ConcurrentHashMap<>();
+    private final Set<HostPort> seeds;
+
+    /**
+     * Peers of one process.
+     *
+     * @param self this process.
+     * @param table the sides known.
+     * @param seeds addresses from the settings; kept for good, as they are the way back after a long cut.
+     */
+    public Peers(Peer self, MemberTable table, Collection<HostPort> seeds) {
+        this.self = self;
+        this.table = table;
+        this.seeds = Set.copyOf(seeds);
+        seeds.forEach(seed -> add(new Peer(seed.toString(), seed, UNKNOWN)));
+    }
+
+    /**
+     * This process.
+     *
+     * @return its name, address and data centre.
+     */
+    public Peer self() {
+        return self;
+    }
+
+    MemberTable table() {
+        return table;
+    }
+
+    /**
+     * Notes a process that sent a request; its data centre may not be known yet.
+     *
+     * @param id its name.
+     * @param address where it listens.
+     */
+    public void noteRequest(String id, HostPort address) {
+        failures.remove(address);
+        Peer known = others.get(address);
+        if (known == null || !known.id().equals(id)) {
+            add(new Peer(id, address, known == null ? UNKNOWN : known.dataCentre()));
+        }
+    }
+
+    /**
+     * Notes the VMs of the platform's list.
+     *
+     * @param vms the VMs; those leaving are not asked any more.
+     */
+    public void noteListed(Collection<VmList.Vm> vms) {
+        vms.forEach(vm -> {
+            HostPort address = new HostPort(vm.host(), vm.port());
+            if (vm.leaving()) {
+                others.remove(address);
+            } else {
+                add(new Peer(vm.name(), address, vm.dataCentre()));
+            }
+        });
+    }
+
+    /**
+     * Notes whether a peer answered. One that fails several times in a row is forgotten, unless it is a seed.
+     *
+     * @param peer the peer.
+     * @param answered whether it answered.
+     */
+    public void noteOutcome(Peer peer, boolean answered) {
+        table.side(peer.id()).ifPresent(side -> table.noteReached(side.id(), side.epoch(), answered));
+        if (answered) {
+            failures.remove(peer.address());
+        } else if (failures.merge(peer.address(), 1, Integer::sum) >= FORGET_AFTER_FAILURES
+                && !seeds.contains(peer.address())) {
+            others.remove(peer.address());
+            failures.remove(peer.address());
+        }
+    }
+
+    /**
+     * Picks different peers at random: mostly of the own data centre, at most one of another.
+     *
+     * @param count how many.
+     * @param otherShare the share of picks of one peer that go to another data centre.
+     * @param random the randomness.
+     * @return the peers; fewer if fewer are known.
+     */
+    public List<Peer> pick(int count, double otherShare, RandomGenerator random) {
+        List<Peer> near = new ArrayList<>();
+        List<Peer> far = new ArrayList<>();
+        all().forEach(peer -> (isNear(peer) ? near : far).add(peer));
+        int farCount = count > 1 || random.nextDouble() < otherShare ? Math.min(1, far.size()) : 0;
+        int nearCount = Math.min(count - farCount, near.size());
+        Set<Peer> picked = new LinkedHashSet<>(sample(near, nearCount, random));
+        picked.addAll(sample(far, Math.min(count - nearCount, far.size()), random));
+        return List.copyOf(picked);
+    }
+
+    /**
+     * All peers but this process, without those known to be silent or leaving.
+     *
+     * @return a new list.
+     */
+    public List<Peer> all() {
+        List<Side> sides = table.sides();
+        Set<HostPort> sideAddresses = new LinkedHashSet<>();
+        sides.forEach(side -> sideAddresses.add(side.address()));
+        Stream<Peer> fromTable = sides.stream()
+                .filter(side -> side.reachable() && side.state() != SideState.LEAVING)
+                .map(side -> new Peer(side.id(), side.address(), side.dataCentre()));
+        Stream<Peer> rest = others.values().stream().filter(peer -> !sideAddresses.contains(peer.address()));
+        return Stream.concat(fromTable, rest)
+                .filter(peer -> !peer.address().equals(self.address()))
+                .toList();
+    }
+
+    private void add(Peer peer) {
+        if (!peer.address().equals(self.address())) {
+            others.put(peer.address(), peer);
+        }
+    }
+
+    private boolean isNear(Peer peer) {
+        return peer.dataCentre().equals(self.dataCentre()) || peer.dataCentre().equals(UNKNOWN);
+    }
+
+    private static List<Peer> sample(List<Peer> from, int count, RandomGenerator random) {
+        List<Peer> rest = new ArrayList<>(from);
+        List<Peer> picked = new ArrayList<>();
+        for (int left = count; left > 0; left--) {
+            int index = random.nextInt(rest.size());
+            picked.add(rest.get(index));
+            rest.set(index, rest.get(rest.size() - 1));
+            rest.remove(rest.size() - 1);
+        }
+        return picked;
+    }
+
+    /**
+     * A process.
+     *
+     * @param id its name.
+     * @param address where it listens.
+     * @param dataCentre its data centre, empty if unknown.
+     */
+    public record Peer(String id, HostPort address, String dataCentre) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/membership/VmWatch.java
@@ -0,0 +1,211 @@
+package io.waxwingquay.membership;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.platform.VmList;
+import io.waxwingquay.transport.Connections;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Announces this process to the platform's list, reads the list where it is this process's turn, and tries silent
+ * sides again.
+ *
+ * <p>Only the first few processes of each data centre by hash read the list, and each process of a small service tries
+ * the others; the rest hear by gossip. If all 2,720 read it each second they would exceed the table service's
+ * 2,000 reads a second. When views of membership differ, a few more or fewer read, which does no harm. A process that
+ * knows no peer reads too, as it has nobody to hear from.
+ *
+ * <p>A list that goes back does not undo LEAVING, which sticks to the epoch in {@link MemberTable}. A list that
+ * still says leaving after the side restarted does not touch the new epoch: the flag counts once, for the
+ * epoch known when it came up.
+ */
+public final class VmWatch {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.membership");
+    private static final int READERS_PER_DATA_CENTRE = 3;
+    private static final int MAX_TRIES = 16;
+    private static final String SIDE_ROLE = "side";
+
+    private final VmList list;
+    private final MemberTable table;
+    private final Peers peers;
+    private final Connections connections;
+    private final Clock clock;
+    private final RandomGenerator random;
+    private final VmList.Vm self;
+    private final long intervalMillis;
+    private final Map<String, Long> leavingEpochs = new HashMap<>();
+    private volatile long listAgeFromMillis = Long.MIN_VALUE;
+
+    /**
+     * A watch that has not started.
+     *
+     * @param list the platform's list.
+     * @param peers the processes known, over the table that is kept up to date.
+     * @param connections to try silent sides.
+     * @param clock the time.
+     * @param random spreads the rounds.
+     * @param self this process, as it is announced.
+     * @param intervalMillis between rounds, on average.
+     */
+    public VmWatch(
+            VmList list,
+            Peers peers,
+            Connections connections,
+            Clock clock,
+            RandomGenerator random,
+            VmList.Vm self,
+            long intervalMillis) {
+        this.list = list;
+        this.peers = peers;
+        this.table = peers.table();
+        this.connections = connections;
+        this.clock = clock;
+        this.random = random;
+        this.self = self;
+        this.intervalMillis = intervalMillis;
+    }
+
+    /**
+     * One round: announces, reads the list if it is this process's turn, tries silent sides, expires records.
+     *
+     * @return completes when done; does not fail.
+     */
+    public CompletableFuture<Void> round() {
+        CompletableFuture<Void> announced = list.announce(self).exceptionally(VmWatch::noteAnnounceFailure);
+        CompletableFuture<Void> read = isReader() ? read() : leaveToOthers();
+        CompletableFuture<?>[] tries = Stream.concat(
+                        table.dueForRetry().stream().limit(MAX_TRIES), neighbours().stream())
+                .map(this::tryToReach)
+                .toArray(CompletableFuture[]::new);
+        return CompletableFuture.allOf(announced, read, CompletableFuture.allOf(tries))
+                .thenRun(table::expire);
+    }
+
+    /**
+     * Runs rounds until closed.
+     *
+     * @param scheduler runs them.
+     * @return stops the rounds when closed.
+     */
+    public AutoCloseable start(ScheduledExecutorService scheduler) {
+        // A random first delay spreads the processes that one restart of a rack brings up together.
+        long firstMillis = random.nextLong(intervalMillis) + 1;
+        var task = scheduler.scheduleAtFixedRate(this::runRound, firstMillis, intervalMillis, TimeUnit.MILLISECONDS);
+        return () -> task.cancel(false);
+    }
+
+    /**
+     * Whether this process reads the list.
+     *
+     * @return whether it is among the first of its data centre by hash.
+     */
+    public boolean isReader() {
+        List<Peers.Peer> known = peers.all();
+        Stream<String> near = known.stream()
+                .filter(peer -> peer.dataCentre().equals(self.dataCentre()))
+                .map(Peers.Peer::id);
+        return known.isEmpty()
+                || Stream.concat(near, Stream.of(self.name()))
+                        .distinct()
+                        .sorted(Comparator.comparingLong(VmWatch::rank).thenComparing(name -> name))
+                        .limit(READERS_PER_DATA_CENTRE)
+                        .anyMatch(self.name()::equals);
+    }
+
+    /**
+     * When the list was last read here, for the state dump.
+     *
+     * @return monotonic milliseconds, or {@link Long#MIN_VALUE} if never.
+     */
+    public long lastReadMillis() {
+        return listAgeFromMillis;
+    }
+
+    private CompletableFuture<Void> read() {
+        return list.list().handle((vms, failure) -> {
+            if (failure == null) {
+                apply(vms);
+            } else {
+                table.noteListOut();
+            }
+            return null;
+        });
+    }
+
+    private synchronized void apply(List<VmList.Vm> vms) {
+        listAgeFromMillis = clock.monotonicMillis();
+        peers.noteListed(vms);
+        List<VmList.Vm> sides =
+                vms.stream().filter(vm -> SIDE_ROLE.equals(vm.role())).toList();
+        table.noteListed(sides.stream().map(VmList.Vm::name).collect(Collectors.toSet()));
+        Set<String> leaving = new HashSet<>();
+        sides.stream().filter(VmList.Vm::leaving).map(VmList.Vm::name).forEach(leaving::add);
+        leavingEpochs.keySet().retainAll(leaving);
+        leaving.forEach(this::noteLeaving);
+    }
+
+    private void noteLeaving(String name) {
+        table.side(name).ifPresent(side -> {
+            long epoch = leavingEpochs.computeIfAbsent(name, ignored -> side.epoch());
+            table.noteLeaving(name, epoch);
+        });
+    }
+
+    // An absence seen as a reader must not grow old once others read: the VM may be listed again unseen.
+    private CompletableFuture<Void> leaveToOthers() {
+        table.noteListOut();
+        return CompletableFuture.completedFuture(null);
+    }
+
+    // Placement counts on sides that are reachable. With the list out a dead side shows only by its silence, so the
+    // sides of a service try each other: all of them in a small service, a random few in a large one.
+    private List<Side> neighbours() {
+        String service = table.side(self.name()).map(Side::service).orElse("");
+        List<Side> reachable = new ArrayList<>(table.sides().stream()
+                .filter(side -> side.service().equals(service))
+                .filter(side -> side.reachable() && !side.id().equals(self.name()))
+                .toList());
+        Collections.shuffle(reachable, new Random(random.nextLong()));
+        return reachable.stream().limit(MAX_TRIES).toList();
+    }
+
+    private CompletableFuture<Void> tryToReach(Side side) {
+        return connections.to(side.address()).ping().handle((answer, failure) -> {
+            table.noteReached(side.id(), side.epoch(), failure == null);
+            return null;
+        });
+    }
+
+    private void runRound() {
+        try {
+            round();
+        } catch (RuntimeException failure) {
+            LOG.log(System.Logger.Level.WARNING, "membership: a round over the VM list failed.", failure);
+        }
+    }
+
+    private static Void noteAnnounceFailure(Throwable failure) {
+        LOG.log(System.Logger.Level.DEBUG, "membership: the VM list took no announcement.", failure);
+        return null;
+    }
+
+    private static long rank(String name) {
+        return MurmurHash3.hash128x64(name.getBytes(StandardCharsets.UTF_8))[0];
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/placement/Fleet.java
@@ -0,0 +1,161 @@
+package io.waxwingquay.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.IntPredicate;
+
+/** The sides' memory while one plan is drawn up. */
+final class Fleet {
+
+    private static final int NONE = -1;
+
+    private final List<View.Holder> sides;
+    private final long[] hashes;
+    private final int[] dataCentres;
+    private final long[] freeBytes;
+    private final List<List<String>> wanted = new ArrayList<>();
+    private final List<Set<String>> guarded = new ArrayList<>();
+    private final Map<String, List<Integer>> residentAt = new HashMap<>();
+
+    Fleet(List<View.Holder> sides) {
+        this.sides = sides;
+        this.hashes = sides.stream().mapToLong(side -> Rank.hash(side.id())).toArray();
+        List<String> names =
+                sides.stream().map(View.Holder::dataCentre).distinct().toList();
+        this.dataCentres = sides.stream()
+                .mapToInt(side -> names.indexOf(side.dataCentre()))
+                .toArray();
+        this.freeBytes = sides.stream().mapToLong(View.Holder::capacityBytes).toArray();
+        for (int index = 0; index < sides.size(); index++) {
+            wanted.add(new ArrayList<>());
+            guarded.add(new HashSet<>());
+            int at = index;
+            sides.get(index).residentItems().forEach(name -> residentAt
+                    .computeIfAbsent(name, key -> new ArrayList<>())
+                    .add(at));
+        }
+    }
+
+    Item item(String name, long sizeBytes) {
+        List<Integer> at = new ArrayList<>(residentAt.getOrDefault(name, List.of()));
+        long hash = Rank.hash(name);
+        at.sort(Comparator.comparingDouble((Integer index) -> -score(hash, index))
+                .thenComparing(Comparator.naturalOrder()));
+        return new Item(name, sizeBytes, List.copyOf(at));
+    }
+
+    Set<String> residentNames() {
+        return residentAt.keySet();
+    }
+
+    boolean isResident(String name) {
+        return residentAt.containsKey(name);
+    }
+
+    int copies(Item item) {
+        return item.plannedAt.cardinality();
+    }
+
+    void protect(Item item) {
+        item.residentAt.stream().limit(1).forEach(index -> guarded.get(index).add(item.name));
+    }
+
+    /** Plans the best resident copy and protects it. */
+    void keepFirst(Item item) {
+        protect(item);
+        item.residentAt.stream().limit(1).filter(index -> fits(item, index)).forEach(index -> place(item, index));
+    }
+
+    /** Plans a first copy if there is none. */
+    void placeFirst(Item item) {
+        if (copies(item) == 0) {
+            placeBest(item, index -> true);
+        }
+    }
+
+    /** Plans a second copy, in another data centre where room allows. */
+    void placeElsewhere(Item item) {
+        if (copies(item) != 1) {
+            return;
+        }
+        int home = dataCentres[item.plannedAt.nextSetBit(0)];
+        if (!placeBest(item, index -> dataCentres[index] != home)) {
+            placeBest(item, index -> true);
+        }
+    }
+
+    /** Plans copies up to a number, while there is room. */
+    void placeUpTo(Item item, int copies) {
+        boolean isPlaced = true;
+        while (isPlaced && copies(item) < copies) {
+            isPlaced = placeBest(item, index -> true);
+        }
+    }
+
+    /** Plans copies of an adapter on sides where its model is planned. */
+    void placeBeside(Item item, Item model, int copies) {
+        boolean isPlaced = true;
+        while (isPlaced && copies(item) < copies) {
+            isPlaced = placeBest(item, model.plannedAt::get);
+        }
+    }
+
+    Map<String, Plan.Share> shares() {
+        Map<String, Plan.Share> shares = new HashMap<>();
+        for (int index = 0; index < sides.size(); index++) {
+            shares.put(
+                    sides.get(index).id(),
+                    new Plan.Share(List.copyOf(wanted.get(index)), Set.copyOf(guarded.get(index))));
+        }
+        return Map.copyOf(shares);
+    }
+
+    /** A resident copy goes before any other, so that nothing moves without need. */
+    private boolean placeBest(Item item, IntPredicate mayHold) {
+        int best = item.residentAt.stream()
+                .mapToInt(index -> index)
+                .filter(mayHold)
+                .filter(index -> fits(item, index))
+                .findFirst()
+                .orElseGet(() -> bestByRank(item, mayHold));
+        if (best == NONE) {
+            return false;
+        }
+        place(item, best);
+        return true;
+    }
+
+    private int bestByRank(Item item, IntPredicate mayHold) {
+        int best = NONE;
+        double bestScore = Double.NEGATIVE_INFINITY;
+        for (int index = 0; index < sides.size(); index++) {
+            if (fits(item, index) && mayHold.test(index)) {
+                double score = score(item.hash, index);
+                if (score > bestScore) {
+                    best = index;
+                    bestScore = score;
+                }
+            }
+        }
+        return best;
+    }
+
+    private boolean fits(Item item, int index) {
+        return item.sizeBytes <= freeBytes[index] && !item.plannedAt.get(index);
+    }
+
+    private void place(Item item, int index) {
+        item.plannedAt.set(index);
+        freeBytes[index] -= item.sizeBytes;
+        wanted.get(index).add(item.name);
+    }
+
+    private double score(long itemHash, int index) {
+        return Rank.score(itemHash, hashes[index], sides.get(index).capacityBytes());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/placement/LoadOnMiss.java
@@ -0,0 +1,49 @@
+package io.waxwingquay.placement;
+
+import io.waxwingquay.bundle.Bundle;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The baseline: each side holds what was asked of it most of late, as a cache that evicts the least used, and
+ * protects nothing.
+ */
+public final class LoadOnMiss implements Strategy {
+
+    /** {@inheritDoc} */
+    @Override
+    public Plan plan(View view) {
+        Map<String, Long> sizeBytes = sizes(view.bundle());
+        Map<String, Plan.Share> shares = new HashMap<>();
+        view.sides().forEach(side -> shares.put(side.id(), new Plan.Share(mostAsked(side, sizeBytes), Set.of())));
+        return new Plan(Map.copyOf(shares), Map.of(), List.of());
+    }
+
+    private static List<String> mostAsked(View.Holder side, Map<String, Long> sizeBytes) {
+        List<Map.Entry<String, Double>> asked =
+                new ArrayList<>(side.demandUnitsPerSecond().entrySet());
+        asked.sort(Map.Entry.<String, Double>comparingByValue(Comparator.reverseOrder())
+                .thenComparing(Map.Entry.comparingByKey()));
+        List<String> wanted = new ArrayList<>();
+        long freeBytes = side.capacityBytes();
+        for (Map.Entry<String, Double> item : asked) {
+            Long size = sizeBytes.get(item.getKey());
+            if (size != null && size <= freeBytes) {
+                wanted.add(item.getKey());
+                freeBytes -= size;
+            }
+        }
+        return List.copyOf(wanted);
+    }
+
+    private static Map<String, Long> sizes(Bundle bundle) {
+        Map<String, Long> sizes = new HashMap<>();
+        bundle.models().forEach(model -> sizes.put(model.item(), model.sizeBytes()));
+        bundle.adapters().forEach(adapter -> sizes.put(adapter.item(), adapter.sizeBytes()));
+        return sizes;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/placement/Placement.java
@@ -0,0 +1,146 @@
+package io.waxwingquay.placement;
+
+import io.waxwingquay.bundle.Bundle;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Homes for every model by rendezvous hashing, and further replicas by demand.
+ *
+ * <p>Copies are placed in passes, so that a lesser need never takes the room of a greater one: one copy of each model
+ * where it is resident, one copy of each model that has none, the second base homes, copies for demand, adapters.
+ * Within a pass a copy that is resident stays where it is, so a side that leaves moves only what it held. Every copy
+ * is counted against the side's memory; what does not fit is not planned. Larger models go first, which leaves
+ * fewer without a home when room is short.
+ *
+ * <p>The first resident replica of each model by rank is protected. All sides agree which one it is while they agree
+ * which sides are live, so the last replica is not evicted, nor are two at once. While a new version has no resident
+ * replica, the first replica of an old version is protected in its place.
+ */
+public final class Placement implements Strategy {
+
+    private static final int BASE_HOMES = 2;
+
+    private final DemandMarks marks;
+
+    /**
+     * A strategy.
+     *
+     * @param marks when replicas follow demand.
+     */
+    public Placement(DemandMarks marks) {
+        this.marks = marks;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public Plan plan(View view) {
+        Fleet fleet = new Fleet(view.sides());
+        List<Wish> wishes = wishes(view, fleet);
+        wishes.forEach(wish -> fleet.keepFirst(wish.item));
+        wishes.forEach(wish -> fleet.placeFirst(wish.item));
+        wishes.forEach(wish -> fleet.placeElsewhere(wish.item));
+        placeForDemand(wishes, fleet);
+        placeAdapters(view, wishes, fleet);
+        protectOldVersions(view, fleet);
+        List<String> homeless = wishes.stream()
+                .filter(wish -> fleet.copies(wish.item) == 0)
+                .map(wish -> wish.item.name)
+                .toList();
+        return new Plan(fleet.shares(), lowSince(view, wishes), homeless);
+    }
+
+    private List<Wish> wishes(View view, Fleet fleet) {
+        return view.bundle().models().stream()
+                .filter(model -> model.service().equals(view.service()))
+                .sorted(Comparator.comparingInt((Bundle.Model model) -> -model.priority())
+                        .thenComparingLong(model -> -model.sizeBytes())
+                        .thenComparing(Bundle.Model::name))
+                .map(model -> wish(view, fleet, model))
+                .toList();
+    }
+
+    private Wish wish(View view, Fleet fleet, Bundle.Model model) {
+        Item item = fleet.item(model.item(), model.sizeBytes());
+        double demand = view.demandUnitsPerSecond().getOrDefault(item.name, 0.0);
+        return new Wish(model, item, demand, wantedCopies(view, item, demand));
+    }
+
+    /** Between the marks the number stays; below the low one it shrinks by one, and only after the hold time. */
+    private int wantedCopies(View view, Item item, double demand) {
+        int now = Math.max(BASE_HOMES, item.residentAt.size());
+        if (demand > now * marks.highUnitsPerSecond()) {
+            return (int) Math.min(view.sides().size(), Math.ceil(demand / marks.highUnitsPerSecond()));
+        }
+        boolean isHeld = Optional.ofNullable(view.lowSinceMillis().get(item.name))
+                .map(sinceMillis -> view.nowMillis() - sinceMillis < marks.holdMillis())
+                .orElse(true);
+        return isLow(demand, now) && !isHeld ? Math.max(BASE_HOMES, now - 1) : now;
+    }
+
+    private boolean isLow(double demand, int copies) {
+        return copies > BASE_HOMES && demand < copies * marks.lowUnitsPerSecond();
+    }
+
+    private Map<String, Long> lowSince(View view, List<Wish> wishes) {
+        Map<String, Long> next = new HashMap<>();
+        wishes.stream()
+                .filter(wish -> isLow(wish.demandUnitsPerSecond, wish.item.residentAt.size()))
+                .forEach(wish ->
+                        next.put(wish.item.name, view.lowSinceMillis().getOrDefault(wish.item.name, view.nowMillis())));
+        return Map.copyOf(next);
+    }
+
+    private static void placeForDemand(List<Wish> wishes, Fleet fleet) {
+        wishes.stream()
+                .filter(wish -> wish.copies > BASE_HOMES)
+                .sorted(Comparator.comparingDouble(Wish::loadPerCopy).reversed())
+                .forEach(wish -> fleet.placeUpTo(wish.item, wish.copies));
+    }
+
+    /** Adapters go beside their model, the most asked first: one copy, and one more for each high mark of demand. */
+    private void placeAdapters(View view, List<Wish> wishes, Fleet fleet) {
+        Map<String, Item> models =
+                wishes.stream().collect(Collectors.toMap(wish -> wish.model.name(), wish -> wish.item));
+        view.bundle().adapters().stream()
+                .filter(adapter -> models.containsKey(adapter.model()))
+                .sorted(Comparator.comparingDouble((Bundle.Adapter adapter) -> -demandFor(view, adapter))
+                        .thenComparing(Bundle.Adapter::item))
+                .forEach(adapter -> {
+                    int copies = 1 + (int) (demandFor(view, adapter) / marks.highUnitsPerSecond());
+                    Item item = fleet.item(adapter.item(), adapter.sizeBytes());
+                    fleet.placeBeside(item, models.get(adapter.model()), copies);
+                });
+    }
+
+    private static double demandFor(View view, Bundle.Adapter adapter) {
+        return view.demandUnitsPerSecond().getOrDefault(adapter.item(), 0.0);
+    }
+
+    private static void protectOldVersions(View view, Fleet fleet) {
+        Map<String, String> itemByPrefix = view.bundle().models().stream()
+                .filter(model -> model.service().equals(view.service()))
+                .collect(Collectors.toMap(model -> "model:" + model.name(), Bundle.Model::item));
+        List<String> old = new ArrayList<>();
+        fleet.residentNames().forEach(name -> {
+            int versionAt = name.lastIndexOf('@');
+            String current = itemByPrefix.get(versionAt < 0 ? name : name.substring(0, versionAt));
+            if (current != null && !current.equals(name) && !fleet.isResident(current)) {
+                old.add(name);
+            }
+        });
+        old.stream().sorted().forEach(name -> fleet.protect(fleet.item(name, 0)));
+    }
+
+    private record Wish(Bundle.Model model, Item item, double demandUnitsPerSecond, int copies) {
+
+        double loadPerCopy() {
+            return demandUnitsPerSecond / Math.max(1, item.residentAt.size());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/placement/Rank.java
@@ -0,0 +1,39 @@
+package io.waxwingquay.placement;
+
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Weighted rendezvous hashing: a side wins an item with a chance in proportion to its weight, and a side that comes
+ * or goes changes only the items that it wins.
+ */
+final class Rank {
+
+    private static final double TWO_TO_53 = 0x1.0p53;
+    private static final int DROPPED_BITS = 11;
+
+    private Rank() {}
+
+    /** Hashed once for a name; pairs are then mixed from two of these. */
+    static long hash(String name) {
+        return MurmurHash3.hash128x64(name.getBytes(StandardCharsets.UTF_8))[0];
+    }
+
+    /** The higher the better. */
+    static double score(long itemHash, long sideHash, double weight) {
+        long mixed = mix(itemHash ^ Long.rotateLeft(sideHash, Integer.SIZE));
+        double uniform = ((mixed >>> DROPPED_BITS) + 1) / (TWO_TO_53 + 1);
+        return -weight / Math.log(uniform);
+    }
+
+    // MurmurHash3's 64-bit finalizer, which the library does not offer by itself.
+    private static long mix(long value) {
+        long mixed = value;
+        mixed ^= mixed >>> 33;
+        mixed *= 0xff51afd7ed558ccdL;
+        mixed ^= mixed >>> 33;
+        mixed *= 0xc4ceb9fe1a85ec53L;
+        mixed ^= mixed >>> 33;
+        return mixed;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/placement/Strategy.java
@@ -0,0 +1,39 @@
+package io.waxwingquay.placement;
+
+/**
+ * Decides which items each side of a service is to hold. Pure: the same view gives the same plan in every process,
+ * so no process has to lead.
+ */
+@FunctionalInterface
+public interface Strategy {
+
+    /**
+     * Decides.
+     *
+     * @param view what is known.
+     * @return what each side is to hold.
+     */
+    Plan plan(View view);
+
+    /**
+     * A strategy by the name that settings use.
+     *
+     * @param name {@code planned}, {@code static} or {@code load-on-miss}.
+     * @param demandMarks the marks of {@code planned}.
+     * @return the strategy.
+     * @throws IllegalArgumentException if no strategy has that name.
+     */
+    static Strategy named(String name, DemandMarks demandMarks) {
+        return switch (name) {
+            case "planned" -> new Placement(demandMarks);
+            case "static" -> Strategy::planBaseHomes;
+            case "load-on-miss" -> new LoadOnMiss();
+            default -> throw new IllegalArgumentException(
+                    "placement strategy '" + name + "' is not known; write planned, static or load-on-miss");
+        };
+    }
+
+    private static Plan planBaseHomes(View view) {
+        return new Placement(DemandMarks.IGNORED).plan(view.withoutDemandAndResidency());
+    }
+}
