Read settings strictly and interpret state charts from files

Cause: processes had no settings and no state charts, and other parts wait for both. Ruled out: Jackson's record binding, which stops at the first fault and keeps no line; a state-chart library, since none that fits is served. Change: a strict TOML reader that collects every fault with key, line and mend; EntrySettings and SideSettings; reference files; StateChart with five charts that are checked when loaded.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/chart/StateChart.java
@@ -0,0 +1,119 @@
+package io.waxwingquay.chart;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A state chart read from a text file, checked when it is loaded and then interpreted.
+ *
+ * <p>Each line is one of {@code STATE --EVENT--> STATE}, {@code initial STATE}, {@code final STATE ...},
+ * {@code ignore STATE EVENT ...} (the event may come and changes nothing) and {@code illegal STATE EVENT ...}
+ * (the event is a fault). {@code #} starts a comment. Every pair of a state and an event has to be declared,
+ * but for final states without a transition of their own, where any other event is illegal.
+ *
+ * @param <S> the states.
+ * @param <E> the events.
+ */
+public final class StateChart<S extends Enum<S>, E extends Enum<E>> {
+
+    private final String name;
+    private final S initial;
+    private final Set<S> finals;
+    private final Map<S, Map<E, S>> transitions;
+    private final Map<S, Set<E>> ignored;
+
+    StateChart(String name, S initial, Set<S> finals, Map<S, Map<E, S>> transitions, Map<S, Set<E>> ignored) {
+        this.name = name;
+        this.initial = initial;
+        this.finals = finals;
+        this.transitions = transitions;
+        this.ignored = ignored;
+    }
+
+    /**
+     * Loads the chart {@code charts/<name>.chart} from the class path.
+     *
+     * @param name the chart's name.
+     * @param states the states.
+     * @param events the events.
+     * @param <S> the states' type.
+     * @param <E> the events' type.
+     * @return the chart.
+     * @throws ChartException.Malformed if the chart is missing or faulty; the message lists every fault.
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> load(
+            String name, Class<S> states, Class<E> events) {
+        return parse(name, text(name), states, events);
+    }
+
+    /**
+     * Reads a chart from its text.
+     *
+     * @param name the chart's name, for messages.
+     * @param text the chart.
+     * @param states the states.
+     * @param events the events.
+     * @param <S> the states' type.
+     * @param <E> the events' type.
+     * @return the chart.
+     * @throws ChartException.Malformed if the chart is faulty; the message lists every fault.
+     */
+    public static <S extends Enum<S>, E extends Enum<E>> StateChart<S, E> parse(
+            String name, String text, Class<S> states, Class<E> events) {
+        return new ChartParser<>(name, states, events).parse(text);
+    }
+
+    /**
+     * The state in which a life begins.
+     *
+     * @return the initial state.
+     */
+    public S initial() {
+        return initial;
+    }
+
+    /**
+     * Whether a life may end in a state.
+     *
+     * @param state the state.
+     * @return whether it is final.
+     */
+    public boolean isFinal(S state) {
+        return finals.contains(state);
+    }
+
+    /**
+     * Decides what an event does in a state.
+     *
+     * @param state the present state.
+     * @param event the event.
+     * @return the next state, or empty if the event is ignored in this state.
+     * @throws ChartException.IllegalEvent if the event must never come in this state.
+     */
+    public Optional<S> next(S state, E event) {
+        S next = transitions.getOrDefault(state, Map.of()).get(event);
+        if (next != null) {
+            return Optional.of(next);
+        }
+        if (ignored.getOrDefault(state, Set.of()).contains(event)) {
+            return Optional.empty();
+        }
+        throw new ChartException.IllegalEvent(name, state, event);
+    }
+
+    private static String text(String name) {
+        try (InputStream stream = StateChart.class.getResourceAsStream("/charts/" + name + ".chart")) {
+            if (stream == null) {
+                throw new ChartException.Malformed(name, List.of("is not on the class path"));
+            }
+            return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException failure) {
+            throw new ChartException.Malformed(name, List.of("can't be read: " + failure.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/settings/SideSettings.java
@@ -0,0 +1,90 @@
+package io.waxwingquay.settings;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * The settings of a side process. {@code docs/settings/side.toml} documents every key.
+ *
+ * @param process what every process is told.
+ * @param service the service that its target belongs to, as the bundle names it.
+ * @param replica the target's number within the service, from 0.
+ * @param targetUrl where the target answers.
+ * @param targetKind what the target is.
+ * @param quarantineMillis how long a quarantined request stays refused.
+ * @param queueLimit requests that wait for the target at most.
+ * @param drainLimitMillis how long a shutdown waits for work in flight.
+ * @param attemptRetentionMillis how long finished attempts are remembered.
+ * @param pollWaitMillis how long a poll of an attempt is held open at most.
+ * @param streamSilenceMillis how long the target's stream may be silent before it is opened afresh.
+ */
+public record SideSettings(
+        ProcessSettings process,
+        String service,
+        int replica,
+        URI targetUrl,
+        TargetType targetKind,
+        long quarantineMillis,
+        int queueLimit,
+        long drainLimitMillis,
+        long attemptRetentionMillis,
+        long pollWaitMillis,
+        long streamSilenceMillis) {
+
+    private static final Range REPLICA = new Range(0, 99_999, "replica number");
+    private static final Range QUEUE = new Range(0, 100_000, "requests");
+    private static final Range QUARANTINE_MILLIS = new Range(1_000, 86_400_000, "milliseconds");
+    private static final Range DRAIN_MILLIS = new Range(0, 3_600_000, "milliseconds");
+    private static final Range RETENTION_MILLIS = new Range(60_000, 86_400_000, "milliseconds");
+    private static final Range WAIT_MILLIS = new Range(10, 10_000, "milliseconds");
+    private static final Range SILENCE_MILLIS = new Range(100, 60_000, "milliseconds");
+
+    /**
+     * Reads the settings from a file.
+     *
+     * @param file the file.
+     * @return the settings.
+     * @throws IOException if the file can't be read.
+     * @throws SettingsException if any key is unknown, missing, of the wrong type or out of range.
+     */
+    public static SideSettings read(Path file) throws IOException {
+        return parse(file.toString(), Files.readAllBytes(file));
+    }
+
+    /**
+     * Reads the settings from a document.
+     *
+     * @param source the document's name, for messages.
+     * @param bytes the TOML document.
+     * @return the settings.
+     * @throws SettingsException if any key is unknown, missing, of the wrong type or out of range.
+     */
+    public static SideSettings parse(String source, byte[] bytes) {
+        return TomlDocument.read(source, bytes, SideSettings::from);
+    }
+
+    static SideSettings from(TomlTable table) {
+        return new SideSettings(
+                ProcessSettings.from(table),
+                table.text("service"),
+                (int) table.number("replica", REPLICA),
+                ProcessSettings.url(table, "target_url"),
+                table.requiredChoice("target_kind", TargetType.MODEL),
+                table.number("quarantine_millis", 600_000, QUARANTINE_MILLIS),
+                (int) table.number("queue_limit", 256, QUEUE),
+                table.number("drain_limit_millis", 120_000, DRAIN_MILLIS),
+                table.number("attempt_retention_millis", 900_000, RETENTION_MILLIS),
+                table.number("poll_wait_millis", 250, WAIT_MILLIS),
+                table.number("stream_silence_millis", 1_000, SILENCE_MILLIS));
+    }
+
+    /** What a target is. */
+    public enum TargetType {
+        /** A model engine. */
+        MODEL,
+        /** A plain service. */
+        PLAIN
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/settings/TomlPath.java
@@ -0,0 +1,21 @@
+package io.waxwingquay.settings;
+
+/**
+ * Where a key stands: in the root table or in the n-th table of an array such as {@code [[models]]}.
+ *
+ * @param array the array's name, or empty for the root table.
+ * @param index the table's number within the array, from 0.
+ * @param key the key, or empty for the table itself.
+ */
+record TomlPath(String array, int index, String key) {
+
+    static final TomlPath ROOT = new TomlPath("", 0, "");
+
+    TomlPath key(String name) {
+        return new TomlPath(array, index, name);
+    }
+
+    TomlPath table(String name, int number) {
+        return new TomlPath(array.isEmpty() ? name : array + "." + name, number, "");
+    }
+}
