--- /dev/null
+++ b/src/main/java/io/waxwingquay/entry/EntryParts.java
@@ -0,0 +1,69 @@
+package io.waxwingquay.entry;
+
+import io.waxwingquay.admission.Backoff;
+import io.waxwingquay.admission.ComeBack;
+import io.waxwingquay.admission.RetryBudget;
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.membership.Membership;
+import io.waxwingquay.routing.LoadBoard;
+import io.waxwingquay.routing.RouteQuery;
+import io.waxwingquay.routing.Router;
+import io.waxwingquay.routing.SideView;
+import io.waxwingquay.transport.Connections;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
+
+/**
+ * What the flows of one entry process share.
+ *
+ * @param settings what the process was told.
+ * @param membership the side processes known.
+ * @param connections how they are reached.
+ * @param board their load.
+ * @param router who is asked.
+ * @param retryBudget how many retries are allowed.
+ * @param backoff waits between tries.
+ * @param comeBack when refused callers should come back.
+ * @param clock the time.
+ * @param random the source of choices; safe for concurrent use.
+ * @param executor runs what follows each answer, and the waits.
+ * @param metrics what is counted.
+ * @param chart the phases of an attempt.
+ */
+record EntryParts(
+        EntrySettings settings,
+        Membership membership,
+        Connections connections,
+        LoadBoard board,
+        Router router,
+        RetryBudget retryBudget,
+        Backoff backoff,
+        ComeBack comeBack,
+        Clock clock,
+        RandomGenerator random,
+        ScheduledExecutorService executor,
+        EntryMetrics metrics,
+        RequestPhase.Chart chart) {
+
+    List<SideView> candidates(RouteQuery query) {
+        List<SideView> views = board.views(membership.sides(), clock.monotonicMillis());
+        return router.candidates(query, views, random);
+    }
+
+    long remainingMillis(long deadlineAtMillis) {
+        return deadlineAtMillis - clock.monotonicMillis();
+    }
+
+    CallFailure withComeBack(CallFailure failure, long waiting) {
+        return failure.retryAfterMillis() > 0
+                ? failure
+                : failure.withRetryAfterMillis(comeBack.afterMillis(waiting, clock.monotonicMillis(), random));
+    }
+
+    CallFailure noTarget(String service) {
+        CallFailure failure = CallFailure.refused(
+                FailureCode.NO_TARGET, service, "no side process of service '" + service + "' takes work now");
+        return withComeBack(failure, 1);
+    }
+}
