Add the flows for completions and for calls that run at most once

Cause: a lost answer must not make a call run twice, nor a refusal say did-not-run of something that may have run. Ruled out: taking over a claim when its lease lapses, since its holder may only be paused. Before: nothing. Conclusion: the callers' HTTP can be put before it.

--- a/src/main/java/io/waxwingquay/entry/AttemptRunner.java
+++ b/src/main/java/io/waxwingquay/entry/AttemptRunner.java
@@ -59,7 +59,7 @@
     CompletableFuture<AttemptEnd> run() {
         parts.board().noteSent(side.id());
         end.whenComplete((ended, failure) -> parts.board().noteOver(side.id()));
-        submit();
+        guarded(this::submit);
         return end;
     }
 
@@ -72,7 +72,7 @@
         accepted = true;
         acceptedEpoch = side.epoch();
         advance(RequestPhase.Event.ACCEPTED);
-        poll();
+        guarded(this::poll);
         return end;
     }
 
--- /dev/null
+++ b/src/main/java/io/waxwingquay/entry/ModelFlow.java
@@ -0,0 +1,38 @@
+package io.waxwingquay.entry;
+
+import io.waxwingquay.routing.RouteQuery;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Answers completions. A generation may run more than once, but its tokens differ from run to run, so a caller
+ * who has seen some of them is only ever given the rest of the same run.
+ */
+final class ModelFlow {
+
+    private final EntryParts parts;
+    private final AtomicLong sequence = new AtomicLong();
+
+    ModelFlow(EntryParts parts) {
+        this.parts = parts;
+    }
+
+    /**
+     * Answers one completion.
+     *
+     * @param request the request.
+     * @param sink where the pieces go.
+     * @return the end of a whole answer; fails with {@link CallFailure}.
+     */
+    CompletableFuture<AttemptEnd> answer(ModelRequest request, AnswerSink sink) {
+        RouteQuery query = new RouteQuery(
+                request.service(),
+                parts.settings().dataCentre(),
+                request.items(),
+                request.prefixHash(),
+                sequence.getAndIncrement(),
+                Set.of());
+        return new RetryingFlow(parts, request.context(), request.toSubmission(), query, sink).run();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/entry/RequestReader.java
@@ -0,0 +1,224 @@
+package io.waxwingquay.entry;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.exc.MismatchedInputException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.common.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Turns what a caller sent into a valid request, or into a {@link CallFailure} that names the element at fault.
+ *
+ * @param settings limits and defaults.
+ */
+public record RequestReader(EntrySettings settings) {
+
+    /** Header with the request's identity. */
+    public static final String REQUEST_ID = "X-Request-Id";
+
+    /** Header with the budget in milliseconds. */
+    public static final String DEADLINE = "X-Deadline-Millis";
+
+    /** Header with the idempotency key. */
+    public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+    private static final int MAXIMUM_ID_LENGTH = 200;
+    private static final int PREFIX_CHARACTERS = 256;
+    private static final int MAXIMUM_TOKENS = 1_000_000;
+    private static final char SEPARATOR = '\u0000';
+
+    /**
+     * Reads the headers that every request has.
+     *
+     * @param requestId the identity the caller gave, or {@code null}.
+     * @param budget the budget the caller gave, or {@code null}.
+     * @param nowMillis the monotonic time of arrival.
+     * @return the context.
+     */
+    public CallContext context(String requestId, String budget, long nowMillis) {
+        long budgetMillis = budget == null ? settings.defaultDeadlineMillis() : budgetMillis(budget.trim());
+        return new CallContext(requestId(requestId), nowMillis, nowMillis + budgetMillis);
+    }
+
+    /**
+     * The request's identity; made up if the caller gave none.
+     *
+     * @param given what the caller gave, or {@code null}.
+     * @return the identity.
+     */
+    public static String requestId(String given) {
+        return given == null || given.isBlank()
+                ? UUID.randomUUID().toString()
+                : given.substring(0, Math.min(MAXIMUM_ID_LENGTH, given.length()));
+    }
+
+    /**
+     * Reads a completion.
+     *
+     * @param context identity and deadline.
+     * @param body the body.
+     * @param bundle the bundle in force.
+     * @return the request.
+     */
+    public ModelRequest completion(CallContext context, byte[] body, Bundle bundle) {
+        CompletionBody sent = parse(body);
+        require(sent.model(), "model");
+        require(sent.prompt(), "prompt");
+        Bundle.Model model = bundle.model(sent.model())
+                .orElseThrow(() -> CallFailure.refused(
+                        FailureCode.UNKNOWN_MODEL,
+                        sent.model(),
+                        "no bundle names model '" + sent.model() + "'; ask for a model of the bundle in force"));
+        int maxTokens = sent.maxTokens().orElseThrow(() -> missing("max_tokens"));
+        if (maxTokens < 1 || maxTokens > MAXIMUM_TOKENS) {
+            throw CallFailure.refused(
+                    FailureCode.BAD_VALUE, "max_tokens", "max_tokens must be between 1 and " + MAXIMUM_TOKENS);
+        }
+        List<String> items = new ArrayList<>(List.of(model.item()));
+        sent.adapter().ifPresent(adapter -> items.add(adapterItem(bundle, sent.model(), adapter)));
+        String identity = sent.model() + SEPARATOR + sent.adapter().orElse("") + SEPARATOR;
+        String prefix = sent.prompt()
+                .substring(0, Math.min(PREFIX_CHARACTERS, sent.prompt().length()));
+        return new ModelRequest(
+                context,
+                model.service(),
+                sent.model(),
+                sent.adapter(),
+                List.copyOf(items),
+                sent.prompt(),
+                maxTokens,
+                sent.priority().orElse(model.priority()),
+                sent.stream().orElse(false),
+                hash(identity + maxTokens + SEPARATOR + sent.prompt()),
+                hash(identity + prefix));
+    }
+
+    /**
+     * Reads a call to a plain service.
+     *
+     * @param context identity and deadline.
+     * @param service the service named by the path.
+     * @param operation the operation named by the path.
+     * @param key the idempotency key, or {@code null}.
+     * @param body the body.
+     * @param bundle the bundle in force.
+     * @return the request.
+     */
+    public ServiceRequest serviceCall(
+            CallContext context, String service, String operation, String key, byte[] body, Bundle bundle) {
+        bundle.service(service)
+                .filter(found -> found.kind() == Bundle.Kind.PLAIN)
+                .orElseThrow(() -> CallFailure.refused(
+                        FailureCode.UNKNOWN_SERVICE, service, "no bundle names plain service '" + service + "'"));
+        Bundle.Operation declared = bundle.operation(service, operation)
+                .orElseThrow(() -> CallFailure.refused(
+                        FailureCode.UNKNOWN_OPERATION,
+                        operation,
+                        "no bundle names operation '" + operation + "' of service '" + service + "'"));
+        checkJson(body);
+        Optional<String> idempotencyKey = Optional.ofNullable(key).filter(text -> !text.isBlank());
+        if (declared.nonIdempotent() && idempotencyKey.isEmpty()) {
+            throw CallFailure.refused(
+                    FailureCode.MISSING_IDEMPOTENCY_KEY,
+                    IDEMPOTENCY_KEY,
+                    "operation '" + operation + "' runs at most once; send the header " + IDEMPOTENCY_KEY
+                            + " with a key of your own, the same on a resend");
+        }
+        if (idempotencyKey.filter(text -> text.length() > MAXIMUM_ID_LENGTH).isPresent()) {
+            throw CallFailure.refused(
+                    FailureCode.BAD_VALUE, IDEMPOTENCY_KEY, "the key is longer than " + MAXIMUM_ID_LENGTH);
+        }
+        long fingerprint = hash(service + SEPARATOR + operation + SEPARATOR + new String(body, StandardCharsets.UTF_8));
+        return new ServiceRequest(
+                context, service, operation, body, idempotencyKey, declared.nonIdempotent(), fingerprint);
+    }
+
+    private long budgetMillis(String text) {
+        long millis;
+        try {
+            millis = Long.parseLong(text);
+        } catch (NumberFormatException failure) {
+            throw CallFailure.refused(
+                    FailureCode.BAD_DEADLINE,
+                    DEADLINE,
+                    "'" + text + "' is not a whole number of milliseconds; write for example 2000");
+        }
+        if (millis <= 0) {
+            throw CallFailure.refused(
+                    FailureCode.DEADLINE, DEADLINE, "the deadline is already past; send a budget above 0");
+        }
+        if (millis > settings.maximumDeadlineMillis()) {
+            throw CallFailure.refused(
+                    FailureCode.BAD_DEADLINE, DEADLINE, "the largest budget is " + settings.maximumDeadlineMillis());
+        }
+        return millis;
+    }
+
+    private static CompletionBody parse(byte[] body) {
+        try {
+            CompletionBody parsed = Json.MAPPER.readValue(body, CompletionBody.class);
+            if (parsed == null) {
+                throw CallFailure.refused(FailureCode.MALFORMED_BODY, "body", "the body must be a JSON object");
+            }
+            return parsed;
+        } catch (UnrecognizedPropertyException failure) {
+            String field = failure.getPropertyName();
+            throw CallFailure.refused(
+                    FailureCode.UNKNOWN_FIELD,
+                    field,
+                    "field '" + field
+                            + "' is unknown; take it out (known: model, adapter, prompt, max_tokens, stream, priority)");
+        } catch (MismatchedInputException failure) {
+            String element = failure.getPath().isEmpty()
+                    ? "body"
+                    : failure.getPath().get(0).getFieldName();
+            throw CallFailure.refused(FailureCode.MALFORMED_BODY, element, "'" + element + "' has the wrong type");
+        } catch (JsonProcessingException failure) {
+            throw CallFailure.refused(
+                    FailureCode.MALFORMED_BODY, "body", "the body is not JSON: " + failure.getOriginalMessage());
+        } catch (IOException failure) {
+            throw CallFailure.refused(FailureCode.MALFORMED_BODY, "body", "the body could not be read");
+        }
+    }
+
+    private static void checkJson(byte[] body) {
+        try {
+            if (Json.MAPPER.readTree(body).isMissingNode()) {
+                throw CallFailure.refused(FailureCode.MALFORMED_BODY, "body", "the body is empty; send JSON");
+            }
+        } catch (IOException failure) {
+            throw CallFailure.refused(FailureCode.MALFORMED_BODY, "body", "the body is not JSON");
+        }
+    }
+
+    private static String adapterItem(Bundle bundle, String model, String adapter) {
+        return bundle.adapter(model, adapter)
+                .orElseThrow(() -> CallFailure.refused(
+                        FailureCode.UNKNOWN_ADAPTER,
+                        adapter,
+                        "no bundle names adapter '" + adapter + "' of model '" + model + "'"))
+                .item();
+    }
+
+    private static void require(String value, String field) {
+        if (value == null || value.isEmpty()) {
+            throw missing(field);
+        }
+    }
+
+    private static CallFailure missing(String field) {
+        return CallFailure.refused(
+                FailureCode.MALFORMED_BODY, field, "field '" + field + "' is missing or empty; add it");
+    }
+
+    private static long hash(String text) {
+        return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/entry/ServiceAnswer.java
@@ -0,0 +1,20 @@
+package io.waxwingquay.entry;
+
+/**
+ * The answer of a plain service.
+ *
+ * @param status its HTTP status.
+ * @param contentType the body's media type.
+ * @param body the body.
+ * @param replayed whether it is the recorded answer of an earlier run.
+ */
+record ServiceAnswer(int status, String contentType, byte[] body, boolean replayed) {
+
+    private static final int OK = 200;
+
+    static ServiceAnswer of(AttemptEnd end, byte[] body, boolean replayed) {
+        int status = end.statusCode() == 0 ? OK : end.statusCode();
+        String contentType = end.contentType().isEmpty() ? "application/json" : end.contentType();
+        return new ServiceAnswer(status, contentType, body, replayed);
+    }
+}
