--- /dev/null
+++ b/src/main/java/io/waxwingquay/ledger/MemoryLedger.java
@@ -0,0 +1,326 @@
+package io.waxwingquay.ledger;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.engine.ModelEngine.Order;
+import io.waxwingquay.engine.ModelEngine.OrderKind;
+import io.waxwingquay.engine.ModelEngine.Resident;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Counts the accelerator memory of one target. Every item that is, or may come to be, in memory counts in
+ * full; bytes are freed only by the engine's own report. Safe for concurrent use, but reports must be handed
+ * in one after the other, each read after the one before it was handed in.
+ */
+public final class MemoryLedger {
+
+    private final Clock clock;
+    private final long quarantineMillis;
+    private final Map<String, Holding> holdings = new TreeMap<>();
+    private final Map<String, Integer> pins = new HashMap<>();
+    private long capacityBytes;
+    private String bootId = "";
+    private long quarantinedUntilMillis;
+    private long lastLostMillis;
+
+    private MemoryLedger(long capacityBytes, Clock clock, long quarantineMillis, long firstQuarantineMillis) {
+        this.capacityBytes = capacityBytes;
+        this.clock = clock;
+        this.quarantineMillis = quarantineMillis;
+        this.quarantinedUntilMillis = clock.monotonicMillis() + firstQuarantineMillis;
+        this.lastLostMillis = clock.monotonicMillis() - quarantineMillis - 1L;
+    }
+
+    /**
+     * A ledger for an engine that refuses the orders of an earlier side process.
+     *
+     * @param capacityBytes the memory known from the bundle, until the engine reports its own.
+     * @param clock the clock.
+     * @param quarantineMillis longer than the longest delay of an order; used after an engine's restart.
+     * @return the ledger.
+     */
+    public static MemoryLedger forFencedEngine(long capacityBytes, Clock clock, long quarantineMillis) {
+        return new MemoryLedger(capacityBytes, clock, quarantineMillis, 0L);
+    }
+
+    /**
+     * A ledger for an engine that ignores fencing numbers: the orders of an earlier side process may still
+     * land, so all memory not known to be resident counts as unknown until the quarantine is over.
+     *
+     * @param capacityBytes the memory known from the bundle, until the engine reports its own.
+     * @param clock the clock.
+     * @param quarantineMillis longer than the longest delay of an order.
+     * @return the ledger.
+     */
+    public static MemoryLedger forUnfencedEngine(long capacityBytes, Clock clock, long quarantineMillis) {
+        return new MemoryLedger(capacityBytes, clock, quarantineMillis, quarantineMillis);
+    }
+
+    /**
+     * Reserves memory for an item before its load is ordered.
+     *
+     * @param item the item.
+     * @param sizeBytes the memory it takes.
+     * @param orderId the order that will load it.
+     * @return whether it was reserved; false if it does not fit, is held already or the engine was not read yet.
+     */
+    public synchronized boolean reserve(String item, long sizeBytes, String orderId) {
+        if (bootId.isEmpty() || holdings.containsKey(item) || sizeBytes > capacityBytes - countedBytes()) {
+            return false;
+        }
+        holdings.put(item, new Holding(item, sizeBytes, State.RESERVED, orderId));
+        return true;
+    }
+
+    /**
+     * Marks a resident item as being evicted, before the eviction is ordered. Its bytes still count.
+     *
+     * @param item the item.
+     * @param orderId the order that will evict it.
+     * @return whether it was marked; false if it is not resident or a request uses it.
+     */
+    public synchronized boolean evict(String item, String orderId) {
+        if (!isResident(item) || pins.containsKey(item)) {
+            return false;
+        }
+        holdings.put(item, holdings.get(item).with(State.EVICTING, orderId));
+        return true;
+    }
+
+    /**
+     * Keeps a resident item from being evicted while a request needs it.
+     *
+     * @param item the item.
+     * @return whether it is resident and now pinned; each success needs one {@link #unpin}.
+     */
+    public synchronized boolean pin(String item) {
+        if (!isResident(item)) {
+            return false;
+        }
+        pins.merge(item, 1, Integer::sum);
+        return true;
+    }
+
+    /**
+     * Gives back one pin.
+     *
+     * @param item the item.
+     */
+    public synchronized void unpin(String item) {
+        pins.computeIfPresent(item, (name, count) -> count == 1 ? null : count - 1);
+    }
+
+    /**
+     * Notes that the answer to an order was lost, so that a copy of it may land late.
+     */
+    public synchronized void noteLost() {
+        lastLostMillis = clock.monotonicMillis();
+    }
+
+    /**
+     * Counts all free memory as unknown for another quarantine, because someone else may have ordered.
+     */
+    public synchronized void quarantine() {
+        quarantinedUntilMillis = clock.monotonicMillis() + quarantineMillis;
+    }
+
+    /**
+     * Takes in the engine's report.
+     *
+     * @param report the report.
+     * @return what it changed.
+     */
+    public synchronized Observation observe(io.waxwingquay.engine.ModelEngine.Residency report) {
+        capacityBytes = report.capacityBytes();
+        boolean rebooted = !bootId.isEmpty() && !bootId.equals(report.bootId());
+        bootId = report.bootId();
+        if (rebooted) {
+            forgetResidents();
+        }
+        Map<String, Long> present = new HashMap<>();
+        for (Resident resident : report.residents()) {
+            present.put(resident.item(), resident.bytes());
+        }
+        return reconcile(report.openOrders(), present, rebooted);
+    }
+
+    /**
+     * The ledger as of now.
+     *
+     * @return an immutable snapshot.
+     */
+    public synchronized Snapshot snapshot() {
+        return new Snapshot(
+                capacityBytes,
+                countedBytes(),
+                Map.copyOf(holdings),
+                Set.copyOf(pins.keySet()),
+                isQuarantined(),
+                bootId.isEmpty() ? Optional.empty() : Optional.of(bootId));
+    }
+
+    private boolean isResident(String item) {
+        Holding holding = holdings.get(item);
+        return holding != null && holding.state() == State.RESIDENT;
+    }
+
+    private boolean isQuarantined() {
+        return clock.monotonicMillis() < quarantinedUntilMillis;
+    }
+
+    private long heldBytes() {
+        return holdings.values().stream().mapToLong(Holding::sizeBytes).sum();
+    }
+
+    private long countedBytes() {
+        return isQuarantined() ? Math.max(capacityBytes, heldBytes()) : heldBytes();
+    }
+
+    /**
+     * A restart of the engine empties its memory, and with it its list of order ids already taken. A copy of
+     * an order whose answer was lost may still be under way and would now load again, unreserved; the symptom
+     * would be an overcommit soon after a restart. Quarantine outlasts the longest such copy. Loads still
+     * waited for stay counted, and are sent again under the same id.
+     */
+    private void forgetResidents() {
+        boolean mayLandLate = holdings.values().stream().anyMatch(Holding::awaitsLoad)
+                || clock.monotonicMillis() - lastLostMillis <= quarantineMillis;
+        holdings.values().removeIf(holding -> !holding.awaitsLoad());
+        holdings.replaceAll((item, holding) -> holding.with(State.UNKNOWN, holding.orderId()));
+        if (mayLandLate) {
+            quarantine();
+        }
+    }
+
+    private Observation reconcile(List<Order> openOrders, Map<String, Long> present, boolean rebooted) {
+        List<String> adopted = new ArrayList<>();
+        List<String> vanished = new ArrayList<>();
+        Set<String> open = new HashSet<>();
+        openOrders.forEach(order -> open.add(order.item()));
+        for (Holding holding : List.copyOf(holdings.values())) {
+            if (!present.containsKey(holding.item()) && !open.contains(holding.item()) && !holding.awaitsLoad()) {
+                holdings.remove(holding.item());
+                if (holding.state() == State.RESIDENT) {
+                    vanished.add(holding.item());
+                }
+            }
+        }
+        present.forEach((item, sizeBytes) -> settlePresent(item, sizeBytes, adopted));
+        openOrders.forEach(order -> settleOpen(order, present.keySet(), adopted));
+        long surplusBytes = Math.max(0L, heldBytes() - capacityBytes);
+        return new Observation(rebooted, List.copyOf(adopted), List.copyOf(vanished), surplusBytes);
+    }
+
+    private void settlePresent(String item, long sizeBytes, List<String> adopted) {
+        Holding known = holdings.get(item);
+        if (known == null) {
+            adopted.add(item);
+            holdings.put(item, new Holding(item, sizeBytes, State.RESIDENT, ""));
+        } else if (known.awaitsLoad()) {
+            holdings.put(item, new Holding(item, sizeBytes, State.RESIDENT, known.orderId()));
+        } else {
+            holdings.put(item, new Holding(item, sizeBytes, known.state(), known.orderId()));
+        }
+    }
+
+    private void settleOpen(Order order, Set<String> present, List<String> adopted) {
+        Holding known = holdings.get(order.item());
+        if (known == null && order.kind() == OrderKind.LOAD) {
+            adopted.add(order.item());
+            holdings.put(order.item(), new Holding(order.item(), order.bytes(), State.RESERVED, order.id()));
+        } else if (order.kind() == OrderKind.EVICT && isResident(order.item()) && present.contains(order.item())) {
+            holdings.put(order.item(), known.with(State.EVICTING, order.id()));
+        }
+    }
+
+    /** What is known of an item's memory. Every state counts in full. */
+    public enum State {
+        /** A load was reserved and perhaps ordered. */
+        RESERVED,
+        /** The engine reported it in memory. */
+        RESIDENT,
+        /** An eviction was marked and perhaps ordered. */
+        EVICTING,
+        /** A load was ordered before the engine restarted and may still land. */
+        UNKNOWN
+    }
+
+    /**
+     * Memory held for one item.
+     *
+     * @param item the item.
+     * @param sizeBytes the memory it takes.
+     * @param state what is known.
+     * @param orderId the last order for it, or empty for an adopted item.
+     */
+    public record Holding(String item, long sizeBytes, State state, String orderId) {
+
+        /**
+         * Whether a load has yet to land.
+         *
+         * @return whether the state is reserved or unknown.
+         */
+        public boolean awaitsLoad() {
+            return state == State.RESERVED || state == State.UNKNOWN;
+        }
+
+        private Holding with(State next, String nextOrderId) {
+            return new Holding(item, sizeBytes, next, nextOrderId);
+        }
+    }
+
+    /**
+     * What a report changed.
+     *
+     * @param rebooted whether the engine had restarted.
+     * @param adopted items found that this ledger had not ordered.
+     * @param vanished resident items that were gone without an eviction of ours.
+     * @param surplusBytes memory held beyond the capacity.
+     */
+    public record Observation(boolean rebooted, List<String> adopted, List<String> vanished, long surplusBytes) {}
+
+    /**
+     * The ledger at one moment.
+     *
+     * @param capacityBytes the accelerator memory.
+     * @param countedBytes memory that counts as taken, unknown memory included.
+     * @param holdings memory held, by item.
+     * @param pinned items that requests use.
+     * @param quarantined whether all free memory counts as unknown.
+     * @param bootId the engine's boot, or empty before its first report.
+     */
+    public record Snapshot(
+            long capacityBytes,
+            long countedBytes,
+            Map<String, Holding> holdings,
+            Set<String> pinned,
+            boolean quarantined,
+            Optional<String> bootId) {
+
+        /**
+         * Memory that may be reserved now.
+         *
+         * @return the bytes.
+         */
+        public long freeBytes() {
+            return Math.max(0L, capacityBytes - countedBytes);
+        }
+
+        /**
+         * Whether an item serves from memory.
+         *
+         * @param item the item.
+         * @return whether it is resident.
+         */
+        public boolean isResident(String item) {
+            Holding holding = holdings.get(item);
+            return holding != null && holding.state() == State.RESIDENT;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -0,0 +1,233 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.side.RequestState.Event;
+import io.waxwingquay.transport.generated.Chunk;
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.LoadReport;
+import io.waxwingquay.transport.generated.PollAnswer;
+import io.waxwingquay.transport.generated.Refusal;
+import io.waxwingquay.transport.generated.Submission;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * One attempt and its answer so far. Units are tokens of a model call; a plain answer is one unit.
+ */
+final class Attempt {
+
+    private static final int FIRST_UNITS = 16;
+
+    private final Submission submission;
+    private final long deadlineMillis;
+    private final CompletableFuture<Attempt> ended = new CompletableFuture<>();
+    private ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private int[] unitEnds = new int[FIRST_UNITS];
+    private int units;
+    private RequestState state = RequestState.QUEUED;
+    private boolean handedOver;
+    private Optional<Refusal> failure = Optional.empty();
+    private Optional<Integer> statusCode = Optional.empty();
+    private Optional<String> contentType = Optional.empty();
+    private List<CompletableFuture<Void>> waiters = new ArrayList<>();
+    private long lastPolledMillis;
+    private long endedMillis;
+    private boolean polledToEnd;
+    private boolean released;
+
+    Attempt(Submission submission, long nowMillis) {
+        this.submission = submission;
+        this.deadlineMillis = nowMillis + submission.getBudgetMillis();
+        this.lastPolledMillis = nowMillis;
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    String id() {
+        return submission.getAttemptId();
+    }
+
+    long deadlineMillis() {
+        return deadlineMillis;
+    }
+
+    boolean isNonIdempotent() {
+        return submission.isSetPlain() && submission.getPlain().isNonIdempotent();
+    }
+
+    int priority() {
+        return submission.isSetModel() ? submission.getModel().getPriority() : 0;
+    }
+
+    CompletableFuture<Attempt> ended() {
+        return ended;
+    }
+
+    synchronized RequestState state() {
+        return state;
+    }
+
+    synchronized long units() {
+        return units;
+    }
+
+    synchronized boolean start() {
+        if (!move(Event.START)) {
+            return false;
+        }
+        handedOver = true;
+        return true;
+    }
+
+    /** Appends a unit; one seen before is dropped. False says that a unit before it is missing. */
+    boolean append(long offset, byte[] unit) {
+        List<CompletableFuture<Void>> woken;
+        synchronized (this) {
+            if (offset > units) {
+                return false;
+            }
+            if (offset < units || state != RequestState.RUNNING) {
+                return true;
+            }
+            bytes.writeBytes(unit);
+            if (units == unitEnds.length) {
+                unitEnds = Arrays.copyOf(unitEnds, units * 2);
+            }
+            unitEnds[units++] = bytes.size();
+            woken = takeWaiters();
+        }
+        woken.forEach(waiter -> waiter.complete(null));
+        return true;
+    }
+
+    boolean finish(long nowMillis) {
+        return end(Event.FINISH, Optional.empty(), nowMillis);
+    }
+
+    boolean finishPlain(int status, String type, byte[] body, long nowMillis) {
+        append(0L, body);
+        synchronized (this) {
+            statusCode = Optional.of(status);
+            contentType = Optional.of(type);
+        }
+        return finish(nowMillis);
+    }
+
+    boolean fail(Refusal refusal, long nowMillis) {
+        return end(Event.FAIL, Optional.of(refusal), nowMillis);
+    }
+
+    boolean cancel(long nowMillis) {
+        return end(Event.CANCEL, Optional.empty(), nowMillis);
+    }
+
+    boolean withdraw(long nowMillis) {
+        return end(Event.WITHDRAW, Optional.empty(), nowMillis);
+    }
+
+    /** Whether the target ran it, as far as this side can tell. */
+    synchronized Execution execution() {
+        if (failure.isPresent()) {
+            return failure.get().getExecution();
+        }
+        if (state == RequestState.DONE) {
+            return Execution.RAN;
+        }
+        return handedOver || !state.hasEnded() ? Execution.UNKNOWN : Execution.DID_NOT_RUN;
+    }
+
+    /** Answers once there is news after the offset, or after the wait. */
+    CompletableFuture<PollAnswer> poll(
+            long fromOffset, long waitMillis, long nowMillis, java.util.function.Supplier<LoadReport> load) {
+        CompletableFuture<Void> news = new CompletableFuture<>();
+        synchronized (this) {
+            lastPolledMillis = nowMillis;
+            if (fromOffset < units || state.hasEnded()) {
+                news.complete(null);
+            } else {
+                waiters.add(news);
+                news.completeOnTimeout(null, Math.max(0L, waitMillis), java.util.concurrent.TimeUnit.MILLISECONDS);
+            }
+        }
+        return news.thenApply(ignored -> answer(fromOffset, news, load.get()));
+    }
+
+    synchronized boolean isUnpolledSince(long limitMillis, long nowMillis) {
+        return !state.hasEnded() && nowMillis - lastPolledMillis > limitMillis;
+    }
+
+    synchronized boolean isPolledToEnd() {
+        return polledToEnd;
+    }
+
+    synchronized boolean isEndedSince(long limitMillis, long nowMillis) {
+        return state.hasEnded() && nowMillis - endedMillis > limitMillis;
+    }
+
+    /** Drops a long finished answer's bytes and keeps its outcome. */
+    synchronized void release() {
+        released = true;
+        bytes = new ByteArrayOutputStream();
+        unitEnds = new int[0];
+    }
+
+    private synchronized PollAnswer answer(long fromOffset, CompletableFuture<Void> news, LoadReport load) {
+        waiters.remove(news);
+        PollAnswer answer = new PollAnswer(state.wire(), new ArrayList<>(), load);
+        if (fromOffset < units && !released) {
+            answer.getChunks().add(chunk((int) Math.max(0L, fromOffset)));
+        }
+        if (state == RequestState.DONE) {
+            answer.setTotalUnits(units);
+        }
+        polledToEnd |= state.hasEnded();
+        failure.ifPresent(answer::setFailure);
+        statusCode.ifPresent(answer::setStatusCode);
+        contentType.ifPresent(answer::setContentType);
+        return answer;
+    }
+
+    private Chunk chunk(int from) {
+        int start = from == 0 ? 0 : unitEnds[from - 1];
+        byte[] piece = Arrays.copyOfRange(bytes.toByteArray(), start, bytes.size());
+        return new Chunk(from, ByteBuffer.wrap(piece), units - from);
+    }
+
+    private boolean move(Event event) {
+        Optional<RequestState> next = state.after(event);
+        next.ifPresent(found -> state = found);
+        return next.isPresent();
+    }
+
+    private boolean end(Event event, Optional<Refusal> refusal, long nowMillis) {
+        List<CompletableFuture<Void>> woken;
+        synchronized (this) {
+            if (!move(event)) {
+                return false;
+            }
+            failure = refusal;
+            endedMillis = nowMillis;
+            woken = takeWaiters();
+        }
+        woken.forEach(waiter -> waiter.complete(null));
+        ended.complete(this);
+        return true;
+    }
+
+    private List<CompletableFuture<Void>> takeWaiters() {
+        List<CompletableFuture<Void>> taken = waiters;
+        waiters = new ArrayList<>();
+        return taken;
+    }
+
+    static byte[] utf8(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/DecayedRate.java
@@ -0,0 +1,38 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.common.Clock;
+
+/**
+ * A rate of events per second that forgets exponentially. Safe for concurrent use.
+ */
+final class DecayedRate {
+
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private final Clock clock;
+    private final long timeConstantMillis;
+    private double weight;
+    private long updatedMillis;
+
+    DecayedRate(Clock clock, long timeConstantMillis) {
+        this.clock = clock;
+        this.timeConstantMillis = timeConstantMillis;
+        this.updatedMillis = clock.monotonicMillis();
+    }
+
+    synchronized void add(double events) {
+        decay();
+        weight += events;
+    }
+
+    synchronized double perSecond() {
+        decay();
+        return weight * MILLIS_PER_SECOND / timeConstantMillis;
+    }
+
+    private void decay() {
+        long nowMillis = clock.monotonicMillis();
+        weight *= Math.exp(-(nowMillis - updatedMillis) / (double) timeConstantMillis);
+        updatedMillis = nowMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/SideLimits.java
@@ -0,0 +1,85 @@
+package io.waxwingquay.side;
+
+/**
+ * Bounds of a side process.
+ *
+ * @param queueLimit attempts that wait at once.
+ * @param attemptLimit attempts remembered at once.
+ * @param retentionMillis how long an ended attempt is remembered.
+ * @param answerRetentionMillis how long the bytes of an ended answer are kept for polls.
+ * @param unpolledLimitMillis how long an attempt goes unpolled before its entry counts as gone.
+ * @param tickMillis time between two runs of the order loop.
+ * @param adapterTickMillis the same while an adapter is waited for.
+ * @param resendMillis time before an order without effect is sent again under the same id.
+ * @param quarantineMillis longer than the longest delay of an order.
+ * @param pauseLimitMillis the longest gap in the order loop that does not count as a pause of the process.
+ * @param noticeMillis the longest wait for other sides to take in suspects.
+ * @param resumeAttempts how often a cut stream is opened again in a row without a new token.
+ */
+public record SideLimits(
+        int queueLimit,
+        int attemptLimit,
+        long retentionMillis,
+        long answerRetentionMillis,
+        long unpolledLimitMillis,
+        long tickMillis,
+        long adapterTickMillis,
+        long resendMillis,
+        long quarantineMillis,
+        long pauseLimitMillis,
+        long noticeMillis,
+        int resumeAttempts) {
+
+    /**
+     * Limits that suit the sizes of the brief.
+     *
+     * @return the limits.
+     */
+    public static SideLimits defaults() {
+        return new SideLimits(256, 50_000, 900_000L, 60_000L, 10_000L, 200L, 5L, 2_000L, 30_000L, 2_000L, 300L, 5);
+    }
+
+    /**
+     * The same with another quarantine.
+     *
+     * @param millis longer than the longest delay of an order.
+     * @return the changed limits.
+     */
+    public SideLimits withQuarantineMillis(long millis) {
+        return new SideLimits(
+                queueLimit,
+                attemptLimit,
+                retentionMillis,
+                answerRetentionMillis,
+                unpolledLimitMillis,
+                tickMillis,
+                adapterTickMillis,
+                resendMillis,
+                millis,
+                pauseLimitMillis,
+                noticeMillis,
+                resumeAttempts);
+    }
+
+    /**
+     * The same with another bound of the queue.
+     *
+     * @param attempts attempts that wait at once.
+     * @return the changed limits.
+     */
+    public SideLimits withQueueLimit(int attempts) {
+        return new SideLimits(
+                attempts,
+                attemptLimit,
+                retentionMillis,
+                answerRetentionMillis,
+                unpolledLimitMillis,
+                tickMillis,
+                adapterTickMillis,
+                resendMillis,
+                quarantineMillis,
+                pauseLimitMillis,
+                noticeMillis,
+                resumeAttempts);
+    }
+}
