Let a Thrift server take its port before it serves

Cause: a process publishes its address before its handler can be built, and tests and the demo let the system choose ports. Ruled out: opening and closing a socket to find a free port, which another process may take in between. Change: bind, then serve. Conclusion: processes can be composed in one order, whatever their ports.

--- a/src/main/java/io/waxwingquay/transport/ThriftServer.java
+++ b/src/main/java/io/waxwingquay/transport/ThriftServer.java
@@ -5,6 +5,7 @@
 import io.waxwingquay.transport.generated.SideService;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadFactory;
@@ -24,48 +25,50 @@
     private static final int WORKER_THREADS = 2;
     private static final long MAX_FRAME_BYTES = 16L * 1024 * 1024;
 
-    private final TThreadedSelectorServer server;
-    private final ExecutorService workers;
     private final HostPort address;
+    private final KeepAliveServerSocket socket;
+    private final ExecutorService workers;
+    private Optional<TThreadedSelectorServer> server = Optional.empty();
 
-    private ThriftServer(HostPort wanted, TProcessor processor) {
+    private ThriftServer(HostPort wanted) {
         try {
-            KeepAliveServerSocket socket = new KeepAliveServerSocket(wanted);
-            this.address = new HostPort(wanted.host(), socket.getPort());
-            this.workers = Executors.newFixedThreadPool(WORKER_THREADS, daemon("thrift-worker-" + address.port()));
-            TThreadedSelectorServer.Args arguments = new TThreadedSelectorServer.Args(socket)
-                    .processor(processor)
-                    .protocolFactory(new TCompactProtocol.Factory())
-                    .selectorThreads(SELECTOR_THREADS)
-                    .executorService(workers);
-            arguments.maxReadBufferBytes = MAX_FRAME_BYTES;
-            this.server = new TThreadedSelectorServer(arguments);
+            this.socket = new KeepAliveServerSocket(wanted);
         } catch (TTransportException failure) {
             throw new TransportException(false, "cannot listen on " + wanted + "; is the port taken?", failure);
         }
-        daemon("thrift-server-" + address.port()).newThread(server::serve).start();
+        this.address = new HostPort(wanted.host(), socket.getPort());
+        this.workers = Executors.newFixedThreadPool(WORKER_THREADS, daemon("thrift-worker-" + address.port()));
     }
 
     /**
-     * Serves what any two processes say to each other.
+     * Takes a port. Connections wait until one of the serve methods is called.
      *
      * @param address where to listen; port 0 takes a free one.
+     * @return the server, not serving yet.
+     * @throws TransportException if the port cannot be taken.
+     */
+    public static ThriftServer bind(HostPort address) {
+        return new ThriftServer(address);
+    }
+
+    /**
+     * Serves what any two processes say to each other.
+     *
      * @param handler answers the calls.
-     * @return the running server.
+     * @return this server.
      */
-    public static ThriftServer forPeer(HostPort address, PeerProtocol handler) {
-        return new ThriftServer(address, new PeerService.AsyncProcessor<>(new PeerAdapter(handler)));
+    public ThriftServer servePeer(PeerProtocol handler) {
+        return serve(new PeerService.AsyncProcessor<>(new PeerAdapter(handler)));
     }
 
     /**
      * Serves what an entry says to a side process, and what any two processes say to each other.
      *
-     * @param address where to listen; port 0 takes a free one.
      * @param handler answers the calls.
-     * @return the running server.
+     * @return this server.
      */
-    public static ThriftServer forSide(HostPort address, SideProtocol handler) {
-        return new ThriftServer(address, new SideService.AsyncProcessor<>(new SideAdapter(handler)));
+    public ThriftServer serveSide(SideProtocol handler) {
+        return serve(new SideService.AsyncProcessor<>(new SideAdapter(handler)));
     }
 
     /**
@@ -80,10 +83,24 @@
     /** {@inheritDoc} */
     @Override
     public void close() {
-        server.stop();
+        server.ifPresent(TThreadedSelectorServer::stop);
+        socket.close();
         workers.shutdownNow();
     }
 
+    private ThriftServer serve(TProcessor processor) {
+        TThreadedSelectorServer.Args arguments = new TThreadedSelectorServer.Args(socket)
+                .processor(processor)
+                .protocolFactory(new TCompactProtocol.Factory())
+                .selectorThreads(SELECTOR_THREADS)
+                .executorService(workers);
+        arguments.maxReadBufferBytes = MAX_FRAME_BYTES;
+        TThreadedSelectorServer serving = new TThreadedSelectorServer(arguments);
+        server = Optional.of(serving);
+        daemon("thrift-server-" + address.port()).newThread(serving::serve).start();
+        return this;
+    }
+
     private static ThreadFactory daemon(String name) {
         return task -> {
             Thread thread = new Thread(task, name);
--- a/src/test/java/io/waxwingquay/transport/ThriftConnectionsTest.java
+++ b/src/test/java/io/waxwingquay/transport/ThriftConnectionsTest.java
@@ -35,7 +35,7 @@
                 return release.thenApply(ignored -> answerFor(request));
             }
         };
-        try (ThriftServer server = ThriftServer.forSide(ANY_PORT, handler);
+        try (ThriftServer server = ThriftServer.bind(ANY_PORT).serveSide(handler);
                 ThriftConnections connections = patient().build()) {
             SideProtocol client = connections.to(server.address());
             List<CompletableFuture<PollAnswer>> answers = IntStream.range(0, 100)
@@ -96,7 +96,7 @@
                 return calls[0] == 2 ? never : CompletableFuture.completedFuture(true);
             }
         };
-        try (ThriftServer server = ThriftServer.forSide(ANY_PORT, handler);
+        try (ThriftServer server = ThriftServer.bind(ANY_PORT).serveSide(handler);
                 ThriftConnections connections =
                         ThriftConnections.builder().callTimeoutMillis(300L).build()) {
             SideProtocol client = connections.to(server.address());
@@ -114,7 +114,7 @@
                 seen.add(method);
             }
         };
-        try (ThriftServer server = ThriftServer.forPeer(ANY_PORT, new ScriptedSide());
+        try (ThriftServer server = ThriftServer.bind(ANY_PORT).servePeer(new ScriptedSide());
                 ThriftConnections connections = patient().observer(observer).build()) {
             connections.to(server.address()).ping().join();
             assertEquals(List.of("ping"), seen);
