Read, sign, accept and spread bundles

Cause: operators drive the system only through signed bundles, and nothing read, verified or kept one. Ruled out: telling an operator "failed" when the table's answer is lost (the write may have landed); trusting the keys of the newest bundle alone (a process restarted with older root keys could not verify it). Change: strict BundleDocument; Ed25519 signer and check; acceptance by compare-and-set with read-back; a holder that only moves up; a feed from the table and from peers; bundles that changed keys are kept in rows of their own and walked from the root keys. Before: no bundles. Conclusion: an acceptance whose commits all stay unanswered is told as unknown, never as refused.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/bundle/BundleArchive.java
@@ -0,0 +1,144 @@
+package io.waxwingquay.bundle;
+
+import io.waxwingquay.platform.ObjectStore;
+import io.waxwingquay.platform.PlatformException;
+import io.waxwingquay.platform.TableService;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/**
+ * Accepted bundles as the platform keeps them: a row in the table service, the document in the object store.
+ * Futures fail with {@link BundleException}.
+ */
+public final class BundleArchive {
+
+    private final TableService table;
+    private final ObjectStore objects;
+
+    /**
+     * An archive.
+     *
+     * @param table the platform's table service.
+     * @param objects the platform's object store.
+     */
+    public BundleArchive(TableService table, ObjectStore objects) {
+        this.table = table;
+        this.objects = objects;
+    }
+
+    /**
+     * Reads which bundle is in force.
+     *
+     * @return the row, or empty if none was ever accepted.
+     */
+    public CompletableFuture<Optional<Current>> current() {
+        return converted(table.read(List.of(BundleRow.CURRENT))
+                .thenApply(rows -> Optional.ofNullable(rows.get(BundleRow.CURRENT))
+                        .map(row -> new Current(BundleRow.parse(row.value()), row.version()))));
+    }
+
+    /**
+     * Fetches the bundles that changed the operator keys, in order of version.
+     *
+     * @param row the row of the bundle in force.
+     * @param aboveVersion versions up to this one are left out.
+     * @return the bundles, without the one in force itself.
+     */
+    CompletableFuture<List<SignedBundle>> keyBundles(BundleRow row, long aboveVersion) {
+        List<String> keys = row.keyVersions().stream()
+                .filter(version -> version > aboveVersion && version < row.version())
+                .map(BundleRow::keysRow)
+                .toList();
+        if (keys.isEmpty()) {
+            return CompletableFuture.completedFuture(List.of());
+        }
+        return converted(table.read(keys).thenCompose(rows -> fetchAll(keys, rows)));
+    }
+
+    /**
+     * Fetches the document of an accepted bundle.
+     *
+     * @param row the row that names it.
+     * @return the signed bundle, whose bytes have the row's hash.
+     */
+    CompletableFuture<SignedBundle> fetch(BundleRow row) {
+        return converted(objects.get(row.hash()).thenApply(found -> signed(row, found)));
+    }
+
+    /**
+     * Stores a document, which has no effect until a row names it.
+     *
+     * @param bundle the bundle.
+     * @return completes when stored.
+     */
+    CompletableFuture<Void> store(SignedBundle bundle) {
+        return converted(objects.put(bundle.hash(), bundle.document()));
+    }
+
+    /**
+     * Puts a bundle in force if the row still has the version that was read.
+     *
+     * @param row the new row.
+     * @param expectedRowVersion the row version read, or {@link TableService#ABSENT}.
+     * @param changesKeys whether the bundle changes the operator keys, so that it is kept for later walks.
+     * @return whether this commit took effect; fails with {@link BundleException.Unreachable} when that is unknown.
+     */
+    CompletableFuture<Boolean> accept(BundleRow row, long expectedRowVersion, boolean changesKeys) {
+        List<TableService.Write> writes = new ArrayList<>();
+        writes.add(new TableService.Write(BundleRow.CURRENT, expectedRowVersion, row.json()));
+        if (changesKeys) {
+            String key = BundleRow.keysRow(row.version());
+            writes.add(new TableService.Write(key, TableService.ABSENT, row.json()));
+        }
+        return converted(table.commit(writes).thenApply(TableService.CommitResult::committed));
+    }
+
+    private CompletableFuture<List<SignedBundle>> fetchAll(List<String> keys, Map<String, TableService.Row> rows) {
+        List<CompletableFuture<SignedBundle>> fetches = keys.stream()
+                .filter(rows::containsKey)
+                .map(key -> fetch(BundleRow.parse(rows.get(key).value())))
+                .toList();
+        return CompletableFuture.allOf(fetches.toArray(CompletableFuture[]::new))
+                .thenApply(done -> fetches.stream().map(CompletableFuture::join).toList());
+    }
+
+    private static SignedBundle signed(BundleRow row, Optional<byte[]> found) {
+        byte[] document = found.orElseThrow(
+                () -> new BundleException.Unreachable("object " + row.hash() + " is not in the object store", null));
+        SignedBundle bundle = new SignedBundle(row.version(), document, row.signature(), row.keyId());
+        if (!bundle.hash().equals(row.hash())) {
+            throw new BundleException.Untrusted("object " + row.hash() + " has other bytes than its name says");
+        }
+        return bundle;
+    }
+
+    private static <T> CompletableFuture<T> converted(CompletableFuture<T> future) {
+        return future.handle((value, failure) -> {
+            if (failure == null) {
+                return value;
+            }
+            Throwable cause = unwrapped(failure);
+            throw cause instanceof PlatformException
+                    ? new BundleException.Unreachable(cause.getMessage(), cause)
+                    : cause instanceof BundleException known
+                            ? known
+                            : new BundleException("the bundle archive failed: " + cause, cause);
+        });
+    }
+
+    static Throwable unwrapped(Throwable failure) {
+        return failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+    }
+
+    /**
+     * The row of the bundle in force.
+     *
+     * @param row the row.
+     * @param rowVersion the row's version in the table service, for the next compare-and-set.
+     */
+    public record Current(BundleRow row, long rowVersion) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bundle/BundleDocument.java
@@ -0,0 +1,125 @@
+package io.waxwingquay.bundle;
+
+import io.waxwingquay.settings.Range;
+import io.waxwingquay.settings.SettingsException;
+import io.waxwingquay.settings.TomlDocument;
+import io.waxwingquay.settings.TomlTable;
+import java.util.List;
+
+/**
+ * Reads a bundle from its TOML document, strictly: every fault is told at once, each with its element, its line
+ * where known, and how to mend it.
+ */
+public final class BundleDocument {
+
+    private static final Range VERSION = new Range(1, Long.MAX_VALUE, "bundle version");
+    private static final Range REPLICAS = new Range(1, 100_000, "replicas");
+    private static final Range BYTES = new Range(1, 1L << 50, "bytes");
+    private static final Range ACCELERATORS = new Range(1, 1_024, "accelerators");
+    private static final Range LOADS = new Range(1, 100_000, "loads at once");
+    private static final Range LOAD_RATE = new Range(0, 100_000, "loads a second");
+    private static final Range REQUESTS = new Range(1, 100_000, "requests at once");
+    private static final Range PRIORITY = new Range(0, 1_000, "priority, a higher one goes first");
+
+    private BundleDocument() {}
+
+    /**
+     * Reads a bundle.
+     *
+     * @param source the document's name, for messages.
+     * @param bytes the TOML document.
+     * @return the bundle.
+     * @throws BundleException.Invalid if the document has any fault.
+     */
+    public static Bundle parse(String source, byte[] bytes) {
+        try {
+            return TomlDocument.read(source, bytes, BundleDocument::bundle);
+        } catch (SettingsException failure) {
+            throw new BundleException.Invalid(failure);
+        }
+    }
+
+    private static Bundle bundle(TomlTable root) {
+        long version = root.number("version", VERSION);
+        Bundle.Keys keys = root.table("keys", BundleDocument::keys).orElse(new Bundle.Keys(List.of(), List.of()));
+        List<Placed<Bundle.Service>> services = root.tables("services", table -> placed(table, service(table)));
+        List<Placed<Bundle.Model>> models = root.tables("models", table -> placed(table, model(table)));
+        List<Placed<Bundle.Adapter>> adapters = root.tables("adapters", table -> placed(table, adapter(table)));
+        List<Placed<Bundle.Operation>> operations = root.tables("operations", table -> placed(table, operation(table)));
+        BundleRules rules = new BundleRules(services, models, adapters, operations);
+        rules.check();
+        return new Bundle(version, keys, values(services), values(models), values(adapters), values(operations));
+    }
+
+    private static Bundle.Keys keys(TomlTable table) {
+        List<Bundle.Key> trusted = table.tables("trusted", BundleDocument::key);
+        List<String> revoked = table.texts("revoked");
+        if (!trusted.isEmpty() && trusted.stream().allMatch(key -> revoked.contains(key.id()))) {
+            table.report("revoked", "leaves no key that may sign the next bundle; trust another key first");
+        }
+        return new Bundle.Keys(trusted, revoked);
+    }
+
+    private static Bundle.Key key(TomlTable table) {
+        Bundle.Key key = new Bundle.Key(table.text("id"), table.text("public_key"));
+        try {
+            String id = KeyCodec.id(KeyCodec.publicKey(key.publicKey()));
+            if (!id.equals(key.id())) {
+                table.report("id", "is not the identifier of its public_key; write id = \"" + id + "\"");
+            }
+        } catch (BundleException failure) {
+            table.report("public_key", failure.getMessage());
+        }
+        return key;
+    }
+
+    private static Bundle.Service service(TomlTable table) {
+        String name = table.text("name");
+        Bundle.Kind kind = table.requiredChoice("kind", Bundle.Kind.MODEL);
+        int replicas = (int) table.number("replicas", REPLICAS);
+        int maxConcurrent = (int) table.number("max_concurrent", REQUESTS);
+        if (kind == Bundle.Kind.PLAIN) {
+            return new Bundle.Service(name, kind, replicas, 0, 0, false, 0, 0, 0, maxConcurrent);
+        }
+        return new Bundle.Service(
+                name,
+                kind,
+                replicas,
+                table.number("memory_bytes", BYTES),
+                (int) table.number("accelerators", ACCELERATORS),
+                table.flag("orders_fenced", false),
+                (int) table.number("weight_loads_at_once", LOADS),
+                table.decimal("weight_loads_per_second", 1, LOAD_RATE),
+                (int) table.number("adapter_loads_at_once", LOADS),
+                maxConcurrent);
+    }
+
+    private static Bundle.Model model(TomlTable table) {
+        return new Bundle.Model(
+                table.text("name"),
+                table.text("service"),
+                table.text("version"),
+                table.number("size_bytes", BYTES),
+                (int) table.number("priority", 0, PRIORITY));
+    }
+
+    private static Bundle.Adapter adapter(TomlTable table) {
+        return new Bundle.Adapter(
+                table.text("name"), table.text("model"), table.text("version"), table.number("size_bytes", BYTES));
+    }
+
+    private static Bundle.Operation operation(TomlTable table) {
+        return new Bundle.Operation(table.text("service"), table.text("name"), table.flag("non_idempotent", true));
+    }
+
+    private static <T> Placed<T> placed(TomlTable table, T value) {
+        return new Placed<>(table, value);
+    }
+
+    private static <T> List<T> values(List<Placed<T>> placed) {
+        return placed.stream().map(Placed::value).toList();
+    }
+
+    /** A value with the table it was read from, to which its faults are reported. */
+    record Placed<T>(TomlTable table, T value) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bundle/BundleFeed.java
@@ -0,0 +1,239 @@
+package io.waxwingquay.bundle;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
+
+/**
+ * Keeps a {@link BundleHolder} up to date from the platform and from peers. While neither is reached, a process
+ * that has a bundle keeps it, and one that has none stays not ready rather than guess.
+ */
+public final class BundleFeed implements AutoCloseable {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.bundle");
+
+    // Bounds the walk through bundles that changed keys, so that a faulty peer can't keep it going for ever.
+    private static final int LONGEST_WALK = 256;
+
+    private static final long LOOK_LIMIT_MILLIS = 30_000;
+
+    private final BundleHolder holder;
+    private final BundleArchive archive;
+    private final PeerFetcher peers;
+    private final ScheduledExecutorService scheduler;
+    private final long intervalMillis;
+    private final AtomicBoolean busy = new AtomicBoolean();
+    private final AtomicBoolean again = new AtomicBoolean();
+    private volatile Optional<String> lastFailure = Optional.empty();
+    private volatile ScheduledFuture<?> polling;
+
+    private BundleFeed(Builder builder) {
+        this.holder = builder.holder;
+        this.archive = builder.archive;
+        this.peers = builder.peers;
+        this.scheduler = builder.scheduler;
+        this.intervalMillis = builder.intervalMillis;
+    }
+
+    /**
+     * Starts the description of a feed.
+     *
+     * @param holder what is kept up to date.
+     * @param archive the platform's bundles.
+     * @return the builder.
+     */
+    public static Builder builder(BundleHolder holder, BundleArchive archive) {
+        return new Builder(holder, archive);
+    }
+
+    /** Looks at once and from then on at each interval. */
+    public void start() {
+        polling = scheduler.scheduleWithFixedDelay(this::refresh, 0, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Tells of a version that a peer has; a higher one is fetched at once.
+     *
+     * @param version the peer's version.
+     */
+    public void hint(long version) {
+        if (version > holder.version()) {
+            scheduler.execute(() -> run(() -> fromPeers().thenCompose(this::fromTableUnless)));
+        }
+    }
+
+    /**
+     * Looks at the table row now, and asks peers if the platform is not reached.
+     *
+     * @return completes when done; never fails.
+     */
+    public CompletableFuture<Void> refresh() {
+        return run(() -> fromTable()
+                .handle((adopted, failure) -> failure == null
+                        ? CompletableFuture.completedFuture(adopted)
+                        : fromPeers().thenApply(found -> noteUnless(found, failure)))
+                .thenCompose(next -> next));
+    }
+
+    /**
+     * Why the last look failed.
+     *
+     * @return the failure, or empty if the last look succeeded.
+     */
+    public Optional<String> lastFailure() {
+        return lastFailure;
+    }
+
+    /** Stops polling. */
+    @Override
+    public void close() {
+        ScheduledFuture<?> present = polling;
+        if (present != null) {
+            present.cancel(false);
+        }
+    }
+
+    private CompletableFuture<Void> run(Look look) {
+        if (!busy.compareAndSet(false, true)) {
+            again.set(true);
+            return CompletableFuture.completedFuture(null);
+        }
+        lastFailure = Optional.empty();
+        // A look that throws or never ends would leave this feed busy for good, and the process on an old bundle:
+        // both are turned into a failed look, after which the next interval looks again.
+        return CompletableFuture.completedFuture(look)
+                .thenCompose(Look::now)
+                .orTimeout(LOOK_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+                .handle((adopted, failure) -> {
+                    if (failure != null) {
+                        note(failure);
+                    }
+                    busy.set(false);
+                    return again.getAndSet(false);
+                })
+                .thenCompose(once -> once ? refresh() : CompletableFuture.completedFuture(null));
+    }
+
+    private CompletableFuture<Boolean> fromTableUnless(boolean adopted) {
+        return adopted ? CompletableFuture.completedFuture(true) : fromTable();
+    }
+
+    private CompletableFuture<Boolean> fromTable() {
+        return archive.current().thenCompose(current -> {
+            if (current.isEmpty() || current.get().row().version() <= holder.version()) {
+                return CompletableFuture.completedFuture(false);
+            }
+            BundleRow row = current.get().row();
+            return archive.keyBundles(row, holder.version())
+                    .thenCombine(archive.fetch(row), BundleFeed::append)
+                    .thenApply(holder::adopt);
+        });
+    }
+
+    private CompletableFuture<Boolean> fromPeers() {
+        return walk(holder.version(), List.of()).thenApply(holder::adopt).exceptionally(failure -> {
+            note(failure);
+            return false;
+        });
+    }
+
+    private CompletableFuture<List<SignedBundle>> walk(long aboveVersion, List<SignedBundle> soFar) {
+        if (soFar.size() >= LONGEST_WALK) {
+            return CompletableFuture.failedFuture(
+                    new BundleException("a peer offered more than " + LONGEST_WALK + " bundles", null));
+        }
+        return peers.fetchAbove(aboveVersion)
+                .thenCompose(found -> found.filter(bundle -> bundle.version() > aboveVersion)
+                        .map(bundle -> walk(bundle.version(), append(soFar, bundle)))
+                        .orElseGet(() -> CompletableFuture.completedFuture(soFar)));
+    }
+
+    private boolean noteUnless(boolean found, Throwable failure) {
+        if (!found) {
+            note(failure);
+        }
+        return found;
+    }
+
+    private void note(Throwable failure) {
+        String message = BundleArchive.unwrapped(failure).getMessage();
+        lastFailure = Optional.of(String.valueOf(message));
+        LOG.log(System.Logger.Level.WARNING, "bundle: not refreshed: " + message);
+    }
+
+    private static List<SignedBundle> append(List<SignedBundle> list, SignedBundle last) {
+        return Stream.concat(list.stream(), Stream.of(last)).toList();
+    }
+
+    private interface Look {
+        CompletableFuture<Boolean> now();
+    }
+
+    /** Asks some peer for its next bundle above a version, see {@link BundleHolder#nextAbove}. */
+    @FunctionalInterface
+    public interface PeerFetcher {
+
+        /**
+         * Asks a peer.
+         *
+         * @param aboveVersion the version already here.
+         * @return the next bundle, empty if the peer has none higher; fails if no peer answers.
+         */
+        CompletableFuture<Optional<SignedBundle>> fetchAbove(long aboveVersion);
+    }
+
+    /** Describes a feed. */
+    public static final class Builder {
+
+        private static final long DEFAULT_INTERVAL_MILLIS = 1_000;
+
+        private final BundleHolder holder;
+        private final BundleArchive archive;
+        private PeerFetcher peers = aboveVersion -> CompletableFuture.completedFuture(Optional.empty());
+        private ScheduledExecutorService scheduler;
+        private long intervalMillis = DEFAULT_INTERVAL_MILLIS;
+
+        private Builder(BundleHolder holder, BundleArchive archive) {
+            this.holder = holder;
+            this.archive = archive;
+        }
+
+        /**
+         * Sets how peers are asked; without it none is.
+         *
+         * @param fetcher asks a peer.
+         * @return this builder.
+         */
+        public Builder peers(PeerFetcher fetcher) {
+            this.peers = fetcher;
+            return this;
+        }
+
+        /**
+         * Sets when the table row is looked at.
+         *
+         * @param executor runs the looks; it is not closed by the feed.
+         * @param everyMillis the time between two looks.
+         * @return this builder.
+         */
+        public Builder schedule(ScheduledExecutorService executor, long everyMillis) {
+            this.scheduler = executor;
+            this.intervalMillis = everyMillis;
+            return this;
+        }
+
+        /**
+         * Builds the feed, which looks at nothing before {@link BundleFeed#start}.
+         *
+         * @return the feed.
+         */
+        public BundleFeed build() {
+            return new BundleFeed(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bundle/BundleSigner.java
@@ -0,0 +1,61 @@
+package io.waxwingquay.bundle;
+
+import java.security.GeneralSecurityException;
+import java.security.PrivateKey;
+import java.security.PublicKey;
+import java.security.Signature;
+import java.util.Base64;
+
+/**
+ * Signs bundles with an operator's private key.
+ */
+public final class BundleSigner {
+
+    private final PrivateKey privateKey;
+    private final String keyId;
+
+    private BundleSigner(PrivateKey privateKey, String keyId) {
+        this.privateKey = privateKey;
+        this.keyId = keyId;
+    }
+
+    /**
+     * A signer for a pair of keys.
+     *
+     * @param privateKey the private key.
+     * @param publicKey its public key.
+     * @return the signer.
+     * @throws BundleException if the keys do not belong together.
+     */
+    public static BundleSigner of(PrivateKey privateKey, PublicKey publicKey) {
+        BundleSigner signer = new BundleSigner(privateKey, KeyCodec.id(publicKey));
+        byte[] probe = {1};
+        if (!SignatureCheck.matches(publicKey, probe, signer.signature(probe))) {
+            throw new BundleException("the private key does not belong to public key " + signer.keyId, null);
+        }
+        return signer;
+    }
+
+    /**
+     * Signs a bundle's exact bytes.
+     *
+     * @param document the TOML document.
+     * @return the signed bundle.
+     * @throws BundleException.Invalid if the document is no valid bundle.
+     */
+    public SignedBundle sign(byte[] document) {
+        Bundle bundle = BundleDocument.parse("bundle", document);
+        return new SignedBundle(bundle.version(), document, signature(document), keyId);
+    }
+
+    private String signature(byte[] bytes) {
+        try {
+            Signature signature = Signature.getInstance(KeyCodec.ALGORITHM);
+            signature.initSign(privateKey);
+            signature.update(bytes);
+            return Base64.getEncoder().encodeToString(signature.sign());
+        } catch (GeneralSecurityException failure) {
+            throw new BundleException("the bundle could not be signed", failure);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bundle/SignatureCheck.java
@@ -0,0 +1,43 @@
+package io.waxwingquay.bundle;
+
+import java.security.GeneralSecurityException;
+import java.security.PublicKey;
+import java.security.Signature;
+import java.util.Base64;
+
+/**
+ * Checks the signature of a bundle against the keys that may sign it.
+ */
+public final class SignatureCheck {
+
+    private SignatureCheck() {}
+
+    /**
+     * Verifies a bundle.
+     *
+     * @param bundle the bundle.
+     * @param keys the keys that may sign it.
+     * @return the verified bundle, read.
+     * @throws BundleException.Untrusted if the key is unknown or revoked or the bytes were altered.
+     * @throws BundleException.Invalid if the document is no valid bundle.
+     */
+    public static Bundle verify(SignedBundle bundle, TrustedKeys keys) {
+        PublicKey key = keys.require(bundle.keyId());
+        if (!matches(key, bundle.document(), bundle.signature())) {
+            throw new BundleException.Untrusted("bundle " + bundle.version() + " does not carry the signature of key "
+                    + bundle.keyId() + "; it was altered or forged");
+        }
+        return bundle.read();
+    }
+
+    static boolean matches(PublicKey key, byte[] bytes, String signatureBase64) {
+        try {
+            Signature signature = Signature.getInstance(KeyCodec.ALGORITHM);
+            signature.initVerify(key);
+            signature.update(bytes);
+            return signature.verify(Base64.getDecoder().decode(signatureBase64));
+        } catch (GeneralSecurityException | IllegalArgumentException malformedSignature) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/bundle/BundleFeedTest.java
@@ -0,0 +1,126 @@
+package io.waxwingquay.bundle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class BundleFeedTest {
+
+    private final FakePlatform platform = new FakePlatform();
+    private final Operator operator = new Operator();
+    private final BundleHolder holder = new BundleHolder(operator.root());
+
+    @Test
+    void adoptsFromThePlatformAndTellsListenersInOrder() {
+        List<Long> told = new ArrayList<>();
+        holder.onAdopted(bundle -> told.add(bundle.version()));
+        BundleFeed feed = feed(new BundleHolder(operator.root()));
+        submit(operator.bundle(1));
+        feed.refresh().join();
+        submit(operator.bundle(2));
+        feed.refresh().join();
+        feed.refresh().join();
+        assertEquals(List.of(1L, 2L), told);
+    }
+
+    // A peer that was paused offers the version before the one in force, which a naive adopter would revert to.
+    @Test
+    void olderVersionIsNeverAdopted() {
+        assertTrue(holder.adopt(List.of(operator.bundle(2))));
+        assertFalse(holder.adopt(List.of(operator.bundle(1))));
+        assertEquals(2, holder.version());
+    }
+
+    // A peer, or someone with access to the store, offers bytes that no operator signed. The signature is over
+    // the exact bytes, so an altered document, a stranger's key and another's signature are all refused.
+    @Test
+    void forgedOrAlteredBundleIsRefused() {
+        SignedBundle good = operator.bundle(1);
+        byte[] altered = new String(good.document())
+                .replace("replicas = 3", "replicas = 9")
+                .getBytes();
+        assertRefused(new SignedBundle(1, altered, good.signature(), good.keyId()));
+        assertRefused(new SignedBundle(2, good.document(), good.signature(), good.keyId()));
+        assertRefused(new Operator().bundle(1));
+        assertRefused(new SignedBundle(1, good.document(), "no base64", good.keyId()));
+        assertEquals(Optional.empty(), holder.current());
+    }
+
+    // A process restarts with the store out. With a peer it comes up on the peer's bundle; without one it has
+    // no bundle and stays not ready, rather than serve an old one.
+    @Test
+    void restartedWithTheStoreOutTakesThePeersBundleOrStaysWithout() {
+        platform.out = true;
+        BundleFeed alone = feed(new BundleHolder(operator.root()));
+        alone.refresh().join();
+        assertEquals(Optional.empty(), holder.current());
+        assertTrue(alone.lastFailure().isPresent());
+        BundleHolder peer = new BundleHolder(operator.root());
+        peer.adopt(List.of(operator.bundle(4)));
+        feed(peer).refresh().join();
+        assertEquals(4, holder.version());
+    }
+
+    // The first key was rotated out long ago and the settings of a restarted process still name only it. The
+    // bundles that changed keys lead from that root to the present signer, from the table as well as from a peer.
+    @Test
+    void restartedWithOldRootsWalksTheKeyChanges() {
+        Operator second = new Operator();
+        Operator third = new Operator();
+        submit(operator.naming(1, List.of(), second));
+        submit(second.bundle(2));
+        submit(second.naming(3, List.of(operator.id()), third));
+        submit(third.bundle(4));
+        feed(new BundleHolder(operator.root())).refresh().join();
+        assertEquals(4, holder.version());
+        BundleHolder restarted = new BundleHolder(operator.root());
+        platform.out = true;
+        feedOf(restarted, holder).refresh().join();
+        assertEquals(4, restarted.version());
+        assertRefusedBy(restarted, operator.bundle(5));
+    }
+
+    // The object store gives other bytes than the row's hash names, for example cut short. They are not adopted.
+    @Test
+    void bytesThatDoNotMatchTheRowAreRefused() {
+        SignedBundle bundle = operator.bundle(1);
+        submit(bundle);
+        platform.objects.put(bundle.hash(), new byte[] {1});
+        BundleFeed feed = feed(new BundleHolder(operator.root()));
+        feed.refresh().join();
+        assertEquals(0, holder.version());
+        assertTrue(feed.lastFailure().orElseThrow().contains("other bytes"));
+    }
+
+    private BundleFeed feed(BundleHolder peer) {
+        return feedOf(holder, peer);
+    }
+
+    private BundleFeed feedOf(BundleHolder mine, BundleHolder peer) {
+        return BundleFeed.builder(mine, platform.archive())
+                .peers(version -> CompletableFuture.completedFuture(peer.nextAbove(version)))
+                .build();
+    }
+
+    private void submit(SignedBundle bundle) {
+        BundleAcceptance acceptance = new BundleAcceptance(platform.archive(), operator.root());
+        assertEquals(
+                BundleAcceptance.Verdict.ACCEPTED,
+                acceptance.submit(bundle).join().verdict());
+    }
+
+    private void assertRefused(SignedBundle bundle) {
+        assertRefusedBy(holder, bundle);
+    }
+
+    private static void assertRefusedBy(BundleHolder holder, SignedBundle bundle) {
+        assertThrows(BundleException.Untrusted.class, () -> holder.adopt(List.of(bundle)));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/bundle/FakePlatform.java
@@ -0,0 +1,76 @@
+package io.waxwingquay.bundle;
+
+import io.waxwingquay.platform.ObjectStore;
+import io.waxwingquay.platform.PlatformException;
+import io.waxwingquay.platform.TableService;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A table and an object store in memory that fail on demand. */
+final class FakePlatform implements TableService, ObjectStore {
+
+    final Map<String, Row> rows = new HashMap<>();
+    final Map<String, byte[]> objects = new HashMap<>();
+    boolean out;
+    int commitAnswersToLose;
+    int commitsToLose;
+    Runnable beforeCommit = () -> {};
+
+    @Override
+    public CompletableFuture<Map<String, Row>> read(List<String> keys) {
+        Map<String, Row> found = new HashMap<>(rows);
+        found.keySet().retainAll(keys);
+        return answer(found);
+    }
+
+    @Override
+    public CompletableFuture<CommitResult> commit(List<Write> writes) {
+        beforeCommit.run();
+        if (out || commitsToLose-- > 0) {
+            return unavailable();
+        }
+        Map<String, Optional<Row>> conflicts = new HashMap<>();
+        writes.stream()
+                .filter(write -> versionOf(write.key()) != write.expectedVersion())
+                .forEach(write -> conflicts.put(write.key(), Optional.ofNullable(rows.get(write.key()))));
+        if (conflicts.isEmpty()) {
+            writes.forEach(write -> rows.put(write.key(), new Row(write.value(), write.expectedVersion() + 1)));
+        }
+        if (commitAnswersToLose-- > 0) {
+            return unavailable();
+        }
+        return answer(new CommitResult(conflicts.isEmpty(), conflicts));
+    }
+
+    @Override
+    public CompletableFuture<Void> put(String name, byte[] bytes) {
+        if (!out) {
+            objects.put(name, bytes);
+        }
+        return answer(null);
+    }
+
+    @Override
+    public CompletableFuture<Optional<byte[]>> get(String name) {
+        return answer(Optional.ofNullable(objects.get(name)));
+    }
+
+    BundleArchive archive() {
+        return new BundleArchive(this, this);
+    }
+
+    private long versionOf(String key) {
+        return rows.containsKey(key) ? rows.get(key).version() : ABSENT;
+    }
+
+    private <T> CompletableFuture<T> answer(T value) {
+        return out ? unavailable() : CompletableFuture.completedFuture(value);
+    }
+
+    private static <T> CompletableFuture<T> unavailable() {
+        return CompletableFuture.failedFuture(new PlatformException.Unavailable("table: no answer", null));
+    }
+}
