Add the side process: door, queue, runners, crash handling and drain

Cause: only a process that owns all of a target's traffic can tell truthfully whether a call ran, free memory safely and name the requests that were running in a crash. Ruled out: a claim by lease alone (a paused holder would run late), calling an absent attempt 'did not run' (a resend after the retention would run twice), telling a cut stream from a crash by the cut alone.

--- a/src/main/java/io/waxwingquay/side/Attempt.java
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.transport.generated.LoadReport;
 import io.waxwingquay.transport.generated.PollAnswer;
 import io.waxwingquay.transport.generated.Refusal;
+import io.waxwingquay.transport.generated.ResolveAnswer;
 import io.waxwingquay.transport.generated.Submission;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -132,6 +133,16 @@
         return end(Event.WITHDRAW, Optional.empty(), nowMillis);
     }
 
+    /** Refuses it if it has not been handed over; a running attempt is left alone. */
+    boolean withdrawWith(Refusal refusal, long nowMillis) {
+        return end(Event.REFUSE, Optional.of(refusal), nowMillis);
+    }
+
+    /** What became of it, read as one. */
+    synchronized ResolveAnswer resolution() {
+        return new ResolveAnswer(execution(), state.wire());
+    }
+
     /** Whether the target ran it, as far as this side can tell. */
     synchronized Execution execution() {
         if (failure.isPresent()) {
@@ -163,8 +174,13 @@
         return !state.hasEnded() && nowMillis - lastPolledMillis > limitMillis;
     }
 
-    synchronized boolean isPolledToEnd() {
-        return polledToEnd;
+    /** Notes that its entry was told of the refusal in the answer to its submission. */
+    synchronized void noteTold() {
+        polledToEnd = true;
+    }
+
+    synchronized boolean isFetched() {
+        return polledToEnd || state == RequestState.CANCELLED;
     }
 
     synchronized boolean isEndedSince(long limitMillis, long nowMillis) {
--- a/src/main/java/io/waxwingquay/side/AttemptBook.java
+++ b/src/main/java/io/waxwingquay/side/AttemptBook.java
@@ -60,14 +60,21 @@
     }
 
     /** Tells what became of an attempt, and first forbids its start if asked to. */
-    synchronized ResolveAnswer resolve(String attemptId, boolean withdraw) {
-        Attempt attempt = attempts.get(attemptId);
-        if (attempt != null) {
-            if (withdraw) {
-                attempt.withdraw(clock.monotonicMillis());
+    ResolveAnswer resolve(String attemptId, boolean withdraw) {
+        Optional<Attempt> attempt;
+        synchronized (this) {
+            attempt = find(attemptId);
+            if (attempt.isEmpty()) {
+                return resolveAbsent(attemptId, withdraw);
             }
-            return new ResolveAnswer(attempt.execution(), attempt.state().wire());
         }
+        if (withdraw) {
+            attempt.get().withdraw(clock.monotonicMillis());
+        }
+        return attempt.get().resolution();
+    }
+
+    private ResolveAnswer resolveAbsent(String attemptId, boolean withdraw) {
         if (withdrawn.containsKey(attemptId)) {
             return new ResolveAnswer(Execution.DID_NOT_RUN, AttemptState.CANCELLED);
         }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/Dispatcher.java
@@ -0,0 +1,143 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.Refusal;
+import io.waxwingquay.transport.generated.RefusalReason;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+
+/**
+ * The bounded queue before the target: highest priority first, then earliest deadline. Safe for concurrent use.
+ */
+final class Dispatcher {
+
+    private static final Comparator<Attempt> ORDER = Comparator.comparingInt((Attempt attempt) -> -attempt.priority())
+            .thenComparingLong(Attempt::deadlineMillis)
+            .thenComparing(Attempt::id);
+
+    private final SideContext context;
+    private final LoadMeter meter;
+    private final IntSupplier maxConcurrent;
+    private final Consumer<Attempt> runner;
+    private final TreeSet<Attempt> ready = new TreeSet<>(ORDER);
+    private final Set<Attempt> waiting = new HashSet<>();
+    private final Set<Attempt> running = new HashSet<>();
+
+    Dispatcher(SideContext context, LoadMeter meter, IntSupplier maxConcurrent, Consumer<Attempt> runner) {
+        this.context = context;
+        this.meter = meter;
+        this.maxConcurrent = maxConcurrent;
+        this.runner = runner;
+    }
+
+    /**
+     * Queues an attempt, to be started once what it needs is there.
+     *
+     * @param attempt the attempt.
+     * @param prepared completes when it may start.
+     * @return whether there was room.
+     */
+    boolean add(Attempt attempt, CompletableFuture<Void> prepared) {
+        synchronized (this) {
+            if (waiting.size() >= context.limits().queueLimit()) {
+                return false;
+            }
+            waiting.add(attempt);
+            publishCounts();
+        }
+        Future<?> timer = context.scheduler()
+                .schedule(() -> expire(attempt), attempt.submission().getBudgetMillis(), TimeUnit.MILLISECONDS);
+        attempt.ended().thenRun(() -> {
+            timer.cancel(false);
+            remove(attempt);
+        });
+        prepared.thenRun(() -> makeReady(attempt));
+        return true;
+    }
+
+    synchronized int aheadOf(int priority, long deadlineMillis) {
+        return (int) waiting.stream()
+                .filter(other -> other.priority() > priority
+                        || other.priority() == priority && other.deadlineMillis() <= deadlineMillis)
+                .count();
+    }
+
+    /** Refuses all that has not been handed over. */
+    void refuseQueued(Refusal refusal) {
+        List<Attempt> unstarted;
+        synchronized (this) {
+            unstarted = List.copyOf(waiting);
+        }
+        long nowMillis = context.clock().monotonicMillis();
+        unstarted.stream()
+                .filter(attempt -> attempt.state() == RequestState.QUEUED)
+                .forEach(attempt -> attempt.withdrawWith(refusal, nowMillis));
+    }
+
+    private void makeReady(Attempt attempt) {
+        synchronized (this) {
+            if (!waiting.contains(attempt)) {
+                return;
+            }
+            ready.add(attempt);
+        }
+        pump();
+    }
+
+    private void expire(Attempt attempt) {
+        String message = "the deadline passed in the queue";
+        attempt.withdrawWith(
+                meter.refusal(RefusalReason.DEADLINE, message, Execution.DID_NOT_RUN),
+                context.clock().monotonicMillis());
+    }
+
+    private void remove(Attempt attempt) {
+        synchronized (this) {
+            waiting.remove(attempt);
+            ready.remove(attempt);
+            if (running.remove(attempt)) {
+                meter.noteFinished();
+            }
+            publishCounts();
+        }
+        pump();
+    }
+
+    private void pump() {
+        Optional<Attempt> next = takeNext();
+        while (next.isPresent()) {
+            runner.accept(next.get());
+            next = takeNext();
+        }
+    }
+
+    private synchronized Optional<Attempt> takeNext() {
+        while (running.size() < maxConcurrent.getAsInt() && !ready.isEmpty()) {
+            Attempt first = ready.pollFirst();
+            waiting.remove(first);
+            if (first.start()) {
+                running.add(first);
+                publishCounts();
+                return Optional.of(first);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void publishCounts() {
+        long tokens = waiting.stream()
+                .filter(attempt -> attempt.submission().isSetModel())
+                .mapToLong(attempt -> attempt.submission().getModel().getMaxTokens())
+                .sum();
+        meter.set(new LoadMeter.Counts(running.size(), waiting.size(), tokens));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/LoadMeter.java
@@ -0,0 +1,87 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.LoadReport;
+import io.waxwingquay.transport.generated.Refusal;
+import io.waxwingquay.transport.generated.RefusalReason;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Measures how fast the target works off its queue, and derives from it when a refused caller should return.
+ */
+final class LoadMeter {
+
+    private static final long TIME_CONSTANT_MILLIS = 10_000L;
+    private static final long SHORTEST_RETURN_MILLIS = 50L;
+    private static final long LONGEST_RETURN_MILLIS = 30_000L;
+    private static final double UNMEASURED_PER_SECOND = 1.0;
+    private static final double MEASURABLE_PER_SECOND = 0.05;
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private final RandomGenerator random;
+    private final DecayedRate finished;
+    private final DecayedRate tokens;
+    private final LongSupplier freeBytes;
+    private volatile Counts counts = new Counts(0, 0, 0L);
+
+    LoadMeter(Clock clock, RandomGenerator random, LongSupplier freeBytes) {
+        this.random = random;
+        this.finished = new DecayedRate(clock, TIME_CONSTANT_MILLIS);
+        this.tokens = new DecayedRate(clock, TIME_CONSTANT_MILLIS);
+        this.freeBytes = freeBytes;
+    }
+
+    void set(Counts now) {
+        counts = now;
+    }
+
+    Counts counts() {
+        return counts;
+    }
+
+    void noteFinished() {
+        finished.add(1.0);
+    }
+
+    void noteToken() {
+        tokens.add(1.0);
+    }
+
+    /** Attempts finished a second, or 0 when too few were seen to tell. */
+    double drainPerSecond() {
+        double perSecond = finished.perSecond();
+        return perSecond < MEASURABLE_PER_SECOND ? 0.0 : perSecond;
+    }
+
+    LoadReport report() {
+        Counts now = counts;
+        return new LoadReport(
+                now.running(), now.queued(), now.queuedTokens(), tokens.perSecond(), freeBytes.getAsLong(), 0L);
+    }
+
+    Refusal refusal(RefusalReason reason, String message, Execution execution) {
+        return new Refusal(reason, message, retryAfterMillis(), execution);
+    }
+
+    /** The time to work off the queue, spread so that refused callers do not return together. */
+    private long retryAfterMillis() {
+        double perSecond = drainPerSecond() > 0.0 ? drainPerSecond() : UNMEASURED_PER_SECOND;
+        double waitMillis = (counts.queued() + 1) / perSecond * MILLIS_PER_SECOND;
+        double jitter;
+        synchronized (random) {
+            jitter = 0.5 + random.nextDouble();
+        }
+        return Math.max(SHORTEST_RETURN_MILLIS, Math.min(LONGEST_RETURN_MILLIS, (long) (waitMillis * jitter)));
+    }
+
+    /**
+     * What is inside now.
+     *
+     * @param running attempts handed to the target.
+     * @param queued attempts waiting.
+     * @param queuedTokens tokens wanted by those waiting.
+     */
+    record Counts(int running, int queued, long queuedTokens) {}
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/ModelItems.java
@@ -0,0 +1,34 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.transport.generated.ModelCall;
+import java.util.Optional;
+
+/**
+ * Turns the names in a call into item names; a call may also name the item itself, to ask for one version.
+ */
+final class ModelItems {
+
+    private ModelItems() {}
+
+    static String model(Optional<Bundle> bundle, ModelCall call) {
+        return bundle.flatMap(found -> found.model(call.getModel()))
+                .map(Bundle.Model::item)
+                .orElse(call.getModel());
+    }
+
+    static Optional<String> adapter(Optional<Bundle> bundle, ModelCall call) {
+        if (!call.isSetAdapter()) {
+            return Optional.empty();
+        }
+        String modelName = bundle.stream()
+                .flatMap(found -> found.models().stream())
+                .filter(model -> model.item().equals(call.getModel()))
+                .map(Bundle.Model::name)
+                .findFirst()
+                .orElse(call.getModel());
+        return Optional.of(bundle.flatMap(found -> found.adapter(modelName, call.getAdapter()))
+                .map(Bundle.Adapter::item)
+                .orElse(call.getAdapter()));
+    }
+}
--- a/src/main/java/io/waxwingquay/side/RequestState.java
+++ b/src/main/java/io/waxwingquay/side/RequestState.java
@@ -38,6 +38,7 @@
             case FINISH -> this == RUNNING ? Optional.of(DONE) : Optional.empty();
             case FAIL -> hasEnded() ? Optional.empty() : Optional.of(FAILED);
             case CANCEL -> hasEnded() ? Optional.empty() : Optional.of(CANCELLED);
+            case REFUSE -> this == QUEUED ? Optional.of(FAILED) : Optional.empty();
             case WITHDRAW -> this == QUEUED ? Optional.of(CANCELLED) : Optional.empty();
         };
     }
@@ -50,6 +51,8 @@
         FINISH,
         /** It was refused or its target failed. */
         FAIL,
+        /** It was refused before it was handed over. */
+        REFUSE,
         /** Nobody wants its answer. */
         CANCEL,
         /** It must never start. */
--- a/src/main/java/io/waxwingquay/side/Residency.java
+++ b/src/main/java/io/waxwingquay/side/Residency.java
@@ -47,6 +47,7 @@
     private final Map<String, Long> usedMillis = new HashMap<>();
     private Optional<CompletableFuture<Void>> running = Optional.empty();
     private Optional<Long> lastTickMillis = Optional.empty();
+    private Optional<Long> readMillis = Optional.empty();
     private Set<String> asking = new java.util.HashSet<>();
     private List<String> refused = List.of();
     private long orderCount;
@@ -129,6 +130,11 @@
         return refused;
     }
 
+    /** When the engine was last asked for a report that came, in monotonic milliseconds. */
+    synchronized Optional<Long> readMillis() {
+        return readMillis;
+    }
+
     /** Never orders again. */
     synchronized void retire() {
         retired = true;
@@ -165,6 +171,9 @@
 
     private void observe(ModelEngine.Residency report, long askedMillis, boolean paused) {
         Observation observation = ledger.observe(report);
+        synchronized (this) {
+            readMillis = Optional.of(askedMillis);
+        }
         noteAlarms(observation);
         settlePermits();
         adapters.settle();
@@ -214,9 +223,11 @@
     }
 
     private void act(Bundle bundle, ModelEngine.Residency report) {
-        resend(report);
-        Wanted wanted = wantedItems.wanted(bundle);
         Snapshot snapshot = ledger.snapshot();
+        if (!snapshot.quarantined()) {
+            resend(report);
+        }
+        Wanted wanted = wantedItems.wanted(bundle);
         ResidencyPlan plan = ResidencyPlan.decide(
                 snapshot, wanted, adapters.awaited(), item -> sizeBytes(bundle, item), this::lastUsed);
         noteRefused(plan.refused());
--- a/src/main/java/io/waxwingquay/side/ResidencyPlan.java
+++ b/src/main/java/io/waxwingquay/side/ResidencyPlan.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -68,7 +69,7 @@
         private final Set<String> needed;
         private final ToLongFunction<String> lastUsed;
         private final List<Load> loads = new ArrayList<>();
-        private final Set<String> evictions = new HashSet<>();
+        private final Set<String> evictions = new LinkedHashSet<>();
         private final List<String> refused = new ArrayList<>();
         private long freeBytes;
         private long expectedBytes;
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/SideNode.java
@@ -0,0 +1,227 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.ledger.MemoryLedger.Snapshot;
+import io.waxwingquay.transport.PeerProtocol;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.generated.AttemptState;
+import io.waxwingquay.transport.generated.BundleAnswer;
+import io.waxwingquay.transport.generated.BundleRequest;
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.GossipAnswer;
+import io.waxwingquay.transport.generated.GossipRequest;
+import io.waxwingquay.transport.generated.PermitAnswer;
+import io.waxwingquay.transport.generated.PermitRequest;
+import io.waxwingquay.transport.generated.PermitReturn;
+import io.waxwingquay.transport.generated.PollAnswer;
+import io.waxwingquay.transport.generated.PollRequest;
+import io.waxwingquay.transport.generated.RefusalReason;
+import io.waxwingquay.transport.generated.ResolveAnswer;
+import io.waxwingquay.transport.generated.ResolveRequest;
+import io.waxwingquay.transport.generated.SideState;
+import io.waxwingquay.transport.generated.Submission;
+import io.waxwingquay.transport.generated.SubmitAnswer;
+import io.waxwingquay.transport.generated.SuspectNotice;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The only door to one target. Built by {@link SideNodeBuilder}.
+ */
+public final class SideNode implements SideProtocol, AutoCloseable {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.side");
+    private static final long DRAIN_CHECK_MILLIS = 20L;
+
+    private final SideParts parts;
+    private final PeerProtocol peer;
+
+    SideNode(SideParts parts, PeerProtocol peer) {
+        this.parts = parts;
+        this.peer = peer;
+    }
+
+    /**
+     * Starts the order loop and publishes this side.
+     */
+    public void start() {
+        parts.self().publish();
+        parts.housekeeping().wake();
+    }
+
+    /**
+     * Runs the order loop and housekeeping once, now.
+     *
+     * @return completes when done.
+     */
+    public CompletableFuture<Void> tick() {
+        return parts.housekeeping().round();
+    }
+
+    /**
+     * Leaves: refuses new work, refuses queued work truthfully, and lets running work end and be fetched.
+     *
+     * @param limitMillis the longest wait.
+     * @return completes when nothing is left or the limit has passed; the side may then be closed.
+     */
+    public CompletableFuture<Void> drain(long limitMillis) {
+        leave();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        parts.gate().close().thenRun(() -> awaitFetched(drained));
+        return drained.completeOnTimeout(null, limitMillis, TimeUnit.MILLISECONDS)
+                .thenRun(() -> parts.self().moveTo(SideState.GONE));
+    }
+
+    /**
+     * The memory ledger.
+     *
+     * @return a snapshot, or empty for a plain service.
+     */
+    public Optional<Snapshot> memory() {
+        return parts.memory().get();
+    }
+
+    /**
+     * Wanted items for which there is no room.
+     *
+     * @return the items.
+     */
+    public List<String> refusedItems() {
+        return parts.residency().map(Residency::refused).orElse(List.of());
+    }
+
+    /**
+     * The lifecycle of this side.
+     *
+     * @return its state.
+     */
+    public SideState state() {
+        return parts.self().state();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<SubmitAnswer> submit(Submission submission) {
+        Optional<Door.Denial> denial = parts.admission().submit(submission);
+        long epoch = parts.context().identity().epoch();
+        SubmitAnswer answer = new SubmitAnswer(denial.isEmpty(), parts.meter().report(), epoch);
+        denial.ifPresent(found -> {
+            parts.context()
+                    .count("waxwingquay.side.refusals", "reason", found.reason().name());
+            answer.setRefusal(parts.meter().refusal(found.reason(), found.message(), found.execution()));
+        });
+        return CompletableFuture.completedFuture(answer);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<PollAnswer> poll(PollRequest request) {
+        Optional<Attempt> attempt = parts.book().find(request.getAttemptId());
+        if (attempt.isEmpty()) {
+            PollAnswer absent = new PollAnswer(
+                    AttemptState.ABSENT, new ArrayList<>(), parts.meter().report());
+            absent.setFailure(parts.meter()
+                    .refusal(RefusalReason.EXPIRED_ATTEMPT, "this side does not know the attempt", Execution.UNKNOWN));
+            return CompletableFuture.completedFuture(absent);
+        }
+        return attempt.get()
+                .poll(
+                        request.getFromOffset(),
+                        request.getWaitMillis(),
+                        parts.context().clock().monotonicMillis(),
+                        parts.meter()::report);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Boolean> cancel(String attemptId) {
+        Optional<Attempt> attempt = parts.book().find(attemptId);
+        attempt.ifPresent(found -> found.cancel(parts.context().clock().monotonicMillis()));
+        return CompletableFuture.completedFuture(attempt.isPresent());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<ResolveAnswer> resolve(ResolveRequest request) {
+        if (request.getSideEpoch() != parts.context().identity().epoch()) {
+            return CompletableFuture.completedFuture(new ResolveAnswer(Execution.UNKNOWN, AttemptState.ABSENT));
+        }
+        return CompletableFuture.completedFuture(parts.book().resolve(request.getAttemptId(), request.isWithdraw()));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<GossipAnswer> gossip(GossipRequest request) {
+        return peer.gossip(request);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<BundleAnswer> fetchBundle(BundleRequest request) {
+        return peer.fetchBundle(request);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Boolean> noteSuspects(SuspectNotice notice) {
+        return peer.noteSuspects(notice);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<PermitAnswer> borrowPermit(PermitRequest request) {
+        return peer.borrowPermit(request);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Boolean> returnPermit(PermitReturn request) {
+        return peer.returnPermit(request);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Boolean> ping() {
+        return CompletableFuture.completedFuture(true);
+    }
+
+    /** Stops at once, whatever is in flight; drain first. */
+    @Override
+    public void close() {
+        parts.gate().close();
+        parts.housekeeping().close();
+        parts.residency().ifPresent(Residency::retire);
+        parts.context().scheduler().shutdownNow();
+    }
+
+    /** Refuses new and queued work from now on. */
+    void leave() {
+        LOG.log(System.Logger.Level.INFO, "side: leaving");
+        parts.gate().close();
+        parts.self().moveTo(SideState.LEAVING);
+        parts.admission()
+                .dispatcher()
+                .refuseQueued(
+                        parts.meter().refusal(RefusalReason.LEAVING, "this side is leaving", Execution.DID_NOT_RUN));
+    }
+
+    /**
+     * An answer that has ended here may not have reached its entry yet. Going away now would cut it off, so
+     * the side stays until each answer was polled to its end or its entry has gone.
+     */
+    private void awaitFetched(CompletableFuture<Void> drained) {
+        long nowMillis = parts.context().clock().monotonicMillis();
+        long goneMillis = parts.context().limits().unpolledLimitMillis();
+        boolean fetched = parts.book().all().stream()
+                .allMatch(attempt -> attempt.isFetched() || attempt.isEndedSince(goneMillis, nowMillis));
+        if (fetched) {
+            drained.complete(null);
+        } else if (!drained.isDone()) {
+            parts.context()
+                    .scheduler()
+                    .schedule(() -> awaitFetched(drained), DRAIN_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
@@ -0,0 +1,241 @@
+package io.waxwingquay.side;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.waxwingquay.bundle.BundleSource;
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.engine.ModelEngine;
+import io.waxwingquay.engine.PlainService;
+import io.waxwingquay.ledger.MemoryLedger;
+import io.waxwingquay.ledger.MemoryLedger.Snapshot;
+import io.waxwingquay.membership.Membership;
+import io.waxwingquay.permit.Permits;
+import io.waxwingquay.suspect.SuspectBook;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.PeerProtocol;
+import io.waxwingquay.transport.generated.TargetKind;
+import java.util.Optional;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+/**
+ * Puts a {@link SideNode} together. Everything without a default must be given.
+ */
+public final class SideNodeBuilder {
+
+    private static final int SCHEDULER_THREADS = 2;
+
+    private final SideIdentity identity;
+    private SideLimits limits = SideLimits.defaults();
+    private Clock clock = Clock.SYSTEM;
+    private RandomGenerator random;
+    private BundleSource bundles;
+    private Membership membership;
+    private SuspectBook suspects;
+    private Connections connections;
+    private PeerProtocol peer;
+    private Permits permits;
+    private WantedItems wantedItems;
+    private MeterRegistry meters;
+
+    /**
+     * A builder for one side.
+     *
+     * @param identity who it is.
+     */
+    public SideNodeBuilder(SideIdentity identity) {
+        this.identity = identity;
+    }
+
+    /**
+     * Sets the bounds.
+     *
+     * @param value the bounds.
+     * @return this builder.
+     */
+    public SideNodeBuilder limits(SideLimits value) {
+        limits = value;
+        return this;
+    }
+
+    /**
+     * Sets the time.
+     *
+     * @param value the clock.
+     * @return this builder.
+     */
+    public SideNodeBuilder clock(Clock value) {
+        clock = value;
+        return this;
+    }
+
+    /**
+     * Sets the source of jitter.
+     *
+     * @param value the generator.
+     * @return this builder.
+     */
+    public SideNodeBuilder random(RandomGenerator value) {
+        random = value;
+        return this;
+    }
+
+    /**
+     * Sets the bundle in force.
+     *
+     * @param value the source.
+     * @return this builder.
+     */
+    public SideNodeBuilder bundles(BundleSource value) {
+        bundles = value;
+        return this;
+    }
+
+    /**
+     * Sets what is known of the other sides.
+     *
+     * @param value the membership.
+     * @return this builder.
+     */
+    public SideNodeBuilder membership(Membership value) {
+        membership = value;
+        return this;
+    }
+
+    /**
+     * Sets the record of crashes.
+     *
+     * @param value the book.
+     * @return this builder.
+     */
+    public SideNodeBuilder suspects(SuspectBook value) {
+        suspects = value;
+        return this;
+    }
+
+    /**
+     * Sets the connections over which suspects are pushed.
+     *
+     * @param value the connections.
+     * @return this builder.
+     */
+    public SideNodeBuilder connections(Connections value) {
+        connections = value;
+        return this;
+    }
+
+    /**
+     * Sets what answers the calls between any two processes.
+     *
+     * @param value the handler.
+     * @return this builder.
+     */
+    public SideNodeBuilder peer(PeerProtocol value) {
+        peer = value;
+        return this;
+    }
+
+    /**
+     * Sets the shared limits.
+     *
+     * @param value the permits.
+     * @return this builder.
+     */
+    public SideNodeBuilder permits(Permits value) {
+        permits = value;
+        return this;
+    }
+
+    /**
+     * Sets placement.
+     *
+     * @param value what this side should hold.
+     * @return this builder.
+     */
+    public SideNodeBuilder wantedItems(WantedItems value) {
+        wantedItems = value;
+        return this;
+    }
+
+    /**
+     * Sets where counts go.
+     *
+     * @param value the registry.
+     * @return this builder.
+     */
+    public SideNodeBuilder meters(MeterRegistry value) {
+        meters = value;
+        return this;
+    }
+
+    /**
+     * Builds a side before a plain service.
+     *
+     * @param service the target.
+     * @return the side, not started.
+     */
+    public SideNode forPlainService(PlainService service) {
+        SideContext context = context();
+        LoadMeter meter = new LoadMeter(clock, random, () -> 0L);
+        Target target = new Target.ForPlainService(new PlainRunner(context, service, meter));
+        AttemptBook book = book();
+        SelfRecord self = new SelfRecord(context, TargetKind.PLAIN_SERVICE, Optional::empty);
+        DrainGate gate = new DrainGate();
+        Admission admission = new Admission(context, book, gate, target, meter, self);
+        Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.empty());
+        return new SideNode(
+                new SideParts(
+                        context, book, gate, meter, self, admission, housekeeping, Optional.empty(), Optional::empty),
+                peer);
+    }
+
+    /**
+     * Builds a side before a model engine.
+     *
+     * @param engine the target.
+     * @param ledger the memory ledger, for a fenced or an unfenced engine as the bundle says.
+     * @return the side, not started.
+     */
+    public SideNode forModels(ModelEngine engine, MemoryLedger ledger) {
+        SideContext context = context();
+        AtomicReference<Runnable> leave = new AtomicReference<>(() -> {});
+        AtomicReference<Runnable> wake = new AtomicReference<>(() -> {});
+        AtomicReference<Admission> way = new AtomicReference<>();
+        LoadMeter meter = new LoadMeter(clock, random, () -> ledger.snapshot().freeBytes());
+        Residency residency = new Residency(
+                context, engine, ledger, permits, wantedItems, () -> leave.get().run());
+        CrashHandler crashes = new CrashHandler(
+                context, engine, meter, refusal -> way.get().dispatcher().refuseQueued(refusal));
+        ModelRunner runner = new ModelRunner(context, engine, meter, crashes);
+        Target target = new Target.ForModels(
+                context, ledger, residency, runner, crashes, () -> wake.get().run());
+        Supplier<Optional<Snapshot>> memory = () -> Optional.of(ledger.snapshot());
+        AttemptBook book = book();
+        SelfRecord self = new SelfRecord(context, TargetKind.MODEL_ENGINE, memory);
+        DrainGate gate = new DrainGate();
+        way.set(new Admission(context, book, gate, target, meter, self));
+        Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.of(residency));
+        SideParts parts = new SideParts(
+                context, book, gate, meter, self, way.get(), housekeeping, Optional.of(residency), memory);
+        SideNode node = new SideNode(parts, peer);
+        leave.set(node::leave);
+        wake.set(housekeeping::wake);
+        return node;
+    }
+
+    private AttemptBook book() {
+        return new AttemptBook(clock, limits.retentionMillis(), limits.attemptLimit());
+    }
+
+    private SideContext context() {
+        ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(SCHEDULER_THREADS, task -> {
+            Thread thread = new Thread(task, "side-" + identity.sideId());
+            thread.setDaemon(true);
+            return thread;
+        });
+        scheduler.setRemoveOnCancelPolicy(true);
+        return new SideContext(
+                identity, limits, clock, random, bundles, membership, suspects, connections, meters, scheduler);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/ledger/MemoryLedgerTest.java
@@ -0,0 +1,300 @@
+package io.waxwingquay.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.engine.ModelEngine.Order;
+import io.waxwingquay.engine.ModelEngine.OrderKind;
+import io.waxwingquay.engine.ModelEngine.Residency;
+import io.waxwingquay.engine.ModelEngine.Resident;
+import io.waxwingquay.ledger.MemoryLedger.Observation;
+import io.waxwingquay.ledger.MemoryLedger.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Test;
+
+class MemoryLedgerTest {
+
+    private static final long QUARANTINE_MILLIS = 30_000L;
+
+    private final TestClock clock = new TestClock();
+
+    @Test
+    void refusesWhatDoesNotFit() {
+        MemoryLedger ledger = readLedger(100L);
+        assertTrue(ledger.reserve("a", 60L, "o1"));
+        assertFalse(ledger.reserve("b", 41L, "o2"));
+        assertTrue(ledger.reserve("c", 40L, "o3"));
+    }
+
+    @Test
+    void reservesNothingBeforeTheEngineWasRead() {
+        MemoryLedger ledger = MemoryLedger.forFencedEngine(100L, clock, QUARANTINE_MILLIS);
+        assertFalse(ledger.reserve("a", 1L, "o1"));
+    }
+
+    // The caller sees requests fail because the engine ran out of memory. An eviction was ordered and its
+    // confirmation never came; a ledger that frees the bytes on a timeout would load the next item beside it.
+    @Test
+    void neverFreesAnEvictionThatIsNotConfirmed() {
+        MemoryLedger ledger = readLedger(100L, new Resident("a", 80L));
+        assertTrue(ledger.evict("a", "o1"));
+        clock.advance(10L * QUARANTINE_MILLIS);
+        ledger.observe(report("b1", List.of(), new Resident("a", 80L)));
+        assertFalse(ledger.reserve("b", 80L, "o2"));
+        ledger.observe(report("b1", List.of(new Order("o1", OrderKind.EVICT, "a", 80L, 1L))));
+        assertFalse(ledger.reserve("b", 80L, "o2"));
+        ledger.observe(report("b1", List.of()));
+        assertTrue(ledger.reserve("b", 80L, "o2"));
+    }
+
+    // The caller sees the engine fail just after the side process was restarted. The predecessor ordered a
+    // load; it is still under way when the new process reads an engine that looks empty and fills it.
+    @Test
+    void countsAllFreeMemoryAsUnknownWhileThePredecessorsOrdersMayLand() {
+        MemoryLedger ledger = MemoryLedger.forUnfencedEngine(100L, clock, QUARANTINE_MILLIS);
+        ledger.observe(report("b1", List.of(), new Resident("old", 20L)));
+        assertTrue(ledger.snapshot().isResident("old"));
+        assertEquals(100L, ledger.snapshot().countedBytes());
+        assertFalse(ledger.reserve("new", 50L, "o1"));
+        clock.advance(QUARANTINE_MILLIS);
+        Observation landed =
+                ledger.observe(report("b1", List.of(), new Resident("old", 20L), new Resident("late", 60L)));
+        assertEquals(List.of("late"), landed.adopted());
+        assertFalse(ledger.reserve("new", 50L, "o1"));
+        assertTrue(ledger.reserve("new", 20L, "o1"));
+    }
+
+    // The caller sees the engine fail after it came back. A lost copy of a load is still under way when the
+    // engine restarts and forgets which order ids it took, so the copy would load the item once more.
+    @Test
+    void keepsCountingLostOrdersOverARestartOfTheEngine() {
+        MemoryLedger ledger = readLedger(100L);
+        assertTrue(ledger.reserve("a", 60L, "o1"));
+        ledger.noteLost();
+        Observation seen = ledger.observe(report("b2", List.of()));
+        assertTrue(seen.rebooted());
+        assertEquals(State.UNKNOWN, ledger.snapshot().holdings().get("a").state());
+        assertFalse(ledger.reserve("b", 40L, "o2"));
+        clock.advance(QUARANTINE_MILLIS);
+        assertTrue(ledger.reserve("b", 40L, "o2"));
+        assertFalse(ledger.reserve("c", 1L, "o3"));
+    }
+
+    @Test
+    void doesNotEvictWhatARequestUses() {
+        MemoryLedger ledger = readLedger(100L, new Resident("a", 80L));
+        assertTrue(ledger.pin("a"));
+        assertFalse(ledger.evict("a", "o1"));
+        ledger.unpin("a");
+        assertTrue(ledger.evict("a", "o1"));
+        assertFalse(ledger.pin("a"));
+    }
+
+    @Test
+    void reportsTheSurplusOfAnOrderThatIsNotOurs() {
+        MemoryLedger ledger = readLedger(100L, new Resident("a", 80L));
+        Observation seen = ledger.observe(report("b1", List.of(), new Resident("a", 80L), new Resident("x", 30L)));
+        assertEquals(10L, seen.surplusBytes());
+    }
+
+    @Property(tries = 500, seed = "20261202")
+    void neverCountsNorHoldsMoreThanTheCapacity(
+            @ForAll @Size(max = 80) List<@IntRange(max = 7) Integer> steps,
+            @ForAll @Size(value = 80) List<@IntRange(min = 1, max = 60) Integer> picks) {
+        Play play = new Play();
+        for (int i = 0; i < steps.size(); i++) {
+            play.step(steps.get(i), picks.get(i));
+            assertTrue(play.ledger.snapshot().countedBytes() <= 100L);
+            assertTrue(play.usedBytes() <= 100L, () -> "engine holds " + play.memory);
+        }
+    }
+
+    @Test
+    void isLinearizable() {
+        new StressOptions()
+                .iterations(10)
+                .invocationsPerIteration(500)
+                .threads(2)
+                .actorsPerThread(3)
+                .check(Concurrent.class);
+    }
+
+    private MemoryLedger readLedger(long capacityBytes, Resident... residents) {
+        MemoryLedger ledger = MemoryLedger.forFencedEngine(capacityBytes, clock, QUARANTINE_MILLIS);
+        ledger.observe(report("b1", List.of(), residents));
+        return ledger;
+    }
+
+    private static Residency report(String bootId, List<Order> open, Resident... residents) {
+        return new Residency(bootId, 100L, List.of(residents), open);
+    }
+
+    /** Operations that run against each other. */
+    public static class Concurrent {
+
+        private final MemoryLedger ledger = withOneResident();
+
+        private static MemoryLedger withOneResident() {
+            MemoryLedger ledger = MemoryLedger.forFencedEngine(100L, new TestClock(), QUARANTINE_MILLIS);
+            ledger.observe(report("b1", List.of(), new Resident("a", 40L)));
+            return ledger;
+        }
+
+        @Operation
+        public boolean pin() {
+            return ledger.pin("a");
+        }
+
+        @Operation
+        public boolean evict() {
+            return ledger.evict("a", "e");
+        }
+
+        @Operation
+        public boolean reserve(@Param(gen = IntGen.class, conf = "0:60") int sizeBytes) {
+            return ledger.reserve("b", sizeBytes + 10L, "l");
+        }
+
+        @Operation
+        public long freeBytes() {
+            return ledger.snapshot().freeBytes();
+        }
+    }
+
+    /** An engine to which orders arrive late, twice or never; orders come only from one ledger. */
+    private static final class Play {
+
+        private final TestClock clock = new TestClock();
+        private final MemoryLedger ledger = MemoryLedger.forFencedEngine(100L, clock, QUARANTINE_MILLIS);
+        private final Map<String, Long> memory = new HashMap<>();
+        private final List<Order> underWay = new ArrayList<>();
+        private final List<Order> open = new ArrayList<>();
+        private final Set<String> taken = new HashSet<>();
+        private int count;
+        private int boot;
+
+        private void step(int kind, int pick) {
+            switch (kind) {
+                case 0 -> load("item" + pick % 6, pick);
+                case 1 -> evict("item" + pick % 6);
+                case 2 -> resend(pick);
+                case 3 -> arrive(pick);
+                case 4 -> work();
+                case 5 -> read();
+                case 6 -> restart(pick);
+                default -> clock.advance(pick * 10L);
+            }
+        }
+
+        private void load(String item, long sizeBytes) {
+            String id = "o" + count++;
+            if (ledger.reserve(item, sizeBytes, id)) {
+                send(new Order(id, OrderKind.LOAD, item, sizeBytes, 1L));
+            }
+        }
+
+        private void evict(String item) {
+            String id = "o" + count++;
+            if (ledger.evict(item, id)) {
+                send(new Order(id, OrderKind.EVICT, item, 0L, 1L));
+            }
+        }
+
+        private void resend(int pick) {
+            ledger.snapshot().holdings().values().stream()
+                    .filter(MemoryLedger.Holding::awaitsLoad)
+                    .filter(holding -> !ledger.snapshot().quarantined())
+                    .forEach(holding -> send(
+                            new Order(holding.orderId(), OrderKind.LOAD, holding.item(), holding.sizeBytes(), 1L)));
+        }
+
+        private void send(Order order) {
+            underWay.add(order);
+            ledger.noteLost();
+        }
+
+        private void arrive(int pick) {
+            if (!underWay.isEmpty()) {
+                Order order = underWay.remove(pick % underWay.size());
+                if (taken.add(order.id())) {
+                    open.add(order);
+                }
+            }
+        }
+
+        private void work() {
+            for (Order order : open) {
+                if (order.kind() == OrderKind.LOAD) {
+                    memory.put(order.item(), order.bytes());
+                } else {
+                    memory.remove(order.item());
+                }
+            }
+            open.clear();
+        }
+
+        private void read() {
+            List<Resident> residents = new ArrayList<>();
+            memory.forEach((item, sizeBytes) -> residents.add(new Resident(item, sizeBytes)));
+            ledger.observe(report("b" + boot, List.copyOf(open), residents.toArray(Resident[]::new)));
+        }
+
+        /** Each restart is seen, and what was under way before it has landed when the quarantine is over. */
+        private void restart(int pick) {
+            boot++;
+            memory.clear();
+            open.clear();
+            taken.clear();
+            read();
+            if (pick % 2 == 0) {
+                underWay.forEach(order -> {
+                    if (taken.add(order.id())) {
+                        open.add(order);
+                    }
+                });
+                underWay.clear();
+                work();
+                read();
+                clock.advance(QUARANTINE_MILLIS);
+            }
+        }
+
+        private long usedBytes() {
+            return memory.values().stream().mapToLong(Long::longValue).sum();
+        }
+    }
+
+    private static final class TestClock implements Clock {
+
+        private long millis = 1_000_000L;
+
+        private void advance(long byMillis) {
+            millis += byMillis;
+        }
+
+        @Override
+        public long monotonicMillis() {
+            return millis;
+        }
+
+        @Override
+        public long epochMillis() {
+            return millis;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/side/AttemptBookTest.java
@@ -0,0 +1,111 @@
+package io.waxwingquay.side;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.side.AttemptBook.Outcome;
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.ResolveAnswer;
+import io.waxwingquay.transport.generated.ServiceCall;
+import io.waxwingquay.transport.generated.Submission;
+import java.nio.ByteBuffer;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Test;
+
+class AttemptBookTest {
+
+    private static final long RETENTION_MILLIS = 900_000L;
+
+    private final ManualClock clock = new ManualClock();
+    private final AttemptBook book = new AttemptBook(clock, RETENTION_MILLIS, 3);
+
+    @Test
+    void attachesARepeatedSubmission() {
+        Attempt first = book.take(submission("a")).attempt().orElseThrow();
+        assertEquals(Outcome.ATTACHED, book.take(submission("a")).outcome());
+        assertEquals(first, book.take(submission("a")).attempt().orElseThrow());
+    }
+
+    // The caller pays twice. Its entry heard no answer, withdrew the attempt and made a new one; the first
+    // submission was only late and arrives afterwards. It must not start any more.
+    @Test
+    void refusesALateSubmissionOfAWithdrawnAttempt() {
+        assertEquals(Execution.DID_NOT_RUN, book.resolve("a", true).getExecution());
+        assertEquals(Outcome.WITHDRAWN, book.take(submission("a")).outcome());
+    }
+
+    @Test
+    void withdrawsOnlyWhatHasNotStarted() {
+        Attempt queued = book.take(submission("a")).attempt().orElseThrow();
+        Attempt running = book.take(submission("b")).attempt().orElseThrow();
+        assertTrue(running.start());
+        assertEquals(Execution.DID_NOT_RUN, book.resolve("a", true).getExecution());
+        assertFalse(queued.start());
+        assertEquals(Execution.UNKNOWN, book.resolve("b", true).getExecution());
+    }
+
+    // The caller pays twice. Hours later it sends the call again; the entry finds the old claim and asks. The
+    // attempt ran but is no longer kept: "absent" must not be taken for "did not run".
+    @Test
+    void neverSaysDidNotRunOfAnAttemptItHasForgotten() {
+        Attempt ran = book.take(submission("a")).attempt().orElseThrow();
+        ran.start();
+        ran.finishPlain(200, "text/plain", new byte[0], clock.monotonicMillis());
+        clock.advance(RETENTION_MILLIS + 1L);
+        book.purge();
+        assertTrue(book.find("a").isEmpty());
+        assertEquals(Execution.UNKNOWN, book.resolve("a", true).getExecution());
+    }
+
+    @Test
+    void isBounded() {
+        book.take(submission("a"));
+        book.take(submission("b"));
+        book.resolve("c", true);
+        assertEquals(Outcome.FULL, book.take(submission("d")).outcome());
+        assertEquals(Execution.UNKNOWN, book.resolve("e", true).getExecution());
+    }
+
+    @Test
+    void startsAnAttemptAtMostOnceWhateverTheOrder() {
+        new StressOptions()
+                .iterations(10)
+                .invocationsPerIteration(500)
+                .threads(2)
+                .actorsPerThread(3)
+                .check(Concurrent.class);
+    }
+
+    private static Submission submission(String attemptId) {
+        Submission submission = new Submission("r", attemptId, "studio", 60_000L, 0L, 1L, 1L);
+        submission.setPlain(new ServiceCall("pay", ByteBuffer.allocate(0), "text/plain", true));
+        return submission;
+    }
+
+    /** Operations that run against each other. */
+    public static class Concurrent {
+
+        private final AttemptBook book = new AttemptBook(new ManualClock(), RETENTION_MILLIS, 10);
+
+        @Operation
+        public String takeAndStart() {
+            return book.take(submission("a"))
+                    .attempt()
+                    .map(attempt -> attempt.start() ? "started" : "not started")
+                    .orElse("withdrawn");
+        }
+
+        @Operation
+        public boolean start() {
+            return book.find("a").map(Attempt::start).orElse(false);
+        }
+
+        @Operation
+        public String withdraw() {
+            ResolveAnswer answer = book.resolve("a", true);
+            return answer.getExecution().name();
+        }
+    }
+}
