--- a/src/main/java/io/waxwingquay/claim/ClaimStore.java
+++ b/src/main/java/io/waxwingquay/claim/ClaimStore.java
@@ -56,6 +56,21 @@
         return write(rowKey, version, record);
     }
 
+    /**
+     * Reads a claim.
+     *
+     * @param rowKey the row.
+     * @return the claim, or empty if there is none.
+     */
+    public CompletableFuture<Optional<Claimed>> find(String rowKey) {
+        return committer.read(rowKey).handle((row, failure) -> {
+            if (failure != null) {
+                throw new ClaimException("claim '" + rowKey + "' could not be read", failure);
+            }
+            return row.map(held -> new Claimed(false, ClaimRecord.ofJson(held.value()), held.version()));
+        });
+    }
+
     /**
      * What a row holds after a write.
      *
--- a/src/main/java/io/waxwingquay/claim/GroupCommitter.java
+++ b/src/main/java/io/waxwingquay/claim/GroupCommitter.java
@@ -49,6 +49,16 @@
         return pending.result();
     }
 
+    /**
+     * Reads one row.
+     *
+     * @param key the row's key.
+     * @return the row, if there is one; fails with {@link PlatformException}.
+     */
+    public CompletableFuture<Optional<TableService.Row>> read(String key) {
+        return table.read(List.of(key)).thenApply(rows -> Optional.ofNullable(rows.get(key)));
+    }
+
     /**
      * The row that stood in the way of a write.
      *
--- a/src/main/java/io/waxwingquay/entry/ClaimedCall.java
+++ b/src/main/java/io/waxwingquay/entry/ClaimedCall.java
@@ -17,6 +17,8 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Runs one non-idempotent call at most once. The claim names the one side process that may run the one attempt,
@@ -37,6 +39,7 @@
     private final String key;
     private final String rowKey;
     private RouteQuery query;
+    private Execution known = Execution.DID_NOT_RUN;
     private int doors;
     private int turns;
 
@@ -57,26 +60,38 @@
     }
 
     private CompletableFuture<ServiceAnswer> claim() {
-        return withSide(side -> write(side, record -> store.claim(rowKey, record)));
+        return withSide(side -> write(side, record -> store.claim(rowKey, record)), this::withoutSide);
     }
 
     private CompletableFuture<ServiceAnswer> replace(long version) {
-        return withSide(side -> write(side, record -> store.replace(rowKey, version, record)));
+        return withSide(side -> write(side, record -> store.replace(rowKey, version, record)), () -> fail(noTarget()));
     }
 
     private CompletableFuture<ServiceAnswer> withSide(
-            java.util.function.Function<Side, CompletableFuture<ServiceAnswer>> step) {
+            Function<Side, CompletableFuture<ServiceAnswer>> step,
+            Supplier<CompletableFuture<ServiceAnswer>> otherwise) {
         if (++turns > MAXIMUM_TURNS) {
             return fail(inProgress("other calls with key '" + key + "' keep changing its claim"));
         }
         List<SideView> candidates = parts.candidates(query);
         return candidates.isEmpty()
-                ? fail(parts.noTarget(request.service()))
+                ? otherwise.get()
                 : step.apply(candidates.get(0).side());
     }
 
+    /** A resend must learn the outcome of the first try even when nothing could run it now. */
+    private CompletableFuture<ServiceAnswer> withoutSide() {
+        return store.find(rowKey)
+                .handleAsync(
+                        (found, failure) -> failure == null
+                                ? found.map(this::onExisting).orElseGet(() -> fail(noTarget()))
+                                : this.<ServiceAnswer>fail(tableOut()),
+                        parts.executor())
+                .thenCompose(next -> next);
+    }
+
     private CompletableFuture<ServiceAnswer> write(
-            Side side, java.util.function.Function<ClaimRecord, CompletableFuture<Claimed>> writing) {
+            Side side, Function<ClaimRecord, CompletableFuture<Claimed>> writing) {
         ClaimRecord record = ClaimRecord.of(
                 UUID.randomUUID().toString(),
                 side.id(),
@@ -92,7 +107,11 @@
     }
 
     private CompletableFuture<ServiceAnswer> onClaimed(Side side, Claimed claimed) {
-        return claimed.ours() ? dispatch(side, claimed) : onExisting(claimed);
+        if (!claimed.ours()) {
+            return onExisting(claimed);
+        }
+        known = Execution.DID_NOT_RUN;
+        return dispatch(side, claimed);
     }
 
     private CompletableFuture<ServiceAnswer> dispatch(Side side, Claimed claimed) {
@@ -118,6 +137,7 @@
         }
         if (end.reason().filter(reason -> reason == RefusalReason.WITHDRAWN).isPresent()) {
             parts.metrics().claim("withdrawn");
+            known = Execution.UNKNOWN;
             return claim();
         }
         if (end.execution() != Execution.DID_NOT_RUN) {
@@ -165,7 +185,9 @@
         return fail(parts.withComeBack(end.toFailure(side.id()), 1));
     }
 
+    /** From here on another call with this key may run it, until a new claim of ours is in the row. */
     private CompletableFuture<ServiceAnswer> onExisting(Claimed existing) {
+        known = Execution.UNKNOWN;
         ClaimRecord record = existing.record();
         if (record.requestFingerprint() != request.fingerprint()) {
             return fail(CallFailure.refused(
@@ -276,7 +298,11 @@
         parts.metrics().claim("table_out");
         String message = "the platform's table service does not answer, so nothing was handed on by this request;"
                 + " an earlier request with the same key may have run";
-        return parts.withComeBack(CallFailure.refused(FailureCode.TABLE_OUT, key, message), 1);
+        return parts.withComeBack(CallFailure.of(FailureCode.TABLE_OUT, key, message, known), 1);
+    }
+
+    private CallFailure noTarget() {
+        return parts.noTarget(request.service()).withExecution(known);
     }
 
     private <T> CompletableFuture<T> fail(CallFailure failure) {
--- /dev/null
+++ b/src/main/java/io/waxwingquay/entry/DrainGate.java
@@ -0,0 +1,68 @@
+package io.waxwingquay.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Counts requests in flight and, once closed, lets no more in. A request that got in before the gate was
+ * closed is always waited for: both facts live in one number, so there is no moment between the look and the
+ * count in which a shutdown could miss a request. Safe for concurrent use.
+ */
+public final class DrainGate {
+
+    private static final long CLOSED = 1L << 62;
+
+    private final AtomicLong state = new AtomicLong();
+    private final CompletableFuture<Void> drained = new CompletableFuture<>();
+
+    /**
+     * Lets a request in.
+     *
+     * @return whether it got in; it must then {@link #leave}.
+     */
+    public boolean tryEnter() {
+        return (state.getAndUpdate(held -> (held & CLOSED) == 0 ? held + 1 : held) & CLOSED) == 0;
+    }
+
+    /** Adds work that a request inside the gate started and that outlives it; must {@link #leave} too. */
+    public void hold() {
+        state.incrementAndGet();
+    }
+
+    /** Ends what got in or was held. */
+    public void leave() {
+        if (state.decrementAndGet() == CLOSED) {
+            drained.complete(null);
+        }
+    }
+
+    /**
+     * Lets no more in.
+     *
+     * @return completes when everything inside has left.
+     */
+    public CompletableFuture<Void> close() {
+        if (state.updateAndGet(held -> held | CLOSED) == CLOSED) {
+            drained.complete(null);
+        }
+        return drained.copy();
+    }
+
+    /**
+     * Whether the gate is closed.
+     *
+     * @return whether nothing more gets in.
+     */
+    public boolean isClosed() {
+        return (state.get() & CLOSED) != 0;
+    }
+
+    /**
+     * How much is inside.
+     *
+     * @return requests and held work.
+     */
+    public long inside() {
+        return state.get() & ~CLOSED;
+    }
+}
--- a/src/main/java/io/waxwingquay/entry/OutcomeWriter.java
+++ b/src/main/java/io/waxwingquay/entry/OutcomeWriter.java
@@ -18,11 +18,13 @@
 
     private final EntryParts parts;
     private final ClaimStore store;
+    private final DrainGate gate;
     private final AtomicInteger pending = new AtomicInteger();
 
-    OutcomeWriter(EntryParts parts, ClaimStore store) {
+    OutcomeWriter(EntryParts parts, ClaimStore store, DrainGate gate) {
         this.parts = parts;
         this.store = store;
+        this.gate = gate;
     }
 
     /**
@@ -41,7 +43,11 @@
             over.complete(null);
             return over;
         }
-        over.whenComplete((done, failure) -> pending.decrementAndGet());
+        gate.hold();
+        over.whenComplete((done, failure) -> {
+            pending.decrementAndGet();
+            gate.leave();
+        });
         write(rowKey, version, record, 1, over);
         return over;
     }
