Test the entry process's failures, with fakes of sides and table

Cause: the flows were unproved. Ruled out: real processes here, since the fakes can lose an answer at an exact point.

--- /dev/null
+++ b/src/test/java/io/waxwingquay/admission/RetryBudgetTest.java
@@ -0,0 +1,74 @@
+package io.waxwingquay.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.RefusalReason;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+    @Property(tries = 200)
+    void retriesNeverExceedBurstPlusShareOfFirstTries(@ForAll List<Boolean> isFirstTry) {
+        int burst = 3;
+        RetryBudget budget = RetryBudget.of(0.1, burst);
+        int firsts = 0;
+        int retries = 0;
+        for (boolean first : isFirstTry) {
+            if (first) {
+                firsts++;
+                budget.noteFirstTry();
+            } else if (budget.tryRetry()) {
+                retries++;
+            }
+            assertTrue(retries <= burst + 0.1 * firsts);
+        }
+    }
+
+    @Test
+    void earnsOneRetryForTenFirstTries() {
+        RetryBudget budget = RetryBudget.of(0.1, 1);
+        assertTrue(budget.tryRetry());
+        assertFalse(budget.tryRetry());
+        for (int first = 0; first < 10; first++) {
+            budget.noteFirstTry();
+        }
+        assertTrue(budget.tryRetry());
+        assertFalse(budget.tryRetry());
+    }
+
+    @Property(tries = 200)
+    void backoffStaysBetweenHalfAndAllOfTheDoubledWait(@ForAll @IntRange(min = 0, max = 100) int retry) {
+        long delayMillis = new Backoff(20, 1_000).delayMillis(retry, new Random(retry));
+        long limitMillis = Math.min(1_000, 20L << Math.min(retry, 20));
+        assertTrue(delayMillis >= limitMillis / 2 && delayMillis <= limitMillis);
+    }
+
+    @Test
+    void comeBackTimeFollowsTheMeasuredDrainRate() {
+        ComeBack comeBack = new ComeBack(100, 60_000, 0);
+        for (int finished = 0; finished < 10; finished++) {
+            comeBack.noteFinished(finished * 100);
+        }
+        long afterMillis = comeBack.afterMillis(20, 1_000, new Random(1));
+        assertTrue(
+                afterMillis >= 2_000 && afterMillis <= 3_000, "ten a second drain twenty in 2 s, got " + afterMillis);
+    }
+
+    @Test
+    void onlyWhatDidNotRunIsRetriedForCallsThatRunAtMostOnce() {
+        assertTrue(RetryRule.AT_MOST_ONCE.allows(Execution.DID_NOT_RUN, RefusalReason.OVERLOADED, 1_000, 5));
+        assertFalse(RetryRule.AT_MOST_ONCE.allows(Execution.UNKNOWN, RefusalReason.TARGET_DOWN, 1_000, 5));
+        assertTrue(RetryRule.IDEMPOTENT.allows(Execution.UNKNOWN, RefusalReason.TARGET_DOWN, 1_000, 5));
+        assertFalse(RetryRule.IDEMPOTENT.allows(Execution.DID_NOT_RUN, RefusalReason.QUARANTINED, 1_000, 5));
+        assertFalse(RetryRule.IDEMPOTENT.allows(Execution.DID_NOT_RUN, RefusalReason.OVERLOADED, 5, 5));
+        assertEquals(true, RetryRule.isCheap(RefusalReason.LEAVING));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/claim/GroupCommitterTest.java
@@ -0,0 +1,86 @@
+package io.waxwingquay.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.entry.FakeTable;
+import io.waxwingquay.platform.PlatformException;
+import io.waxwingquay.platform.TableService.Write;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+
+class GroupCommitterTest {
+
+    private final FakeTable table = new FakeTable();
+    private final GroupCommitter committer = new GroupCommitter(table, 64, Runnable::run);
+
+    @Test
+    void writesThatComeWhileOneIsInFlightShareATransaction() {
+        CompletableFuture<Void> hold = new CompletableFuture<>();
+        table.holdCommit(hold);
+        List<CompletableFuture<Optional<GroupCommitter.Found>>> results = new ArrayList<>();
+        for (int number = 0; number < 10; number++) {
+            results.add(committer.commit(new Write("k" + number, 0, "v" + number)));
+        }
+        hold.complete(null);
+        results.forEach(result -> assertTrue(result.join().isEmpty()));
+        assertEquals(2, table.commits());
+    }
+
+    @Test
+    void conflictOfOneKeyDoesNotFailTheOthers() {
+        committer.commit(new Write("taken", 0, "theirs")).join();
+        CompletableFuture<Void> hold = new CompletableFuture<>();
+        table.holdCommit(hold);
+        committer.commit(new Write("first", 0, "a"));
+        var conflicting = committer.commit(new Write("taken", 0, "ours"));
+        var other = committer.commit(new Write("free", 0, "b"));
+        hold.complete(null);
+        assertEquals(
+                "theirs", conflicting.join().orElseThrow().row().orElseThrow().value());
+        assertTrue(other.join().isEmpty());
+    }
+
+    @Test
+    void writeWhoseAnswerIsLostIsFoundByReadingBack() {
+        // The caller sees one claim made. The table commits the write and its answer is lost; the row read
+        // back holds our own value, so the write is ours and must be neither repeated nor reported failed.
+        table.failCommits(FakeTable.Fault.LOSE_ANSWER);
+        assertTrue(committer.commit(new Write("k", 0, "attempt-1")).join().isEmpty());
+        assertEquals(1, table.row("k").orElseThrow().version());
+    }
+
+    @Test
+    void writeThatDidNotTakeEffectIsSentOnceMore() {
+        table.failCommits(FakeTable.Fault.OUT);
+        assertTrue(committer.commit(new Write("k", 0, "attempt-1")).join().isEmpty());
+        assertEquals(2, table.commits());
+    }
+
+    @Test
+    void outageFailsTheWritesAndTheNextOneWorks() {
+        table.setOut(true);
+        var lost = committer.commit(new Write("k", 0, "v"));
+        CompletionException failure = assertThrows(CompletionException.class, lost::join);
+        assertTrue(failure.getCause() instanceof PlatformException.Unavailable);
+        table.setOut(false);
+        assertTrue(committer.commit(new Write("k", 0, "v")).join().isEmpty());
+    }
+
+    @Test
+    void sameKeyTwiceAtOnceGoesIntoTwoTransactions() {
+        CompletableFuture<Void> hold = new CompletableFuture<>();
+        table.holdCommit(hold);
+        committer.commit(new Write("other", 0, "x"));
+        var one = committer.commit(new Write("k", 0, "a"));
+        var two = committer.commit(new Write("k", 0, "b"));
+        hold.complete(null);
+        assertTrue(one.join().isEmpty());
+        assertEquals("a", two.join().orElseThrow().row().orElseThrow().value());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/entry/FakeSide.java
@@ -0,0 +1,243 @@
+package io.waxwingquay.entry;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.Side;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.TransportException;
+import io.waxwingquay.transport.generated.AttemptState;
+import io.waxwingquay.transport.generated.BundleAnswer;
+import io.waxwingquay.transport.generated.BundleRequest;
+import io.waxwingquay.transport.generated.Chunk;
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.GossipAnswer;
+import io.waxwingquay.transport.generated.GossipRequest;
+import io.waxwingquay.transport.generated.LoadReport;
+import io.waxwingquay.transport.generated.PermitAnswer;
+import io.waxwingquay.transport.generated.PermitRequest;
+import io.waxwingquay.transport.generated.PermitReturn;
+import io.waxwingquay.transport.generated.PollAnswer;
+import io.waxwingquay.transport.generated.PollRequest;
+import io.waxwingquay.transport.generated.Refusal;
+import io.waxwingquay.transport.generated.RefusalReason;
+import io.waxwingquay.transport.generated.ResolveAnswer;
+import io.waxwingquay.transport.generated.ResolveRequest;
+import io.waxwingquay.transport.generated.SideState;
+import io.waxwingquay.transport.generated.Submission;
+import io.waxwingquay.transport.generated.SubmitAnswer;
+import io.waxwingquay.transport.generated.SuspectNotice;
+import io.waxwingquay.transport.generated.TargetKind;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+
+/** A side process in memory: a book of attempts, an answer of fixed pieces, and faults as told. */
+final class FakeSide implements SideProtocol {
+
+    enum Fault {
+        NONE,
+        LOSE_ANSWER,
+        LOSE_ANSWER_AND_RESTART,
+        UNREACHED
+    }
+
+    final Queue<Fault> submitFaults = new ArrayDeque<>();
+    final Queue<Fault> pollFaults = new ArrayDeque<>();
+    final Queue<Refusal> refusals = new ArrayDeque<>();
+    final Queue<Refusal> failures = new ArrayDeque<>();
+    final List<String> runs = new CopyOnWriteArrayList<>();
+    final Set<String> cancelled = ConcurrentHashMap.newKeySet();
+    UnaryOperator<PollAnswer> mangle = answer -> answer;
+    String[] pieces = {"one ", "two ", "three"};
+    Supplier<CompletableFuture<Void>> pollHold = () -> CompletableFuture.completedFuture(null);
+    volatile boolean running;
+    long epoch = 1;
+    int submissions;
+
+    private final String id;
+    private final int port;
+    private final Set<String> withdrawn = new HashSet<>();
+    private final Map<String, Submission> book = new HashMap<>();
+    private final Map<String, Refusal> failed = new HashMap<>();
+
+    FakeSide(String id, int port) {
+        this.id = id;
+        this.port = port;
+    }
+
+    Side side(String service, Set<String> items) {
+        return new Side(
+                id,
+                address(),
+                "dc1",
+                service,
+                0,
+                TargetKind.MODEL_ENGINE,
+                epoch,
+                1,
+                SideState.SERVING,
+                100,
+                items,
+                Map.of(),
+                true);
+    }
+
+    HostPort address() {
+        return new HostPort("127.0.0.1", port);
+    }
+
+    synchronized void restart() {
+        epoch++;
+        book.clear();
+        withdrawn.clear();
+        failed.clear();
+    }
+
+    @Override
+    public synchronized CompletableFuture<SubmitAnswer> submit(Submission submission) {
+        submissions++;
+        Fault fault = next(submitFaults);
+        if (fault == Fault.UNREACHED) {
+            return lost(false);
+        }
+        SubmitAnswer answer = take(submission.deepCopy());
+        if (fault == Fault.LOSE_ANSWER_AND_RESTART) {
+            restart();
+        }
+        return fault != Fault.NONE ? lost(true) : CompletableFuture.completedFuture(answer);
+    }
+
+    private SubmitAnswer take(Submission submission) {
+        String attemptId = submission.getAttemptId();
+        boolean once = submission.isSetPlain() && submission.getPlain().isNonIdempotent();
+        if (book.containsKey(attemptId)) {
+            return accept();
+        }
+        if (once && submission.getSideEpoch() != epoch) {
+            return refuse(new Refusal(RefusalReason.WRONG_EPOCH, "other epoch", 0, Execution.DID_NOT_RUN));
+        }
+        if (withdrawn.contains(attemptId)) {
+            return refuse(new Refusal(RefusalReason.WITHDRAWN, "withdrawn", 0, Execution.DID_NOT_RUN));
+        }
+        Refusal refusal = refusals.poll();
+        if (refusal != null) {
+            return refuse(refusal);
+        }
+        book.put(attemptId, submission);
+        Optional.ofNullable(failures.poll()).ifPresent(failure -> failed.put(attemptId, failure));
+        runs.add(once ? submission.getPlain().getIdempotencyKey() : submission.getRequestId());
+        return accept();
+    }
+
+    private SubmitAnswer accept() {
+        return new SubmitAnswer(true, new LoadReport(1, 0, 0, 10, 10, 0), epoch);
+    }
+
+    private SubmitAnswer refuse(Refusal refusal) {
+        return new SubmitAnswer(false, new LoadReport(1, 0, 0, 10, 10, 0), epoch).setRefusal(refusal);
+    }
+
+    @Override
+    public CompletableFuture<PollAnswer> poll(PollRequest request) {
+        return pollHold.get().thenCompose(held -> answer(request));
+    }
+
+    private synchronized CompletableFuture<PollAnswer> answer(PollRequest request) {
+        if (next(pollFaults) != Fault.NONE) {
+            return lost(true);
+        }
+        PollAnswer answer = new PollAnswer().setLoad(new LoadReport());
+        String attemptId = request.getAttemptId();
+        if (!book.containsKey(attemptId)) {
+            return CompletableFuture.completedFuture(
+                    answer.setState(AttemptState.ABSENT).setChunks(List.of()));
+        }
+        List<Chunk> chunks = new ArrayList<>();
+        for (int offset = (int) request.getFromOffset(); offset < pieces.length; offset++) {
+            chunks.add(new Chunk()
+                    .setOffset(offset)
+                    .setUnits(1)
+                    .setBytes(pieces[offset].getBytes(StandardCharsets.UTF_8)));
+        }
+        answer.setChunks(chunks);
+        if (failed.containsKey(attemptId)) {
+            answer.setState(AttemptState.FAILED).setFailure(failed.get(attemptId));
+        } else if (running) {
+            answer.setState(AttemptState.RUNNING);
+        } else {
+            answer.setState(AttemptState.DONE).setTotalUnits(pieces.length);
+        }
+        return CompletableFuture.completedFuture(mangle.apply(answer));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Boolean> cancel(String attemptId) {
+        return CompletableFuture.completedFuture(cancelled.add(attemptId));
+    }
+
+    @Override
+    public synchronized CompletableFuture<ResolveAnswer> resolve(ResolveRequest request) {
+        if (request.getSideEpoch() != epoch) {
+            return CompletableFuture.completedFuture(new ResolveAnswer(Execution.UNKNOWN, AttemptState.ABSENT));
+        }
+        if (book.containsKey(request.getAttemptId())) {
+            return CompletableFuture.completedFuture(
+                    running
+                            ? new ResolveAnswer(Execution.UNKNOWN, AttemptState.RUNNING)
+                            : new ResolveAnswer(Execution.RAN, AttemptState.DONE));
+        }
+        if (request.isWithdraw()) {
+            withdrawn.add(request.getAttemptId());
+        }
+        return CompletableFuture.completedFuture(new ResolveAnswer(Execution.DID_NOT_RUN, AttemptState.ABSENT));
+    }
+
+    private static Fault next(Queue<Fault> faults) {
+        return Optional.ofNullable(faults.poll()).orElse(Fault.NONE);
+    }
+
+    private static <T> CompletableFuture<T> lost(boolean delivered) {
+        return CompletableFuture.failedFuture(new TransportException(delivered, "connection lost", null));
+    }
+
+    @Override
+    public CompletableFuture<GossipAnswer> gossip(GossipRequest request) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<BundleAnswer> fetchBundle(BundleRequest request) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Boolean> noteSuspects(SuspectNotice notice) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<PermitAnswer> borrowPermit(PermitRequest request) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Boolean> returnPermit(PermitReturn request) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Boolean> ping() {
+        return CompletableFuture.completedFuture(true);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/entry/Fakes.java
@@ -0,0 +1,100 @@
+package io.waxwingquay.entry;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.bundle.BundleSource;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.Membership;
+import io.waxwingquay.membership.Side;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.generated.SideRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** The world around an entry process, in memory. */
+final class Fakes implements Membership, Connections, BundleSource {
+
+    static final String ITEM = "model:m@1";
+
+    final FakeTable table = new FakeTable();
+    final FakeSide first = new FakeSide("side-1", 1);
+    final FakeSide second = new FakeSide("side-2", 2);
+    final List<String> leaving = new ArrayList<>();
+    List<FakeSide> present = List.of(first, second);
+    Optional<Bundle> bundle = Optional.of(new Bundle(
+            1,
+            new Bundle.Keys(List.of(), List.of()),
+            List.of(
+                    new Bundle.Service("llm", Bundle.Kind.MODEL, 2, 100, 1, false, 1, 1, 1, 8),
+                    new Bundle.Service("pay", Bundle.Kind.PLAIN, 2, 0, 0, false, 1, 1, 1, 8)),
+            List.of(new Bundle.Model("m", "llm", "1", 10, 0)),
+            List.of(),
+            List.of(new Bundle.Operation("pay", "deposit", true), new Bundle.Operation("pay", "quote", false))));
+
+    /** Settings with the policy that takes sides in turn, so that tests know which side is first. */
+    static EntrySettings settings() {
+        return new EntrySettings("127.0.0.1", 0, "dc1", "round-robin", 30_000, 600_000, 4_096, 1_024, 250, 1.0, 64);
+    }
+
+    EntryNode node() {
+        return EntryNode.builder()
+                .settings(settings())
+                .bundles(this)
+                .membership(this)
+                .connections(this)
+                .table(table)
+                .meters(new SimpleMeterRegistry())
+                .random(new Random(7))
+                .build()
+                .start();
+    }
+
+    @Override
+    public List<Side> sides() {
+        List<Side> sides = new ArrayList<>();
+        for (FakeSide side : present) {
+            sides.add(side.side("llm", Set.of(ITEM)));
+            sides.add(side.side("pay", Set.of()));
+        }
+        return sides;
+    }
+
+    @Override
+    public Optional<Side> side(String sideId) {
+        return sides().stream().filter(side -> side.id().equals(sideId)).findFirst();
+    }
+
+    @Override
+    public void publish(SideRecord record) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public synchronized void noteLeaving(String sideId, long epoch) {
+        leaving.add(sideId);
+    }
+
+    @Override
+    public void noteReached(String sideId, long epoch, boolean reached) {}
+
+    @Override
+    public SideProtocol to(HostPort address) {
+        return address.port() == 1 ? first : second;
+    }
+
+    @Override
+    public void close() {}
+
+    @Override
+    public Optional<Bundle> current() {
+        return bundle;
+    }
+
+    @Override
+    public void onAdopted(Consumer<Bundle> listener) {}
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/routing/RouterTest.java
@@ -0,0 +1,144 @@
+package io.waxwingquay.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.Side;
+import io.waxwingquay.transport.generated.LoadReport;
+import io.waxwingquay.transport.generated.SideState;
+import io.waxwingquay.transport.generated.TargetKind;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class RouterTest {
+
+    private static final String MODEL = "model:m@1";
+    private static final List<String> POLICIES =
+            List.of("waxwingquay", "round-robin", "least-outstanding", "model-hash");
+
+    @Property(tries = 200)
+    void everyPolicyReturnsExactlyTheSidesThatMayBeAsked(@ForAll long seed) {
+        List<SideView> views = randomViews(new Random(seed));
+        RouteQuery query = query(Set.of("s1"));
+        Set<SideView> admitted = new HashSet<>(
+                views.stream().filter(view -> query.admits(view.side())).toList());
+        for (String name : POLICIES) {
+            List<SideView> ordered = new Router(Policy.named(name)).candidates(query, views, new Random(seed));
+            assertEquals(admitted, new HashSet<>(ordered), name);
+            assertEquals(admitted.size(), ordered.size(), name);
+        }
+    }
+
+    @Property(tries = 200)
+    void sameInputGivesSameOrderAndResidentSidesComeFirst(@ForAll long seed) {
+        List<SideView> views = randomViews(new Random(seed));
+        RouteQuery query = query(Set.of());
+        Router router = new Router(Policy.named("waxwingquay"));
+        List<SideView> ordered = router.candidates(query, views, new Random(seed));
+        assertEquals(ordered, router.candidates(query, views, new Random(seed)));
+        List<Integer> residency =
+                ordered.stream().map(view -> -query.residentItems(view.side())).toList();
+        assertEquals(residency.stream().sorted().toList(), residency);
+    }
+
+    @Test
+    void modelThatIsResidentNowhereGoesWhereMostRoomIs() {
+        List<SideView> views = List.of(
+                view(side("a", Set.of(), true), 10, 0),
+                view(side("b", Set.of(), true), 30, 0),
+                view(side("c", Set.of(), true), 20, 0));
+        List<SideView> ordered =
+                new Router(Policy.named("waxwingquay")).candidates(query(Set.of()), views, new Random(1));
+        assertEquals(
+                List.of("b", "c", "a"), ordered.stream().map(v -> v.side().id()).toList());
+    }
+
+    @Test
+    void busySideLosesThePrefixBonus() {
+        List<SideView> idle =
+                List.of(view(side("a", Set.of(MODEL), true), 0, 0), view(side("b", Set.of(MODEL), true), 0, 0));
+        Router router = new Router(Policy.named("waxwingquay"));
+        String home = router.candidates(query(Set.of()), idle, new Random(1))
+                .get(0)
+                .side()
+                .id();
+        List<SideView> busy = idle.stream()
+                .map(view -> view.side().id().equals(home) ? view(view.side(), 0, 40) : view)
+                .toList();
+        String other = router.candidates(query(Set.of()), busy, new Random(1))
+                .get(0)
+                .side()
+                .id();
+        assertTrue(!other.equals(home), "the prefix home has 40 requests outstanding");
+    }
+
+    @Test
+    void loadBoardJoinsTheLatestReportWithOwnRequests() {
+        LoadBoard board = new LoadBoard();
+        Side side = side("a", Set.of(), true);
+        board.noteSent("a");
+        board.noteReport("a", new LoadReport(1, 2, 300, 10, 5, 0), 1_000);
+        board.noteReport("a", new LoadReport(9, 9, 900, 10, 5, 500), 1_100);
+        SideView view = board.views(List.of(side), 1_500).get(0);
+        assertEquals(2, view.queued(), "a report that is older at its source does not replace a newer one");
+        assertEquals(500, view.reportAgeMillis());
+        assertEquals(1, view.outstanding());
+    }
+
+    @Test
+    void namesTheUnknownPolicy() {
+        IllegalArgumentException failure = assertThrows(IllegalArgumentException.class, () -> Policy.named("fastest"));
+        assertTrue(failure.getMessage().contains("'fastest'"));
+    }
+
+    private static RouteQuery query(Set<String> excluded) {
+        return new RouteQuery("llm", "dc1", List.of(MODEL, "adapter:m/x@1"), 77, 5, excluded);
+    }
+
+    private static List<SideView> randomViews(Random random) {
+        List<SideView> views = new ArrayList<>();
+        int count = random.nextInt(8);
+        for (int number = 0; number < count; number++) {
+            Set<String> items = new HashSet<>();
+            if (random.nextBoolean()) {
+                items.add(MODEL);
+            }
+            if (random.nextBoolean()) {
+                items.add("adapter:m/x@1");
+            }
+            Side side = side("s" + number, items, random.nextInt(4) > 0);
+            views.add(view(side, random.nextInt(100), random.nextInt(10)));
+        }
+        return views;
+    }
+
+    private static SideView view(Side side, long freeBytes, int outstanding) {
+        return new SideView(side, 1, 0, 0, 100, freeBytes, 10, outstanding, 20);
+    }
+
+    private static Side side(String id, Set<String> items, boolean reachable) {
+        return new Side(
+                id,
+                new HostPort("127.0.0.1", 1),
+                "dc1",
+                "llm",
+                0,
+                TargetKind.MODEL_ENGINE,
+                1,
+                1,
+                SideState.SERVING,
+                100,
+                items,
+                Map.of(),
+                reachable);
+    }
+}
