--- a/src/main/java/io/waxwingquay/standin/EventWriter.java
+++ b/src/main/java/io/waxwingquay/standin/EventWriter.java
@@ -127,7 +127,7 @@
 
     private void showFault(String text) {
         if (fault.is(Faults.Kind.TRUNCATE_STREAM)) {
-            answering.write(text, Callback.from(answering::drop, failure -> answering.drop()));
+            answering.write(text, Callback.from(answering::finish, failure -> answering.drop()));
         } else {
             answering.write(text, Callback.NOOP);
         }
--- a/src/main/java/io/waxwingquay/standin/Faults.java
+++ b/src/main/java/io/waxwingquay/standin/Faults.java
@@ -32,7 +32,7 @@
         FORGET_ORDER,
         /** Go silent on an open stream after {@link Settings#streamTokens()} tokens. */
         SILENT_STREAM,
-        /** Close a stream without its end after {@link Settings#streamTokens()} tokens. */
+        /** Finish a stream's body in order, but without its end event, after {@link Settings#streamTokens()} tokens. */
         TRUNCATE_STREAM,
         /** Send every token of a stream twice. */
         DUPLICATE_STREAM,
--- a/src/test/java/io/waxwingquay/engine/HttpModelEngineTest.java
+++ b/src/test/java/io/waxwingquay/engine/HttpModelEngineTest.java
@@ -14,7 +14,10 @@
 import io.waxwingquay.standin.LinkStandin;
 import io.waxwingquay.standin.ModelEngineStandin;
 import io.waxwingquay.standin.StandinText;
+import io.waxwingquay.standin.WeightSource;
+import io.waxwingquay.standin.WeightStoreStandin;
 import io.waxwingquay.testing.Await;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -99,8 +102,8 @@
 
     @Test
     void truncatedStreamIsLostAndNeverAShortSuccess() throws Exception {
-        // The connection closes after 3 of 10 tokens with no end event; without the check of the end the caller
-        // would take three tokens for the whole answer.
+        // The HTTP answer ends in order after 3 of 10 tokens, with no end event; without the check of the end the
+        // caller would take three tokens for the whole answer.
         standin.faults().set(Faults.Settings.NONE.withStreamTokens(3));
         standin.faults().next(Faults.Kind.TRUNCATE_STREAM, 1);
 
@@ -229,6 +232,24 @@
         Await.until(() -> Await.value(engine.load()).running() == 0);
     }
 
+    @Test
+    void modelAndAdapterLoadsGoThroughTheWeightStore() throws Exception {
+        try (WeightStoreStandin weights =
+                        WeightStoreStandin.builder().loads(3, 1_000.0, 5).start();
+                ModelEngineStandin loading = ModelEngineStandin.builder()
+                        .weights(WeightSource.http(client, new HostPort("127.0.0.1", weights.port()), TIMEOUT_MILLIS))
+                        .start()) {
+            HttpModelEngine orders = engineAt(loading.port());
+            Await.value(orders.order(load("o1", "model:m@2", 50, 1)));
+            Await.value(orders.order(load("o2", "adapter:m/a@1", 5, 1)));
+            Await.until(() -> loading.stats().memory().loads() == 2);
+
+            assertEquals(1, weights.stats().models().starts().total());
+            assertEquals(1, weights.stats().adapters().starts().total());
+            assertEquals(List.of(), Await.value(orders.residency()).openOrders());
+        }
+    }
+
     private HttpModelEngine engineAt(int port) {
         return new HttpModelEngine(client, new HostPort("127.0.0.1", port), TIMEOUT_MILLIS, INACTIVITY_MILLIS);
     }
