Show operators the state and give them bundle commands

Cause: someone on call could not see a process, nor make keys, check, sign or submit a bundle. Ruled out: an unbounded dump (a process with many records would spend its memory on answering); one exit code for "failed" and "unknown" (a script would resubmit what was accepted); logging to standard output (it would mix with what commands print). Change: admin port with metrics, dump, health, readiness and drain; bounded dump without secrets; text or JSON logs; process meters; bundle check, keygen, sign, submit and status, dump, completion; documented exit codes. Before: none of it. Conclusion: the platform's HTTP clients are still to be wired through PlatformFactory, so submit and status have so far run only against a fake in tests.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/command/DumpCommand.java
@@ -0,0 +1,64 @@
+package io.waxwingquay.command;
+
+import io.waxwingquay.common.HostPort;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpStatus;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Prints the state of a running process.
+ */
+@Command(
+        name = "dump",
+        description = "Prints the whole state of a running process as JSON.",
+        mixinStandardHelpOptions = true)
+final class DumpCommand implements Callable<Integer> {
+
+    private static final long LIMIT_SECONDS = 10;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--address", required = true, description = "host:port of the process's admin port")
+    private String address;
+
+    /** {@inheritDoc} */
+    @Override
+    public Integer call() {
+        try {
+            return print(HostPort.of(address));
+        } catch (IllegalArgumentException failure) {
+            return told(failure.getMessage(), ExitCodes.USAGE);
+        } catch (Exception failure) {
+            return told("failed: no dump from " + address + ": " + failure.getMessage(), ExitCodes.FAILED);
+        }
+    }
+
+    private int print(HostPort target) throws Exception {
+        HttpClient client = new HttpClient();
+        client.start();
+        try {
+            ContentResponse response = client.newRequest("http://" + target + "/dump")
+                    .timeout(LIMIT_SECONDS, TimeUnit.SECONDS)
+                    .send();
+            if (response.getStatus() != HttpStatus.OK_200) {
+                return told("failed: " + address + " answered " + response.getStatus(), ExitCodes.FAILED);
+            }
+            spec.commandLine().getOut().println(response.getContentAsString());
+            return ExitCodes.OK;
+        } finally {
+            client.stop();
+        }
+    }
+
+    private int told(String message, int exitCode) {
+        spec.commandLine().getErr().println(message);
+        return exitCode;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/command/KeyFile.java
@@ -0,0 +1,59 @@
+package io.waxwingquay.command;
+
+import io.waxwingquay.bundle.BundleException;
+import io.waxwingquay.bundle.BundleSigner;
+import io.waxwingquay.bundle.KeyCodec;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.nio.file.attribute.PosixFilePermission;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.KeyPair;
+import java.util.EnumSet;
+import java.util.Set;
+
+/**
+ * An operator's private key in a file that only its owner may read, with the public key beside it in a file of the
+ * same name with {@code .pub}.
+ */
+final class KeyFile {
+
+    private static final Set<PosixFilePermission> OWNER_ONLY =
+            EnumSet.of(PosixFilePermission.OWNER_READ, PosixFilePermission.OWNER_WRITE);
+
+    private final Path file;
+
+    KeyFile(Path file) {
+        this.file = file;
+    }
+
+    KeyPair create() throws IOException {
+        KeyPair pair = KeyCodec.generate();
+        // The permissions are set as the file is made, so that there is no moment at which others can open it.
+        Files.createFile(file, PosixFilePermissions.asFileAttribute(OWNER_ONLY));
+        Files.writeString(file, KeyCodec.text(pair.getPrivate()) + "\n");
+        Files.writeString(publicFile(), KeyCodec.text(pair.getPublic()) + "\n", StandardOpenOption.CREATE_NEW);
+        return pair;
+    }
+
+    BundleSigner signer() throws IOException {
+        Set<PosixFilePermission> permissions = Files.getPosixFilePermissions(file);
+        if (!OWNER_ONLY.containsAll(permissions)) {
+            throw new BundleException(
+                    "private key " + file + " may be used by others than its owner ("
+                            + PosixFilePermissions.toString(permissions) + "); run: chmod 600 " + file,
+                    null);
+        }
+        return BundleSigner.of(KeyCodec.privateKey(read(file)), KeyCodec.publicKey(read(publicFile())));
+    }
+
+    Path publicFile() {
+        return file.resolveSibling(file.getFileName() + ".pub");
+    }
+
+    private static String read(Path path) throws IOException {
+        return Files.readString(path, StandardCharsets.US_ASCII);
+    }
+}
--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -1,13 +1,28 @@
 package io.waxwingquay.command;
 
+import io.waxwingquay.observe.Logging;
+import io.waxwingquay.settings.ProcessSettings.LogFormat;
+import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import java.net.URI;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
 
 /**
  * The one binary: a subcommand for each role and each operator action.
  */
-@Command(name = "waxwingquay", mixinStandardHelpOptions = true, version = "waxwingquay 0.1.0")
-public final class Main {
+@Command(
+        name = "waxwingquay",
+        description = "Serves many models on fewer accelerators, driven only by signed, versioned bundles.",
+        mixinStandardHelpOptions = true,
+        synopsisSubcommandLabel = "COMMAND",
+        version = "waxwingquay 0.1.0")
+public final class Main implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
 
     private Main() {}
 
@@ -17,6 +32,40 @@
      * @param arguments the arguments.
      */
     public static void main(String[] arguments) {
-        System.exit(new CommandLine(new Main()).execute(arguments));
+        Logging.configure(LogFormat.TEXT, LogLevel.WARN);
+        System.exit(commandLine(Main::notWired).execute(arguments));
+    }
+
+    /**
+     * The whole command line.
+     *
+     * @param platforms opens clients of the platform.
+     * @return the command line.
+     */
+    static CommandLine commandLine(PlatformFactory platforms) {
+        CommandLine root = new CommandLine(new Main())
+                .addSubcommand(new BundleCommand(platforms))
+                .addSubcommand(new DumpCommand())
+                .addSubcommand(new CompletionCommand());
+        describeExitCodes(root);
+        return root;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a command is needed");
+    }
+
+    private static void describeExitCodes(CommandLine command) {
+        command.getCommandSpec()
+                .usageMessage()
+                .exitCodeListHeading("%nExit codes:%n")
+                .exitCodeList(ExitCodes.help());
+        command.getSubcommands().values().forEach(Main::describeExitCodes);
+    }
+
+    private static PlatformFactory.Platform notWired(URI url) {
+        throw new UnsupportedOperationException("no platform client is wired for " + url);
     }
 }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/observe/BoundedCopy.java
@@ -0,0 +1,82 @@
+package io.waxwingquay.observe;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.waxwingquay.common.Json;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Copies a JSON tree without secrets and up to a size; what comes after that is left out.
+ */
+final class BoundedCopy {
+
+    private static final Pattern SECRET =
+            Pattern.compile("(?i).*(private_?key|secret|password|credential|authorization).*");
+
+    // Punctuation, line break and first indentation of a pretty printed value.
+    private static final int VALUE_OVERHEAD_BYTES = 12;
+    private static final int INDENT_BYTES = 2;
+
+    private int leftBytes;
+    private boolean cut;
+
+    BoundedCopy(int maxBytes) {
+        this.leftBytes = maxBytes;
+    }
+
+    JsonNode of(JsonNode node) {
+        return node == null ? NullNode.instance : copy(node, 1);
+    }
+
+    boolean isCut() {
+        return cut;
+    }
+
+    private JsonNode copy(JsonNode node, int depth) {
+        if (node instanceof ObjectNode object) {
+            return copyObject(object, depth);
+        }
+        return node instanceof ArrayNode array ? copyArray(array, depth) : node;
+    }
+
+    private JsonNode copyObject(ObjectNode object, int depth) {
+        ObjectNode result = Json.MAPPER.createObjectNode();
+        for (Map.Entry<String, JsonNode> field : object.properties()) {
+            if (SECRET.matcher(field.getKey()).matches()) {
+                continue;
+            }
+            if (!takes(field.getValue(), field.getKey(), depth)) {
+                break;
+            }
+            result.set(field.getKey(), copy(field.getValue(), depth + 1));
+        }
+        return result;
+    }
+
+    private JsonNode copyArray(ArrayNode array, int depth) {
+        ArrayNode result = Json.MAPPER.createArrayNode();
+        for (JsonNode item : array) {
+            if (!takes(item, "", depth)) {
+                break;
+            }
+            result.add(copy(item, depth + 1));
+        }
+        return result;
+    }
+
+    private boolean takes(JsonNode node, String name, int depth) {
+        int leafBytes = node.isContainerNode() ? 0 : node.toString().getBytes(StandardCharsets.UTF_8).length;
+        int nameBytes = name.getBytes(StandardCharsets.UTF_8).length;
+        int neededBytes = leafBytes + nameBytes + VALUE_OVERHEAD_BYTES + 2 * INDENT_BYTES * depth;
+        if (neededBytes > leftBytes) {
+            cut = true;
+            return false;
+        }
+        leftBytes -= neededBytes;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/observe/Logging.java
@@ -0,0 +1,70 @@
+package io.waxwingquay.observe;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.OutputStreamAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import io.waxwingquay.settings.ProcessSettings.LogFormat;
+import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import java.io.OutputStream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sets up logging to standard error. Our parts log through {@link System.Logger} under {@code waxwingquay.<part>};
+ * libraries are heard from {@code WARN} up.
+ */
+public final class Logging {
+
+    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX, UTC} %-5level %msg%n";
+    private static final String OWN_LOGGERS = "waxwingquay";
+
+    private Logging() {}
+
+    /**
+     * Replaces the logging set-up of this process.
+     *
+     * @param format how log lines look.
+     * @param level the lowest level of our own parts that is written.
+     */
+    public static void configure(LogFormat format, LogLevel level) {
+        configure((LoggerContext) LoggerFactory.getILoggerFactory(), format, level, System.err);
+    }
+
+    static void configure(LoggerContext context, LogFormat format, LogLevel level, OutputStream target) {
+        context.reset();
+        OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
+        appender.setContext(context);
+        appender.setEncoder(format == LogFormat.JSON ? jsonEncoder(context) : textEncoder(context));
+        appender.setOutputStream(target);
+        appender.start();
+        Level own = Level.toLevel(level.name());
+        context.getLogger(OWN_LOGGERS).setLevel(own);
+        context.getLogger(Logger.ROOT_LOGGER_NAME).setLevel(own == Level.ERROR ? Level.ERROR : Level.WARN);
+        context.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(appender);
+    }
+
+    private static Encoder<ILoggingEvent> textEncoder(LoggerContext context) {
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setPattern(PATTERN);
+        encoder.start();
+        return encoder;
+    }
+
+    private static Encoder<ILoggingEvent> jsonEncoder(LoggerContext context) {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setContext(context);
+        encoder.setWithContext(false);
+        encoder.setWithNanoseconds(false);
+        encoder.setWithSequenceNumber(false);
+        encoder.setWithArguments(false);
+        encoder.setWithMessage(false);
+        encoder.setWithFormattedMessage(true);
+        encoder.start();
+        return encoder;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/observe/StateDump.java
@@ -0,0 +1,76 @@
+package io.waxwingquay.observe;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import io.waxwingquay.common.Json;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.Supplier;
+
+/**
+ * The state of a process as JSON, in named sections: {@code {"truncated": [...], "sections": {...}}}. The list
+ * {@code truncated} names the sections that were cut because the whole is bounded in size.
+ */
+public final class StateDump {
+
+    /** The size that a dump does not exceed, in bytes. */
+    public static final int MAX_BYTES = 1_000_000;
+
+    private final Map<String, Supplier<Object>> sections = new ConcurrentSkipListMap<>();
+
+    /**
+     * Adds a section, or replaces one of the same name.
+     *
+     * @param name the section's name, which stays the same over releases.
+     * @param state gives the section's present state as a value that Jackson can write; it must not block.
+     * @return this dump.
+     */
+    public StateDump section(String name, Supplier<Object> state) {
+        sections.put(name, state);
+        return this;
+    }
+
+    /**
+     * Writes all sections. A section that fails is replaced by its error, so that the others are still seen.
+     *
+     * @return the JSON text.
+     */
+    public String toJson() {
+        List<String> truncated = new ArrayList<>();
+        ObjectNode shown = Json.MAPPER.createObjectNode();
+        int share = MAX_BYTES / (sections.size() + 1);
+        sections.forEach((name, state) -> {
+            BoundedCopy copy = new BoundedCopy(share);
+            shown.set(name, copy.of(tree(state)));
+            if (copy.isCut()) {
+                truncated.add(name);
+            }
+        });
+        ObjectNode whole = Json.MAPPER.createObjectNode();
+        ArrayNode names = whole.putArray("truncated");
+        truncated.forEach(names::add);
+        whole.set("sections", shown);
+        return write(whole);
+    }
+
+    private static JsonNode tree(Supplier<Object> state) {
+        try {
+            return Json.MAPPER.valueToTree(state.get());
+        } catch (RuntimeException failure) {
+            return Json.MAPPER.createObjectNode().set("error", TextNode.valueOf(String.valueOf(failure)));
+        }
+    }
+
+    private static String write(ObjectNode whole) {
+        try {
+            return Json.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(whole);
+        } catch (JsonProcessingException failure) {
+            throw new IllegalStateException("the state dump could not be written", failure);
+        }
+    }
+}
--- a/src/test/java/io/waxwingquay/bundle/FakePlatform.java
+++ b/src/test/java/io/waxwingquay/bundle/FakePlatform.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /** A table and an object store in memory that fail on demand. */
-final class FakePlatform implements TableService, ObjectStore {
+public final class FakePlatform implements TableService, ObjectStore {
 
     final Map<String, Row> rows = new HashMap<>();
     final Map<String, byte[]> objects = new HashMap<>();
@@ -58,6 +58,16 @@
         return answer(Optional.ofNullable(objects.get(name)));
     }
 
+    /** From now on nothing answers. */
+    public void goOut() {
+        out = true;
+    }
+
+    /** Some commits vanish before they take effect. */
+    public void loseCommits(int count) {
+        commitsToLose = count;
+    }
+
     BundleArchive archive() {
         return new BundleArchive(this, this);
     }
--- /dev/null
+++ b/src/test/java/io/waxwingquay/command/MainTest.java
@@ -0,0 +1,135 @@
+package io.waxwingquay.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.waxwingquay.bundle.FakePlatform;
+import io.waxwingquay.observe.AdminServer;
+import io.waxwingquay.observe.StateDump;
+import io.waxwingquay.platform.ObjectStore;
+import io.waxwingquay.platform.TableService;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+
+class MainTest {
+
+    private static final String PLATFORM = "--platform=http://127.0.0.1:7000";
+
+    private final FakePlatform platform = new FakePlatform();
+    private final StringWriter out = new StringWriter();
+    private final StringWriter err = new StringWriter();
+
+    @TempDir
+    private Path directory;
+
+    @Test
+    void operatorMakesAKeySignsSubmitsAndSeesTheBundle() throws IOException {
+        String file = bundle(1);
+        String key = key("operator");
+        assertEquals(ExitCodes.OK, run("bundle", "check", file));
+        assertEquals(ExitCodes.OK, run("bundle", "sign", "--key", key, file));
+        assertEquals(ExitCodes.OK, run("bundle", "submit", PLATFORM, "--trusted-key", key + ".pub", file));
+        assertEquals(ExitCodes.OK, run("bundle", "status", PLATFORM));
+        assertTrue(out.toString().contains("version 1\nhash "), out.toString());
+    }
+
+    @Test
+    void checkNamesTheLineAndTheMend() throws IOException {
+        Path file = Files.writeString(directory.resolve("bad.toml"), "version = 0\nservice = 1\n");
+        assertEquals(ExitCodes.REFUSED, run("bundle", "check", file.toString()));
+        assertTrue(err.toString().contains("line 1: version: is 0, which is not allowed; write 1 to"), err.toString());
+        assertTrue(err.toString().contains("line 2: service: is no known key; did you mean services?"), err.toString());
+    }
+
+    // A private key that others on the machine can read lets any of them sign bundles, unseen. Such a file is
+    // refused before it is used, with the command that mends it.
+    @Test
+    void keyThatOthersMayReadIsRefused() throws IOException {
+        String key = key("operator");
+        assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(Path.of(key))));
+        Files.setPosixFilePermissions(Path.of(key), PosixFilePermissions.fromString("rw-r-----"));
+        assertEquals(ExitCodes.FAILED, run("bundle", "sign", "--key", key, bundle(1)));
+        assertTrue(err.toString().contains("chmod 600"), err.toString());
+        assertEquals(ExitCodes.FAILED, run("bundle", "keygen", key), "an existing key is never replaced");
+    }
+
+    // Each way a submission can end has its own exit code, so that a script never takes "unknown" for "failed".
+    @Test
+    void exitCodesTellRefusedUnknownAndFailedApart() throws IOException {
+        String file = bundle(1);
+        String key = key("operator");
+        run("bundle", "sign", "--key", key, file);
+        String stranger = key("stranger");
+        assertEquals(ExitCodes.REFUSED, run("bundle", "submit", PLATFORM, "--trusted-key", stranger + ".pub", file));
+        platform.loseCommits(100);
+        assertEquals(ExitCodes.UNKNOWN_OUTCOME, run("bundle", "submit", PLATFORM, "--trusted-key", key + ".pub", file));
+        platform.goOut();
+        assertEquals(ExitCodes.FAILED, run("bundle", "submit", PLATFORM, "--trusted-key", key + ".pub", file));
+        assertEquals(ExitCodes.FAILED, run("bundle", "status", PLATFORM));
+        assertEquals(ExitCodes.USAGE, run("bundle", "submit", file));
+        assertEquals(ExitCodes.USAGE, run("bundle"));
+    }
+
+    @Test
+    void dumpPrintsTheStateOfAProcess() {
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        StateDump dump = new StateDump().section("bundle", () -> "version 7");
+        try (AdminServer server = AdminServer.builder(registry, dump).start()) {
+            assertEquals(ExitCodes.OK, run("dump", "--address", "127.0.0.1:" + server.port()));
+            assertTrue(out.toString().contains("\"bundle\" : \"version 7\""), out.toString());
+        }
+        assertEquals(ExitCodes.USAGE, run("dump", "--address", "nowhere"));
+    }
+
+    @Test
+    void helpListsExitCodesAndCompletionNamesEveryCommand() {
+        assertEquals(ExitCodes.OK, run("bundle", "submit", "--help"));
+        assertTrue(out.toString().contains("4   unknown whether it took effect"), out.toString());
+        assertEquals(ExitCodes.OK, run("completion"));
+        assertTrue(out.toString().contains("_picocli_waxwingquay_bundle_submit"));
+    }
+
+    private String bundle(long version) throws IOException {
+        String text = "version = " + version + "\n[[services]]\nname = \"records\"\nkind = \"plain\"\n"
+                + "replicas = 3\nmax_concurrent = 8\n";
+        return Files.writeString(directory.resolve("bundle-" + version + ".toml"), text)
+                .toString();
+    }
+
+    private String key(String name) {
+        String file = directory.resolve(name).toString();
+        assertEquals(ExitCodes.OK, run("bundle", "keygen", file));
+        return file;
+    }
+
+    private int run(String... arguments) {
+        CommandLine commandLine = Main.commandLine(url -> new Fake());
+        commandLine.setOut(new PrintWriter(out, true));
+        commandLine.setErr(new PrintWriter(err, true));
+        return commandLine.execute(arguments);
+    }
+
+    private final class Fake implements PlatformFactory.Platform {
+        @Override
+        public TableService table() {
+            return platform;
+        }
+
+        @Override
+        public ObjectStore objects() {
+            return platform;
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/observe/LoggingTest.java
@@ -0,0 +1,49 @@
+package io.waxwingquay.observe;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.waxwingquay.common.Json;
+import io.waxwingquay.settings.ProcessSettings.LogFormat;
+import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LoggingTest {
+
+    private final LoggerContext context = new LoggerContext();
+    private final ByteArrayOutputStream written = new ByteArrayOutputStream();
+
+    @BeforeEach
+    void prepare() {
+        context.setMDCAdapter(new LogbackMDCAdapter());
+    }
+
+    @Test
+    void writesOneLineOfText() {
+        Logging.configure(context, LogFormat.TEXT, LogLevel.INFO, written);
+        context.getLogger("waxwingquay.side").debug("side: not asked for");
+        context.getLogger("waxwingquay.side").info("side: serving");
+        context.getLogger("org.eclipse.jetty").info("a library's chatter");
+        assertTrue(text().matches("\\S+Z INFO  side: serving\\R"), text());
+    }
+
+    @Test
+    void writesOneJsonObjectForEachEvent() throws Exception {
+        Logging.configure(context, LogFormat.JSON, LogLevel.DEBUG, written);
+        context.getLogger("waxwingquay.side").debug("side: {} waits", 3);
+        JsonNode line = Json.MAPPER.readTree(text());
+        assertEquals("side: 3 waits", line.get("formattedMessage").asText());
+        assertEquals("DEBUG", line.get("level").asText());
+        assertEquals("waxwingquay.side", line.get("loggerName").asText());
+    }
+
+    private String text() {
+        return written.toString(StandardCharsets.UTF_8);
+    }
+}
