Put whole processes together, and a deployment on loopback

Cause: the parts are built apart; a caller's request needs them in one process each. Ruled out: composing in the commands (the demo, the bench and tests need the same wiring). Change: io.waxwingquay.process (entry, side, boot epoch, door), bench.LocalDeployment and a caller over HTTP. Before: no process ran. After: it compiles; not run yet.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -0,0 +1,331 @@
+package io.waxwingquay.bench;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.bundle.Bundle.Service;
+import io.waxwingquay.bundle.BundleAcceptance;
+import io.waxwingquay.bundle.BundleArchive;
+import io.waxwingquay.bundle.BundleDocument;
+import io.waxwingquay.bundle.BundleSigner;
+import io.waxwingquay.bundle.KeyCodec;
+import io.waxwingquay.bundle.TrustedKeys;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.placement.DemandMarks;
+import io.waxwingquay.placement.Strategy;
+import io.waxwingquay.platform.HttpObjectStore;
+import io.waxwingquay.platform.HttpTableService;
+import io.waxwingquay.process.EntryProcess;
+import io.waxwingquay.process.SideProcess;
+import io.waxwingquay.settings.EntrySettings;
+import io.waxwingquay.settings.SideSettings;
+import io.waxwingquay.standin.CostModel;
+import io.waxwingquay.standin.PlatformStandin;
+import java.nio.charset.StandardCharsets;
+import java.security.KeyPair;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * A whole deployment in this JVM: stand-ins of everything outside, real entries and real sides, over loopback.
+ */
+public final class LocalDeployment implements AutoCloseable {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final List<Integer> ANY_PORTS = List.of(0, 0, 0);
+    private static final int DATA_CENTRES = 3;
+    private static final long TABLE_TIMEOUT_MILLIS = 1_000L;
+    private static final long READY_STEP_MILLIS = 20L;
+    private static final int OPERATOR_CONNECTIONS = 8;
+
+    private final Bundle bundle;
+    private final KeyPair operatorKey = KeyCodec.generate();
+    private final PlatformStandin platform;
+    private final LocalTargets targets;
+    private final Builder choices;
+    private final SettingsText texts;
+    private final Map<String, SideProcess> sides = new LinkedHashMap<>();
+    private final List<EntryProcess> entries = new ArrayList<>();
+
+    private LocalDeployment(Builder choices) {
+        this.choices = choices;
+        this.bundle = BundleDocument.parse("bundle", choices.document);
+        this.platform = PlatformStandin.builder().start();
+        this.targets = new LocalTargets(bundle, choices.costs, choices.timeScale, choices.weightLoadMillis);
+        this.texts = new SettingsText(
+                new HostPort(LOOPBACK, platform.port()),
+                KeyCodec.text(operatorKey.getPublic()),
+                DATA_CENTRES,
+                choices.leaseMillis,
+                choices.orderQuarantineMillis);
+    }
+
+    /**
+     * Starts to describe a deployment.
+     *
+     * @param document the bundle to serve, as TOML.
+     * @return a builder.
+     */
+    public static Builder of(byte[] document) {
+        return new Builder(document);
+    }
+
+    /**
+     * The bundle that is served.
+     *
+     * @return the bundle.
+     */
+    public Bundle bundle() {
+        return bundle;
+    }
+
+    /**
+     * The platform.
+     *
+     * @return the stand-in.
+     */
+    public PlatformStandin platform() {
+        return platform;
+    }
+
+    /**
+     * The targets.
+     *
+     * @return the stand-ins.
+     */
+    public LocalTargets targets() {
+        return targets;
+    }
+
+    /**
+     * The sides by name.
+     *
+     * @return the running processes.
+     */
+    public Map<String, SideProcess> sides() {
+        return sides;
+    }
+
+    /**
+     * The entries.
+     *
+     * @return the running processes.
+     */
+    public List<EntryProcess> entries() {
+        return entries;
+    }
+
+    /**
+     * Signs a document with the operator's key and submits it.
+     *
+     * @param document the bundle, as TOML.
+     * @return what became of it.
+     */
+    public BundleAcceptance.Outcome submit(byte[] document) {
+        HttpClient client = HttpCalls.startClient(OPERATOR_CONNECTIONS, TABLE_TIMEOUT_MILLIS);
+        try {
+            HostPort address = new HostPort(LOOPBACK, platform.port());
+            BundleArchive archive = new BundleArchive(
+                    new HttpTableService(client, address, TABLE_TIMEOUT_MILLIS),
+                    new HttpObjectStore(client, address, TABLE_TIMEOUT_MILLIS));
+            TrustedKeys roots = TrustedKeys.ofRoots(List.of(KeyCodec.text(operatorKey.getPublic())));
+            BundleSigner signer = BundleSigner.of(operatorKey.getPrivate(), operatorKey.getPublic());
+            return new BundleAcceptance(archive, roots)
+                    .submit(signer.sign(document))
+                    .join();
+        } finally {
+            stop(client);
+        }
+    }
+
+    /**
+     * Waits until every entry knows a serving side for every model and for every plain service.
+     *
+     * @param limitMillis the longest wait.
+     * @return whether all are served.
+     * @throws InterruptedException if the wait is interrupted.
+     */
+    public boolean awaitServing(long limitMillis) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+        while (System.nanoTime() < endNanos) {
+            if (entries.stream().allMatch(this::servesAll)) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(READY_STEP_MILLIS);
+        }
+        return false;
+    }
+
+    /**
+     * Models that an entry knows no serving side for.
+     *
+     * @param entry the entry.
+     * @return the items.
+     */
+    public Set<String> unserved(EntryProcess entry) {
+        Set<String> resident = entry.membership().sides().stream()
+                .filter(side -> side.takesWork())
+                .flatMap(side -> side.residentItems().stream())
+                .collect(Collectors.toSet());
+        return bundle.models().stream()
+                .map(Bundle.Model::item)
+                .filter(item -> !resident.contains(item))
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Starts a side, or starts it again after it was closed.
+     *
+     * @param service its service.
+     * @param replica its number.
+     */
+    public void startSide(Service service, int replica) {
+        String name = SettingsText.sideName(service.name(), replica);
+        String text = texts.side(service, replica, targets.address(name), ANY_PORTS);
+        SideSettings settings = SideSettings.parse(name, text.getBytes(StandardCharsets.UTF_8));
+        sides.put(name, SideProcess.start(settings, choices.placement));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        entries.forEach(EntryProcess::close);
+        sides.values().forEach(SideProcess::close);
+        targets.close();
+        platform.close();
+    }
+
+    private LocalDeployment start() {
+        BundleAcceptance.Outcome outcome = submit(choices.document);
+        if (outcome.verdict() != BundleAcceptance.Verdict.ACCEPTED) {
+            throw new IllegalStateException("the bundle was not accepted: " + outcome.message());
+        }
+        bundle.services().forEach(service -> IntStream.range(0, service.replicas())
+                .forEach(number -> startSide(service, number)));
+        IntStream.range(0, choices.entryCount).forEach(this::startEntry);
+        return this;
+    }
+
+    private void startEntry(int number) {
+        String text = texts.entry(number, choices.policy, ANY_PORTS);
+        entries.add(EntryProcess.start(EntrySettings.parse("entry", text.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    private boolean servesAll(EntryProcess entry) {
+        Set<String> services = entry.membership().sides().stream()
+                .filter(side -> side.takesWork())
+                .map(side -> side.service())
+                .collect(Collectors.toSet());
+        return unserved(entry).isEmpty() && bundle.services().stream().allMatch(s -> services.contains(s.name()));
+    }
+
+    private static void stop(HttpClient client) {
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            throw new IllegalStateException("the operator's HTTP client did not stop", failure);
+        }
+    }
+
+    /** Describes a deployment. */
+    public static final class Builder {
+
+        private static final long DEFAULT_LEASE_MILLIS = 1_000L;
+        private static final long DEFAULT_WEIGHT_LOAD_MILLIS = 2_000L;
+
+        private final byte[] document;
+        private int entryCount = 2;
+        private String policy = "waxwingquay";
+        private Strategy placement = Strategy.named("planned", DemandMarks.DEFAULT);
+        private CostModel costs = CostModel.DEFAULT;
+        private double timeScale = 1.0;
+        private long weightLoadMillis = DEFAULT_WEIGHT_LOAD_MILLIS;
+        private long leaseMillis = DEFAULT_LEASE_MILLIS;
+        private long orderQuarantineMillis;
+
+        private Builder(byte[] document) {
+            this.document = document.clone();
+        }
+
+        /**
+         * Sets how many entries there are.
+         *
+         * @param count 1 or above.
+         * @return this builder.
+         */
+        public Builder entries(int count) {
+            this.entryCount = count;
+            return this;
+        }
+
+        /**
+         * Sets the routing policy of the entries.
+         *
+         * @param name its name.
+         * @return this builder.
+         */
+        public Builder routing(String name) {
+            this.policy = name;
+            return this;
+        }
+
+        /**
+         * Sets the placement of the sides.
+         *
+         * @param strategy the strategy.
+         * @return this builder.
+         */
+        public Builder placement(Strategy strategy) {
+            this.placement = strategy;
+            return this;
+        }
+
+        /**
+         * Sets what work costs an engine.
+         *
+         * @param model the costs at scale 1.
+         * @return this builder.
+         */
+        public Builder costs(CostModel model) {
+            this.costs = model;
+            return this;
+        }
+
+        /**
+         * Scales the times of the stand-ins.
+         *
+         * @param scale 0.1 is ten times as fast.
+         * @return this builder.
+         */
+        public Builder timeScale(double scale) {
+            this.timeScale = scale;
+            return this;
+        }
+
+        /**
+         * Sets the time of one model load at full speed.
+         *
+         * @param millis the time at scale 1.
+         * @return this builder.
+         */
+        public Builder weightLoadMillis(long millis) {
+            this.weightLoadMillis = millis;
+            return this;
+        }
+
+        /**
+         * Starts the deployment.
+         *
+         * @return the running deployment, which may not serve yet.
+         */
+        public LocalDeployment start() {
+            return new LocalDeployment(this).start();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/LocalTargets.java
@@ -0,0 +1,142 @@
+package io.waxwingquay.bench;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.bundle.Bundle.Kind;
+import io.waxwingquay.bundle.Bundle.Service;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.standin.CostModel;
+import io.waxwingquay.standin.ModelEngineStandin;
+import io.waxwingquay.standin.PlainServiceStandin;
+import io.waxwingquay.standin.WeightSource;
+import io.waxwingquay.standin.WeightStoreStandin;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Stand-ins of the targets of one bundle, with a weight store for each service of model engines.
+ */
+public final class LocalTargets implements AutoCloseable {
+
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int STORE_CONNECTIONS = 256;
+    private static final long CONNECT_MILLIS = 2_000L;
+    private static final long LOAD_MILLIS = 600_000L;
+    private static final long PLAIN_LATENCY_MICROS = 2_000L;
+
+    private final HttpClient client = HttpCalls.startClient(STORE_CONNECTIONS, CONNECT_MILLIS);
+    private final Map<String, ModelEngineStandin> engines = new LinkedHashMap<>();
+    private final Map<String, PlainServiceStandin> plains = new LinkedHashMap<>();
+    private final Map<String, WeightStoreStandin> stores = new LinkedHashMap<>();
+    private final CostModel costs;
+    private final double timeScale;
+    private final long weightLoadMillis;
+
+    /**
+     * Starts the stand-ins.
+     *
+     * @param bundle names the services.
+     * @param costs what work costs an engine.
+     * @param timeScale scales every time; 0.1 is ten times as fast.
+     * @param weightLoadMillis time of one model load at full speed.
+     */
+    public LocalTargets(Bundle bundle, CostModel costs, double timeScale, long weightLoadMillis) {
+        this.costs = costs;
+        this.timeScale = timeScale;
+        this.weightLoadMillis = weightLoadMillis;
+        bundle.services().forEach(this::start);
+    }
+
+    /**
+     * Where a target answers.
+     *
+     * @param sideName the name of its side.
+     * @return the address.
+     */
+    public HostPort address(String sideName) {
+        int port = Optional.ofNullable(engines.get(sideName))
+                .map(ModelEngineStandin::port)
+                .orElseGet(() -> plains.get(sideName).port());
+        return new HostPort(LOOPBACK, port);
+    }
+
+    /**
+     * The engines.
+     *
+     * @return the stand-ins by the name of their side.
+     */
+    public Map<String, ModelEngineStandin> engines() {
+        return engines;
+    }
+
+    /**
+     * The plain services.
+     *
+     * @return the stand-ins by the name of their side.
+     */
+    public Map<String, PlainServiceStandin> plains() {
+        return plains;
+    }
+
+    /**
+     * The weight stores.
+     *
+     * @return the stand-ins by service.
+     */
+    public Map<String, WeightStoreStandin> stores() {
+        return stores;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        engines.values().forEach(ModelEngineStandin::close);
+        plains.values().forEach(PlainServiceStandin::close);
+        stores.values().forEach(WeightStoreStandin::close);
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            throw new IllegalStateException("the HTTP client of the targets did not stop", failure);
+        }
+    }
+
+    private void start(Service service) {
+        if (service.kind() == Kind.PLAIN) {
+            replicas(service).forEach(number -> plains.put(SettingsText.sideName(service.name(), number), plain()));
+            return;
+        }
+        WeightStoreStandin store = store(service);
+        stores.put(service.name(), store);
+        WeightSource source = WeightSource.http(client, new HostPort(LOOPBACK, store.port()), LOAD_MILLIS);
+        replicas(service)
+                .forEach(number -> engines.put(SettingsText.sideName(service.name(), number), engine(service, source)));
+    }
+
+    private static IntStream replicas(Service service) {
+        return IntStream.range(0, service.replicas());
+    }
+
+    private PlainServiceStandin plain() {
+        return PlainServiceStandin.builder().latencyMicros(PLAIN_LATENCY_MICROS).start();
+    }
+
+    private WeightStoreStandin store(Service service) {
+        return WeightStoreStandin.builder()
+                .loads(service.weightLoadsAtOnce(), service.weightLoadsPerSecond(), weightLoadMillis)
+                .adapterLoadsAtOnce(service.adapterLoadsAtOnce())
+                .timeScale(timeScale)
+                .start();
+    }
+
+    private ModelEngineStandin engine(Service service, WeightSource source) {
+        ModelEngineStandin.Builder builder = ModelEngineStandin.builder()
+                .capacityBytes(service.memoryBytes())
+                .costs(costs)
+                .timeScale(timeScale)
+                .weights(source);
+        return (service.ordersFenced() ? builder : builder.ignoringFences()).start();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/SettingsText.java
@@ -0,0 +1,103 @@
+package io.waxwingquay.bench;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.common.HostPort;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Writes the settings of a whole deployment on loopback, as an operator would by hand.
+ *
+ * @param platform where the platform answers.
+ * @param publicKey the operator's root key, in base64.
+ * @param dataCentres how many data centres the processes are spread over.
+ * @param leaseMillis the lease of shared limits; a restarted side lends nothing for that long.
+ * @param orderQuarantineMillis how long a side before an unfenced engine sends no orders after its start.
+ */
+public record SettingsText(
+        HostPort platform, String publicKey, int dataCentres, long leaseMillis, long orderQuarantineMillis) {
+
+    private static final String COMMON =
+            """
+            name = "%s"
+            data_centre = "dc-%d"
+            region = "local"
+            host = "127.0.0.1"
+            thrift_port = %d
+            admin_port = %d
+            platform_url = "http://%s"
+            trusted_keys = ["%s"]
+            seeds = []
+            log_level = "warn"
+            """;
+    private static final String ENTRY =
+            """
+            caller_port = %d
+            routing_policy = "%s"
+            """;
+    private static final String SIDE =
+            """
+            service = "%s"
+            replica = %d
+            target_url = "http://%s"
+            target_kind = "%s"
+            permit_lease_millis = %d
+            order_quarantine_millis = %d
+            """;
+
+    /**
+     * The name of a side.
+     *
+     * @param service its service.
+     * @param replica its number.
+     * @return the name.
+     */
+    public static String sideName(String service, int replica) {
+        return service + "-" + replica;
+    }
+
+    /**
+     * The data centre that a replica or entry stands in.
+     *
+     * @param number its number.
+     * @return the data centre's name.
+     */
+    public String dataCentre(int number) {
+        return "dc-" + dataCentreNumber(number);
+    }
+
+    /**
+     * Settings of an entry.
+     *
+     * @param number its number.
+     * @param policy the routing policy.
+     * @param ports Thrift, admin and caller port; 0 for any.
+     * @return the TOML text.
+     */
+    public String entry(int number, String policy, List<Integer> ports) {
+        return common("entry-" + number, number, ports) + ENTRY.formatted(ports.get(2), policy);
+    }
+
+    /**
+     * Settings of a side.
+     *
+     * @param service its service.
+     * @param replica its number.
+     * @param target where the target answers.
+     * @param ports Thrift and admin port; 0 for any.
+     * @return the TOML text.
+     */
+    public String side(Bundle.Service service, int replica, HostPort target, List<Integer> ports) {
+        String kind = service.kind().name().toLowerCase(Locale.ROOT);
+        return common(sideName(service.name(), replica), replica, ports)
+                + SIDE.formatted(service.name(), replica, target, kind, leaseMillis, orderQuarantineMillis);
+    }
+
+    private String common(String name, int number, List<Integer> ports) {
+        return COMMON.formatted(name, dataCentreNumber(number), ports.get(0), ports.get(1), platform, publicKey);
+    }
+
+    private int dataCentreNumber(int number) {
+        return number % dataCentres + 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/StreamReader.java
@@ -0,0 +1,120 @@
+package io.waxwingquay.bench;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.waxwingquay.common.Json;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+
+/**
+ * Reads one answer as a caller does: streamed events, a plain body, or an error.
+ */
+final class StreamReader implements Response.Listener {
+
+    private static final String DATA = "data: ";
+    private static final String DONE = "[DONE]";
+    private static final int OK = 200;
+
+    private final long sentNanos = System.nanoTime();
+    private final CompletableFuture<CallerAnswer> answer = new CompletableFuture<>();
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final StringBuilder text = new StringBuilder();
+    private final StringBuilder other = new StringBuilder();
+    private OptionalLong firstTokenMicros = OptionalLong.empty();
+    private Optional<CallerAnswer.Error> error = Optional.empty();
+    private long tokens;
+    private boolean isDone;
+    private boolean isStream;
+
+    private StreamReader() {}
+
+    static CompletableFuture<CallerAnswer> send(Request request) {
+        StreamReader reader = new StreamReader();
+        request.send(reader);
+        return reader.answer;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onContent(Response response, ByteBuffer content) {
+        while (content.hasRemaining()) {
+            byte next = content.get();
+            if (next == '\n') {
+                takeLine();
+            } else {
+                line.write(next);
+            }
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void onComplete(Result result) {
+        takeLine();
+        int status = result.getResponse() == null ? 0 : result.getResponse().getStatus();
+        if (!isStream) {
+            readError(other.toString());
+        }
+        boolean isWhole = result.isSucceeded() && status == OK && error.isEmpty() && (isDone || !isStream);
+        String seen = isStream ? text.toString() : other.toString();
+        answer.complete(new CallerAnswer(status, isWhole, seen, tokens, firstTokenMicros, elapsedMicros(), error));
+    }
+
+    private void takeLine() {
+        String taken = line.toString(StandardCharsets.UTF_8);
+        line.reset();
+        if (taken.startsWith(DATA)) {
+            isStream = true;
+            takeData(taken.substring(DATA.length()));
+        } else {
+            other.append(taken);
+        }
+    }
+
+    private void takeData(String data) {
+        if (DONE.equals(data)) {
+            isDone = true;
+            return;
+        }
+        JsonNode event = read(data);
+        if (event.has("error")) {
+            readError(data);
+            return;
+        }
+        if (firstTokenMicros.isEmpty()) {
+            firstTokenMicros = OptionalLong.of(elapsedMicros());
+        }
+        tokens += event.path("units").asLong();
+        text.append(event.path("choices").path(0).path("text").asText());
+    }
+
+    private void readError(String body) {
+        JsonNode node = read(body).path("error");
+        if (node.isObject()) {
+            error = Optional.of(new CallerAnswer.Error(
+                    node.path("code").asText(),
+                    node.path("execution").asText(),
+                    node.path("retry_after_millis").asLong()));
+        }
+    }
+
+    private long elapsedMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentNanos);
+    }
+
+    private static JsonNode read(String body) {
+        try {
+            return Json.MAPPER.readTree(body);
+        } catch (JsonProcessingException failure) {
+            return Json.MAPPER.createObjectNode();
+        }
+    }
+}
--- a/src/main/java/io/waxwingquay/membership/Gossip.java
+++ b/src/main/java/io/waxwingquay/membership/Gossip.java
@@ -239,6 +239,16 @@
 
         /** For a few thousand processes and 9 KB/s each. */
         public static final Pace DEFAULT = new Pace(250, 2_500, 3, 1_000, 2, 2_000, 10_000);
+
+        /**
+         * The same with another interval while something urgent is new.
+         *
+         * @param millis between rounds.
+         * @return the changed pace.
+         */
+        public Pace withUrgentMillis(long millis) {
+            return new Pace(millis, urgentForMillis, urgentFanOut, newsMillis, newsFanOut, idleMillis, compareMillis);
+        }
     }
 
     private final class Loop implements AutoCloseable {
@@ -343,6 +353,17 @@
             return this;
         }
 
+        /**
+         * Sets the intervals.
+         *
+         * @param newPace intervals and fan-outs.
+         * @return this builder.
+         */
+        public Builder paced(Pace newPace) {
+            this.pace = newPace;
+            return this;
+        }
+
         /**
          * Sets the intervals and the bound of a message.
          *
--- /dev/null
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -0,0 +1,115 @@
+package io.waxwingquay.process;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.entry.EntryNode;
+import io.waxwingquay.membership.Membership;
+import io.waxwingquay.settings.EntrySettings;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+/**
+ * An entry process, put together from its settings.
+ */
+public final class EntryProcess implements AutoCloseable {
+
+    private static final String ROLE = "entry";
+    private static final long DRAIN_LIMIT_MILLIS = 120_000L;
+    private static final int OUTCOME_LIMIT_BYTES = 65_536;
+    private static final int CLAIM_BATCH = 64;
+    private static final double PERCENT = 100.0;
+
+    private final Foundation foundation;
+    private final EntryNode node;
+
+    private EntryProcess(Foundation foundation, EntryNode node) {
+        this.foundation = foundation;
+        this.node = node;
+    }
+
+    /**
+     * Starts an entry process. It is ready when it has a bundle in force.
+     *
+     * @param settings what it is told.
+     * @return the running process.
+     */
+    public static EntryProcess start(EntrySettings settings) {
+        Foundation foundation = new Foundation(settings.process(), ROLE, RandomGenerator.of("L64X128MixRandom"));
+        PeerHandler peer = new PeerHandler(
+                foundation.gossip().handler(), foundation.bundles(), foundation.suspects(), Optional.empty());
+        foundation.server().servePeer(peer);
+        EntryNode node = EntryNode.builder()
+                .settings(limits(settings))
+                .bundles(foundation.bundles())
+                .membership(foundation.members())
+                .connections(foundation.connections())
+                .table(foundation.table())
+                .meters(foundation.meters())
+                .clock(foundation.clock())
+                .random(foundation.random())
+                .build();
+        foundation.start();
+        return new EntryProcess(foundation, node.start());
+    }
+
+    /**
+     * Where callers reach it.
+     *
+     * @return the address.
+     */
+    public HostPort callerAddress() {
+        return node.address();
+    }
+
+    /**
+     * Where it listens for other processes.
+     *
+     * @return the address.
+     */
+    public HostPort address() {
+        return foundation.server().address();
+    }
+
+    /**
+     * What it knows of the sides.
+     *
+     * @return the membership.
+     */
+    public Membership membership() {
+        return foundation.members();
+    }
+
+    /**
+     * Refuses new requests, finishes those in flight, then closes.
+     *
+     * @return whether everything in flight was finished.
+     */
+    public CompletableFuture<Boolean> drain() {
+        return node.drain(DRAIN_LIMIT_MILLIS).thenApplyAsync(finished -> {
+            close();
+            return finished;
+        });
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        node.close();
+        foundation.close();
+    }
+
+    private static io.waxwingquay.entry.EntrySettings limits(EntrySettings settings) {
+        return new io.waxwingquay.entry.EntrySettings(
+                settings.process().host(),
+                settings.callerPort(),
+                settings.process().dataCentre(),
+                settings.routingPolicy(),
+                settings.defaultDeadlineMillis(),
+                settings.maxDeadlineMillis(),
+                (int) settings.maxBodyBytes(),
+                OUTCOME_LIMIT_BYTES,
+                250L,
+                settings.retryBudgetPercent() / PERCENT,
+                CLAIM_BATCH);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/process/Foundation.java
@@ -0,0 +1,228 @@
+package io.waxwingquay.process;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.waxwingquay.bundle.BundleArchive;
+import io.waxwingquay.bundle.BundleFeed;
+import io.waxwingquay.bundle.BundleHolder;
+import io.waxwingquay.bundle.TrustedKeys;
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.membership.Gossip;
+import io.waxwingquay.membership.MemberTable;
+import io.waxwingquay.membership.Peers;
+import io.waxwingquay.membership.VmWatch;
+import io.waxwingquay.platform.HttpObjectStore;
+import io.waxwingquay.platform.HttpTableService;
+import io.waxwingquay.platform.HttpVmList;
+import io.waxwingquay.platform.TableService;
+import io.waxwingquay.platform.VmList;
+import io.waxwingquay.settings.ProcessSettings;
+import io.waxwingquay.suspect.SuspectTable;
+import io.waxwingquay.transport.CallObserver;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.ThriftConnections;
+import io.waxwingquay.transport.ThriftServer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * What an entry and a side have in common: platform clients, peers, membership, gossip and the bundle in force.
+ */
+final class Foundation implements AutoCloseable {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.process");
+    private static final int SCHEDULER_THREADS = 2;
+    private static final int HTTP_CONNECTIONS = 512;
+    private static final long CONNECT_TIMEOUT_MILLIS = 500L;
+    private static final long SUSPECT_RETENTION_MILLIS = 600_000L;
+    private static final int SUSPECT_LIMIT = 4_096;
+    private static final long VM_LIST_INTERVAL_MILLIS = 2_000L;
+
+    private final Deque<AutoCloseable> owned = new ArrayDeque<>();
+    private final ProcessSettings settings;
+    private final Clock clock = Clock.SYSTEM;
+    private final RandomGenerator random;
+    private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ScheduledExecutorService scheduler;
+    private final HttpClient http;
+    private final TableService table;
+    private final Connections connections;
+    private final ThriftServer server;
+    private final MemberTable members;
+    private final Peers peers;
+    private final SuspectTable suspects;
+    private final BundleHolder bundles;
+    private final BundleFeed feed;
+    private final Gossip gossip;
+    private final VmWatch watch;
+
+    Foundation(ProcessSettings settings, String role, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+        HostPort platform = new HostPort(
+                settings.platformUrl().getHost(), settings.platformUrl().getPort());
+        this.scheduler = scheduler(settings.name());
+        owned.push(scheduler::shutdownNow);
+        this.http = HttpCalls.startClient(HTTP_CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
+        owned.push(http::stop);
+        this.table = new HttpTableService(http, platform, settings.tableTimeoutMillis());
+        this.connections = own(ThriftConnections.builder().observer(counting()).build());
+        this.server = own(ThriftServer.bind(new HostPort(settings.host(), settings.thriftPort())));
+        this.members = new MemberTable(clock, MemberTable.Timing.DEFAULT);
+        HostPort address = server.address();
+        this.peers =
+                new Peers(new Peers.Peer(settings.name(), address, settings.dataCentre()), members, settings.seeds());
+        this.suspects = new SuspectTable(clock, SUSPECT_RETENTION_MILLIS, SUSPECT_LIMIT);
+        this.bundles = new BundleHolder(TrustedKeys.ofRoots(settings.trustedKeys()));
+        PeerBundles fetcher = new PeerBundles(peers, connections, random);
+        HttpObjectStore objects = new HttpObjectStore(http, platform, settings.tableTimeoutMillis());
+        this.feed = own(BundleFeed.builder(bundles, new BundleArchive(table, objects))
+                .peers(fetcher)
+                .schedule(scheduler, settings.bundlePollMillis())
+                .build());
+        this.gossip = gossip(fetcher);
+        VmList.Vm self =
+                new VmList.Vm(settings.name(), address.host(), address.port(), settings.dataCentre(), role, false);
+        VmList list = new HttpVmList(http, platform, settings.tableTimeoutMillis());
+        this.watch = new VmWatch(list, peers, connections, clock, random, self, VM_LIST_INTERVAL_MILLIS);
+    }
+
+    /** Starts to follow the bundle, the peers and the VM list. */
+    void start() {
+        bundles.onAdopted(bundle -> gossip.hurry());
+        feed.start();
+        owned.push(gossip.start(scheduler));
+        owned.push(watch.start(scheduler));
+    }
+
+    ProcessSettings settings() {
+        return settings;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    PrometheusMeterRegistry meters() {
+        return meters;
+    }
+
+    ScheduledExecutorService scheduler() {
+        return scheduler;
+    }
+
+    HttpClient http() {
+        return http;
+    }
+
+    TableService table() {
+        return table;
+    }
+
+    Connections connections() {
+        return connections;
+    }
+
+    ThriftServer server() {
+        return server;
+    }
+
+    MemberTable members() {
+        return members;
+    }
+
+    SuspectTable suspects() {
+        return suspects;
+    }
+
+    BundleHolder bundles() {
+        return bundles;
+    }
+
+    BundleFeed feed() {
+        return feed;
+    }
+
+    Gossip gossip() {
+        return gossip;
+    }
+
+    VmWatch watch() {
+        return watch;
+    }
+
+    /**
+     * Closes something together with this foundation, before everything that was owned earlier.
+     *
+     * @param <T> what it is.
+     * @param closeable what is closed.
+     * @return the same.
+     */
+    <T extends AutoCloseable> T own(T closeable) {
+        owned.push(closeable);
+        return closeable;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        while (!owned.isEmpty()) {
+            closeOne(owned.pop());
+        }
+    }
+
+    private static void closeOne(AutoCloseable resource) {
+        try {
+            resource.close();
+        } catch (Exception failure) {
+            LOG.log(System.Logger.Level.WARNING, "process: A part did not close cleanly.", failure);
+        }
+    }
+
+    private Gossip gossip(PeerBundles fetcher) {
+        Gossip.Pace pace = Gossip.Pace.DEFAULT.withUrgentMillis(settings.gossipIntervalMillis());
+        return Gossip.over(members, peers, connections)
+                .carrying(suspects)
+                .announcing(bundles::version, (version, from) -> {
+                    fetcher.noteInformed(from);
+                    feed.hint(version);
+                })
+                .deciding(clock, random)
+                .paced(pace)
+                .countedBy(meters)
+                .build();
+    }
+
+    private CallObserver counting() {
+        return (method, writtenBytes, readBytes) -> {
+            count("waxwingquay.peer.bytes", method, writtenBytes + readBytes);
+            count("waxwingquay.peer.messages", method, 1);
+        };
+    }
+
+    private void count(String name, String method, long amount) {
+        MeterRegistry registry = meters;
+        registry.counter(name, "kind", method).increment(amount);
+    }
+
+    private static ScheduledExecutorService scheduler(String name) {
+        AtomicInteger number = new AtomicInteger();
+        return Executors.newScheduledThreadPool(SCHEDULER_THREADS, task -> {
+            Thread thread = new Thread(task, name + "-" + number.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/process/PeerBundles.java
@@ -0,0 +1,74 @@
+package io.waxwingquay.process;
+
+import io.waxwingquay.bundle.BundleFeed;
+import io.waxwingquay.bundle.SignedBundle;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.Peers;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.generated.BundleAnswer;
+import io.waxwingquay.transport.generated.BundleRequest;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+
+/**
+ * Fetches bundles from the peer that last told of a higher version, or else from any peer.
+ */
+final class PeerBundles implements BundleFeed.PeerFetcher {
+
+    private static final double ANY_DATA_CENTRE = 0.5;
+
+    private final Peers peers;
+    private final Connections connections;
+    private final RandomGenerator random;
+    private volatile Optional<HostPort> informed = Optional.empty();
+
+    PeerBundles(Peers peers, Connections connections, RandomGenerator random) {
+        this.peers = peers;
+        this.connections = connections;
+        this.random = random;
+    }
+
+    /**
+     * Notes who told of a higher version.
+     *
+     * @param from the peer.
+     */
+    void noteInformed(HostPort from) {
+        informed = Optional.of(from);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<Optional<SignedBundle>> fetchAbove(long aboveVersion) {
+        Optional<HostPort> peer = informed.or(this::anyPeer);
+        if (peer.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return connections
+                .to(peer.get())
+                .fetchBundle(new BundleRequest(aboveVersion))
+                .thenApply(PeerBundles::signed)
+                .whenComplete((answer, failure) -> forgetIfFailed(failure));
+    }
+
+    private Optional<HostPort> anyPeer() {
+        return peers.pick(1, ANY_DATA_CENTRE, random).stream()
+                .map(Peers.Peer::address)
+                .findFirst();
+    }
+
+    private void forgetIfFailed(Throwable failure) {
+        if (failure != null) {
+            informed = Optional.empty();
+        }
+    }
+
+    private static Optional<SignedBundle> signed(BundleAnswer answer) {
+        if (!answer.isSetDocument()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new SignedBundle(answer.getVersion(), answer.getDocument(), answer.getSignature(), answer.getKeyId()));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -0,0 +1,233 @@
+package io.waxwingquay.process;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.bundle.Bundle.Service;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.engine.HttpModelEngine;
+import io.waxwingquay.engine.HttpPlainService;
+import io.waxwingquay.ledger.MemoryLedger;
+import io.waxwingquay.permit.LentPermits;
+import io.waxwingquay.permit.PermitHome;
+import io.waxwingquay.permit.Permits;
+import io.waxwingquay.placement.DemandMarks;
+import io.waxwingquay.placement.Strategy;
+import io.waxwingquay.settings.SideSettings;
+import io.waxwingquay.settings.SideSettings.TargetType;
+import io.waxwingquay.side.SideIdentity;
+import io.waxwingquay.side.SideLimits;
+import io.waxwingquay.side.SideNode;
+import io.waxwingquay.side.SideNodeBuilder;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+
+/**
+ * A side process, put together from its settings.
+ */
+public final class SideProcess implements AutoCloseable {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.process");
+    private static final String ROLE = "side";
+    private static final long MAX_LEASE_MILLIS = 30_000L;
+    private static final long PAUSE_MILLIS = 2_000L;
+    private static final long RENEW_MILLIS = 5_000L;
+    private static final long HEARTBEAT_MILLIS = 500L;
+    private static final long PLAN_MILLIS = 1_000L;
+
+    private final Foundation foundation;
+    private final SideSettings settings;
+    private final SideIdentity identity;
+    private final PermitHome permitHome;
+    private final PeerHandler peer;
+    private final SideDoor door;
+    private final Strategy placement;
+    private final AtomicReference<Optional<SideNode>> node = new AtomicReference<>(Optional.empty());
+
+    private SideProcess(Foundation foundation, SideSettings settings, Strategy placement, long epoch) {
+        this.foundation = foundation;
+        this.settings = settings;
+        this.placement = placement;
+        this.identity = new SideIdentity(
+                foundation.settings().name(),
+                foundation.server().address(),
+                foundation.settings().dataCentre(),
+                settings.service(),
+                settings.replica(),
+                epoch);
+        PermitHome.Slots none = new PermitHome.Slots(settings.replica(), settings.replica() + 1, 0, 0.0, 0);
+        this.permitHome = new PermitHome(foundation.clock(), MAX_LEASE_MILLIS, PAUSE_MILLIS, none);
+        this.peer = new PeerHandler(
+                foundation.gossip().handler(), foundation.bundles(), foundation.suspects(), Optional.of(permitHome));
+        this.door = new SideDoor(peer, epoch);
+    }
+
+    /**
+     * Starts a side process. It answers its peers at once and serves when it has a bundle in force.
+     *
+     * @param settings what it is told.
+     * @param placement decides what its target holds.
+     * @return the running process.
+     */
+    public static SideProcess start(SideSettings settings, Strategy placement) {
+        Foundation foundation = new Foundation(settings.process(), ROLE, RandomGenerator.of("L64X128MixRandom"));
+        long epoch = new BootEpoch(foundation.table(), foundation.clock())
+                .take(settings.process().name())
+                .join();
+        SideProcess process = new SideProcess(foundation, settings, placement, epoch);
+        process.run();
+        return process;
+    }
+
+    /**
+     * Starts a side process with the placement of the product.
+     *
+     * @param settings what it is told.
+     * @return the running process.
+     */
+    public static SideProcess start(SideSettings settings) {
+        return start(settings, Strategy.named("planned", DemandMarks.DEFAULT));
+    }
+
+    /**
+     * Where it listens for other processes.
+     *
+     * @return the address.
+     */
+    public HostPort address() {
+        return identity.address();
+    }
+
+    /**
+     * Whether it has a bundle in force and takes work.
+     *
+     * @return whether it is ready.
+     */
+    public boolean isReady() {
+        return node.get().isPresent();
+    }
+
+    /**
+     * Leaves: refuses new work, finishes what runs, then closes.
+     *
+     * @return completes when closed.
+     */
+    public CompletableFuture<Void> drain() {
+        CompletableFuture<Void> drained = node.get()
+                .map(running -> running.drain(settings.drainLimitMillis()))
+                .orElseGet(() -> CompletableFuture.completedFuture(null));
+        return drained.thenRunAsync(this::close);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        node.get().ifPresent(SideNode::close);
+        foundation.close();
+    }
+
+    private void run() {
+        foundation.server().serveSide(door);
+        foundation.bundles().onAdopted(this::adopted);
+        foundation.start();
+        every(HEARTBEAT_MILLIS, permitHome::heartbeat);
+    }
+
+    private void adopted(Bundle bundle) {
+        Optional<Service> service = bundle.service(settings.service());
+        if (service.isEmpty()) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "process: Bundle {0} names no service {1}; name it or mend the settings.",
+                    bundle.version(),
+                    settings.service());
+            return;
+        }
+        permitHome.configure(slots(service.get()));
+        if (node.get().isEmpty()) {
+            open(service.get());
+        }
+    }
+
+    private void open(Service service) {
+        LentPermits permits = permits();
+        every(RENEW_MILLIS, permits::renew);
+        SideNodeBuilder builder = builder(permits);
+        SideNode ready = settings.targetKind() == TargetType.PLAIN
+                ? builder.forPlainService(new HttpPlainService(
+                        foundation.http(), target(), foundation.settings().tableTimeoutMillis()))
+                : builder.forModels(engine(), ledger(service));
+        node.set(Optional.of(ready));
+        ready.start();
+        door.open(ready);
+    }
+
+    private SideNodeBuilder builder(Permits permits) {
+        return new SideNodeBuilder(identity)
+                .limits(SideLimits.defaults()
+                        .withQueueLimit(settings.queueLimit())
+                        .withQuarantineMillis(settings.quarantineMillis()))
+                .clock(foundation.clock())
+                .random(foundation.random())
+                .bundles(foundation.bundles())
+                .membership(foundation.members())
+                .suspects(foundation.suspects())
+                .connections(foundation.connections())
+                .peer(peer)
+                .permits(permits)
+                .wantedItems(new PlannedItems(
+                        identity.sideId(),
+                        identity.serviceName(),
+                        foundation.members(),
+                        placement,
+                        foundation.clock(),
+                        PLAN_MILLIS))
+                .meters(foundation.meters());
+    }
+
+    private HttpModelEngine engine() {
+        return new HttpModelEngine(
+                foundation.http(),
+                target(),
+                foundation.settings().tableTimeoutMillis(),
+                settings.streamSilenceMillis());
+    }
+
+    private MemoryLedger ledger(Service service) {
+        return service.ordersFenced()
+                ? MemoryLedger.forFencedEngine(service.memoryBytes(), foundation.clock(), settings.quarantineMillis())
+                : MemoryLedger.forUnfencedEngine(
+                        service.memoryBytes(), foundation.clock(), settings.quarantineMillis());
+    }
+
+    private LentPermits permits() {
+        return LentPermits.forHolder(identity.sideId(), permitHome)
+                .reaching(settings.service(), foundation.members(), foundation.connections())
+                .deciding(foundation.clock(), foundation.random())
+                .limitedTo(limit -> foundation
+                        .bundles()
+                        .current()
+                        .flatMap(bundle -> bundle.service(settings.service()))
+                        .map(service -> slots(service).total(limit))
+                        .orElse(0))
+                .build();
+    }
+
+    private PermitHome.Slots slots(Service service) {
+        return new PermitHome.Slots(
+                settings.replica(),
+                service.replicas(),
+                service.weightLoadsAtOnce(),
+                service.weightLoadsPerSecond(),
+                service.adapterLoadsAtOnce());
+    }
+
+    private HostPort target() {
+        return new HostPort(settings.targetUrl().getHost(), settings.targetUrl().getPort());
+    }
+
+    private void every(long millis, Runnable task) {
+        foundation.scheduler().scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/main/java/io/waxwingquay/settings/EntrySettings.java
+++ b/src/main/java/io/waxwingquay/settings/EntrySettings.java
@@ -60,7 +60,7 @@
                 table.number("max_deadline_millis", 600_000, DEADLINE_MILLIS),
                 table.number("max_body_bytes", 1_048_576, BODY_BYTES),
                 (int) table.number("retry_budget_percent", 10, PERCENT),
-                table.text("routing_policy", "expected-finish"));
+                table.text("routing_policy", "waxwingquay"));
         if (settings.defaultDeadlineMillis > settings.maxDeadlineMillis) {
             table.report("default_deadline_millis", "is above max_deadline_millis; lower it or raise that");
         }
