Test membership, placement, suspects and permits

Cause: the parts had no proof. Change: property, failure and Lincheck tests; a pass that keeps second copies first; suspects make rounds urgent.

--- a/src/main/java/io/waxwingquay/membership/Gossip.java
+++ b/src/main/java/io/waxwingquay/membership/Gossip.java
@@ -22,7 +22,8 @@
  *
  * <p>A round sends recent changes and one combined hash to a few peers. Only when nothing is new and the combined
  * hashes differ are buckets and then digests compared, and at most once in an interval, as hashes differ anyway while
- * changes are on their way. Rounds are quick while there is urgent news (a new bundle, a side that leaves), slower
+ * changes are on their way. Rounds are quick while there is urgent news (a new bundle, a side that leaves, a
+ * suspect), slower
  * while there are other changes, and slow when idle.
  *
  * <p>Idle cost by design: a round of one peer is a request of about 60 bytes and an answer of about 15, each process
@@ -44,6 +45,7 @@
     private volatile long urgentUntilMillis = Long.MIN_VALUE;
     private volatile long lastComparedMillis = Long.MIN_VALUE / 2;
     private volatile long lastBundleVersion;
+    private volatile int lastSuspectsHash;
 
     private Gossip(Builder wiring) {
         this.parts = wiring.parts();
@@ -87,7 +89,7 @@
      * @return the delay in milliseconds.
      */
     public long nextDelayMillis() {
-        noteOwnBundleVersion();
+        hurryOnNews();
         if (isUrgent()) {
             return pace.urgentMillis();
         }
@@ -100,7 +102,7 @@
      * @return completes when every peer asked has answered or failed; does not fail.
      */
     public CompletableFuture<Void> round() {
-        noteOwnBundleVersion();
+        hurryOnNews();
         boolean isIdle = rumours.isEmpty() && !isUrgent();
         int fanOut = isUrgent() ? pace.urgentFanOut() : isIdle ? 1 : pace.newsFanOut();
         List<Peers.Peer> peers;
@@ -205,10 +207,12 @@
         }
     }
 
-    private void noteOwnBundleVersion() {
+    private void hurryOnNews() {
         long version = parts.bundleVersion().getAsLong();
-        if (version > lastBundleVersion) {
+        int suspectsHash = parts.suspectsHash();
+        if (version > lastBundleVersion || suspectsHash != lastSuspectsHash) {
             lastBundleVersion = version;
+            lastSuspectsHash = suspectsHash;
             hurry();
         }
     }
--- a/src/main/java/io/waxwingquay/membership/GossipParts.java
+++ b/src/main/java/io/waxwingquay/membership/GossipParts.java
@@ -5,6 +5,8 @@
 import io.waxwingquay.transport.generated.SideRecord;
 import io.waxwingquay.transport.generated.SuspectRecord;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -31,7 +33,8 @@
         GossipTraffic traffic,
         int maxRecordBytes) {
 
-    private static final int MAX_SUSPECTS = 8;
+    private static final int NEWEST_SUSPECTS = 4;
+    private static final int OTHER_SUSPECTS = 4;
 
     void noteBundleVersion(long version, HostPort from) {
         if (version > bundleVersion.getAsLong()) {
@@ -39,8 +42,21 @@
         }
     }
 
+    /** The newest, since they matter most, and some others, so that each gets its turn. */
     List<SuspectRecord> suspectsToSend() {
-        return sample(suspects.snapshot(), MAX_SUSPECTS);
+        List<SuspectRecord> newestFirst = new ArrayList<>(suspects.snapshot());
+        newestFirst.sort(Comparator.comparingLong(SuspectRecord::getExpiresAtEpochMillis)
+                .reversed()
+                .thenComparingLong(SuspectRecord::getFingerprint));
+        int newest = Math.min(NEWEST_SUSPECTS, newestFirst.size());
+        List<SuspectRecord> sent = new ArrayList<>(newestFirst.subList(0, newest));
+        sent.addAll(sample(newestFirst.subList(newest, newestFirst.size()), OTHER_SUSPECTS));
+        return sent;
+    }
+
+    /** Changes whenever a suspect comes, goes or changes. */
+    int suspectsHash() {
+        return new HashSet<>(suspects.snapshot()).hashCode();
     }
 
     <T> List<T> sample(List<T> from, int count) {
--- /dev/null
+++ b/src/main/java/io/waxwingquay/membership/PublishPace.java
@@ -0,0 +1,27 @@
+package io.waxwingquay.membership;
+
+/**
+ * How often a side may publish a change of demand alone, so that gossip of all sides together stays within a budget.
+ *
+ * <p>Each process hears of each change about as often as a rumour is pushed. With thousands of sides that binds: the
+ * more sides there are, the rarer each may publish.
+ */
+public final class PublishPace {
+
+    private static final int COPIES_HEARD = 5;
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private PublishPace() {}
+
+    /**
+     * The least time between two publications of a side.
+     *
+     * @param sides how many sides there are.
+     * @param recordBytes the size of a record.
+     * @param budgetBytesPerSecond what a process may receive of them.
+     * @return milliseconds.
+     */
+    public static long millisBetween(int sides, int recordBytes, double budgetBytesPerSecond) {
+        return (long) Math.ceil(MILLIS_PER_SECOND * sides * recordBytes * COPIES_HEARD / budgetBytesPerSecond);
+    }
+}
--- a/src/main/java/io/waxwingquay/placement/Fleet.java
+++ b/src/main/java/io/waxwingquay/placement/Fleet.java
@@ -16,15 +16,18 @@
 
     private final List<View.Holder> sides;
     private final long[] hashes;
+    private final double[] weights;
     private final int[] dataCentres;
     private final long[] freeBytes;
     private final List<List<String>> wanted = new ArrayList<>();
+    private final List<List<Item>> seconds = new ArrayList<>();
     private final List<Set<String>> guarded = new ArrayList<>();
     private final Map<String, List<Integer>> residentAt = new HashMap<>();
 
     Fleet(List<View.Holder> sides) {
         this.sides = sides;
         this.hashes = sides.stream().mapToLong(side -> Rank.hash(side.id())).toArray();
+        this.weights = sides.stream().mapToDouble(View.Holder::capacityBytes).toArray();
         List<String> names =
                 sides.stream().map(View.Holder::dataCentre).distinct().toList();
         this.dataCentres = sides.stream()
@@ -33,6 +36,7 @@
         this.freeBytes = sides.stream().mapToLong(View.Holder::capacityBytes).toArray();
         for (int index = 0; index < sides.size(); index++) {
             wanted.add(new ArrayList<>());
+            seconds.add(new ArrayList<>());
             guarded.add(new HashSet<>());
             int at = index;
             sides.get(index).residentItems().forEach(name -> residentAt
@@ -71,10 +75,36 @@
         item.residentAt.stream().limit(1).filter(index -> fits(item, index)).forEach(index -> place(item, index));
     }
 
-    /** Plans a first copy if there is none. */
+    /** Plans a second copy where it is resident in another data centre than the first. */
+    void keepSecond(Item item) {
+        if (copies(item) != 1) {
+            return;
+        }
+        int home = dataCentres[item.plannedAt.nextSetBit(0)];
+        item.residentAt.stream()
+                .filter(index -> dataCentres[index] != home && fits(item, index))
+                .findFirst()
+                .ifPresent(index -> {
+                    place(item, index);
+                    seconds.get(index).add(item);
+                });
+    }
+
+    /** Plans a first copy if there is none; where nothing is free, second copies of others make room. */
     void placeFirst(Item item) {
-        if (copies(item) == 0) {
-            placeBest(item, index -> true);
+        if (copies(item) > 0 || placeBest(item, index -> true)) {
+            return;
+        }
+        int best = NONE;
+        for (int index = 0; index < sides.size(); index++) {
+            boolean hasRoom = item.sizeBytes <= freeBytes[index] + secondsBytes(index);
+            if (hasRoom && (best == NONE || score(item.hash, index) > score(item.hash, best))) {
+                best = index;
+            }
+        }
+        if (best != NONE) {
+            displaceSeconds(item, best);
+            place(item, best);
         }
     }
 
@@ -115,6 +145,21 @@
         return Map.copyOf(shares);
     }
 
+    private long secondsBytes(int index) {
+        return seconds.get(index).stream().mapToLong(second -> second.sizeBytes).sum();
+    }
+
+    /** The last kept is the least important. */
+    private void displaceSeconds(Item item, int index) {
+        List<Item> kept = seconds.get(index);
+        while (item.sizeBytes > freeBytes[index]) {
+            Item displaced = kept.remove(kept.size() - 1);
+            displaced.plannedAt.clear(index);
+            freeBytes[index] += displaced.sizeBytes;
+            wanted.get(index).remove(displaced.name);
+        }
+    }
+
     /** A resident copy goes before any other, so that nothing moves without need. */
     private boolean placeBest(Item item, IntPredicate mayHold) {
         int best = item.residentAt.stream()
@@ -132,14 +177,20 @@
 
     private int bestByRank(Item item, IntPredicate mayHold) {
         int best = NONE;
+        double bestUniform = 0;
         double bestScore = Double.NEGATIVE_INFINITY;
         for (int index = 0; index < sides.size(); index++) {
-            if (fits(item, index) && mayHold.test(index)) {
-                double score = score(item.hash, index);
-                if (score > bestScore) {
-                    best = index;
-                    bestScore = score;
-                }
+            double uniform = Rank.uniform(item.hash, hashes[index]);
+            // The logarithm is the cost of a rank, and a side that is behind in both parts cannot win.
+            boolean isBehind = best != NONE && uniform <= bestUniform && weights[index] <= weights[best];
+            if (isBehind || !fits(item, index) || !mayHold.test(index)) {
+                continue;
+            }
+            double score = Rank.score(uniform, weights[index]);
+            if (score > bestScore) {
+                best = index;
+                bestUniform = uniform;
+                bestScore = score;
             }
         }
         return best;
@@ -156,6 +207,6 @@
     }
 
     private double score(long itemHash, int index) {
-        return Rank.score(itemHash, hashes[index], sides.get(index).capacityBytes());
+        return Rank.score(Rank.uniform(itemHash, hashes[index]), weights[index]);
     }
 }
--- a/src/main/java/io/waxwingquay/placement/Placement.java
+++ b/src/main/java/io/waxwingquay/placement/Placement.java
@@ -12,11 +12,11 @@
 /**
  * Homes for every model by rendezvous hashing, and further replicas by demand.
  *
- * <p>Copies are placed in passes, so that a lesser need never takes the room of a greater one: one copy of each model
- * where it is resident, one copy of each model that has none, the second base homes, copies for demand, adapters.
- * Within a pass a copy that is resident stays where it is, so a side that leaves moves only what it held. Every copy
- * is counted against the side's memory; what does not fit is not planned. Larger models go first, which leaves
- * fewer without a home when room is short.
+ * <p>Copies are placed in passes: the first two copies of each model where they are resident, one copy of each model
+ * that has none, the second base homes, copies for demand, adapters. So what is resident stays, and a side that
+ * leaves moves only what it held while there is room; when there is none, a model without any home takes the room of
+ * others' second copies. Every copy is counted against the side's memory; what does not fit is not planned. Larger
+ * models go first, which leaves fewer without a home when room is short.
  *
  * <p>The first resident replica of each model by rank is protected. All sides agree which one it is while they agree
  * which sides are live, so the last replica is not evicted, nor are two at once. While a new version has no resident
@@ -43,6 +43,7 @@
         Fleet fleet = new Fleet(view.sides());
         List<Wish> wishes = wishes(view, fleet);
         wishes.forEach(wish -> fleet.keepFirst(wish.item));
+        wishes.forEach(wish -> fleet.keepSecond(wish.item));
         wishes.forEach(wish -> fleet.placeFirst(wish.item));
         wishes.forEach(wish -> fleet.placeElsewhere(wish.item));
         placeForDemand(wishes, fleet);
--- a/src/main/java/io/waxwingquay/placement/Rank.java
+++ b/src/main/java/io/waxwingquay/placement/Rank.java
@@ -19,10 +19,14 @@
         return MurmurHash3.hash128x64(name.getBytes(StandardCharsets.UTF_8))[0];
     }
 
-    /** The higher the better. */
-    static double score(long itemHash, long sideHash, double weight) {
+    /** A number between 0 and 1, both left out, that a pair always gets. */
+    static double uniform(long itemHash, long sideHash) {
         long mixed = mix(itemHash ^ Long.rotateLeft(sideHash, Integer.SIZE));
-        double uniform = ((mixed >>> DROPPED_BITS) + 1) / (TWO_TO_53 + 1);
+        return ((mixed >>> DROPPED_BITS) + 1) / (TWO_TO_53 + 1);
+    }
+
+    /** The higher the better; grows with the uniform number and with the weight. */
+    static double score(double uniform, double weight) {
         return -weight / Math.log(uniform);
     }
 
--- /dev/null
+++ b/src/test/java/io/waxwingquay/membership/MemberTableTest.java
@@ -0,0 +1,156 @@
+package io.waxwingquay.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.transport.generated.SideRecord;
+import io.waxwingquay.transport.generated.SideState;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class MemberTableTest {
+
+    private static final String NAME = GossipWorld.name(1);
+    private static final long EXPIRY_MILLIS = MemberTable.Timing.DEFAULT.expiryMillis();
+
+    private long nowMillis = 1_000;
+    private final MemberTable table = newTable();
+
+    @Test
+    void leavingIsNotUndoneByAnOlderOrNewerRecordOfTheEpoch() {
+        // A side answers that it leaves. A peer that has not heard gossips its last record, and the side itself,
+        // told late, publishes residency once more. Were either to win, it would get new work while it drains.
+        table.publish(record(1, 5, SideState.SERVING));
+        table.noteLeaving(NAME, 1);
+        table.merge(List.of(record(1, 4, SideState.SERVING), record(1, 6, SideState.SERVING)));
+        assertEquals(SideState.LEAVING, state());
+        assertFalse(table.side(NAME).orElseThrow().takesWork());
+    }
+
+    @Test
+    void aHigherEpochReplacesAndAnOlderOneIsPassedOver() {
+        table.publish(record(1, 5, SideState.LEAVING));
+        table.merge(List.of(record(2, 1, SideState.SERVING)));
+        table.merge(List.of(record(1, 9, SideState.LEAVING)));
+        table.noteLeaving(NAME, 1);
+        assertEquals(SideState.SERVING, state());
+    }
+
+    @Test
+    void absenceAloneAndSilenceAloneDropNothing() {
+        table.publish(record(1, 1, SideState.SERVING));
+        table.noteListed(Set.of());
+        nowMillis += 2 * EXPIRY_MILLIS;
+        assertEquals(List.of(), table.expire());
+        table.noteListed(Set.of(NAME));
+        table.noteReached(NAME, 1, false);
+        nowMillis += 2 * EXPIRY_MILLIS;
+        assertEquals(List.of(), table.expire());
+        assertFalse(table.side(NAME).orElseThrow().takesWork());
+    }
+
+    @Test
+    void absentAndSilentForTheWholeExpiryIsGoneAndOldRumoursDoNotReturnIt() {
+        table.publish(record(1, 1, SideState.SERVING));
+        table.noteListed(Set.of());
+        nowMillis += EXPIRY_MILLIS;
+        table.noteReached(NAME, 1, false);
+        assertEquals(List.of(), table.expire());
+        nowMillis += EXPIRY_MILLIS;
+        assertEquals(List.of(NAME), table.expire());
+        table.merge(List.of(record(1, 1, SideState.SERVING)));
+        assertTrue(table.side(NAME).isEmpty());
+        table.merge(List.of(record(1, 2, SideState.SERVING)));
+        assertEquals(SideState.SERVING, state());
+    }
+
+    @Test
+    void theListBeingOutEndsAnAbsence() {
+        // A VM is missing from one stale list, then the table service is out for long and the side is silent behind
+        // a cut link. Time without a list counted as absence would drop a side that still serves others.
+        table.publish(record(1, 1, SideState.SERVING));
+        table.noteListed(Set.of());
+        table.noteReached(NAME, 1, false);
+        table.noteListOut();
+        nowMillis += 10 * EXPIRY_MILLIS;
+        assertEquals(List.of(), table.expire());
+    }
+
+    @Test
+    void aSilentSideIsDueForRetryOnceAnInterval() {
+        table.publish(record(1, 1, SideState.SERVING));
+        table.noteReached(NAME, 1, false);
+        assertEquals(0, table.dueForRetry().size());
+        nowMillis += MemberTable.Timing.DEFAULT.retryMillis();
+        assertEquals(1, table.dueForRetry().size());
+        assertEquals(0, table.dueForRetry().size());
+        table.noteReached(NAME, 1, true);
+        assertTrue(table.side(NAME).orElseThrow().takesWork());
+    }
+
+    @Test
+    void aRecordWithoutANameOrAddressIsPassedOver() {
+        table.merge(List.of(new SideRecord(), GossipHandler.digestOf(record(1, 1, SideState.SERVING))));
+        assertEquals(0, table.size());
+    }
+
+    @Property(tries = 300, seed = "20261202")
+    void recordsOfLivingSidesJoinAlikeInAnyOrder(@ForAll("records") List<SideRecord> records, @ForAll long seed) {
+        MemberTable once = newTable();
+        MemberTable other = newTable();
+        List<SideRecord> shuffled = new ArrayList<>(records);
+        shuffled.addAll(records);
+        Collections.shuffle(shuffled, new Random(seed));
+        once.merge(records);
+        shuffled.forEach(record -> other.merge(List.of(record)));
+        assertEquals(once.combinedHash(), other.combinedHash());
+        assertEquals(once.sides(), other.sides());
+    }
+
+    @Provide
+    Arbitrary<List<SideRecord>> records() {
+        return Combinators.combine(
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.of(SideState.STARTING, SideState.SERVING, SideState.LEAVING))
+                .as(MemberTableTest::record)
+                .list()
+                .ofMaxSize(8);
+    }
+
+    private SideState state() {
+        return table.side(NAME).orElseThrow().state();
+    }
+
+    private static SideRecord record(long epoch, long version, SideState state) {
+        return GossipWorld.record(1).setEpoch(epoch).setVersion(version).setState(state);
+    }
+
+    private MemberTable newTable() {
+        return new MemberTable(
+                new Clock() {
+                    @Override
+                    public long monotonicMillis() {
+                        return nowMillis;
+                    }
+
+                    @Override
+                    public long epochMillis() {
+                        return nowMillis;
+                    }
+                },
+                MemberTable.Timing.DEFAULT);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/membership/VmWatchTest.java
@@ -0,0 +1,155 @@
+package io.waxwingquay.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.platform.PlatformException;
+import io.waxwingquay.platform.VmList;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.TransportException;
+import io.waxwingquay.transport.generated.SideState;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class VmWatchTest {
+
+    private static final int SIDES = 60;
+    private static final String WATCHED = GossipWorld.name(1);
+
+    private final FakeList list = new FakeList();
+    private boolean answersPings = true;
+    private long nowMillis = 1_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long monotonicMillis() {
+            return nowMillis;
+        }
+
+        @Override
+        public long epochMillis() {
+            return nowMillis;
+        }
+    };
+
+    @Test
+    void threeProcessesOfEachDataCentreRead() {
+        long readers = IntStream.range(0, SIDES)
+                .filter(index -> watch(index, fullTable()).isReader())
+                .count();
+        assertEquals(3 * 6, readers);
+    }
+
+    @Test
+    void aListThatGoesBackDoesNotUndoLeaving() {
+        // The platform says that a VM leaves, then an older copy of its list says live. The side still drains: work
+        // sent there on the word of the older list would be refused or cut off.
+        MemberTable table = fullTable();
+        VmWatch reader = reader(table);
+        list.vms = List.of(vm(1, true));
+        reader.round().join();
+        list.vms = List.of(vm(1, false));
+        reader.round().join();
+        assertEquals(SideState.LEAVING, table.side(WATCHED).orElseThrow().state());
+    }
+
+    @Test
+    void aStaleLeavingFlagDoesNotTouchARestartedSide() {
+        MemberTable table = fullTable();
+        VmWatch reader = reader(table);
+        list.vms = List.of(vm(1, true));
+        reader.round().join();
+        table.publish(GossipWorld.record(1).setEpoch(2));
+        reader.round().join();
+        assertEquals(SideState.SERVING, table.side(WATCHED).orElseThrow().state());
+    }
+
+    @Test
+    void withTheListOutDeadSidesAreAvoidedAndNoneIsDropped() {
+        // The table service is out and every other side falls silent. Dropping them would empty the membership, and
+        // nothing would bring them back when the cut ends.
+        MemberTable table = fullTable();
+        VmWatch reader = reader(table);
+        list.isOut = true;
+        answersPings = false;
+        for (int round = 0; round < 60; round++) {
+            nowMillis += 2_000;
+            reader.round().join();
+        }
+        assertEquals(SIDES, table.size());
+        assertTrue(table.sides().stream().filter(Side::reachable).count() < SIDES / 2);
+        answersPings = true;
+        for (int round = 0; round < 60; round++) {
+            nowMillis += 2_000;
+            reader.round().join();
+        }
+        assertEquals(SIDES, table.sides().stream().filter(Side::takesWork).count());
+    }
+
+    private MemberTable fullTable() {
+        MemberTable table = new MemberTable(clock, MemberTable.Timing.DEFAULT);
+        table.merge(IntStream.range(0, SIDES).mapToObj(GossipWorld::record).toList());
+        return table;
+    }
+
+    private VmWatch reader(MemberTable table) {
+        return IntStream.range(0, SIDES)
+                .filter(index -> index != 1)
+                .mapToObj(index -> watch(index, table))
+                .filter(VmWatch::isReader)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private VmWatch watch(int index, MemberTable table) {
+        VmList.Vm self = vm(index, false);
+        Peers.Peer peer = new Peers.Peer(self.name(), new HostPort(self.host(), self.port()), self.dataCentre());
+        Peers peers = new Peers(peer, table, List.of());
+        return new VmWatch(list, peers, new PingConnections(), clock, new Random(index), self, 2_000);
+    }
+
+    private static VmList.Vm vm(int index, boolean leaving) {
+        return new VmList.Vm(GossipWorld.name(index), "127.0.0.1", 20_000 + index, "dc-" + index % 6, "side", leaving);
+    }
+
+    private static final class FakeList implements VmList {
+
+        private List<Vm> vms = new ArrayList<>();
+        private boolean isOut;
+
+        @Override
+        public CompletableFuture<List<Vm>> list() {
+            return isOut
+                    ? CompletableFuture.failedFuture(new PlatformException.Unavailable("list is out", null))
+                    : CompletableFuture.completedFuture(vms);
+        }
+
+        @Override
+        public CompletableFuture<Void> announce(Vm vm) {
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+
+    private final class PingConnections implements Connections {
+
+        @Override
+        public SideProtocol to(HostPort address) {
+            return (SideProtocol) Proxy.newProxyInstance(
+                    SideProtocol.class.getClassLoader(),
+                    new Class<?>[] {SideProtocol.class},
+                    (proxy, method, arguments) -> answersPings
+                            ? CompletableFuture.completedFuture(true)
+                            : CompletableFuture.failedFuture(new TransportException(false, "silent", null)));
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/permit/PermitHomeLincheckTest.java
@@ -0,0 +1,60 @@
+package io.waxwingquay.permit;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.permit.Permits.Limit;
+import io.waxwingquay.transport.generated.PermitRequest;
+import io.waxwingquay.transport.generated.PermitReturn;
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.junit.jupiter.api.Test;
+
+/** The home behaves as if its calls came one after another, whatever the threads do. */
+@Param(name = "permit", gen = IntGen.class, conf = "1:3")
+public class PermitHomeLincheckTest {
+
+    private static final long LEASE_MILLIS = 10;
+
+    private final PermitHome home = openHome();
+
+    @Operation
+    public boolean borrow(@Param(name = "permit") int permit) {
+        return home.borrow(new PermitRequest(Limit.ADAPTER_LOADS.name(), "holder", "permit-" + permit, LEASE_MILLIS))
+                .isGranted();
+    }
+
+    @Operation
+    public boolean giveBack(@Param(name = "permit") int permit) {
+        return home.giveBack(new PermitReturn(Limit.ADAPTER_LOADS.name(), "permit-" + permit));
+    }
+
+    @Test
+    void callsAreLinearizable() {
+        new StressOptions()
+                .iterations(20)
+                .invocationsPerIteration(500)
+                .threads(3)
+                .actorsPerThread(3)
+                .check(PermitHomeLincheckTest.class);
+    }
+
+    private static PermitHome openHome() {
+        long[] nowMillis = {0};
+        Clock clock = new Clock() {
+            @Override
+            public long monotonicMillis() {
+                return nowMillis[0];
+            }
+
+            @Override
+            public long epochMillis() {
+                return nowMillis[0];
+            }
+        };
+        PermitHome home = new PermitHome(clock, LEASE_MILLIS, LEASE_MILLIS, new PermitHome.Slots(0, 1, 0, 0, 2));
+        nowMillis[0] = LEASE_MILLIS;
+        home.heartbeat();
+        return home;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/permit/PermitWorld.java
@@ -0,0 +1,196 @@
+package io.waxwingquay.permit;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.MemberTable;
+import io.waxwingquay.permit.Permits.Limit;
+import io.waxwingquay.permit.Permits.Permit;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.TransportException;
+import io.waxwingquay.transport.generated.PermitAnswer;
+import io.waxwingquay.transport.generated.PermitRequest;
+import io.waxwingquay.transport.generated.PermitReturn;
+import io.waxwingquay.transport.generated.SideRecord;
+import io.waxwingquay.transport.generated.SideState;
+import io.waxwingquay.transport.generated.TargetKind;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+/** Replicas of one service that lend weight loads to each other over calls that may be lost. */
+final class PermitWorld {
+
+    static final long LEASE_MILLIS = 10_000;
+    static final long PAUSE_MILLIS = 3_000;
+    private static final long MARGIN_MILLIS = 500;
+    private static final int PORT = 9_000;
+
+    private final int replicas;
+    private final int weightLoads;
+    private final double loadsPerSecond;
+    private final List<PermitHome> homes = new ArrayList<>();
+    private final List<LentPermits> holders = new ArrayList<>();
+    private final List<LentPermits> retired = new ArrayList<>();
+    private final MemberTable table;
+    private Supplier<Fate> fate = () -> Fate.DELIVERED;
+    private long nowMillis = 5_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long monotonicMillis() {
+            return nowMillis;
+        }
+
+        @Override
+        public long epochMillis() {
+            return nowMillis;
+        }
+    };
+
+    PermitWorld(int replicas, int weightLoads, double loadsPerSecond) {
+        this.replicas = replicas;
+        this.weightLoads = weightLoads;
+        this.loadsPerSecond = loadsPerSecond;
+        this.table = new MemberTable(clock, MemberTable.Timing.DEFAULT);
+        for (int replica = 0; replica < replicas; replica++) {
+            table.publish(record(replica));
+            homes.add(newHome(replica));
+        }
+        for (int replica = 0; replica < replicas; replica++) {
+            holders.add(newHolder(replica));
+        }
+    }
+
+    void open() {
+        pass(LEASE_MILLIS);
+    }
+
+    void fate(Supplier<Fate> next) {
+        fate = next;
+    }
+
+    void pass(long millis) {
+        long untilMillis = nowMillis + millis;
+        while (nowMillis < untilMillis) {
+            nowMillis = Math.min(untilMillis, nowMillis + PAUSE_MILLIS);
+            homes.forEach(PermitHome::heartbeat);
+        }
+    }
+
+    void passUnnoticed(long millis) {
+        nowMillis += millis;
+    }
+
+    /** A new process: nothing is remembered, and what the old one had begun still runs at the weight store. */
+    void restart(int replica) {
+        retired.add(holders.get(replica));
+        homes.set(replica, newHome(replica));
+        holders.set(replica, newHolder(replica));
+    }
+
+    void renew(int replica) {
+        holders.get(replica).renew();
+    }
+
+    Optional<Permit> acquire(int replica) {
+        return holders.get(replica).acquire(Limit.WEIGHT_LOADS).join();
+    }
+
+    List<Permit> acquireAll(int replica) {
+        List<Permit> all = new ArrayList<>();
+        for (Optional<Permit> next = acquire(replica); next.isPresent(); next = acquire(replica)) {
+            all.add(next.get());
+        }
+        return all;
+    }
+
+    int inUse() {
+        return Stream.concat(holders.stream(), retired.stream())
+                .mapToInt(holder -> holder.inUse(Limit.WEIGHT_LOADS))
+                .sum();
+    }
+
+    PermitHome home(int replica) {
+        return homes.get(replica);
+    }
+
+    PermitAnswer borrowFrom(int replica, String permitId) {
+        return home(replica).borrow(new PermitRequest(Limit.WEIGHT_LOADS.name(), "test", permitId, LEASE_MILLIS));
+    }
+
+    void giveBackTo(int replica, PermitReturn request) {
+        home(replica).giveBack(request);
+    }
+
+    PermitHome.Slots slots(int replica) {
+        return new PermitHome.Slots(replica, replicas, weightLoads, loadsPerSecond, 0);
+    }
+
+    private PermitHome newHome(int replica) {
+        return new PermitHome(clock, LEASE_MILLIS, PAUSE_MILLIS, slots(replica));
+    }
+
+    private LentPermits newHolder(int replica) {
+        return LentPermits.forHolder("side-" + replica, homes.get(replica))
+                .reaching("models", table, new LossyConnections())
+                .deciding(clock, new Random(replica + retired.size() * (long) replicas))
+                .limitedTo(limit -> weightLoads)
+                .bounded(replicas, LEASE_MILLIS, MARGIN_MILLIS)
+                .build();
+    }
+
+    private SideRecord record(int replica) {
+        return new SideRecord(
+                "side-" + replica,
+                "127.0.0.1",
+                PORT + replica,
+                "dc",
+                "models",
+                replica,
+                TargetKind.MODEL_ENGINE,
+                1,
+                1,
+                SideState.SERVING,
+                0,
+                List.of());
+    }
+
+    /** What becomes of one call. */
+    enum Fate {
+        DELIVERED,
+        REQUEST_LOST,
+        ANSWER_LOST
+    }
+
+    private final class LossyConnections implements Connections {
+
+        @Override
+        public SideProtocol to(HostPort address) {
+            return (SideProtocol) Proxy.newProxyInstance(
+                    SideProtocol.class.getClassLoader(),
+                    new Class<?>[] {SideProtocol.class},
+                    (proxy, method, arguments) -> call(address.port() - PORT, arguments[0]));
+        }
+
+        private CompletableFuture<?> call(int replica, Object request) {
+            Fate next = fate.get();
+            if (next == Fate.REQUEST_LOST) {
+                return CompletableFuture.failedFuture(new TransportException(false, "request lost", null));
+            }
+            Object answer = request instanceof PermitRequest borrow
+                    ? home(replica).borrow(borrow)
+                    : (Object) home(replica).giveBack((PermitReturn) request);
+            return next == Fate.ANSWER_LOST
+                    ? CompletableFuture.failedFuture(new TransportException(true, "answer lost", null))
+                    : CompletableFuture.completedFuture(answer);
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/placement/PlacementTest.java
@@ -0,0 +1,257 @@
+package io.waxwingquay.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.placement.View.Holder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class PlacementTest {
+
+    private static final String SERVICE = "models";
+    private static final long CAPACITY_BYTES = 100;
+    private static final long LARGEST_BYTES = 30;
+    private static final DemandMarks MARKS = new DemandMarks(3, 1, 60_000);
+
+    private final Placement placement = new Placement(MARKS);
+
+    @Property(tries = 300, seed = "20261202")
+    void withRoomEveryModelHasAHomeAndThePlanFits(@ForAll @IntRange(min = 1, max = 24) int sides, @ForAll long seed) {
+        Random random = new Random(seed);
+        Bundle bundle = bundle(modelsThatFit(sides, random));
+        View view = view(bundle, withRandomResidency(bundle, sides(sides), random), randomDemand(bundle, random));
+        Plan plan = placement.plan(view);
+        assertEquals(List.of(), plan.homelessModels());
+        bundle.models().forEach(model -> assertFalse(holders(plan, model.item()).isEmpty(), model.name()));
+        assertFits(bundle, view, plan);
+    }
+
+    @Property(tries = 200, seed = "20261202")
+    void aSideThatLeavesMovesOnlyItsOwnModelsWhileTwoCopiesFit(
+            @ForAll @IntRange(min = 4, max = 24) int sides, @ForAll long seed) {
+        Random random = new Random(seed);
+        Bundle bundle = bundle(modelsThatFit((sides - 1) / 2, random));
+        View before = settled(view(bundle, sides(sides), Map.of()));
+        Plan old = placement.plan(before);
+        Holder leaver = before.sides().get(random.nextInt(sides));
+        List<Holder> rest =
+                before.sides().stream().filter(side -> side != leaver).toList();
+        Plan next = placement.plan(view(bundle, rest, Map.of()));
+        Set<String> moved = new HashSet<>();
+        rest.forEach(side -> next.of(side.id()).wantedItems().stream()
+                .filter(item -> !side.residentItems().contains(item))
+                .forEach(moved::add));
+        assertTrue(
+                old.of(leaver.id()).wantedItems().containsAll(moved),
+                () -> "moved " + moved + " but the leaver held " + old.of(leaver.id()));
+    }
+
+    @Property(tries = 200, seed = "20261202")
+    void howeverTightTheFirstCopiesOfTheOthersStayWhenASideLeaves(
+            @ForAll @IntRange(min = 4, max = 24) int sides, @ForAll long seed) {
+        Random random = new Random(seed);
+        Bundle bundle = bundle(modelsThatFit(sides - 1, random));
+        View before = settled(view(bundle, sides(sides), Map.of()));
+        Plan old = placement.plan(before);
+        List<Holder> rest = new ArrayList<>(before.sides());
+        rest.remove(random.nextInt(sides));
+        Plan next = placement.plan(view(bundle, rest, Map.of()));
+        rest.forEach(side -> assertTrue(
+                next.of(side.id()).wantedItems().containsAll(old.of(side.id()).protectedItems())));
+        assertEquals(List.of(), next.homelessModels());
+    }
+
+    @Property(tries = 200, seed = "20261202")
+    void aResidentModelIsProtectedAtOneSideOnly(@ForAll @IntRange(min = 1, max = 12) int sides, @ForAll long seed) {
+        Random random = new Random(seed);
+        Bundle bundle = bundle(modelsThatFit(sides, random));
+        View view = view(bundle, withRandomResidency(bundle, sides(sides), random), Map.of());
+        Plan plan = placement.plan(view);
+        bundle.models().stream().map(Bundle.Model::item).forEach(item -> {
+            boolean isResident =
+                    view.sides().stream().anyMatch(side -> side.residentItems().contains(item));
+            long protecting = plan.shares().values().stream()
+                    .filter(share -> share.protectedItems().contains(item))
+                    .count();
+            assertEquals(isResident ? 1 : 0, protecting, item);
+        });
+    }
+
+    @Test
+    void twoHomesAreInDifferentDataCentres() {
+        Bundle bundle = bundle(List.of(20L, 20L, 10L));
+        Plan plan = placement.plan(view(bundle, sides(6), Map.of()));
+        bundle.models().forEach(model -> {
+            Set<Integer> dataCentres = new HashSet<>();
+            holders(plan, model.item()).forEach(id -> dataCentres.add(Integer.parseInt(id.substring(5)) % 3));
+            assertEquals(2, dataCentres.size(), model.name());
+        });
+    }
+
+    @Test
+    void demandAddsReplicasAndGivesThemUpOnlyAfterTheHold() {
+        Bundle bundle = bundle(List.of(20L));
+        String item = bundle.models().get(0).item();
+        View busy = view(bundle, sides(6), Map.of(item, 12.0));
+        assertEquals(4, holders(placement.plan(busy), item).size());
+        View quiet = settled(busy);
+        quiet = new View(bundle, SERVICE, quiet.sides(), Map.of(item, 3.5), Map.of(), 0);
+        Plan held = placement.plan(quiet);
+        assertEquals(4, holders(held, item).size());
+        View later =
+                new View(bundle, SERVICE, quiet.sides(), Map.of(item, 3.5), held.lowSinceMillis(), MARKS.holdMillis());
+        assertEquals(3, holders(placement.plan(later), item).size());
+    }
+
+    @Test
+    void anOldVersionIsProtectedUntilTheNewOneIsResident() {
+        // A rollout replaces a model's version while its only replica holds the old one. Were that not protected, a
+        // side in need of room could evict it before any side serves the new one, and callers find no replica.
+        Bundle bundle = bundle(List.of(20L));
+        List<Holder> sides = new ArrayList<>(sides(3));
+        sides.set(0, holding(sides.get(0), Set.of("model:m0@0")));
+        Plan during = placement.plan(view(bundle, sides, Map.of()));
+        assertEquals(Set.of("model:m0@0"), during.of("side-0").protectedItems());
+        sides.set(1, holding(sides.get(1), Set.of("model:m0@1")));
+        Plan after = placement.plan(view(bundle, sides, Map.of()));
+        assertEquals(Set.of(), after.of("side-0").protectedItems());
+    }
+
+    @Test
+    void strategiesAreFoundByName() {
+        View view = view(bundle(List.of(20L)), sides(3), Map.of("model:m0@1", 100.0));
+        assertEquals(
+                2,
+                holders(Strategy.named("static", MARKS).plan(view), "model:m0@1")
+                        .size());
+        assertEquals(
+                3,
+                holders(Strategy.named("planned", MARKS).plan(view), "model:m0@1")
+                        .size());
+        assertEquals(
+                0,
+                holders(Strategy.named("load-on-miss", MARKS).plan(view), "model:m0@1")
+                        .size());
+        assertThrows(IllegalArgumentException.class, () -> Strategy.named("none", MARKS));
+    }
+
+    @Test
+    void oneEvaluationAtFullSizeIsMeasured() {
+        int sides = 2_400;
+        Random random = new Random(1);
+        Bundle bundle = bundle(random.longs(620, 5, LARGEST_BYTES).boxed().toList());
+        View view = settled(view(bundle, sides(sides), randomDemand(bundle, random)));
+        IntStream.range(0, 10).forEach(ignored -> placement.plan(view));
+        long startNanos = System.nanoTime();
+        IntStream.range(0, 10).forEach(ignored -> placement.plan(view));
+        System.out.printf(
+                "placement: %d sides, %d models, %.1f ms an evaluation%n",
+                sides, 620, (System.nanoTime() - startNanos) / 10 / 1e6);
+        View cold = view(bundle, sides(sides), Map.of());
+        startNanos = System.nanoTime();
+        IntStream.range(0, 10).forEach(ignored -> placement.plan(cold));
+        System.out.printf("placement: with nothing resident %.1f ms%n", (System.nanoTime() - startNanos) / 10 / 1e6);
+        assertFits(bundle, view, placement.plan(view));
+    }
+
+    /** The view after every side has loaded what it is to hold. */
+    private View settled(View view) {
+        Plan plan = placement.plan(view);
+        List<Holder> loaded = view.sides().stream()
+                .map(side -> holding(side, Set.copyOf(plan.of(side.id()).wantedItems())))
+                .toList();
+        return view(view.bundle(), loaded, view.demandUnitsPerSecond());
+    }
+
+    private static void assertFits(Bundle bundle, View view, Plan plan) {
+        Map<String, Long> sizes = new HashMap<>();
+        bundle.models().forEach(model -> sizes.put(model.item(), model.sizeBytes()));
+        view.sides().forEach(side -> {
+            List<String> wanted = plan.of(side.id()).wantedItems();
+            long usedBytes = wanted.stream().mapToLong(sizes::get).sum();
+            assertTrue(usedBytes <= side.capacityBytes(), side.id());
+            assertEquals(new HashSet<>(wanted).size(), wanted.size(), side.id());
+        });
+    }
+
+    // First fit always finds room while what is placed is at most sides * (capacity - largest).
+    private static List<Long> modelsThatFit(int sides, Random random) {
+        List<Long> sizes = new ArrayList<>();
+        long leftBytes = sides * (CAPACITY_BYTES - LARGEST_BYTES);
+        while (leftBytes > LARGEST_BYTES) {
+            long size = 1 + random.nextLong(LARGEST_BYTES);
+            sizes.add(size);
+            leftBytes -= size;
+        }
+        return sizes;
+    }
+
+    private static List<Holder> withRandomResidency(Bundle bundle, List<Holder> sides, Random random) {
+        return sides.stream()
+                .map(side -> {
+                    Set<String> items = new HashSet<>();
+                    long freeBytes = side.capacityBytes();
+                    for (int tries = 0; tries < 8; tries++) {
+                        Bundle.Model model = bundle.models()
+                                .get(random.nextInt(bundle.models().size()));
+                        if (model.sizeBytes() <= freeBytes && items.add(model.item())) {
+                            freeBytes -= model.sizeBytes();
+                        }
+                    }
+                    return holding(side, items);
+                })
+                .toList();
+    }
+
+    private static Map<String, Double> randomDemand(Bundle bundle, Random random) {
+        Map<String, Double> demand = new HashMap<>();
+        bundle.models().forEach(model -> demand.put(model.item(), random.nextDouble() * 20));
+        return demand;
+    }
+
+    private static Set<String> holders(Plan plan, String item) {
+        Set<String> holders = new HashSet<>();
+        plan.shares().forEach((id, share) -> {
+            if (share.wantedItems().contains(item)) {
+                holders.add(id);
+            }
+        });
+        return holders;
+    }
+
+    private static View view(Bundle bundle, List<Holder> sides, Map<String, Double> demand) {
+        return new View(bundle, SERVICE, sides, demand, Map.of(), 0);
+    }
+
+    private static Holder holding(Holder side, Set<String> items) {
+        return new Holder(side.id(), side.dataCentre(), side.capacityBytes(), items, Map.of());
+    }
+
+    private static List<Holder> sides(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(index -> new Holder("side-" + index, "dc-" + index % 3, CAPACITY_BYTES, Set.of(), Map.of()))
+                .toList();
+    }
+
+    private static Bundle bundle(List<Long> modelSizes) {
+        List<Bundle.Model> models = IntStream.range(0, modelSizes.size())
+                .mapToObj(index -> new Bundle.Model("m" + index, SERVICE, "1", modelSizes.get(index), 0))
+                .toList();
+        Bundle.Keys keys = new Bundle.Keys(List.of(), List.of());
+        return new Bundle(1, keys, List.of(), models, List.of(), List.of());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/suspect/SuspectTableTest.java
@@ -0,0 +1,120 @@
+package io.waxwingquay.suspect;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.suspect.SuspectBook.Standing;
+import io.waxwingquay.transport.generated.SuspectRecord;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class SuspectTableTest {
+
+    private static final long RETENTION_MILLIS = 60_000;
+    private static final long POISON = 7;
+
+    private long nowMillis = 1_000;
+    private final SuspectTable table = table(100);
+
+    @Test
+    void aSecondCrashQuarantinesWhoeverClearedIt() {
+        // A caller's request kills a target, runs to its end elsewhere by luck and is cleared, then kills a second
+        // target through another entry. Were the clearing to count, it would be free to kill a third.
+        table.recordCrash("crash-1", List.of(POISON));
+        assertEquals(Standing.SUSPECT, table.standing(POISON));
+        table.clear(POISON);
+        assertEquals(Standing.CLEAR, table.standing(POISON));
+        table.recordCrash("crash-2", List.of(POISON));
+        table.clear(POISON);
+        assertEquals(Standing.QUARANTINED, table.standing(POISON));
+    }
+
+    @Test
+    void oneCrashHeardTwiceIsOneCrash() {
+        List<SuspectRecord> records = table.recordCrash("crash-1", List.of(POISON));
+        table.merge(records);
+        table.recordCrash("crash-1", List.of(POISON));
+        assertEquals(Standing.SUSPECT, table.standing(POISON));
+    }
+
+    @Test
+    void aRecordExpires() {
+        table.recordCrash("crash-1", List.of(POISON));
+        table.recordCrash("crash-2", List.of(POISON));
+        nowMillis += RETENTION_MILLIS;
+        assertEquals(Standing.CLEAR, table.standing(POISON));
+        assertEquals(List.of(), table.snapshot());
+    }
+
+    @Test
+    void aFullTableKeepsQuarantines() {
+        SuspectTable small = table(2);
+        small.recordCrash("crash-1", List.of(POISON));
+        small.recordCrash("crash-2", List.of(POISON, 8L, 9L, 10L));
+        assertEquals(Standing.QUARANTINED, small.standing(POISON));
+        assertEquals(2, small.snapshot().size());
+    }
+
+    @Test
+    void fingerprintsTellPartsApart() {
+        assertEquals(Fingerprint.of("m", null, "p"), Fingerprint.of("m", null, "p"));
+        assertNotEquals(Fingerprint.of("m", "ap", ""), Fingerprint.of("m", "a", "p"));
+        assertNotEquals(Fingerprint.of("ma", null, "p"), Fingerprint.of("m", "a", "p"));
+    }
+
+    @Property(tries = 200, seed = "20261202")
+    void mergesInAnyOrderAndRepeatedAgree(@ForAll("records") List<SuspectRecord> records, @ForAll long seed) {
+        SuspectTable once = table(100);
+        once.merge(records);
+        List<SuspectRecord> shuffled = new ArrayList<>(records);
+        shuffled.addAll(records);
+        Collections.shuffle(shuffled, new Random(seed));
+        SuspectTable repeated = table(100);
+        shuffled.forEach(record -> repeated.merge(List.of(record)));
+        assertEquals(new HashSet<>(once.snapshot()), new HashSet<>(repeated.snapshot()));
+    }
+
+    @Provide
+    Arbitrary<List<SuspectRecord>> records() {
+        Arbitrary<Set<String>> crashIds =
+                Arbitraries.of("a", "b", "c").set().ofMinSize(1).map(TreeSet::new);
+        return Combinators.combine(
+                        Arbitraries.longs().between(1, 3),
+                        crashIds,
+                        Arbitraries.longs().between(500, 50_000),
+                        Arbitraries.of(true, false))
+                .as(SuspectRecord::new)
+                .list()
+                .ofMaxSize(8);
+    }
+
+    private SuspectTable table(int maxRecords) {
+        return new SuspectTable(
+                new Clock() {
+                    @Override
+                    public long monotonicMillis() {
+                        return nowMillis;
+                    }
+
+                    @Override
+                    public long epochMillis() {
+                        return nowMillis;
+                    }
+                },
+                RETENTION_MILLIS,
+                maxRecords);
+    }
+}
