--- a/src/test/java/io/waxwingquay/entry/FakeSide.java
+++ b/src/test/java/io/waxwingquay/entry/FakeSide.java
@@ -55,6 +55,7 @@
     final Queue<Fault> submitFaults = new ArrayDeque<>();
     final Queue<Fault> pollFaults = new ArrayDeque<>();
     final Queue<Refusal> refusals = new ArrayDeque<>();
+    final Queue<Refusal> refusalsAfterRestart = new ArrayDeque<>();
     final Queue<Refusal> failures = new ArrayDeque<>();
     final List<String> runs = new CopyOnWriteArrayList<>();
     final Set<String> cancelled = ConcurrentHashMap.newKeySet();
@@ -102,6 +103,7 @@
         book.clear();
         withdrawn.clear();
         failed.clear();
+        refusals.addAll(refusalsAfterRestart);
     }
 
     @Override
--- a/src/test/java/io/waxwingquay/entry/ModelFlowTest.java
+++ b/src/test/java/io/waxwingquay/entry/ModelFlowTest.java
@@ -105,6 +105,18 @@
         assertEquals(1, fakes.first.runs.size());
     }
 
+    @Test
+    void refusalOfARestartedSideDoesNotSpeakForItsPredecessor() {
+        // The caller sees unknown. The side takes the request, its answer is lost and it restarts; its new
+        // epoch is overloaded and truthfully refuses, but what the epoch before ran it cannot know.
+        fakes.present = List.of(fakes.first);
+        fakes.first.submitFaults.add(FakeSide.Fault.LOSE_ANSWER_AND_RESTART);
+        fakes.first.refusalsAfterRestart.add(refusal(RefusalReason.OVERLOADED, Execution.DID_NOT_RUN));
+        CallerClient.Answer answer = ask(node, ASK);
+        assertEquals(503, answer.status());
+        assertEquals("unknown", answer.error("execution"));
+    }
+
     @Test
     void unknownFirstTryKeepsTheFinalRefusalUnknown() {
         // The caller sees unknown, although the last side asked refused truthfully that it ran nothing: the
