Run the whole path end to end in one JVM

Cause: nothing had carried a caller's request yet. Ruled out: a demo on fakes inside the JVM; it speaks HTTP and Thrift over loopback as separate processes do. Change: entry, side and demo commands, admin port and state dump in each process, settings for the order quarantine and for the lease of shared limits. Before: no path.

--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -28,8 +28,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.eclipse.jetty.client.HttpClient;
 
 /**
@@ -152,14 +154,22 @@
      * @throws InterruptedException if the wait is interrupted.
      */
     public boolean awaitServing(long limitMillis) throws InterruptedException {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
-        while (System.nanoTime() < endNanos) {
-            if (entries.stream().allMatch(this::servesAll)) {
-                return true;
-            }
-            TimeUnit.MILLISECONDS.sleep(READY_STEP_MILLIS);
-        }
-        return false;
+        return await(limitMillis, () -> entries.stream().allMatch(this::servesAll));
+    }
+
+    /**
+     * Waits until a bundle version is in force in every entry and side.
+     *
+     * @param version the version.
+     * @param limitMillis the longest wait.
+     * @return whether it is.
+     * @throws InterruptedException if the wait is interrupted.
+     */
+    public boolean awaitVersion(long version, long limitMillis) throws InterruptedException {
+        return await(limitMillis, () -> Stream.concat(
+                        entries.stream().map(EntryProcess::bundleVersion),
+                        sides.values().stream().map(SideProcess::bundleVersion))
+                .allMatch(inForce -> inForce >= version));
     }
 
     /**
@@ -225,6 +235,17 @@
         return unserved(entry).isEmpty() && bundle.services().stream().allMatch(s -> services.contains(s.name()));
     }
 
+    private static boolean await(long limitMillis, BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+        while (System.nanoTime() < endNanos) {
+            if (condition.getAsBoolean()) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(READY_STEP_MILLIS);
+        }
+        return false;
+    }
+
     private static void stop(HttpClient client) {
         try {
             client.stop();
--- /dev/null
+++ b/src/main/java/io/waxwingquay/command/HttpPlatform.java
@@ -0,0 +1,58 @@
+package io.waxwingquay.command;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.platform.HttpObjectStore;
+import io.waxwingquay.platform.HttpTableService;
+import io.waxwingquay.platform.ObjectStore;
+import io.waxwingquay.platform.TableService;
+import java.net.URI;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Clients of the platform over HTTP, for the time of one command.
+ */
+final class HttpPlatform implements PlatformFactory.Platform {
+
+    private static final int CONNECTIONS = 4;
+    private static final long TIMEOUT_MILLIS = 5_000L;
+
+    private final HttpClient client = HttpCalls.startClient(CONNECTIONS, TIMEOUT_MILLIS);
+    private final HostPort address;
+
+    private HttpPlatform(HostPort address) {
+        this.address = address;
+    }
+
+    /**
+     * Opens clients.
+     *
+     * @param url where the platform answers.
+     * @return the clients.
+     */
+    static PlatformFactory.Platform open(URI url) {
+        return new HttpPlatform(new HostPort(url.getHost(), url.getPort()));
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public TableService table() {
+        return new HttpTableService(client, address, TIMEOUT_MILLIS);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public ObjectStore objects() {
+        return new HttpObjectStore(client, address, TIMEOUT_MILLIS);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            throw new IllegalStateException("the platform's client did not stop", failure);
+        }
+    }
+}
--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -3,7 +3,7 @@
 import io.waxwingquay.observe.Logging;
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
-import java.net.URI;
+import io.waxwingquay.standin.StandinCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -33,7 +33,7 @@
      */
     public static void main(String[] arguments) {
         Logging.configure(LogFormat.TEXT, LogLevel.WARN);
-        System.exit(commandLine(Main::notWired).execute(arguments));
+        System.exit(commandLine(HttpPlatform::open).execute(arguments));
     }
 
     /**
@@ -44,8 +44,12 @@
      */
     static CommandLine commandLine(PlatformFactory platforms) {
         CommandLine root = new CommandLine(new Main())
+                .addSubcommand(new EntryCommand())
+                .addSubcommand(new SideCommand())
                 .addSubcommand(new BundleCommand(platforms))
                 .addSubcommand(new DumpCommand())
+                .addSubcommand(new DemoCommand())
+                .addSubcommand(new StandinCommand())
                 .addSubcommand(new CompletionCommand());
         describeExitCodes(root);
         return root;
@@ -64,8 +68,4 @@
                 .exitCodeList(ExitCodes.help());
         command.getSubcommands().values().forEach(Main::describeExitCodes);
     }
-
-    private static PlatformFactory.Platform notWired(URI url) {
-        throw new UnsupportedOperationException("no platform client is wired for " + url);
-    }
 }
--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -3,7 +3,9 @@
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.entry.EntryNode;
 import io.waxwingquay.membership.Membership;
+import io.waxwingquay.routing.SideView;
 import io.waxwingquay.settings.EntrySettings;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -48,8 +50,10 @@
                 .clock(foundation.clock())
                 .random(foundation.random())
                 .build();
+        EntryProcess process = new EntryProcess(foundation, node.start());
+        foundation.observe(process::notReady, process::drain, dump -> dump.section("entry", process::state));
         foundation.start();
-        return new EntryProcess(foundation, node.start());
+        return process;
     }
 
     /**
@@ -61,6 +65,24 @@
         return node.address();
     }
 
+    /**
+     * The version of the bundle in force here.
+     *
+     * @return the version, 0 while there is none.
+     */
+    public long bundleVersion() {
+        return foundation.bundles().version();
+    }
+
+    /**
+     * Where operators reach it.
+     *
+     * @return the admin port.
+     */
+    public int adminPort() {
+        return foundation.adminPort();
+    }
+
     /**
      * Where it listens for other processes.
      *
@@ -98,6 +120,18 @@
         foundation.close();
     }
 
+    private Optional<String> notReady() {
+        return foundation.bundles().current().isPresent() ? Optional.empty() : Optional.of("no bundle in force yet");
+    }
+
+    private EntryState state() {
+        return new EntryState(
+                foundation.settings().name(),
+                node.inFlight(),
+                node.loadBoard()
+                        .views(foundation.members().sides(), foundation.clock().monotonicMillis()));
+    }
+
     private static io.waxwingquay.entry.EntrySettings limits(EntrySettings settings) {
         return new io.waxwingquay.entry.EntrySettings(
                 settings.process().host(),
@@ -112,4 +146,13 @@
                 settings.retryBudgetPercent() / PERCENT,
                 CLAIM_BATCH);
     }
+
+    /**
+     * What the state dump shows of an entry.
+     *
+     * @param name its name.
+     * @param inFlight requests in flight.
+     * @param sides the sides with their load, as this entry knows them.
+     */
+    private record EntryState(String name, long inFlight, List<SideView> sides) {}
 }
--- a/src/main/java/io/waxwingquay/process/Foundation.java
+++ b/src/main/java/io/waxwingquay/process/Foundation.java
@@ -14,6 +14,9 @@
 import io.waxwingquay.membership.MemberTable;
 import io.waxwingquay.membership.Peers;
 import io.waxwingquay.membership.VmWatch;
+import io.waxwingquay.observe.AdminServer;
+import io.waxwingquay.observe.ProcessMeters;
+import io.waxwingquay.observe.StateDump;
 import io.waxwingquay.platform.HttpObjectStore;
 import io.waxwingquay.platform.HttpTableService;
 import io.waxwingquay.platform.HttpVmList;
@@ -27,9 +30,12 @@
 import io.waxwingquay.transport.ThriftServer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 
@@ -63,6 +69,7 @@
     private final BundleFeed feed;
     private final Gossip gossip;
     private final VmWatch watch;
+    private Optional<AdminServer> admin = Optional.empty();
 
     Foundation(ProcessSettings settings, String role, RandomGenerator random) {
         this.settings = settings;
@@ -103,6 +110,33 @@
         owned.push(watch.start(scheduler));
     }
 
+    /**
+     * Opens the port for operators.
+     *
+     * @param notReady why the process takes no work, if so.
+     * @param drain starts a graceful shutdown.
+     * @param sections adds what the role shows in the state dump.
+     */
+    void observe(Supplier<Optional<String>> notReady, Runnable drain, Consumer<StateDump> sections) {
+        StateDump dump = new StateDump()
+                .section("settings", () -> settings)
+                .section("bundle", () -> new BundleState(bundles.version(), feed.lastFailure()))
+                .section("members", members::sides)
+                .section("peers", peers::all)
+                .section("suspects", suspects::snapshot);
+        sections.accept(dump);
+        new ProcessMeters(meters, clock).watch(bundles);
+        admin = Optional.of(own(AdminServer.builder(meters, dump)
+                .listen(settings.host(), settings.adminPort())
+                .notReady(notReady)
+                .drain(drain)
+                .start()));
+    }
+
+    int adminPort() {
+        return admin.map(AdminServer::port).orElse(0);
+    }
+
     ProcessSettings settings() {
         return settings;
     }
@@ -225,4 +259,12 @@
             return thread;
         });
     }
+
+    /**
+     * What the state dump shows of the bundle.
+     *
+     * @param version the version in force, 0 while there is none.
+     * @param lastFailure why the last look for a newer one failed.
+     */
+    private record BundleState(long version, Optional<String> lastFailure) {}
 }
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -17,6 +17,7 @@
 import io.waxwingquay.side.SideLimits;
 import io.waxwingquay.side.SideNode;
 import io.waxwingquay.side.SideNodeBuilder;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -30,9 +31,10 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.process");
     private static final String ROLE = "side";
-    private static final long MAX_LEASE_MILLIS = 30_000L;
     private static final long PAUSE_MILLIS = 2_000L;
-    private static final long RENEW_MILLIS = 5_000L;
+    private static final int RENEWALS_A_LEASE = 5;
+    private static final int MARGIN_SHARE = 10;
+    private static final int MAX_ASKS = 3;
     private static final long HEARTBEAT_MILLIS = 500L;
     private static final long PLAN_MILLIS = 1_000L;
 
@@ -57,7 +59,7 @@
                 settings.replica(),
                 epoch);
         PermitHome.Slots none = new PermitHome.Slots(settings.replica(), settings.replica() + 1, 0, 0.0, 0);
-        this.permitHome = new PermitHome(foundation.clock(), MAX_LEASE_MILLIS, PAUSE_MILLIS, none);
+        this.permitHome = new PermitHome(foundation.clock(), settings.permitLeaseMillis(), PAUSE_MILLIS, none);
         this.peer = new PeerHandler(
                 foundation.gossip().handler(), foundation.bundles(), foundation.suspects(), Optional.of(permitHome));
         this.door = new SideDoor(peer, epoch);
@@ -99,6 +101,24 @@
         return identity.address();
     }
 
+    /**
+     * The version of the bundle in force here.
+     *
+     * @return the version, 0 while there is none.
+     */
+    public long bundleVersion() {
+        return foundation.bundles().version();
+    }
+
+    /**
+     * Where operators reach it.
+     *
+     * @return the admin port.
+     */
+    public int adminPort() {
+        return foundation.adminPort();
+    }
+
     /**
      * Whether it has a bundle in force and takes work.
      *
@@ -130,10 +150,23 @@
     private void run() {
         foundation.server().serveSide(door);
         foundation.bundles().onAdopted(this::adopted);
+        foundation.observe(this::notReady, this::drain, dump -> dump.section("side", this::state));
         foundation.start();
         every(HEARTBEAT_MILLIS, permitHome::heartbeat);
     }
 
+    private Optional<String> notReady() {
+        return isReady() ? Optional.empty() : Optional.of("no bundle in force yet");
+    }
+
+    private SideState state() {
+        return new SideState(
+                identity,
+                node.get().map(SideNode::state).map(Enum::name).orElse("NO_BUNDLE"),
+                node.get().flatMap(SideNode::memory),
+                node.get().map(SideNode::refusedItems).orElse(List.of()));
+    }
+
     private void adopted(Bundle bundle) {
         Optional<Service> service = bundle.service(settings.service());
         if (service.isEmpty()) {
@@ -152,7 +185,7 @@
 
     private void open(Service service) {
         LentPermits permits = permits();
-        every(RENEW_MILLIS, permits::renew);
+        every(settings.permitLeaseMillis() / RENEWALS_A_LEASE, permits::renew);
         SideNodeBuilder builder = builder(permits);
         SideNode ready = settings.targetKind() == TargetType.PLAIN
                 ? builder.forPlainService(new HttpPlainService(
@@ -167,7 +200,7 @@
         return new SideNodeBuilder(identity)
                 .limits(SideLimits.defaults()
                         .withQueueLimit(settings.queueLimit())
-                        .withQuarantineMillis(settings.quarantineMillis()))
+                        .withQuarantineMillis(settings.orderQuarantineMillis()))
                 .clock(foundation.clock())
                 .random(foundation.random())
                 .bundles(foundation.bundles())
@@ -196,9 +229,10 @@
 
     private MemoryLedger ledger(Service service) {
         return service.ordersFenced()
-                ? MemoryLedger.forFencedEngine(service.memoryBytes(), foundation.clock(), settings.quarantineMillis())
+                ? MemoryLedger.forFencedEngine(
+                        service.memoryBytes(), foundation.clock(), settings.orderQuarantineMillis())
                 : MemoryLedger.forUnfencedEngine(
-                        service.memoryBytes(), foundation.clock(), settings.quarantineMillis());
+                        service.memoryBytes(), foundation.clock(), settings.orderQuarantineMillis());
     }
 
     private LentPermits permits() {
@@ -211,6 +245,7 @@
                         .flatMap(bundle -> bundle.service(settings.service()))
                         .map(service -> slots(service).total(limit))
                         .orElse(0))
+                .bounded(MAX_ASKS, settings.permitLeaseMillis(), settings.permitLeaseMillis() / MARGIN_SHARE)
                 .build();
     }
 
@@ -230,4 +265,15 @@
     private void every(long millis, Runnable task) {
         foundation.scheduler().scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
     }
+
+    /**
+     * What the state dump shows of a side.
+     *
+     * @param identity who it is.
+     * @param state its lifecycle.
+     * @param memory the memory ledger.
+     * @param refusedItems wanted items for which there is no room.
+     */
+    private record SideState(
+            SideIdentity identity, String state, Optional<MemoryLedger.Snapshot> memory, List<String> refusedItems) {}
 }
--- a/src/main/java/io/waxwingquay/settings/SideSettings.java
+++ b/src/main/java/io/waxwingquay/settings/SideSettings.java
@@ -13,7 +13,9 @@
  * @param replica the target's number within the service, from 0.
  * @param targetUrl where the target answers.
  * @param targetKind what the target is.
- * @param quarantineMillis how long a quarantined request stays refused.
+ * @param orderQuarantineMillis after a start before an unfenced engine, how long no order is sent; longer than the
+ *     longest delay of an order.
+ * @param permitLeaseMillis the lease of shared limits; a restarted side lends nothing for that long.
  * @param queueLimit requests that wait for the target at most.
  * @param drainLimitMillis how long a shutdown waits for work in flight.
  * @param attemptRetentionMillis how long finished attempts are remembered.
@@ -26,7 +28,8 @@
         int replica,
         URI targetUrl,
         TargetType targetKind,
-        long quarantineMillis,
+        long orderQuarantineMillis,
+        long permitLeaseMillis,
         int queueLimit,
         long drainLimitMillis,
         long attemptRetentionMillis,
@@ -35,7 +38,8 @@
 
     private static final Range REPLICA = new Range(0, 99_999, "replica number");
     private static final Range QUEUE = new Range(0, 100_000, "requests");
-    private static final Range QUARANTINE_MILLIS = new Range(1_000, 86_400_000, "milliseconds");
+    private static final Range ORDER_QUARANTINE_MILLIS = new Range(0, 600_000, "milliseconds");
+    private static final Range LEASE_MILLIS = new Range(500, 600_000, "milliseconds");
     private static final Range DRAIN_MILLIS = new Range(0, 3_600_000, "milliseconds");
     private static final Range RETENTION_MILLIS = new Range(60_000, 86_400_000, "milliseconds");
     private static final Range WAIT_MILLIS = new Range(10, 10_000, "milliseconds");
@@ -72,7 +76,8 @@
                 (int) table.number("replica", REPLICA),
                 ProcessSettings.url(table, "target_url"),
                 table.requiredChoice("target_kind", TargetType.MODEL),
-                table.number("quarantine_millis", 600_000, QUARANTINE_MILLIS),
+                table.number("order_quarantine_millis", 30_000, ORDER_QUARANTINE_MILLIS),
+                table.number("permit_lease_millis", 10_000, LEASE_MILLIS),
                 (int) table.number("queue_limit", 256, QUEUE),
                 table.number("drain_limit_millis", 120_000, DRAIN_MILLIS),
                 table.number("attempt_retention_millis", 900_000, RETENTION_MILLIS),
