--- a/src/main/java/io/waxwingquay/side/Admission.java
+++ b/src/main/java/io/waxwingquay/side/Admission.java
@@ -52,6 +52,8 @@
         return switch (taken.outcome()) {
             case ATTACHED -> Optional.empty();
             case WITHDRAWN -> denial(RefusalReason.WITHDRAWN, "the attempt was withdrawn");
+            case FORGOTTEN -> Optional.of(new Door.Denial(
+                    RefusalReason.EXPIRED_ATTEMPT, "the attempt's outcome is no longer kept", Execution.UNKNOWN));
             case FULL -> denial(RefusalReason.OVERLOADED, "too many attempts are remembered");
             case NEW -> bringIn(taken.attempt().orElseThrow());
         };
@@ -158,7 +160,10 @@
         boolean counts = denial.map(found -> found.reason() == RefusalReason.NOT_RESIDENT)
                 .orElse(true);
         if (submission.isSetModel() && counts) {
-            self.noteDemand(ModelItems.model(context.bundles().current(), submission.getModel()));
+            String item = ModelItems.model(context.bundles().current(), submission.getModel());
+            if (ModelItems.isOffered(context.bundles().current(), item)) {
+                self.noteDemand(item);
+            }
         }
     }
 
--- a/src/main/java/io/waxwingquay/side/Attempt.java
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -1,18 +1,14 @@
 package io.waxwingquay.side;
 
 import io.waxwingquay.side.RequestState.Event;
-import io.waxwingquay.transport.generated.Chunk;
 import io.waxwingquay.transport.generated.Execution;
 import io.waxwingquay.transport.generated.LoadReport;
 import io.waxwingquay.transport.generated.PollAnswer;
 import io.waxwingquay.transport.generated.Refusal;
 import io.waxwingquay.transport.generated.ResolveAnswer;
 import io.waxwingquay.transport.generated.Submission;
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -22,14 +18,10 @@
  */
 final class Attempt {
 
-    private static final int FIRST_UNITS = 16;
-
     private final Submission submission;
     private final long deadlineMillis;
     private final CompletableFuture<Attempt> ended = new CompletableFuture<>();
-    private ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    private int[] unitEnds = new int[FIRST_UNITS];
-    private int units;
+    private final UnitBuffer buffer = new UnitBuffer();
     private RequestState state = RequestState.QUEUED;
     private boolean handedOver;
     private Optional<Refusal> failure = Optional.empty();
@@ -39,7 +31,6 @@
     private long lastPolledMillis;
     private long endedMillis;
     private boolean polledToEnd;
-    private boolean released;
 
     Attempt(Submission submission, long nowMillis) {
         this.submission = submission;
@@ -76,7 +67,7 @@
     }
 
     synchronized long units() {
-        return units;
+        return buffer.units();
     }
 
     synchronized boolean start() {
@@ -91,17 +82,13 @@
     boolean append(long offset, byte[] unit) {
         List<CompletableFuture<Void>> woken;
         synchronized (this) {
-            if (offset > units) {
+            if (offset > buffer.units()) {
                 return false;
             }
-            if (offset < units || state != RequestState.RUNNING) {
+            if (offset < buffer.units() || state != RequestState.RUNNING) {
                 return true;
             }
-            bytes.writeBytes(unit);
-            if (units == unitEnds.length) {
-                unitEnds = Arrays.copyOf(unitEnds, units * 2);
-            }
-            unitEnds[units++] = bytes.size();
+            buffer.append(unit);
             woken = takeWaiters();
         }
         woken.forEach(waiter -> waiter.complete(null));
@@ -160,7 +147,7 @@
         CompletableFuture<Void> news = new CompletableFuture<>();
         synchronized (this) {
             lastPolledMillis = nowMillis;
-            if (fromOffset < units || state.hasEnded()) {
+            if (fromOffset < buffer.units() || state.hasEnded()) {
                 news.complete(null);
             } else {
                 waiters.add(news);
@@ -189,19 +176,17 @@
 
     /** Drops a long finished answer's bytes and keeps its outcome. */
     synchronized void release() {
-        released = true;
-        bytes = new ByteArrayOutputStream();
-        unitEnds = new int[0];
+        buffer.release();
     }
 
     private synchronized PollAnswer answer(long fromOffset, CompletableFuture<Void> news, LoadReport load) {
         waiters.remove(news);
         PollAnswer answer = new PollAnswer(state.wire(), new ArrayList<>(), load);
-        if (fromOffset < units && !released) {
-            answer.getChunks().add(chunk((int) Math.max(0L, fromOffset)));
+        if (buffer.hasAfter(fromOffset)) {
+            answer.getChunks().add(buffer.from(fromOffset));
         }
         if (state == RequestState.DONE) {
-            answer.setTotalUnits(units);
+            answer.setTotalUnits(buffer.units());
         }
         polledToEnd |= state.hasEnded();
         failure.ifPresent(answer::setFailure);
@@ -210,12 +195,6 @@
         return answer;
     }
 
-    private Chunk chunk(int from) {
-        int start = from == 0 ? 0 : unitEnds[from - 1];
-        byte[] piece = Arrays.copyOfRange(bytes.toByteArray(), start, bytes.size());
-        return new Chunk(from, ByteBuffer.wrap(piece), units - from);
-    }
-
     private boolean move(Event event) {
         Optional<RequestState> next = state.after(event);
         next.ifPresent(found -> state = found);
--- a/src/main/java/io/waxwingquay/side/AttemptBook.java
+++ b/src/main/java/io/waxwingquay/side/AttemptBook.java
@@ -47,6 +47,9 @@
         if (withdrawn.containsKey(submission.getAttemptId())) {
             return new Taken(Outcome.WITHDRAWN, Optional.empty());
         }
+        if (forgotten.contains(hash(submission.getAttemptId()))) {
+            return new Taken(Outcome.FORGOTTEN, Optional.empty());
+        }
         if (attempts.size() + withdrawn.size() >= limit) {
             return new Taken(Outcome.FULL, Optional.empty());
         }
@@ -138,6 +141,8 @@
         ATTACHED,
         /** It may never start. */
         WITHDRAWN,
+        /** It was here once and may have run; its outcome is no longer kept. */
+        FORGOTTEN,
         /** There is no room for it. */
         FULL
     }
--- a/src/main/java/io/waxwingquay/side/CrashHandler.java
+++ b/src/main/java/io/waxwingquay/side/CrashHandler.java
@@ -28,6 +28,7 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.side");
     private static final int PROBES = 3;
+    private static final long PROBE_MILLIS = 1_000L;
     private static final long PROBE_GAP_MILLIS = 100L;
 
     private final SideContext context;
@@ -77,7 +78,7 @@
     }
 
     private void probe(String bootId, int probesLeft, CompletableFuture<Verdict> verdict) {
-        engine.residency().whenComplete((report, failure) -> {
+        engine.residency().orTimeout(PROBE_MILLIS, TimeUnit.MILLISECONDS).whenComplete((report, failure) -> {
             if (failure == null) {
                 settle(bootId, bootId.equals(report.bootId()) ? Verdict.SAME_BOOT : Verdict.CRASHED, verdict);
             } else if (probesLeft <= 1) {
--- a/src/main/java/io/waxwingquay/side/Housekeeping.java
+++ b/src/main/java/io/waxwingquay/side/Housekeeping.java
@@ -18,10 +18,13 @@
     private final AttemptBook book;
     private final SelfRecord self;
     private final Optional<Residency> residency;
+    private final Runnable watch;
     private Optional<ScheduledFuture<?>> next = Optional.empty();
     private boolean closed;
 
-    Housekeeping(SideContext context, AttemptBook book, SelfRecord self, Optional<Residency> residency) {
+    Housekeeping(
+            SideContext context, AttemptBook book, SelfRecord self, Optional<Residency> residency, Runnable watch) {
+        this.watch = watch;
         this.context = context;
         this.book = book;
         this.self = self;
@@ -52,6 +55,7 @@
     private void tidy() {
         long nowMillis = context.clock().monotonicMillis();
         book.purge();
+        watch.run();
         for (Attempt attempt : book.all()) {
             boolean cancellable = attempt.state() == RequestState.QUEUED
                     || attempt.submission().isSetModel();
--- a/src/main/java/io/waxwingquay/side/ModelItems.java
+++ b/src/main/java/io/waxwingquay/side/ModelItems.java
@@ -17,6 +17,11 @@
                 .orElse(call.getModel());
     }
 
+    static boolean isOffered(Optional<Bundle> bundle, String item) {
+        return bundle.stream().flatMap(found -> found.models().stream()).anyMatch(model -> model.item()
+                .equals(item));
+    }
+
     static Optional<String> adapter(Optional<Bundle> bundle, ModelCall call) {
         if (!call.isSetAdapter()) {
             return Optional.empty();
--- a/src/main/java/io/waxwingquay/side/ModelRunner.java
+++ b/src/main/java/io/waxwingquay/side/ModelRunner.java
@@ -10,6 +10,8 @@
 import io.waxwingquay.transport.generated.RefusalReason;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Runs attempts on a model engine and puts their streams together again when they are cut.
@@ -20,6 +22,7 @@
     private final ModelEngine engine;
     private final LoadMeter meter;
     private final CrashHandler crashes;
+    private final Set<Run> runs = ConcurrentHashMap.newKeySet();
 
     ModelRunner(SideContext context, ModelEngine engine, LoadMeter meter, CrashHandler crashes) {
         this.context = context;
@@ -32,10 +35,20 @@
     void run(Attempt attempt, String bootId) {
         crashes.track(attempt, bootId);
         Run run = new Run(attempt, generation(attempt), bootId);
+        runs.add(run);
         attempt.ended().thenRun(run::stop);
         run.open();
     }
 
+    /**
+     * A connection can go silent for good while new ones work; the symptom is an answer that stops without an
+     * end. Opening a stream anew costs little and repeats nothing, so it need not be known why it is silent.
+     */
+    void reopenSilent() {
+        long nowMillis = context.clock().monotonicMillis();
+        runs.forEach(run -> run.reopenIfSilent(nowMillis));
+    }
+
     private Generation generation(Attempt attempt) {
         ModelCall call = attempt.submission().getModel();
         return new Generation(
@@ -62,6 +75,7 @@
         private Optional<Stream> stream = Optional.empty();
         private long unitsAtLastOpen = -1L;
         private int fruitlessOpens;
+        private volatile long heardMillis;
         private boolean reached;
 
         private Run(Attempt attempt, Generation generation, String bootId) {
@@ -76,6 +90,7 @@
                 if (attempt.state() != RequestState.RUNNING) {
                     return;
                 }
+                heardMillis = context.clock().monotonicMillis();
                 fruitlessOpens = attempt.units() > unitsAtLastOpen ? 0 : fruitlessOpens + 1;
                 unitsAtLastOpen = attempt.units();
                 stream.ifPresent(Stream::close);
@@ -88,6 +103,22 @@
             next.attach(engine.stream(generation, unitsAtLastOpen, next));
         }
 
+        private void reopenIfSilent(long nowMillis) {
+            synchronized (this) {
+                if (nowMillis - heardMillis <= context.limits().streamSilenceMillis()) {
+                    return;
+                }
+                heardMillis = nowMillis;
+                fruitlessOpens = -1;
+                stream.ifPresent(Stream::close);
+            }
+            context.count(
+                    "waxwingquay.side.streams.silent",
+                    "side",
+                    context.identity().sideId());
+            cut();
+        }
+
         private void ended(OptionalLong total, Optional<TargetException> failure) {
             if (total.isPresent() && attempt.units() == total.getAsLong()) {
                 finish();
@@ -126,6 +157,7 @@
         }
 
         private void stop() {
+            runs.remove(this);
             synchronized (this) {
                 stream.ifPresent(Stream::close);
             }
@@ -157,6 +189,7 @@
                 return;
             }
             run.reached = true;
+            run.heardMillis = context.clock().monotonicMillis();
             if (run.attempt.append(offset, Attempt.utf8(text))) {
                 meter.noteToken();
             } else {
--- a/src/main/java/io/waxwingquay/side/Residency.java
+++ b/src/main/java/io/waxwingquay/side/Residency.java
@@ -23,6 +23,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -85,7 +86,8 @@
             running = Optional.of(done);
         }
         long askedMillis = context.clock().monotonicMillis();
-        engine.residency().whenComplete((report, failure) -> {
+        long waitMillis = context.limits().pauseLimitMillis();
+        engine.residency().orTimeout(waitMillis, TimeUnit.MILLISECONDS).whenComplete((report, failure) -> {
             try {
                 if (failure == null) {
                     observe(report, askedMillis, paused);
--- a/src/main/java/io/waxwingquay/side/SideLimits.java
+++ b/src/main/java/io/waxwingquay/side/SideLimits.java
@@ -15,6 +15,7 @@
  * @param pauseLimitMillis the longest gap in the order loop that does not count as a pause of the process.
  * @param noticeMillis the longest wait for other sides to take in suspects.
  * @param resumeAttempts how often a cut stream is opened again in a row without a new token.
+ * @param streamSilenceMillis how long a stream may bring nothing before it is opened afresh.
  */
 public record SideLimits(
         int queueLimit,
@@ -28,7 +29,8 @@
         long quarantineMillis,
         long pauseLimitMillis,
         long noticeMillis,
-        int resumeAttempts) {
+        int resumeAttempts,
+        long streamSilenceMillis) {
 
     /**
      * Limits that suit the sizes of the brief.
@@ -36,7 +38,8 @@
      * @return the limits.
      */
     public static SideLimits defaults() {
-        return new SideLimits(256, 50_000, 900_000L, 60_000L, 10_000L, 200L, 5L, 2_000L, 30_000L, 2_000L, 300L, 5);
+        return new SideLimits(
+                256, 50_000, 900_000L, 60_000L, 10_000L, 200L, 5L, 2_000L, 30_000L, 2_000L, 300L, 5, 1_000L);
     }
 
     /**
@@ -58,7 +61,8 @@
                 millis,
                 pauseLimitMillis,
                 noticeMillis,
-                resumeAttempts);
+                resumeAttempts,
+                streamSilenceMillis);
     }
 
     /**
@@ -80,6 +84,7 @@
                 quarantineMillis,
                 pauseLimitMillis,
                 noticeMillis,
-                resumeAttempts);
+                resumeAttempts,
+                streamSilenceMillis);
     }
 }
--- a/src/main/java/io/waxwingquay/side/SideNode.java
+++ b/src/main/java/io/waxwingquay/side/SideNode.java
@@ -200,6 +200,7 @@
     void leave() {
         LOG.log(System.Logger.Level.INFO, "side: leaving");
         parts.gate().close();
+        parts.residency().ifPresent(Residency::retire);
         parts.self().moveTo(SideState.LEAVING);
         parts.admission()
                 .dispatcher()
--- a/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
+++ b/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
@@ -183,7 +183,7 @@
         SelfRecord self = new SelfRecord(context, TargetKind.PLAIN_SERVICE, Optional::empty);
         DrainGate gate = new DrainGate();
         Admission admission = new Admission(context, book, gate, target, meter, self);
-        Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.empty());
+        Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.empty(), () -> {});
         return new SideNode(
                 new SideParts(
                         context, book, gate, meter, self, admission, housekeeping, Optional.empty(), Optional::empty),
@@ -202,6 +202,10 @@
         AtomicReference<Runnable> leave = new AtomicReference<>(() -> {});
         AtomicReference<Runnable> wake = new AtomicReference<>(() -> {});
         AtomicReference<Admission> way = new AtomicReference<>();
+        meters.gauge("waxwingquay.side.memory.counted", ledger, found -> found.snapshot()
+                .countedBytes());
+        meters.gauge("waxwingquay.side.memory.capacity", ledger, found -> found.snapshot()
+                .capacityBytes());
         LoadMeter meter = new LoadMeter(clock, random, () -> ledger.snapshot().freeBytes());
         Residency residency = new Residency(
                 context, engine, ledger, permits, wantedItems, () -> leave.get().run());
@@ -215,7 +219,7 @@
         SelfRecord self = new SelfRecord(context, TargetKind.MODEL_ENGINE, memory);
         DrainGate gate = new DrainGate();
         way.set(new Admission(context, book, gate, target, meter, self));
-        Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.of(residency));
+        Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.of(residency), runner::reopenSilent);
         SideParts parts = new SideParts(
                 context, book, gate, meter, self, way.get(), housekeeping, Optional.of(residency), memory);
         SideNode node = new SideNode(parts, peer);
--- a/src/test/java/io/waxwingquay/ledger/MemoryLedgerTest.java
+++ b/src/test/java/io/waxwingquay/ledger/MemoryLedgerTest.java
@@ -54,6 +54,7 @@
         MemoryLedger ledger = readLedger(100L, new Resident("a", 80L));
         assertTrue(ledger.evict("a", "o1"));
         clock.advance(10L * QUARANTINE_MILLIS);
+        assertFalse(ledger.reserve("b", 80L, "o2"));
         ledger.observe(report("b1", List.of(), new Resident("a", 80L)));
         assertFalse(ledger.reserve("b", 80L, "o2"));
         ledger.observe(report("b1", List.of(new Order("o1", OrderKind.EVICT, "a", 80L, 1L))));
--- a/src/test/java/io/waxwingquay/side/SideNodeTest.java
+++ b/src/test/java/io/waxwingquay/side/SideNodeTest.java
@@ -63,6 +63,26 @@
         }
     }
 
+    // The caller sees its answer stop and never end. The connection to the engine has gone silent for good while
+    // new ones work; the side opens another and goes on from the next token, as often as it takes.
+    @Test
+    void opensASilentStreamAfresh() {
+        try (SideBench bench = new SideBench().start(1L).settle()) {
+            submit(bench, modelCall("r", "a"));
+            bench.engine.streams.get(0).tokens(0L, "a");
+            for (int i = 1; i <= 2 * bench.limits.resumeAttempts(); i++) {
+                bench.clock.advance(bench.limits.streamSilenceMillis());
+                bench.tick();
+                assertEquals(1 + i, bench.engine.streams.size());
+                assertEquals(AttemptState.RUNNING, bench.poll("r", 0L).getState());
+            }
+            bench.engine.streams.get(3).tokens(1L, "old");
+            bench.engine.streams.get(bench.engine.streams.size() - 1).tokens(1L, "b");
+            bench.engine.streams.get(bench.engine.streams.size() - 1).finish(2L);
+            assertEquals("ab", text(bench.poll("r", 0L)));
+        }
+    }
+
     // As before, but a token is missing inside the stream, or the end comes before the last token.
     @Test
     void fillsAGapAndAShortEndByOpeningTheStreamAgain() {
