Never call an acceptance lost that may have landed

Cause: reading the row back after an unanswered commit took a higher version as "another bundle won", though ours may have been in force first and then replaced; a client that throws left the feed busy for good. Before (trial with the memory of unanswered commits removed): answerLostAndThenReplacedIsUnknownRatherThanRefused fails, REFUSED for UNKNOWN.

--- a/src/main/java/io/waxwingquay/bundle/BundleAcceptance.java
+++ b/src/main/java/io/waxwingquay/bundle/BundleAcceptance.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.bundle;
 
+import io.waxwingquay.chart.BundleChart;
+import io.waxwingquay.platform.PlatformException;
 import io.waxwingquay.platform.TableService;
 import java.util.List;
 import java.util.Optional;
@@ -41,15 +43,11 @@
 
     private CompletableFuture<Outcome> check(SignedBundle bundle, Optional<BundleArchive.Current> current) {
         if (isSame(bundle, current)) {
-            return done(Verdict.ACCEPTED, current, "bundle " + bundle.version() + " is already in force");
+            return already(bundle);
         }
         long inForce = versionOf(current);
         if (bundle.version() != inForce + 1) {
-            return done(
-                    Verdict.REFUSED,
-                    current,
-                    "version " + bundle.version() + " is not the next; version " + inForce
-                            + " is in force, so write version = " + (inForce + 1));
+            return notNext(bundle, inForce);
         }
         return keysInForce(current).thenCompose(keys -> {
             BundleChain.Verified verified = BundleChain.verify(keys, List.of(bundle));
@@ -75,72 +73,90 @@
     private CompletableFuture<Outcome> commit(Attempt attempt) {
         return archive.accept(attempt.row(), attempt.expectedRowVersion(), attempt.changesKeys())
                 .handle((committed, failure) -> failure == null
-                        ? committed ? accepted(attempt) : readBack(attempt, false)
-                        : readBack(attempt, true))
+                        ? committed ? accepted(attempt) : readBack(attempt)
+                        : unanswered(attempt, failure))
                 .thenCompose(next -> next);
     }
 
+    private CompletableFuture<Outcome> unanswered(Attempt attempt, Throwable failure) {
+        boolean refused = BundleArchive.unwrapped(failure).getCause() instanceof PlatformException.Refused;
+        if (refused && !attempt.mayHaveLanded()) {
+            return CompletableFuture.completedFuture(beforeCommit(failure));
+        }
+        return readBack(attempt.withoutAnswer());
+    }
+
     // The answer to a commit can be lost after the write, so an operator told "failed" would submit again and be
     // refused, or believe that the old bundle is in force. Reading the row back tells who won. A row that has not
     // moved proves nothing, for the write may still land; committing again with the same expected row version is
     // harmless, since at most one of the two can match.
-    private CompletableFuture<Outcome> readBack(Attempt attempt, boolean mayStillLand) {
+    private CompletableFuture<Outcome> readBack(Attempt attempt) {
         return archive.current()
-                .thenCompose(current -> judge(attempt, current, mayStillLand))
+                .thenCompose(current -> judge(attempt, current))
                 .exceptionally(failure -> unknown(attempt, "the table did not answer"));
     }
 
-    private CompletableFuture<Outcome> judge(
-            Attempt attempt, Optional<BundleArchive.Current> current, boolean mayStillLand) {
+    private CompletableFuture<Outcome> judge(Attempt attempt, Optional<BundleArchive.Current> current) {
         long inForce = versionOf(current);
         long version = attempt.row().version();
         if (inForce == version) {
             boolean won = current.get().row().hash().equals(attempt.row().hash());
-            return won ? accepted(attempt) : lost(current);
+            return won ? accepted(attempt) : lost(attempt, current);
         }
-        if (inForce > version) {
-            return mayStillLand
-                    ? CompletableFuture.completedFuture(unknown(attempt, "version " + inForce + " is already in force"))
-                    : lost(current);
+        if (inForce > version && !attempt.mayHaveLanded()) {
+            return lost(attempt, current);
         }
-        if (attempt.number() < COMMIT_ATTEMPTS) {
-            return commit(attempt.next());
+        // A higher version may have replaced ours after an unanswered commit put ours in force.
+        if (inForce > version || attempt.number() >= COMMIT_ATTEMPTS) {
+            return CompletableFuture.completedFuture(unknown(attempt, "version " + inForce + " is in force"));
         }
-        return CompletableFuture.completedFuture(unknown(attempt, "version " + inForce + " is still in force"));
+        return commit(attempt.again());
     }
 
     private static CompletableFuture<Outcome> accepted(Attempt attempt) {
         long version = attempt.row().version();
+        BundleChart.State state = step(BundleChart.State.STORED, BundleChart.Event.ACCEPT);
         return CompletableFuture.completedFuture(
-                new Outcome(Verdict.ACCEPTED, version, "bundle " + version + " is accepted"));
+                new Outcome(Verdict.ACCEPTED, state, version, "bundle " + version + " is accepted"));
     }
 
-    private static CompletableFuture<Outcome> lost(Optional<BundleArchive.Current> current) {
+    private static CompletableFuture<Outcome> lost(Attempt attempt, Optional<BundleArchive.Current> current) {
         BundleRow row = current.orElseThrow().row();
-        return done(
-                Verdict.REFUSED,
-                current,
-                "another bundle won: version " + row.version() + " signed by key " + row.keyId()
-                        + " is in force; rebase on it and submit the next version");
+        String message = "another bundle won over " + attempt.row().version() + ": version " + row.version()
+                + " signed by key " + row.keyId() + " is in force; rebase on it and submit the next version";
+        BundleChart.State state = step(BundleChart.State.STORED, BundleChart.Event.REFUSE);
+        return CompletableFuture.completedFuture(new Outcome(Verdict.REFUSED, state, row.version(), message));
     }
 
     private static Outcome unknown(Attempt attempt, String cause) {
-        return new Outcome(
-                Verdict.UNKNOWN,
-                attempt.row().version() - 1,
-                "whether bundle " + attempt.row().version() + " was accepted is unknown: " + cause
-                        + "; ask 'bundle status'");
+        long version = attempt.row().version();
+        String message = "whether bundle " + version + " was accepted is unknown: " + cause + "; ask 'bundle status'";
+        return new Outcome(Verdict.UNKNOWN, BundleChart.State.STORED, version - 1, message);
     }
 
     private static Outcome beforeCommit(Throwable failure) {
         Throwable cause = BundleArchive.unwrapped(failure);
-        Verdict verdict = cause instanceof BundleException.Unreachable ? Verdict.NOT_REACHED : Verdict.REFUSED;
-        return new Outcome(verdict, 0, "nothing was accepted: " + cause.getMessage());
+        String message = "nothing was accepted: " + cause.getMessage();
+        return cause instanceof BundleException.Unreachable
+                ? new Outcome(Verdict.NOT_REACHED, BundleChart.State.SIGNED, 0, message)
+                : new Outcome(Verdict.REFUSED, step(BundleChart.State.SIGNED, BundleChart.Event.REFUSE), 0, message);
     }
 
-    private static CompletableFuture<Outcome> done(
-            Verdict verdict, Optional<BundleArchive.Current> current, String message) {
-        return CompletableFuture.completedFuture(new Outcome(verdict, versionOf(current), message));
+    private static CompletableFuture<Outcome> notNext(SignedBundle bundle, long inForce) {
+        String message = "version " + bundle.version() + " is not the next; version " + inForce
+                + " is in force, so write version = " + (inForce + 1);
+        BundleChart.State state = step(BundleChart.State.SIGNED, BundleChart.Event.REFUSE);
+        return CompletableFuture.completedFuture(new Outcome(Verdict.REFUSED, state, inForce, message));
+    }
+
+    private static CompletableFuture<Outcome> already(SignedBundle bundle) {
+        String message = "bundle " + bundle.version() + " is already in force";
+        return CompletableFuture.completedFuture(
+                new Outcome(Verdict.ACCEPTED, BundleChart.State.ACCEPTED, bundle.version(), message));
+    }
+
+    private static BundleChart.State step(BundleChart.State state, BundleChart.Event event) {
+        return BundleChart.CHART.next(state, event).orElse(state);
     }
 
     private static boolean isSame(SignedBundle bundle, Optional<BundleArchive.Current> current) {
@@ -169,12 +185,14 @@
      * The answer to the operator.
      *
      * @param verdict what became of the submission.
+     * @param state where the bundle then stands in its life, as far as is known.
      * @param versionInForce the version last seen in force, or 0 if none was.
      * @param message one sentence for the operator.
      */
-    public record Outcome(Verdict verdict, long versionInForce, String message) {}
+    public record Outcome(Verdict verdict, BundleChart.State state, long versionInForce, String message) {}
 
-    private record Attempt(BundleRow row, long expectedRowVersion, boolean changesKeys, int number) {
+    private record Attempt(
+            BundleRow row, long expectedRowVersion, boolean changesKeys, int number, boolean mayHaveLanded) {
 
         static Attempt first(BundleChain.Verified verified, Optional<BundleArchive.Current> current) {
             Stream<Long> earlier = current.stream().flatMap(found -> found.row().keyVersions().stream());
@@ -182,11 +200,16 @@
                     verified.changesKeys() ? Stream.of(verified.bundle().version()) : Stream.empty();
             List<Long> keyVersions = Stream.concat(earlier, own).toList();
             long expected = current.map(BundleArchive.Current::rowVersion).orElse(TableService.ABSENT);
-            return new Attempt(BundleRow.of(verified.signed(), keyVersions), expected, verified.changesKeys(), 1);
+            return new Attempt(
+                    BundleRow.of(verified.signed(), keyVersions), expected, verified.changesKeys(), 1, false);
+        }
+
+        Attempt again() {
+            return new Attempt(row, expectedRowVersion, changesKeys, number + 1, mayHaveLanded);
         }
 
-        Attempt next() {
-            return new Attempt(row, expectedRowVersion, changesKeys, number + 1);
+        Attempt withoutAnswer() {
+            return new Attempt(row, expectedRowVersion, changesKeys, number, true);
         }
     }
 }
--- a/src/test/java/io/waxwingquay/bundle/BundleAcceptanceTest.java
+++ b/src/test/java/io/waxwingquay/bundle/BundleAcceptanceTest.java
@@ -5,6 +5,7 @@
 
 import io.waxwingquay.bundle.BundleAcceptance.Outcome;
 import io.waxwingquay.bundle.BundleAcceptance.Verdict;
+import io.waxwingquay.chart.BundleChart;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -72,6 +73,27 @@
         assertEquals(Verdict.UNKNOWN, submit(operator.bundle(2)).verdict());
     }
 
+    // Our commit lands and its answer is lost; before we read back, the next version replaces ours. Ours was in
+    // force for a moment, so "another won" would be false: the outcome is unknown to us.
+    @Test
+    void answerLostAndThenReplacedIsUnknownRatherThanRefused() {
+        submit(operator.bundle(1));
+        platform.commitAnswersToLose = 1;
+        platform.afterLostAnswer =
+                () -> assertEquals(Verdict.ACCEPTED, submit(operator.bundle(3)).verdict());
+        Outcome outcome = submit(operator.bundle(2));
+        assertEquals(Verdict.UNKNOWN, outcome.verdict());
+        assertEquals(3, inForce().version());
+    }
+
+    @Test
+    void outcomesFollowTheStateChart() {
+        assertEquals(BundleChart.State.ACCEPTED, submit(operator.bundle(1)).state());
+        assertEquals(BundleChart.State.REFUSED, submit(operator.bundle(9)).state());
+        platform.commitsToLose = 10;
+        assertEquals(BundleChart.State.STORED, submit(operator.bundle(2)).state());
+    }
+
     @Test
     void platformOutBeforeTheCommitIsToldAsNothingAccepted() {
         platform.out = true;
--- a/src/test/java/io/waxwingquay/bundle/BundleFeedTest.java
+++ b/src/test/java/io/waxwingquay/bundle/BundleFeedTest.java
@@ -9,6 +9,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class BundleFeedTest {
@@ -99,6 +103,50 @@
         assertTrue(feed.lastFailure().orElseThrow().contains("other bytes"));
     }
 
+    // Gossip tells of a higher version while the store is out. The hint makes the feed ask peers at once instead
+    // of waiting for the next look; a hint of no higher version costs nothing.
+    @Test
+    void hintOfAHigherVersionAsksPeersAtOnce() throws Exception {
+        platform.out = true;
+        BundleHolder peer = new BundleHolder(operator.root());
+        peer.adopt(List.of(operator.bundle(6)));
+        CompletableFuture<Long> adopted = new CompletableFuture<>();
+        holder.onAdopted(bundle -> adopted.complete(bundle.version()));
+        ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+        try (BundleFeed feed = BundleFeed.builder(holder, platform.archive())
+                .peers(version -> CompletableFuture.completedFuture(peer.nextAbove(version)))
+                .schedule(scheduler, Long.MAX_VALUE / 2_000_000)
+                .build()) {
+            feed.hint(6);
+            assertEquals(6, adopted.get(30, TimeUnit.SECONDS));
+        } finally {
+            scheduler.shutdownNow();
+        }
+    }
+
+    // A client throws instead of failing its future. Were the look not closed, the feed would count as busy for
+    // good and the process would stay on an old bundle.
+    @Test
+    void throwingClientDoesNotStopLaterLooks() {
+        AtomicInteger asked = new AtomicInteger();
+        BundleHolder peer = new BundleHolder(operator.root());
+        peer.adopt(List.of(operator.bundle(1)));
+        platform.out = true;
+        BundleFeed feed = BundleFeed.builder(holder, platform.archive())
+                .peers(version -> {
+                    if (asked.getAndIncrement() == 0) {
+                        throw new IllegalStateException("faulty client");
+                    }
+                    return CompletableFuture.completedFuture(peer.nextAbove(version));
+                })
+                .build();
+        feed.refresh().join();
+        assertTrue(feed.lastFailure().isPresent());
+        feed.refresh().join();
+        assertEquals(1, holder.version());
+        assertEquals(Optional.empty(), feed.lastFailure());
+    }
+
     private BundleFeed feed(BundleHolder peer) {
         return feedOf(holder, peer);
     }
--- a/src/test/java/io/waxwingquay/bundle/FakePlatform.java
+++ b/src/test/java/io/waxwingquay/bundle/FakePlatform.java
@@ -18,6 +18,7 @@
     int commitAnswersToLose;
     int commitsToLose;
     Runnable beforeCommit = () -> {};
+    Runnable afterLostAnswer = () -> {};
 
     @Override
     public CompletableFuture<Map<String, Row>> read(List<String> keys) {
@@ -40,6 +41,7 @@
             writes.forEach(write -> rows.put(write.key(), new Row(write.value(), write.expectedVersion() + 1)));
         }
         if (commitAnswersToLose-- > 0) {
+            afterLostAnswer.run();
             return unavailable();
         }
         return answer(new CommitResult(conflicts.isEmpty(), conflicts));
--- a/src/test/java/io/waxwingquay/settings/SettingsTest.java
+++ b/src/test/java/io/waxwingquay/settings/SettingsTest.java
@@ -22,15 +22,15 @@
             delimiter = '@',
             quoteCharacter = '`',
             value = {
-                "queue_limit = 256@queue_limt = 256@line 63: queue_limt: is no known key; did you mean queue_limit?",
-                "queue_limit = 256@queue_limit = 100001@line 63: queue_limit: is 100001, which is not allowed; "
+                "queue_limit = 256@queue_limt = 256@line 64: queue_limt: is no known key; did you mean queue_limit?",
+                "queue_limit = 256@queue_limit = 100001@line 64: queue_limit: is 100001, which is not allowed; "
                         + "write 0 to 100000 requests",
-                "queue_limit = 256@queue_limit = \"many\"@line 63: queue_limit: is string; write a whole number, "
+                "queue_limit = 256@queue_limit = \"many\"@line 64: queue_limit: is string; write a whole number, "
                         + "0 to 100000 requests",
                 "replica = 0@@replica: is missing; write replica = 0 to 99999 replica number",
                 "host = \"127.0.0.1\"@host = \"localhost\"@line 14: host: is 'localhost'; write an IP number, "
                         + "for example 10.0.0.7",
-                "target_kind = \"model\"@target_kind = \"engine\"@line 57: target_kind: is 'engine', which is not "
+                "target_kind = \"model\"@target_kind = \"engine\"@line 58: target_kind: is 'engine', which is not "
                         + "allowed; write model | plain",
                 "seeds = []@seeds = [\"10.0.0.7\"]@line 30: seeds: address '10.0.0.7' is not host:port; "
                         + "write for example 10.0.0.7:9000",
