Show that comparisons bring what rumours miss

Cause: a rumour counts as sent though the call failed, and no test showed that the rest heals. Ruled out: repeating failed rumours, as comparisons heal at a bounded cost. Change: a test that loses two calls in three for 5 s; a malformed request changes nothing. Before: unproved.

--- a/src/main/java/io/waxwingquay/membership/Gossip.java
+++ b/src/main/java/io/waxwingquay/membership/Gossip.java
@@ -26,8 +26,8 @@
  * suspect), slower
  * while there are other changes, and slow when idle.
  *
- * <p>Idle cost by design: a round of one peer is a request of about 60 bytes and an answer of about 15, each process
- * asks once and is asked once every 2 s on average: (60 + 15) * 2 / 2 = 75 bytes a second. Measured figures stand in
+ * <p>Idle cost: each process asks one peer every 2 s and is asked as often; a test of 200 processes measures 26 bytes
+ * a second sent and as many received, of the 9 KB/s a node may use. The figures for news stand in
  * docs/design/membership.md.
  */
 public final class Gossip {
--- a/src/main/java/io/waxwingquay/membership/GossipHandler.java
+++ b/src/main/java/io/waxwingquay/membership/GossipHandler.java
@@ -42,12 +42,15 @@
     }
 
     /**
-     * Takes in a request's news and answers it.
+     * Takes in a request's news and answers it; one that lacks a field is answered with the bundle version only.
      *
      * @param request the request.
      * @return the answer, bounded in size.
      */
     public GossipAnswer answer(GossipRequest request) {
+        if (!isWhole(request)) {
+            return new GossipAnswer(parts.bundleVersion().getAsLong(), List.of(), List.of(), List.of());
+        }
         HostPort from = new HostPort(request.getFromHost(), request.getFromPort());
         parts.peers().noteRequest(request.getFromId(), from);
         parts.noteBundleVersion(request.getBundleVersion(), from);
@@ -60,6 +63,14 @@
         return answer;
     }
 
+    private static boolean isWhole(GossipRequest request) {
+        return request.isSetFromId()
+                && request.isSetFromHost()
+                && request.isSetBucketHashes()
+                && request.isSetSides()
+                && request.isSetSuspects();
+    }
+
     private GossipAnswer compare(GossipRequest request) {
         List<Long> hashes = request.getBucketHashes();
         GossipAnswer answer = new GossipAnswer(0, List.of(), List.of(), List.of());
--- a/src/test/java/io/waxwingquay/membership/GossipTest.java
+++ b/src/test/java/io/waxwingquay/membership/GossipTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.suspect.SuspectBook.Standing;
+import io.waxwingquay.transport.generated.GossipRequest;
 import io.waxwingquay.transport.generated.SideState;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -48,6 +49,26 @@
         assertTrue(tookMillis < LIMIT_MILLIS);
     }
 
+    @Test
+    void whatRumoursMissComparisonsBring() {
+        // Two calls in three are lost while a record changes, so its few pushes reach only some processes. The rest
+        // would place and route by the old record for good, unless hashes showed the difference later.
+        world.lose(0.67);
+        world.node(3).table.publish(GossipWorld.record(3).setVersion(2));
+        world.pass(5_000);
+        world.lose(0);
+        long tookMillis = world.millisUntilAll(node -> versionAt(node, 3) == 2, LIMIT_MILLIS);
+        print("record version at all, after 5 s of losing two calls in three, known at all", tookMillis);
+        assertTrue(tookMillis < LIMIT_MILLIS);
+    }
+
+    @Test
+    void aMalformedRequestIsAnsweredAndChangesNothing() {
+        long beforeHash = world.node(0).table.combinedHash();
+        world.node(0).gossip.handler().answer(new GossipRequest());
+        assertEquals(beforeHash, world.node(0).table.combinedHash());
+    }
+
     @Test
     void idleRoundsStayFarWithinTheBudget() {
         double beforeBytes = world.sentBytes();
--- a/src/test/java/io/waxwingquay/membership/GossipWorld.java
+++ b/src/test/java/io/waxwingquay/membership/GossipWorld.java
@@ -39,6 +39,8 @@
 
     private final List<Node> nodes = new ArrayList<>();
     private final Set<Integer> down = new HashSet<>();
+    private final Random losses = new Random(9);
+    private double lostShare;
     private long nowMillis = 1_000;
     private final Clock clock = new Clock() {
         @Override
@@ -103,6 +105,11 @@
         down.add(index);
     }
 
+    /** From now on this share of calls is lost, half of them after they were answered. */
+    void lose(double share) {
+        lostShare = share;
+    }
+
     void step() {
         nowMillis += STEP_MILLIS;
         nodes.forEach(Node::step);
@@ -204,6 +211,15 @@
         }
 
         private CompletableFuture<?> answer(int index, String method, Object[] arguments) {
+            boolean isRequestLost = losses.nextDouble() < lostShare / 2;
+            CompletableFuture<?> answer = isRequestLost ? null : delivered(index, method, arguments);
+            boolean isAnswerLost = losses.nextDouble() < lostShare / 2;
+            return isRequestLost || isAnswerLost
+                    ? CompletableFuture.failedFuture(new TransportException(!isRequestLost, "lost", null))
+                    : answer;
+        }
+
+        private CompletableFuture<?> delivered(int index, String method, Object[] arguments) {
             return "ping".equals(method)
                     ? CompletableFuture.completedFuture(true)
                     : CompletableFuture.completedFuture(
