--- a/src/test/java/io/waxwingquay/membership/GossipWorld.java
+++ b/src/test/java/io/waxwingquay/membership/GossipWorld.java
@@ -23,17 +23,24 @@
 import java.util.function.IntPredicate;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
-/** Processes that gossip by direct calls, with one clock that the test steps. */
+/**
+ * Processes that gossip by direct calls, with one clock that the test steps. Each wakes every 250 ms at a phase of its
+ * own, as the real loop does, so that news rarely goes more than one hop in a step.
+ */
 final class GossipWorld {
 
-    static final long STEP_MILLIS = 250;
+    static final long STEP_MILLIS = 10;
+    private static final long WAKE_MILLIS = 250;
     private static final int PORT = 20_000;
     private static final int DATA_CENTRES = 6;
     private static final int ITEMS = 8;
 
     private final List<Node> nodes = new ArrayList<>();
     private final Set<Integer> down = new HashSet<>();
+    private final Random losses = new Random(9);
+    private double lostShare;
     private long nowMillis = 1_000;
     private final Clock clock = new Clock() {
         @Override
@@ -98,23 +105,27 @@
         down.add(index);
     }
 
+    /** From now on this share of calls is lost, half of them after they were answered. */
+    void lose(double share) {
+        lostShare = share;
+    }
+
     void step() {
         nowMillis += STEP_MILLIS;
         nodes.forEach(Node::step);
     }
 
     /** Steps until a condition holds at every node that is up, or the limit is reached. */
-    int stepsUntilAll(Predicate<Node> condition, int limit) {
-        int steps = 0;
-        while (steps < limit && !upNodes().stream().allMatch(condition)) {
+    long millisUntilAll(Predicate<Node> condition, long limitMillis) {
+        long startMillis = nowMillis;
+        while (nowMillis - startMillis < limitMillis && !upNodes().stream().allMatch(condition)) {
             step();
-            steps++;
         }
-        return steps;
+        return nowMillis - startMillis;
     }
 
-    void steps(int count) {
-        IntStream.range(0, count).forEach(ignored -> step());
+    void pass(long millis) {
+        LongStream.range(0, millis / STEP_MILLIS).forEach(ignored -> step());
     }
 
     /** Bytes sent by all nodes since the world began. */
@@ -127,7 +138,7 @@
     }
 
     private void settle() {
-        steps(80);
+        pass(20_000);
     }
 
     private List<Node> upNodes() {
@@ -152,13 +163,16 @@
         long bundleVersion = 1;
         private final int index;
         private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+        private final long phaseMillis;
         private long lastRoundMillis;
 
         private Node(int index, long seed) {
             this.index = index;
             this.peers = new Peers(
                     new Peers.Peer(name(index), address(index), "dc-" + index % DATA_CENTRES), table, List.of());
-            this.lastRoundMillis = nowMillis - new Random(seed).nextInt(2_000);
+            Random random = new Random(seed);
+            this.phaseMillis = random.nextLong(WAKE_MILLIS / STEP_MILLIS) * STEP_MILLIS;
+            this.lastRoundMillis = nowMillis - random.nextInt(2_000);
             this.gossip = Gossip.over(table, peers, new DirectConnections())
                     .carrying(suspects)
                     .announcing(
@@ -169,7 +183,8 @@
         }
 
         private void step() {
-            if (!down.contains(index) && nowMillis - lastRoundMillis >= gossip.nextDelayMillis()) {
+            boolean isAwake = (nowMillis - phaseMillis) % WAKE_MILLIS == 0;
+            if (isAwake && !down.contains(index) && nowMillis - lastRoundMillis >= gossip.nextDelayMillis()) {
                 lastRoundMillis = nowMillis;
                 gossip.round().join();
             }
@@ -196,6 +211,15 @@
         }
 
         private CompletableFuture<?> answer(int index, String method, Object[] arguments) {
+            boolean isRequestLost = losses.nextDouble() < lostShare / 2;
+            CompletableFuture<?> answer = isRequestLost ? null : delivered(index, method, arguments);
+            boolean isAnswerLost = losses.nextDouble() < lostShare / 2;
+            return isRequestLost || isAnswerLost
+                    ? CompletableFuture.failedFuture(new TransportException(!isRequestLost, "lost", null))
+                    : answer;
+        }
+
+        private CompletableFuture<?> delivered(int index, String method, Object[] arguments) {
             return "ping".equals(method)
                     ? CompletableFuture.completedFuture(true)
                     : CompletableFuture.completedFuture(
