Close streams without waiting for listeners; give up streams that get no connection

Ruled out: a lock-free stream, since Jetty may complete from another thread while a token is delivered. Change: close and the completion that its abort runs take no lock; a stream not begun within the call time-out is given up as UNREACHABLE and cannot leave later; steps follow the due end of the one before; more timer threads; a silent link connection is let go once both ends have closed.

--- a/src/main/java/io/waxwingquay/common/HttpCalls.java
+++ b/src/main/java/io/waxwingquay/common/HttpCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -170,6 +171,17 @@
             return new Failure(!neverSent, "request to " + uri + " " + outcome + ": " + cause, cause);
         }
 
+        /**
+         * Gives a request up if it has not begun, for example because every connection is taken.
+         *
+         * @param request the request.
+         */
+        public void giveUpUnsent(Request request) {
+            if (state.compareAndSet(State.WAITING, State.GIVEN_UP)) {
+                request.abort(new TimeoutException("no connection in time"));
+            }
+        }
+
         private void begin(Request request) {
             if (!state.compareAndSet(State.WAITING, State.SENT) && state.get() == State.GIVEN_UP) {
                 request.abort(new IllegalStateException("given up before it was sent"));
--- a/src/main/java/io/waxwingquay/engine/HttpModelEngine.java
+++ b/src/main/java/io/waxwingquay/engine/HttpModelEngine.java
@@ -33,7 +33,7 @@
      *
      * @param client the shared, started HTTP client; each open stream holds one of its connections.
      * @param address the engine's address.
-     * @param timeoutMillis the most time a call other than a stream may take.
+     * @param timeoutMillis the most time a call may take; a stream, until it has a connection.
      * @param inactivityMillis how long a stream may be silent; above the engine's keep-alive interval.
      */
     public HttpModelEngine(HttpClient client, HostPort address, long timeoutMillis, long inactivityMillis) {
@@ -50,8 +50,10 @@
         Request request =
                 HttpCalls.json(request(HttpMethod.POST, "/generations"), new StreamRequest(generation, fromOffset));
         request.idleTimeout(inactivityMillis, TimeUnit.MILLISECONDS);
-        HttpStream stream = new HttpStream(request, HttpCalls.Sending.of(request), fromOffset, listener, target);
+        HttpCalls.Sending sending = HttpCalls.Sending.of(request);
+        HttpStream stream = new HttpStream(request, sending, fromOffset, listener, target);
         request.send(stream);
+        client.getScheduler().schedule(() -> sending.giveUpUnsent(request), timeoutMillis, TimeUnit.MILLISECONDS);
         return stream;
     }
 
--- a/src/main/java/io/waxwingquay/engine/HttpStream.java
+++ b/src/main/java/io/waxwingquay/engine/HttpStream.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CancellationException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -27,8 +28,8 @@
     private final ModelEngine.Listener listener;
     private final String target;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final AtomicBoolean settled = new AtomicBoolean();
     private long nextOffset;
-    private boolean settled;
 
     HttpStream(
             Request request, HttpCalls.Sending sending, long fromOffset, ModelEngine.Listener listener, String target) {
@@ -59,7 +60,13 @@
 
     /** {@inheritDoc} */
     @Override
-    public synchronized void onComplete(Result result) {
+    public void onComplete(Result result) {
+        if (!settled.get()) {
+            settle(result);
+        }
+    }
+
+    private synchronized void settle(Result result) {
         int status = result.getResponse() == null ? 0 : result.getResponse().getStatus();
         if (status > OK) {
             fail(HttpModelEngine.unexpected(target, status));
@@ -70,17 +77,20 @@
         }
     }
 
-    /** {@inheritDoc} */
+    /**
+     * {@inheritDoc}
+     *
+     * <p>A caller may close while it holds a lock that the listener waits for. Neither this method nor the
+     * {@link #onComplete} that its abort may run takes the stream's own lock, so the two cannot deadlock.
+     */
     @Override
     public void close() {
-        synchronized (this) {
-            settled = true;
-        }
+        settled.set(true);
         request.abort(new CancellationException("no longer listening"));
     }
 
     private void takeLine(String text) {
-        if (settled || !text.startsWith(DATA_PREFIX)) {
+        if (settled.get() || !text.startsWith(DATA_PREFIX)) {
             return;
         }
         try {
@@ -115,8 +125,9 @@
             lose("ended at token " + nextOffset + " and states a total of " + total);
             return;
         }
-        settled = true;
-        listener.end(OptionalLong.of(total), Optional.empty());
+        if (settled.compareAndSet(false, true)) {
+            listener.end(OptionalLong.of(total), Optional.empty());
+        }
     }
 
     private void lose(String what) {
@@ -124,11 +135,9 @@
     }
 
     private void fail(TargetException failure) {
-        if (settled) {
-            return;
+        if (settled.compareAndSet(false, true)) {
+            listener.end(OptionalLong.empty(), Optional.of(failure));
+            request.abort(failure);
         }
-        settled = true;
-        listener.end(OptionalLong.empty(), Optional.of(failure));
-        request.abort(failure);
     }
 }
--- a/src/main/java/io/waxwingquay/standin/Batch.java
+++ b/src/main/java/io/waxwingquay/standin/Batch.java
@@ -20,6 +20,7 @@
 
     private static final int MAX_KNOWN = 20_000;
     private static final int REPORTS_PER_LAG = 8;
+    private static final long MAX_LATE_MICROS = 100_000L;
 
     private final StandinTimer timer;
     private final CostModel costs;
@@ -35,6 +36,7 @@
     private long arrivals;
     private long epoch;
     private boolean stepping;
+    private long dueMicros = Long.MIN_VALUE;
     private long tokens;
     private long cachedPromptTokens;
     private long promptTokens;
@@ -92,6 +94,7 @@
     synchronized void reset() {
         epoch++;
         stepping = false;
+        dueMicros = Long.MIN_VALUE;
         known.clear();
         queue.clear();
         running.clear();
@@ -129,12 +132,23 @@
             running.add(joining);
         }
         if (running.isEmpty()) {
+            dueMicros = Long.MIN_VALUE;
             return;
         }
         stepping = true;
         long stepEpoch = epoch;
-        long micros = Math.round(prefillMicros + costs.stepMicros(running.size()));
-        timer.after(micros, () -> finishStep(stepEpoch));
+        timer.after(delayMicros(prefillMicros + costs.stepMicros(running.size())), () -> finishStep(stepEpoch));
+    }
+
+    /**
+     * The time to the end of a step. A step follows the due end of the one before, not the instant a busy machine
+     * got round to it; else the machine's lateness would add to every step and the costs would not be those stated.
+     */
+    private long delayMicros(double stepMicros) {
+        long nowMicros = timer.nowMicros();
+        long startMicros = dueMicros > nowMicros - MAX_LATE_MICROS ? dueMicros : nowMicros;
+        dueMicros = startMicros + Math.round(stepMicros);
+        return Math.max(0, dueMicros - nowMicros);
     }
 
     private double prefill(Generation generation) {
--- a/src/main/java/io/waxwingquay/standin/LinkStandin.java
+++ b/src/main/java/io/waxwingquay/standin/LinkStandin.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -19,6 +20,7 @@
 public final class LinkStandin implements AutoCloseable {
 
     private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int DIRECTIONS = 2;
     private static final int CONNECT_MILLIS = 2_000;
 
     private final HostPort destination;
@@ -170,6 +172,7 @@
 
         private final Socket near;
         private final Socket far;
+        private final AtomicInteger ended = new AtomicInteger();
         private volatile boolean silent;
 
         private Connection(Socket near, Socket far) {
@@ -208,7 +211,7 @@
                 System.getLogger("waxwingquay.standin")
                         .log(System.Logger.Level.DEBUG, "link: a connection ended", failure);
             }
-            if (!silent) {
+            if (!silent || ended.incrementAndGet() == DIRECTIONS) {
                 close();
             }
         }
--- a/src/main/java/io/waxwingquay/standin/StandinTimer.java
+++ b/src/main/java/io/waxwingquay/standin/StandinTimer.java
@@ -32,7 +32,7 @@
     final class ForSystem implements StandinTimer {
 
         private static final System.Logger LOG = System.getLogger("waxwingquay.standin");
-        private static final int THREADS = 3;
+        private static final int THREADS = Math.max(4, Runtime.getRuntime().availableProcessors() / 2);
 
         private final ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(THREADS, task -> {
             Thread thread = new Thread(task, "standin-timer");
--- a/src/test/java/io/waxwingquay/engine/HttpModelEngineTest.java
+++ b/src/test/java/io/waxwingquay/engine/HttpModelEngineTest.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.AfterEach;
@@ -232,6 +233,59 @@
         Await.until(() -> Await.value(engine.load()).running() == 0);
     }
 
+    @Test
+    void streamThatGetsNoConnectionInTimeIsUnreachableAndNeverRuns() throws Exception {
+        // Every connection is held by an open stream. The next one waits for a place and is given up; were it sent
+        // after that, a request told as "did not run" would run.
+        HttpClient narrow = HttpCalls.startClient(1, 2_000L);
+        HttpModelEngine crowded =
+                new HttpModelEngine(narrow, new HostPort("127.0.0.1", standin.port()), 100L, INACTIVITY_MILLIS);
+        Collected first = listen();
+        AutoCloseable holder = crowded.stream(generation("holder", 100_000), 0, first);
+        Await.until(() -> first.tokens > 0);
+
+        assertEquals(
+                TargetException.Kind.UNREACHABLE,
+                stream(crowded, "waiting", 1, 0).failure().kind());
+        holder.close();
+        assertEquals(OptionalLong.of(1), stream(engine, "next", 1, 0).total());
+        assertEquals(2, standin.stats().batch().started());
+        narrow.stop();
+    }
+
+    @Test
+    void closingAStreamDoesNotWaitForItsListener() throws Exception {
+        // The listener waits for a lock which the closing thread holds, as a side process's attempt may. Were close
+        // to wait for the listener, both would stand still for ever.
+        CountDownLatch inListener = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        CompletableFuture<Boolean> released = new CompletableFuture<>();
+        Collected collected = listen();
+        collected.afterTokens(1, () -> {
+            inListener.countDown();
+            released.complete(Await.quietly(closed));
+        });
+        AutoCloseable handle = engine.stream(generation("closing", 1_000), 0, collected);
+        assertTrue(inListener.await(30, TimeUnit.SECONDS));
+
+        Await.value(CompletableFuture.runAsync(() -> Await.closing(handle)));
+        closed.countDown();
+        assertTrue(Await.value(released));
+    }
+
+    @Test
+    void cutLinkFailsCallsUntilItHeals() throws Exception {
+        try (LinkStandin link = LinkStandin.to(new HostPort("127.0.0.1", standin.port()))) {
+            HttpModelEngine overLink = engineAt(link.port());
+            Await.value(overLink.load());
+            link.cut();
+            Await.failure(TargetException.class, overLink.load());
+
+            link.heal();
+            assertEquals(0, Await.value(overLink.load()).running());
+        }
+    }
+
     @Test
     void modelAndAdapterLoadsGoThroughTheWeightStore() throws Exception {
         try (WeightStoreStandin weights =
--- a/src/test/java/io/waxwingquay/testing/Await.java
+++ b/src/test/java/io/waxwingquay/testing/Await.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -71,4 +72,32 @@
                 assertThrows(ExecutionException.class, () -> future.get(LIMIT_SECONDS, TimeUnit.SECONDS));
         return type.cast(thrown.getCause());
     }
+
+    /**
+     * Waits for a latch in a place that may not throw.
+     *
+     * @param latch the latch.
+     * @return whether it opened within the limit.
+     */
+    public static boolean quietly(CountDownLatch latch) {
+        try {
+            return latch.await(LIMIT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException failure) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /**
+     * Closes in a place that may not throw.
+     *
+     * @param closeable what to close.
+     */
+    public static void closing(AutoCloseable closeable) {
+        try {
+            closeable.close();
+        } catch (Exception failure) {
+            throw new IllegalStateException("cannot close", failure);
+        }
+    }
 }
