Tidy imports in routing

Cause: full names in code hide what a class uses. Change: imports; the policy's description says what it does. Ruled out: nothing. After: 71 tests run, 0 failed in verify; before was not run apart. Conclusion: no change of behaviour.

--- a/src/main/java/io/waxwingquay/routing/Policy.java
+++ b/src/main/java/io/waxwingquay/routing/Policy.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.random.RandomGenerator;
@@ -54,8 +55,8 @@
     }
 
     /**
-     * Resident items first, then the own data centre, then the better of two random choices by expected
-     * finish, in which the prefix's home has a bonus.
+     * Resident items first, then the least expected finish, to which another data centre adds its distance and
+     * from which the prefix's home takes a bonus; away from that home the better of two random choices.
      */
     final class Default implements Policy {
 
@@ -121,7 +122,7 @@
         @Override
         public List<SideView> order(RouteQuery query, List<SideView> views, RandomGenerator random) {
             List<SideView> ordered = new ArrayList<>(views);
-            java.util.Collections.rotate(ordered, -(int) Math.floorMod(query.sequence(), (long) views.size()));
+            Collections.rotate(ordered, -(int) Math.floorMod(query.sequence(), (long) views.size()));
             return ordered;
         }
     }
--- a/src/main/java/io/waxwingquay/routing/RouteQuery.java
+++ b/src/main/java/io/waxwingquay/routing/RouteQuery.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.routing;
 
 import io.waxwingquay.membership.Side;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -55,7 +56,7 @@
      * @return the new query.
      */
     public RouteQuery excluding(String sideId) {
-        Set<String> more = new java.util.HashSet<>(excluded);
+        Set<String> more = new HashSet<>(excluded);
         more.add(sideId);
         return new RouteQuery(service, dataCentre, items, prefixHash, sequence, Set.copyOf(more));
     }
