Refuse quarantined completions at the entry; route by the bytes of a side's name

Cause: a quarantined request cost a hop before the side refused it, and the rendezvous weight read a name by its characters, which is wrong for names that are not ASCII. Ruled out: the same for calls under a claim, since a resend must still learn the recorded outcome. Change: an optional suspect book in the builder; the weight hashes all bytes.

--- a/src/main/java/io/waxwingquay/entry/AnswerSink.java
+++ b/src/main/java/io/waxwingquay/entry/AnswerSink.java
@@ -1,6 +1,8 @@
 package io.waxwingquay.entry;
 
+import java.io.ByteArrayOutputStream;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /**
  * Where the pieces of an answer go, in order of offset and without gaps.
@@ -37,15 +39,15 @@
     /** Gathers the whole answer before any of it is shown. */
     final class Whole implements AnswerSink {
 
-        private final java.io.ByteArrayOutputStream gathered = new java.io.ByteArrayOutputStream();
-        private final java.util.function.BooleanSupplier abandoned;
+        private final ByteArrayOutputStream gathered = new ByteArrayOutputStream();
+        private final BooleanSupplier abandoned;
 
         /**
          * An empty sink.
          *
          * @param abandoned tells whether the caller has gone.
          */
-        public Whole(java.util.function.BooleanSupplier abandoned) {
+        public Whole(BooleanSupplier abandoned) {
             this.abandoned = abandoned;
         }
 
--- a/src/main/java/io/waxwingquay/entry/EntryNode.java
+++ b/src/main/java/io/waxwingquay/entry/EntryNode.java
@@ -15,8 +15,10 @@
 import io.waxwingquay.routing.LoadBoard;
 import io.waxwingquay.routing.Policy;
 import io.waxwingquay.routing.Router;
+import io.waxwingquay.suspect.SuspectBook;
 import io.waxwingquay.transport.Connections;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -172,7 +174,8 @@
                 builder.random,
                 executor,
                 new EntryMetrics(builder.meters),
-                builder.chart);
+                builder.chart,
+                builder.suspects);
     }
 
     private void forgetGoneSides(Membership membership) {
@@ -215,6 +218,8 @@
         private RandomGenerator random = new Random();
         private RequestPhase.Chart chart = RequestPhase.Chart.BUILT_IN;
 
+        private Optional<SuspectBook> suspects = Optional.empty();
+
         private Builder() {}
 
         /**
@@ -316,6 +321,17 @@
             return this;
         }
 
+        /**
+         * Sets the book by which quarantined completions are refused here; without it only the sides refuse them.
+         *
+         * @param value the book.
+         * @return this builder.
+         */
+        public Builder suspects(SuspectBook value) {
+            this.suspects = Optional.of(value);
+            return this;
+        }
+
         /**
          * Builds the process; it listens only once started.
          *
--- a/src/main/java/io/waxwingquay/entry/EntryParts.java
+++ b/src/main/java/io/waxwingquay/entry/EntryParts.java
@@ -9,8 +9,10 @@
 import io.waxwingquay.routing.RouteQuery;
 import io.waxwingquay.routing.Router;
 import io.waxwingquay.routing.SideView;
+import io.waxwingquay.suspect.SuspectBook;
 import io.waxwingquay.transport.Connections;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.random.RandomGenerator;
 
@@ -30,6 +32,7 @@
  * @param executor runs what follows each answer, and the waits.
  * @param metrics what is counted.
  * @param chart the phases of an attempt.
+ * @param suspects requests that were running when targets crashed.
  */
 record EntryParts(
         EntrySettings settings,
@@ -44,7 +47,8 @@
         RandomGenerator random,
         ScheduledExecutorService executor,
         EntryMetrics metrics,
-        RequestPhase.Chart chart) {
+        RequestPhase.Chart chart,
+        Optional<SuspectBook> suspects) {
 
     List<SideView> candidates(RouteQuery query) {
         List<SideView> views = board.views(membership.sides(), clock.monotonicMillis());
@@ -61,6 +65,18 @@
                 : failure.withRetryAfterMillis(comeBack.afterMillis(waiting, clock.monotonicMillis(), random));
     }
 
+    /**
+     * Refuses a request that two crashes name before it costs a hop; the side processes refuse it as well.
+     */
+    void refuseQuarantined(long fingerprint) {
+        boolean quarantined = suspects.filter(book -> book.standing(fingerprint) == SuspectBook.Standing.QUARANTINED)
+                .isPresent();
+        if (quarantined) {
+            throw CallFailure.refused(
+                    FailureCode.QUARANTINED, "request", "the request was running when targets crashed");
+        }
+    }
+
     CallFailure noTarget(String service) {
         CallFailure failure = CallFailure.refused(
                 FailureCode.NO_TARGET, service, "no side process of service '" + service + "' takes work now");
--- a/src/main/java/io/waxwingquay/entry/ModelFlow.java
+++ b/src/main/java/io/waxwingquay/entry/ModelFlow.java
@@ -24,8 +24,10 @@
      * @param request the request.
      * @param sink where the pieces go.
      * @return the end of a whole answer; fails with {@link CallFailure}.
+     * @throws CallFailure if the request is quarantined.
      */
     CompletableFuture<AttemptEnd> answer(ModelRequest request, AnswerSink sink) {
+        parts.refuseQuarantined(request.fingerprint());
         RouteQuery query = new RouteQuery(
                 request.service(),
                 parts.settings().dataCentre(),
--- a/src/main/java/io/waxwingquay/routing/LoadBoard.java
+++ b/src/main/java/io/waxwingquay/routing/LoadBoard.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.function.UnaryOperator;
 
 /**
  * The latest load of each side, as its answers carried it, and this process's own requests there. Safe for
@@ -105,7 +106,7 @@
                 entry.latencyMillis());
     }
 
-    private void change(String sideId, java.util.function.UnaryOperator<Entry> step) {
+    private void change(String sideId, UnaryOperator<Entry> step) {
         entries.compute(sideId, (id, entry) -> step.apply(entry == null ? Entry.EMPTY : entry));
     }
 
--- a/src/main/java/io/waxwingquay/routing/Policy.java
+++ b/src/main/java/io/waxwingquay/routing/Policy.java
@@ -50,8 +50,9 @@
      * @return the weight; the side with the highest wins.
      */
     static long rendezvousWeight(long key, String sideId) {
-        return MurmurHash3.hash128x64(
-                sideId.getBytes(StandardCharsets.UTF_8), 0, sideId.length(), (int) (key ^ (key >>> Integer.SIZE)))[0];
+        byte[] name = sideId.getBytes(StandardCharsets.UTF_8);
+        int seed = (int) (key ^ (key >>> Integer.SIZE));
+        return MurmurHash3.hash128x64(name, 0, name.length, seed)[0];
     }
 
     /**
--- a/src/test/java/io/waxwingquay/entry/FakeSide.java
+++ b/src/test/java/io/waxwingquay/entry/FakeSide.java
@@ -64,7 +64,8 @@
     Supplier<CompletableFuture<Void>> pollHold = () -> CompletableFuture.completedFuture(null);
     volatile boolean running;
     long epoch = 1;
-    int submissions;
+    volatile int submissions;
+    volatile Submission lastSubmission;
 
     private final String id;
     private final int port;
@@ -109,6 +110,7 @@
     @Override
     public synchronized CompletableFuture<SubmitAnswer> submit(Submission submission) {
         submissions++;
+        lastSubmission = submission.deepCopy();
         Fault fault = next(submitFaults);
         if (fault == Fault.UNREACHED) {
             return lost(false);
--- a/src/test/java/io/waxwingquay/entry/Fakes.java
+++ b/src/test/java/io/waxwingquay/entry/Fakes.java
@@ -6,14 +6,18 @@
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.membership.Membership;
 import io.waxwingquay.membership.Side;
+import io.waxwingquay.suspect.SuspectBook;
 import io.waxwingquay.transport.Connections;
 import io.waxwingquay.transport.SideProtocol;
 import io.waxwingquay.transport.generated.SideRecord;
+import io.waxwingquay.transport.generated.SuspectRecord;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
 /** The world around an entry process, in memory. */
@@ -24,6 +28,7 @@
     final FakeTable table = new FakeTable();
     final FakeSide first = new FakeSide("side-1", 1);
     final FakeSide second = new FakeSide("side-2", 2);
+    final SuspectBook suspects = new InMemorySuspects();
     final List<String> leaving = new ArrayList<>();
     List<FakeSide> present = List.of(first, second);
     Optional<Bundle> bundle = Optional.of(new Bundle(
@@ -50,6 +55,7 @@
                 .table(table)
                 .meters(new SimpleMeterRegistry())
                 .random(new Random(7))
+                .suspects(suspects)
                 .build()
                 .start();
     }
@@ -97,4 +103,34 @@
 
     @Override
     public void onAdopted(Consumer<Bundle> listener) {}
+
+    /** A book in which one crash is enough. */
+    private static final class InMemorySuspects implements SuspectBook {
+
+        private final Set<Long> quarantined = ConcurrentHashMap.newKeySet();
+
+        @Override
+        public Standing standing(long fingerprint) {
+            return quarantined.contains(fingerprint) ? Standing.QUARANTINED : Standing.CLEAR;
+        }
+
+        @Override
+        public List<SuspectRecord> recordCrash(String crashId, Collection<Long> fingerprints) {
+            quarantined.addAll(fingerprints);
+            return List.of();
+        }
+
+        @Override
+        public void clear(long fingerprint) {
+            quarantined.remove(fingerprint);
+        }
+
+        @Override
+        public void merge(List<SuspectRecord> records) {}
+
+        @Override
+        public List<SuspectRecord> snapshot() {
+            return List.of();
+        }
+    }
 }
--- a/src/test/java/io/waxwingquay/entry/ModelFlowTest.java
+++ b/src/test/java/io/waxwingquay/entry/ModelFlowTest.java
@@ -162,6 +162,15 @@
         assertEquals(0, fakes.second.submissions);
     }
 
+    @Test
+    void requestThatTheBookQuarantinesIsRefusedHere() {
+        assertEquals(200, ask(node, ASK).status());
+        fakes.suspects.recordCrash("c1", List.of(fakes.first.lastSubmission.getFingerprint()));
+        assertEquals("quarantined", ask(node, ASK).error("code"));
+        assertEquals(1, fakes.first.submissions + fakes.second.submissions);
+        assertEquals(200, ask(node, ASK.replace("\"p\"", "\"other\"")).status());
+    }
+
     @Test
     void deadlineEndsTheRequestAndCancelsItAtTheSide() {
         fakes.first.running = true;
