--- a/src/test/java/io/waxwingquay/entry/ModelFlowTest.java
+++ b/src/test/java/io/waxwingquay/entry/ModelFlowTest.java
@@ -159,9 +159,19 @@
         fakes.first.refusals.add(refusal(RefusalReason.QUARANTINED, Execution.DID_NOT_RUN));
         CallerClient.Answer answer = ask(node, ASK);
         assertEquals(422, answer.status());
+        assertTrue(answer.raw().headers().firstValue("Retry-After").isEmpty(), "no call to come back");
         assertEquals(0, fakes.second.submissions);
     }
 
+    @Test
+    void requestThatTheBookQuarantinesIsRefusedHere() {
+        assertEquals(200, ask(node, ASK).status());
+        fakes.suspects.recordCrash("c1", List.of(fakes.first.lastSubmission.getFingerprint()));
+        assertEquals("quarantined", ask(node, ASK).error("code"));
+        assertEquals(1, fakes.first.submissions + fakes.second.submissions);
+        assertEquals(200, ask(node, ASK.replace("\"p\"", "\"other\"")).status());
+    }
+
     @Test
     void deadlineEndsTheRequestAndCancelsItAtTheSide() {
         fakes.first.running = true;
