Keep the outcome of a cancelled non-idempotent call, and split the order desk off the order loop

Ruled out: cancelling at the plain service, which offers no such call. Change: cancel only withdraws a non-idempotent call that has not started; readiness needs a recent report; OrderDesk sends, sends again and holds permits, Residency decides.

--- a/src/main/java/io/waxwingquay/side/Attempt.java
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -112,8 +112,12 @@
         return end(Event.FAIL, Optional.of(refusal), nowMillis);
     }
 
+    /**
+     * Cancels it; a non-idempotent call that was handed over goes on, since dropping its outcome would leave a
+     * call that ran unknown for good.
+     */
     boolean cancel(long nowMillis) {
-        return end(Event.CANCEL, Optional.empty(), nowMillis);
+        return isNonIdempotent() ? withdraw(nowMillis) : end(Event.CANCEL, Optional.empty(), nowMillis);
     }
 
     boolean withdraw(long nowMillis) {
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/OrderDesk.java
@@ -0,0 +1,176 @@
+package io.waxwingquay.side;
+
+import io.waxwingquay.engine.ModelEngine;
+import io.waxwingquay.engine.ModelEngine.Order;
+import io.waxwingquay.engine.ModelEngine.OrderAnswer;
+import io.waxwingquay.engine.ModelEngine.OrderKind;
+import io.waxwingquay.engine.TargetException;
+import io.waxwingquay.ledger.MemoryLedger;
+import io.waxwingquay.ledger.MemoryLedger.Holding;
+import io.waxwingquay.ledger.MemoryLedger.State;
+import io.waxwingquay.permit.Permits;
+import io.waxwingquay.permit.Permits.Limit;
+import io.waxwingquay.permit.Permits.Permit;
+import io.waxwingquay.side.ResidencyPlan.Load;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+/**
+ * Sends orders to the engine: each after its bytes were reserved, a load only with a permit of the shared
+ * limit, and a lost one again. Safe for concurrent use.
+ */
+final class OrderDesk {
+
+    private static final String MOVES = "waxwingquay.side.moves";
+
+    private final SideContext context;
+    private final ModelEngine engine;
+    private final MemoryLedger ledger;
+    private final Permits permits;
+    private final BooleanSupplier retired;
+    private final Runnable staleFence;
+    private final Map<String, Permit> heldPermits = new HashMap<>();
+    private final Map<String, Long> sentMillis = new HashMap<>();
+    private final Set<String> asking = new HashSet<>();
+    private long orderCount;
+
+    OrderDesk(
+            SideContext context,
+            ModelEngine engine,
+            MemoryLedger ledger,
+            Permits permits,
+            BooleanSupplier retired,
+            Runnable staleFence) {
+        this.context = context;
+        this.engine = engine;
+        this.ledger = ledger;
+        this.permits = permits;
+        this.retired = retired;
+        this.staleFence = staleFence;
+    }
+
+    void evict(String item) {
+        String orderId = nextOrderId();
+        if (ledger.evict(item, orderId)) {
+            countMove(OrderKind.EVICT, item);
+            Holding holding = ledger.snapshot().holdings().get(item);
+            send(new Order(
+                    orderId,
+                    OrderKind.EVICT,
+                    item,
+                    holding.sizeBytes(),
+                    context.identity().epoch()));
+        }
+    }
+
+    void load(Load load) {
+        synchronized (this) {
+            if (!asking.add(load.item())) {
+                return;
+            }
+        }
+        Limit limit = ResidencyPlan.isAdapter(load.item()) ? Limit.ADAPTER_LOADS : Limit.WEIGHT_LOADS;
+        permits.acquire(limit).whenComplete((permit, failure) -> {
+            synchronized (this) {
+                asking.remove(load.item());
+            }
+            if (failure == null) {
+                permit.ifPresent(granted -> loadWith(granted, load));
+            }
+        });
+    }
+
+    private void loadWith(Permit permit, Load load) {
+        String orderId = nextOrderId();
+        if (retired.getAsBoolean() || !ledger.reserve(load.item(), load.sizeBytes(), orderId)) {
+            permit.close();
+            return;
+        }
+        synchronized (this) {
+            heldPermits.put(load.item(), permit);
+        }
+        countMove(OrderKind.LOAD, load.item());
+        send(new Order(
+                orderId,
+                OrderKind.LOAD,
+                load.item(),
+                load.sizeBytes(),
+                context.identity().epoch()));
+    }
+
+    /**
+     * An order can be lost, and the loss cannot be told from a delay. Sent again under a new id, both could
+     * take effect; under the same id the engine takes it once, however often and late it lands.
+     */
+    void resend(ModelEngine.Residency report) {
+        Set<String> open = report.openOrders().stream().map(Order::id).collect(Collectors.toSet());
+        long dueMillis = context.clock().monotonicMillis() - context.limits().resendMillis();
+        ledger.snapshot().holdings().values().stream()
+                .filter(holding -> holding.state() != State.RESIDENT)
+                .filter(holding -> !open.contains(holding.orderId()))
+                .filter(holding -> lastSent(holding.orderId()) <= dueMillis)
+                .forEach(this::resend);
+    }
+
+    private void resend(Holding holding) {
+        OrderKind kind = holding.awaitsLoad() ? OrderKind.LOAD : OrderKind.EVICT;
+        context.count("waxwingquay.side.orders.resent", "kind", kind.name());
+        send(new Order(
+                holding.orderId(),
+                kind,
+                holding.item(),
+                holding.sizeBytes(),
+                context.identity().epoch()));
+    }
+
+    private synchronized long lastSent(String orderId) {
+        return sentMillis.getOrDefault(orderId, Long.MIN_VALUE);
+    }
+
+    private void send(Order order) {
+        synchronized (this) {
+            sentMillis.put(order.id(), context.clock().monotonicMillis());
+        }
+        engine.order(order).whenComplete((answer, failure) -> {
+            if (failure != null && !isUnreachable(failure)) {
+                ledger.noteLost();
+            }
+            if (answer == OrderAnswer.STALE_FENCE) {
+                staleFence.run();
+            }
+        });
+    }
+
+    /** Gives back the permits of loads that have landed. */
+    synchronized void settle() {
+        Map<String, Holding> holdings = ledger.snapshot().holdings();
+        List<String> landed = heldPermits.keySet().stream()
+                .filter(item ->
+                        !holdings.containsKey(item) || !holdings.get(item).awaitsLoad())
+                .toList();
+        landed.forEach(item -> heldPermits.remove(item).close());
+        Set<String> live = holdings.values().stream().map(Holding::orderId).collect(Collectors.toSet());
+        sentMillis.keySet().retainAll(live);
+    }
+
+    private static boolean isUnreachable(Throwable failure) {
+        return failure instanceof TargetException target && target.kind() == TargetException.Kind.UNREACHABLE;
+    }
+
+    private synchronized String nextOrderId() {
+        orderCount++;
+        return context.identity().sideId() + "-" + context.identity().epoch() + "-" + orderCount;
+    }
+
+    private void countMove(OrderKind kind, String item) {
+        String what = ResidencyPlan.isAdapter(item) ? "adapter" : "model";
+        context.meters()
+                .counter(MOVES, "kind", kind.name().toLowerCase(java.util.Locale.ROOT), "item", what)
+                .increment();
+    }
+}
--- a/src/main/java/io/waxwingquay/side/Residency.java
+++ b/src/main/java/io/waxwingquay/side/Residency.java
@@ -2,29 +2,18 @@
 
 import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.engine.ModelEngine;
-import io.waxwingquay.engine.ModelEngine.Order;
-import io.waxwingquay.engine.ModelEngine.OrderAnswer;
-import io.waxwingquay.engine.ModelEngine.OrderKind;
-import io.waxwingquay.engine.TargetException;
 import io.waxwingquay.ledger.MemoryLedger;
-import io.waxwingquay.ledger.MemoryLedger.Holding;
 import io.waxwingquay.ledger.MemoryLedger.Observation;
 import io.waxwingquay.ledger.MemoryLedger.Snapshot;
-import io.waxwingquay.ledger.MemoryLedger.State;
 import io.waxwingquay.permit.Permits;
-import io.waxwingquay.permit.Permits.Limit;
-import io.waxwingquay.permit.Permits.Permit;
-import io.waxwingquay.side.ResidencyPlan.Load;
 import io.waxwingquay.side.WantedItems.Wanted;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -34,24 +23,19 @@
 public final class Residency {
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.side");
-    private static final String MOVES = "waxwingquay.side.moves";
 
     private final SideContext context;
     private final ModelEngine engine;
     private final MemoryLedger ledger;
-    private final Permits permits;
     private final WantedItems wantedItems;
     private final Runnable superseded;
     private final AdapterQueue adapters;
-    private final Map<String, Permit> heldPermits = new HashMap<>();
-    private final Map<String, Long> sentMillis = new HashMap<>();
+    private final OrderDesk orders;
     private final Map<String, Long> usedMillis = new HashMap<>();
     private Optional<CompletableFuture<Void>> running = Optional.empty();
     private Optional<Long> lastTickMillis = Optional.empty();
     private Optional<Long> readMillis = Optional.empty();
-    private Set<String> asking = new java.util.HashSet<>();
     private List<String> refused = List.of();
-    private long orderCount;
     private boolean retired;
 
     Residency(
@@ -64,10 +48,16 @@
         this.context = context;
         this.engine = engine;
         this.ledger = ledger;
-        this.permits = permits;
         this.wantedItems = wantedItems;
         this.superseded = superseded;
         this.adapters = new AdapterQueue(ledger);
+        this.orders = new OrderDesk(
+                context,
+                engine,
+                ledger,
+                permits,
+                this::isRetired,
+                () -> stepDown("the engine has seen a higher fencing number"));
     }
 
     /**
@@ -177,7 +167,8 @@
             readMillis = Optional.of(askedMillis);
         }
         noteAlarms(observation);
-        settlePermits();
+        orders.settle();
+        forgetUse();
         adapters.settle();
         if (isSuperseded(report)) {
             stepDown("a later process of this name gives orders");
@@ -227,20 +218,24 @@
     private void act(Bundle bundle, ModelEngine.Residency report) {
         Snapshot snapshot = ledger.snapshot();
         if (!snapshot.quarantined()) {
-            resend(report);
+            orders.resend(report);
         }
         Wanted wanted = wantedItems.wanted(bundle);
         ResidencyPlan plan = ResidencyPlan.decide(
                 snapshot, wanted, adapters.awaited(), item -> sizeBytes(bundle, item), this::lastUsed);
         noteRefused(plan.refused());
-        plan.evictions().forEach(this::evict);
-        plan.loads().forEach(this::load);
+        plan.evictions().forEach(orders::evict);
+        plan.loads().forEach(orders::load);
     }
 
     private synchronized long lastUsed(String item) {
         return usedMillis.getOrDefault(item, Long.MIN_VALUE);
     }
 
+    private synchronized void forgetUse() {
+        usedMillis.keySet().retainAll(ledger.snapshot().holdings().keySet());
+    }
+
     private synchronized void noteRefused(List<String> items) {
         items.stream()
                 .filter(item -> !refused.contains(item))
@@ -257,124 +252,4 @@
                 .map(Bundle.Adapter::sizeBytes);
         return Stream.concat(models, adapters).mapToLong(Long::longValue).findFirst();
     }
-
-    private void evict(String item) {
-        String orderId = nextOrderId();
-        if (ledger.evict(item, orderId)) {
-            countMove(OrderKind.EVICT, item);
-            Holding holding = ledger.snapshot().holdings().get(item);
-            send(new Order(
-                    orderId,
-                    OrderKind.EVICT,
-                    item,
-                    holding.sizeBytes(),
-                    context.identity().epoch()));
-        }
-    }
-
-    private void load(Load load) {
-        synchronized (this) {
-            if (!asking.add(load.item())) {
-                return;
-            }
-        }
-        Limit limit = ResidencyPlan.isAdapter(load.item()) ? Limit.ADAPTER_LOADS : Limit.WEIGHT_LOADS;
-        permits.acquire(limit).whenComplete((permit, failure) -> {
-            synchronized (this) {
-                asking.remove(load.item());
-            }
-            if (failure == null) {
-                permit.ifPresent(granted -> loadWith(granted, load));
-            }
-        });
-    }
-
-    private void loadWith(Permit permit, Load load) {
-        String orderId = nextOrderId();
-        if (isRetired() || !ledger.reserve(load.item(), load.sizeBytes(), orderId)) {
-            permit.close();
-            return;
-        }
-        synchronized (this) {
-            heldPermits.put(load.item(), permit);
-        }
-        countMove(OrderKind.LOAD, load.item());
-        send(new Order(
-                orderId,
-                OrderKind.LOAD,
-                load.item(),
-                load.sizeBytes(),
-                context.identity().epoch()));
-    }
-
-    /**
-     * An order can be lost, and the loss cannot be told from a delay. Sent again under a new id, both could
-     * take effect; under the same id the engine takes it once, however often and late it lands.
-     */
-    private void resend(ModelEngine.Residency report) {
-        Set<String> open = report.openOrders().stream().map(Order::id).collect(Collectors.toSet());
-        long dueMillis = context.clock().monotonicMillis() - context.limits().resendMillis();
-        ledger.snapshot().holdings().values().stream()
-                .filter(holding -> holding.state() != State.RESIDENT)
-                .filter(holding -> !open.contains(holding.orderId()))
-                .filter(holding -> lastSent(holding.orderId()) <= dueMillis)
-                .forEach(this::resend);
-    }
-
-    private void resend(Holding holding) {
-        OrderKind kind = holding.awaitsLoad() ? OrderKind.LOAD : OrderKind.EVICT;
-        context.count("waxwingquay.side.orders.resent", "kind", kind.name());
-        send(new Order(
-                holding.orderId(),
-                kind,
-                holding.item(),
-                holding.sizeBytes(),
-                context.identity().epoch()));
-    }
-
-    private synchronized long lastSent(String orderId) {
-        return sentMillis.getOrDefault(orderId, Long.MIN_VALUE);
-    }
-
-    private void send(Order order) {
-        synchronized (this) {
-            sentMillis.put(order.id(), context.clock().monotonicMillis());
-        }
-        engine.order(order).whenComplete((answer, failure) -> {
-            if (failure != null && !isUnreachable(failure)) {
-                ledger.noteLost();
-            }
-            if (answer == OrderAnswer.STALE_FENCE) {
-                stepDown("the engine has seen a higher fencing number");
-            }
-        });
-    }
-
-    private static boolean isUnreachable(Throwable failure) {
-        return failure instanceof TargetException target && target.kind() == TargetException.Kind.UNREACHABLE;
-    }
-
-    private synchronized void settlePermits() {
-        Map<String, Holding> holdings = ledger.snapshot().holdings();
-        List<String> landed = heldPermits.keySet().stream()
-                .filter(item ->
-                        !holdings.containsKey(item) || !holdings.get(item).awaitsLoad())
-                .toList();
-        landed.forEach(item -> heldPermits.remove(item).close());
-        Set<String> live = holdings.values().stream().map(Holding::orderId).collect(Collectors.toSet());
-        sentMillis.keySet().retainAll(live);
-        usedMillis.keySet().retainAll(holdings.keySet());
-    }
-
-    private synchronized String nextOrderId() {
-        orderCount++;
-        return context.identity().sideId() + "-" + context.identity().epoch() + "-" + orderCount;
-    }
-
-    private void countMove(OrderKind kind, String item) {
-        String what = ResidencyPlan.isAdapter(item) ? "adapter" : "model";
-        context.meters()
-                .counter(MOVES, "kind", kind.name().toLowerCase(java.util.Locale.ROOT), "item", what)
-                .increment();
-    }
 }
--- a/src/main/java/io/waxwingquay/side/Target.java
+++ b/src/main/java/io/waxwingquay/side/Target.java
@@ -35,6 +35,8 @@
      */
     final class ForModels implements Target {
 
+        private static final long STALE_PAUSES = 3L;
+
         private final SideContext context;
         private final MemoryLedger ledger;
         private final Residency residency;
@@ -60,9 +62,11 @@
         /** {@inheritDoc} */
         @Override
         public boolean isReady() {
+            long oldestMillis = context.clock().monotonicMillis()
+                    - STALE_PAUSES * context.limits().pauseLimitMillis();
             return residency
                     .readMillis()
-                    .filter(read -> read > crashes.downMillis())
+                    .filter(read -> read > crashes.downMillis() && read >= oldestMillis)
                     .isPresent();
         }
 
--- a/src/test/java/io/waxwingquay/side/SideNodeTest.java
+++ b/src/test/java/io/waxwingquay/side/SideNodeTest.java
@@ -254,6 +254,23 @@
         }
     }
 
+    // The caller never learns whether it paid: its entry cancelled the call when the caller hung up, the service
+    // answered afterwards, and the outcome was dropped. A call handed over is let go on and its outcome kept.
+    @Test
+    void keepsTheOutcomeOfANonIdempotentCallThatIsCancelledTooLate() {
+        CompletableFuture<PlainService.Answer> answer = new CompletableFuture<>();
+        try (SideBench bench = new SideBench().startPlain(call -> answer)) {
+            submit(bench, bench.plainCall("p", 1L));
+            await(bench.node.cancel("p"));
+            answer.complete(new PlainService.Answer(201, "text/plain", new byte[] {7}));
+            PollAnswer kept = bench.poll("p", 0L);
+            assertEquals(AttemptState.DONE, kept.getState());
+            assertEquals(201, kept.getStatusCode());
+            var resolved = await(bench.node.resolve(new ResolveRequest("p", true, 1L)));
+            assertEquals(Execution.RAN, resolved.getExecution());
+        }
+    }
+
     @Test
     void publishesResidencyAndDemand() {
         try (SideBench bench = new SideBench().start(1L).settle()) {
