Keep LEAVING through GONE

Cause: a side that left, expired to GONE and published once more came back as SERVING, since the record shows GONE only. Ruled out: refusing every return from GONE, which would lose a side that was only cut off. Change: the member remembers that its epoch has left. Before: by reading the code; no red run was taken of this one. Conclusion: LEAVING holds for the epoch in each process that heard it.

--- a/src/main/java/io/waxwingquay/membership/Member.java
+++ b/src/main/java/io/waxwingquay/membership/Member.java
@@ -15,6 +15,7 @@
  *
  * @param record the record; not changed after it is stored.
  * @param side the record as routing sees it.
+ * @param hasLeft whether this epoch was ever seen leaving; GONE hides that in the record.
  * @param changedMillis when the record last changed here.
  * @param silentSinceMillis since when it has not answered, or {@link #NEVER}.
  * @param absentSinceMillis since when the platform's list lacks it, or {@link #NEVER}.
@@ -23,6 +24,7 @@
 record Member(
         SideRecord record,
         Side side,
+        boolean hasLeft,
         long changedMillis,
         long silentSinceMillis,
         long absentSinceMillis,
@@ -32,7 +34,7 @@
 
     static Member of(SideRecord record, long nowMillis) {
         SideRecord own = record.deepCopy();
-        return new Member(own, sideOf(own, true), nowMillis, NEVER, NEVER, NEVER);
+        return new Member(own, sideOf(own, true), isLeaving(own), nowMillis, NEVER, NEVER, NEVER);
     }
 
     /** A new epoch is another process: what was seen of the old one says nothing about it. */
@@ -41,8 +43,17 @@
             return of(next, nowMillis);
         }
         // A higher version was published by a living process, though perhaps not one that this process can reach.
+        if (hasLeft && next.getState().getValue() < SideState.LEAVING.getValue()) {
+            next.setState(SideState.LEAVING);
+        }
         return new Member(
-                next, sideOf(next, isReachable()), nowMillis, silentSinceMillis, absentSinceMillis, lastTriedMillis);
+                next,
+                sideOf(next, isReachable()),
+                hasLeft || isLeaving(next),
+                nowMillis,
+                silentSinceMillis,
+                absentSinceMillis,
+                lastTriedMillis);
     }
 
     Member answered() {
@@ -91,11 +102,15 @@
     private Member withSilence(long sinceMillis, long triedMillis) {
         boolean reachable = sinceMillis == NEVER;
         Side next = reachable == side.reachable() ? side : sideOf(record, reachable);
-        return new Member(record, next, changedMillis, sinceMillis, absentSinceMillis, triedMillis);
+        return new Member(record, next, hasLeft, changedMillis, sinceMillis, absentSinceMillis, triedMillis);
     }
 
     private Member withAbsence(long sinceMillis) {
-        return new Member(record, side, changedMillis, silentSinceMillis, sinceMillis, lastTriedMillis);
+        return new Member(record, side, hasLeft, changedMillis, silentSinceMillis, sinceMillis, lastTriedMillis);
+    }
+
+    private static boolean isLeaving(SideRecord record) {
+        return record.getState() == SideState.LEAVING;
     }
 
     private static Side sideOf(SideRecord record, boolean reachable) {
--- a/src/test/java/io/waxwingquay/membership/MemberTableTest.java
+++ b/src/test/java/io/waxwingquay/membership/MemberTableTest.java
@@ -76,6 +76,20 @@
         assertEquals(SideState.SERVING, state());
     }
 
+    @Test
+    void aSideThatLeftAndWasTakenForGoneComesBackAsLeaving() {
+        // A side leaves, is cut off while it drains and expires to GONE. The cut ends and its last publication arrives,
+        // made before it heard that it leaves. It lives, but new work must not go there.
+        table.publish(record(1, 1, SideState.SERVING));
+        table.noteLeaving(NAME, 1);
+        table.noteListed(Set.of());
+        table.noteReached(NAME, 1, false);
+        nowMillis += EXPIRY_MILLIS;
+        assertEquals(List.of(NAME), table.expire());
+        table.merge(List.of(record(1, 2, SideState.SERVING)));
+        assertEquals(SideState.LEAVING, state());
+    }
+
     @Test
     void theListBeingOutEndsAnAbsence() {
         // A VM is missing from one stale list, then the table service is out for long and the side is silent behind
