--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -46,6 +46,7 @@
                 .membership(foundation.members())
                 .connections(foundation.connections())
                 .table(foundation.table())
+                .suspects(foundation.suspects())
                 .meters(foundation.meters())
                 .clock(foundation.clock())
                 .random(foundation.random())
