Make one drain gate, and name the entry's limits apart from its settings

Cause: two classes DrainGate (entry, side) and two classes EntrySettings (settings, entry) said the same words for different or equal things. Ruled out: a common interface, as both gates did the same. Change: common.DrainGate is the entry's, with one atomic number and held work; entry.EntrySettings is EntryLimits. Before: two gates, two tests. Conclusion: no behaviour changed but that a side's close gives a copy of its future.

--- a/src/main/java/io/waxwingquay/entry/DrainGate.java
+++ b/src/main/java/io/waxwingquay/common/DrainGate.java
@@ -1,12 +1,12 @@
-package io.waxwingquay.entry;
+package io.waxwingquay.common;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Counts requests in flight and, once closed, lets no more in. A request that got in before the gate was
+ * Counts work in flight and, once closed, lets no more in. Work that got in before the gate was
  * closed is always waited for: both facts live in one number, so there is no moment between the look and the
- * count in which a shutdown could miss a request. Safe for concurrent use.
+ * count in which a shutdown could miss some. Safe for concurrent use.
  */
 public final class DrainGate {
 
@@ -16,7 +16,7 @@
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
     /**
-     * Lets a request in.
+     * Lets work in.
      *
      * @return whether it got in; it must then {@link #leave}.
      */
--- a/src/main/java/io/waxwingquay/entry/CallersHandler.java
+++ b/src/main/java/io/waxwingquay/entry/CallersHandler.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.bundle.BundleSource;
+import io.waxwingquay.common.DrainGate;
 import io.waxwingquay.transport.generated.Execution;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
--- a/src/main/java/io/waxwingquay/entry/EntrySettings.java
+++ b/src/main/java/io/waxwingquay/entry/EntryLimits.java
@@ -15,7 +15,7 @@
  * @param retryShare retries allowed for each first try, 0 to 1.
  * @param claimBatch the most claim writes in one transaction.
  */
-public record EntrySettings(
+public record EntryLimits(
         String host,
         int port,
         String dataCentre,
@@ -36,8 +36,7 @@
      * @param dataCentre its data centre.
      * @return the settings.
      */
-    public static EntrySettings withDefaults(String host, int port, String dataCentre) {
-        return new EntrySettings(
-                host, port, dataCentre, "waxwingquay", 30_000, 600_000, 1 << 20, 64 << 10, 250, 0.1, 64);
+    public static EntryLimits withDefaults(String host, int port, String dataCentre) {
+        return new EntryLimits(host, port, dataCentre, "waxwingquay", 30_000, 600_000, 1 << 20, 64 << 10, 250, 0.1, 64);
     }
 }
--- a/src/main/java/io/waxwingquay/entry/EntryNode.java
+++ b/src/main/java/io/waxwingquay/entry/EntryNode.java
@@ -8,6 +8,7 @@
 import io.waxwingquay.claim.ClaimStore;
 import io.waxwingquay.claim.GroupCommitter;
 import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.DrainGate;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.membership.Membership;
 import io.waxwingquay.membership.Side;
@@ -160,7 +161,7 @@
     }
 
     private EntryParts parts(Builder builder) {
-        EntrySettings settings = builder.settings;
+        EntryLimits settings = builder.settings;
         return new EntryParts(
                 settings,
                 builder.membership,
@@ -182,7 +183,7 @@
         board.retain(membership.sides().stream().map(Side::id).collect(Collectors.toSet()));
     }
 
-    private ServerConnector connector(EntrySettings settings) {
+    private ServerConnector connector(EntryLimits settings) {
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         ServerConnector listening = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
@@ -208,7 +209,7 @@
     /** Gathers what an entry process works with. */
     public static final class Builder {
 
-        private EntrySettings settings;
+        private EntryLimits settings;
         private BundleSource bundles;
         private Membership membership;
         private Connections connections;
@@ -228,7 +229,7 @@
          * @param value the settings.
          * @return this builder.
          */
-        public Builder settings(EntrySettings value) {
+        public Builder settings(EntryLimits value) {
             this.settings = value;
             return this;
         }
--- a/src/main/java/io/waxwingquay/entry/EntryParts.java
+++ b/src/main/java/io/waxwingquay/entry/EntryParts.java
@@ -35,7 +35,7 @@
  * @param suspects requests that were running when targets crashed.
  */
 record EntryParts(
-        EntrySettings settings,
+        EntryLimits settings,
         Membership membership,
         Connections connections,
         LoadBoard board,
--- a/src/main/java/io/waxwingquay/entry/OutcomeWriter.java
+++ b/src/main/java/io/waxwingquay/entry/OutcomeWriter.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.claim.ClaimRecord;
 import io.waxwingquay.claim.ClaimStore;
+import io.waxwingquay.common.DrainGate;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
--- a/src/main/java/io/waxwingquay/entry/RequestReader.java
+++ b/src/main/java/io/waxwingquay/entry/RequestReader.java
@@ -18,7 +18,7 @@
  *
  * @param settings limits and defaults.
  */
-public record RequestReader(EntrySettings settings) {
+public record RequestReader(EntryLimits settings) {
 
     /** Header with the request's identity. */
     public static final String REQUEST_ID = "X-Request-Id";
--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.process;
 
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.entry.EntryLimits;
 import io.waxwingquay.entry.EntryNode;
 import io.waxwingquay.membership.Membership;
 import io.waxwingquay.routing.SideView;
@@ -133,8 +134,8 @@
                         .views(foundation.members().sides(), foundation.clock().monotonicMillis()));
     }
 
-    private static io.waxwingquay.entry.EntrySettings limits(EntrySettings settings) {
-        return new io.waxwingquay.entry.EntrySettings(
+    private static EntryLimits limits(EntrySettings settings) {
+        return new EntryLimits(
                 settings.process().host(),
                 settings.callerPort(),
                 settings.process().dataCentre(),
--- a/src/main/java/io/waxwingquay/side/Admission.java
+++ b/src/main/java/io/waxwingquay/side/Admission.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.side;
 
+import io.waxwingquay.common.DrainGate;
 import io.waxwingquay.suspect.SuspectBook.Standing;
 import io.waxwingquay.transport.generated.Execution;
 import io.waxwingquay.transport.generated.RefusalReason;
@@ -72,7 +73,7 @@
     }
 
     private Optional<Door.Denial> enter(Attempt attempt) {
-        if (!gate.enter()) {
+        if (!gate.tryEnter()) {
             return denial(RefusalReason.LEAVING, "this side is leaving");
         }
         attempt.ended().thenRun(gate::leave);
--- a/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
+++ b/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.waxwingquay.bundle.BundleSource;
 import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.DrainGate;
 import io.waxwingquay.engine.ModelEngine;
 import io.waxwingquay.engine.PlainService;
 import io.waxwingquay.ledger.MemoryLedger;
--- a/src/main/java/io/waxwingquay/side/SideParts.java
+++ b/src/main/java/io/waxwingquay/side/SideParts.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.side;
 
+import io.waxwingquay.common.DrainGate;
 import io.waxwingquay.ledger.MemoryLedger.Snapshot;
 import java.util.Optional;
 import java.util.function.Supplier;
--- a/src/test/java/io/waxwingquay/side/DrainGateTest.java
+++ b/src/test/java/io/waxwingquay/common/DrainGateTest.java
@@ -1,4 +1,4 @@
-package io.waxwingquay.side;
+package io.waxwingquay.common;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,9 +12,21 @@
     @Test
     void refusesNewWorkAndWaitsForTheLast() {
         DrainGate gate = new DrainGate();
-        assertTrue(gate.enter());
+        assertTrue(gate.tryEnter());
+        var empty = gate.close();
+        assertFalse(gate.tryEnter());
+        assertFalse(empty.isDone());
+        gate.leave();
+        assertTrue(empty.isDone());
+    }
+
+    @Test
+    void waitsForWorkThatOutlivesItsRequest() {
+        DrainGate gate = new DrainGate();
+        assertTrue(gate.tryEnter());
+        gate.hold();
+        gate.leave();
         var empty = gate.close();
-        assertFalse(gate.enter());
         assertFalse(empty.isDone());
         gate.leave();
         assertTrue(empty.isDone());
@@ -35,19 +47,32 @@
 
         private final DrainGate gate = new DrainGate();
 
+        public Concurrent() {
+            gate.hold();
+        }
+
         @Operation
         public boolean enter() {
-            return gate.enter();
+            return gate.tryEnter();
+        }
+
+        @Operation(runOnce = true)
+        public void leave() {
+            gate.leave();
         }
 
         @Operation
-        public int inside() {
+        public long inside() {
             return gate.inside();
         }
 
         @Operation
         public boolean close() {
-            gate.close();
+            return gate.close().isDone();
+        }
+
+        @Operation
+        public boolean isClosed() {
             return gate.isClosed();
         }
     }
--- a/src/test/java/io/waxwingquay/entry/Fakes.java
+++ b/src/test/java/io/waxwingquay/entry/Fakes.java
@@ -42,8 +42,8 @@
             List.of(new Bundle.Operation("pay", "deposit", true), new Bundle.Operation("pay", "quote", false))));
 
     /** Settings with the policy that takes sides in turn, so that tests know which side is first. */
-    static EntrySettings settings() {
-        return new EntrySettings("127.0.0.1", 0, "dc1", "round-robin", 30_000, 600_000, 4_096, 1_024, 250, 1.0, 64);
+    static EntryLimits settings() {
+        return new EntryLimits("127.0.0.1", 0, "dc1", "round-robin", 30_000, 600_000, 4_096, 1_024, 250, 1.0, 64);
     }
 
     EntryNode node() {
