--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -58,7 +58,8 @@
     private LocalDeployment(Builder choices) {
         this.choices = choices;
         this.bundle = BundleDocument.parse("bundle", choices.document);
-        this.platform = PlatformStandin.builder().start();
+        this.platform =
+                PlatformStandin.builder().listLagMillis(choices.listLagMillis).start();
         this.targets = new LocalTargets(bundle, choices.costs, choices.timeScale, choices.weightLoadMillis);
         this.texts = new SettingsText(
                 new HostPort(LOOPBACK, platform.port()),
@@ -269,6 +270,7 @@
         private long weightLoadMillis = DEFAULT_WEIGHT_LOAD_MILLIS;
         private long leaseMillis = DEFAULT_LEASE_MILLIS;
         private long orderQuarantineMillis;
+        private long listLagMillis;
 
         private Builder(byte[] document) {
             this.document = document.clone();
@@ -340,6 +342,28 @@
             return this;
         }
 
+        /**
+         * Sets how long a side before an unfenced engine holds its orders back.
+         *
+         * @param millis longer than the longest delay of an order.
+         * @return this builder.
+         */
+        public Builder orderQuarantineMillis(long millis) {
+            this.orderQuarantineMillis = millis;
+            return this;
+        }
+
+        /**
+         * Sets how old the platform's VM list is.
+         *
+         * @param millis the lag.
+         * @return this builder.
+         */
+        public Builder listLagMillis(long millis) {
+            this.listLagMillis = millis;
+            return this;
+        }
+
         /**
          * Starts the deployment.
          *
