Let a side settle before its first orders

Cause: sides start together and each planned placement before it knew the others, so each took every model for its own, filled its memory and evicted most of it seconds later, with "no room" in the log. Ruled out: the order of placement's passes (with all sides known from the start the plan does not change as copies land). Change: PlannedItems wants nothing, and gives up nothing, until it knows as many sides of its service as the bundle gives it, or 5 s have passed; those 5 s also bound the wait with the platform out.

--- a/src/main/java/io/waxwingquay/process/PlannedItems.java
+++ b/src/main/java/io/waxwingquay/process/PlannedItems.java
@@ -3,10 +3,13 @@
 import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.common.Clock;
 import io.waxwingquay.membership.Membership;
+import io.waxwingquay.membership.Side;
 import io.waxwingquay.placement.Plan;
 import io.waxwingquay.placement.Strategy;
 import io.waxwingquay.placement.View;
 import io.waxwingquay.side.WantedItems;
+import java.util.List;
+import java.util.Set;
 
 /**
  * Placement for one side. The plan is made again at most once an interval, as the order loop asks far more often than
@@ -19,26 +22,32 @@
     private final Membership membership;
     private final Strategy strategy;
     private final Clock clock;
-    private final long intervalMillis;
+    private final Pace pace;
+    private final long startMillis;
+    private boolean settled;
     private Plan plan = Plan.EMPTY;
     private long plannedVersion;
     private long plannedMillis;
 
-    PlannedItems(
-            String sideId, String service, Membership membership, Strategy strategy, Clock clock, long intervalMillis) {
+    PlannedItems(String sideId, String service, Membership membership, Strategy strategy, Clock clock, Pace pace) {
         this.sideId = sideId;
         this.service = service;
         this.membership = membership;
         this.strategy = strategy;
         this.clock = clock;
-        this.intervalMillis = intervalMillis;
+        this.pace = pace;
+        this.startMillis = clock.monotonicMillis();
     }
 
     /** {@inheritDoc} */
     @Override
     public synchronized Wanted wanted(Bundle bundle) {
         long nowMillis = clock.monotonicMillis();
-        if (bundle.version() != plannedVersion || nowMillis - plannedMillis >= intervalMillis) {
+        settled = settled || isSettled(bundle, nowMillis);
+        if (!settled) {
+            return new Wanted(List.of(), residentHere());
+        }
+        if (bundle.version() != plannedVersion || nowMillis - plannedMillis >= pace.planMillis()) {
             plan = strategy.plan(View.of(bundle, service, membership.sides(), plan, nowMillis));
             plannedVersion = bundle.version();
             plannedMillis = nowMillis;
@@ -46,4 +55,24 @@
         Plan.Share share = plan.of(sideId);
         return new Wanted(share.wantedItems(), share.protectedItems());
     }
+
+    private boolean isSettled(Bundle bundle, long nowMillis) {
+        long known = membership.sides().stream()
+                .filter(side -> side.service().equals(service))
+                .count();
+        int replicas = bundle.service(service).map(Bundle.Service::replicas).orElse(0);
+        return known >= replicas || nowMillis - startMillis >= pace.settleMillis();
+    }
+
+    private Set<String> residentHere() {
+        return membership.side(sideId).map(Side::residentItems).orElse(Set.of());
+    }
+
+    /**
+     * When plans are made.
+     *
+     * @param planMillis the least time between two plans.
+     * @param settleMillis the longest wait for the other sides before the first plan.
+     */
+    record Pace(long planMillis, long settleMillis) {}
 }
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -37,6 +37,7 @@
     private static final int MAX_ASKS = 3;
     private static final long HEARTBEAT_MILLIS = 500L;
     private static final long PLAN_MILLIS = 1_000L;
+    private static final long SETTLE_MILLIS = 5_000L;
 
     private final Foundation foundation;
     private final SideSettings settings;
@@ -215,7 +216,7 @@
                         foundation.members(),
                         placement,
                         foundation.clock(),
-                        PLAN_MILLIS))
+                        new PlannedItems.Pace(PLAN_MILLIS, SETTLE_MILLIS)))
                 .meters(foundation.meters());
     }
 
