Hold memory through lost and late orders, and raise the fence before the first plan

Also, a side that had stepped down went on logging an overcommit for loads it will never see again. Ruled out: a quarantine after each start before a fenced engine, which would leave its models unserved for 30 s. Change: before a side plans, it shows its number by an order that evicts what no engine holds, and reads the memory again after that was taken; anew for each boot of the engine. A retired side raises no alarm. Conclusion: with the fence shown first, memory read is memory that no earlier side can change. On an engine that ignores numbers the quarantine bounds it: an order later than 30 s, or handed to the kernel before a pause, is not covered.

--- a/src/main/java/io/waxwingquay/ledger/MemoryLedger.java
+++ b/src/main/java/io/waxwingquay/ledger/MemoryLedger.java
@@ -59,7 +59,7 @@
      * @return the ledger.
      */
     public static MemoryLedger forUnfencedEngine(long capacityBytes, Clock clock, long quarantineMillis) {
-        return new MemoryLedger(capacityBytes, clock, quarantineMillis, 0L);
+        return new MemoryLedger(capacityBytes, clock, quarantineMillis, quarantineMillis);
     }
 
     /**
@@ -175,7 +175,7 @@
     }
 
     private long heldBytes() {
-        return holdings.values().stream().filter(h -> h.state() != State.EVICTING).mapToLong(Holding::sizeBytes).sum();
+        return holdings.values().stream().mapToLong(Holding::sizeBytes).sum();
     }
 
     private long countedBytes() {
@@ -204,7 +204,7 @@
         Set<String> open = new HashSet<>();
         openOrders.forEach(order -> open.add(order.item()));
         for (Holding holding : List.copyOf(holdings.values())) {
-            if (!present.containsKey(holding.item()) && !open.contains(holding.item())) {
+            if (!present.containsKey(holding.item()) && !open.contains(holding.item()) && !holding.awaitsLoad()) {
                 holdings.remove(holding.item());
                 if (holding.state() == State.RESIDENT) {
                     vanished.add(holding.item());
--- a/src/main/java/io/waxwingquay/side/OrderDesk.java
+++ b/src/main/java/io/waxwingquay/side/OrderDesk.java
@@ -65,7 +65,7 @@
      */
     synchronized boolean mustRaiseFence(String bootId) {
         boolean fenced = context.service().map(Bundle.Service::ordersFenced).orElse(false);
-        return false && !fencedBoot.equals(Optional.of(bootId));
+        return fenced && !fencedBoot.equals(Optional.of(bootId));
     }
 
     /**
--- a/src/main/java/io/waxwingquay/side/Residency.java
+++ b/src/main/java/io/waxwingquay/side/Residency.java
@@ -157,7 +157,7 @@
         boolean paused = lastTickMillis
                 .filter(last -> nowMillis - last > context.limits().pauseLimitMillis())
                 .isPresent();
-        lastTickMillis = Optional.of(nowMillis); paused = false;
+        lastTickMillis = Optional.of(nowMillis);
         if (paused) {
             LOG.log(System.Logger.Level.WARNING, "side: paused, holding orders back");
             context.count("waxwingquay.side.pauses", "side", context.identity().sideId());
@@ -183,7 +183,7 @@
         orders.settle();
         forgetUse();
         adapters.settle();
-        if (false) {
+        if (isSuperseded(report)) {
             stepDown("a later process of this name gives orders");
         }
         boolean stale = context.clock().monotonicMillis() - askedMillis
--- a/src/main/java/io/waxwingquay/side/ResidencyPlan.java
+++ b/src/main/java/io/waxwingquay/side/ResidencyPlan.java
@@ -139,7 +139,7 @@
             if (snapshot.holdings().containsKey(item)) {
                 return;
             }
-            if (sizeBytes <= expectedBytes) {
+            if (sizeBytes <= freeBytes) {
                 loads.add(new Load(item, sizeBytes));
                 freeBytes -= sizeBytes;
                 expectedBytes -= sizeBytes;
