--- a/src/main/java/io/waxwingquay/side/Residency.java
+++ b/src/main/java/io/waxwingquay/side/Residency.java
@@ -75,20 +75,30 @@
             }
             running = Optional.of(done);
         }
+        read(done, paused);
+        return done;
+    }
+
+    private void read(CompletableFuture<Void> done, boolean paused) {
         long askedMillis = context.clock().monotonicMillis();
         long waitMillis = context.limits().pauseLimitMillis();
         engine.residency().orTimeout(waitMillis, TimeUnit.MILLISECONDS).whenComplete((report, failure) -> {
+            CompletableFuture<Boolean> again = CompletableFuture.completedFuture(false);
             try {
                 if (failure == null) {
-                    observe(report, askedMillis, paused);
+                    again = observe(report, askedMillis, paused);
                 }
             } catch (RuntimeException unexpected) {
                 LOG.log(System.Logger.Level.ERROR, "side: order loop failed, retrying", unexpected);
-            } finally {
-                endTick(done);
             }
+            again.whenComplete((raised, lost) -> {
+                if (lost == null && raised) {
+                    read(done, paused);
+                } else {
+                    endTick(done);
+                }
+            });
         });
-        return done;
     }
 
     /**
@@ -161,12 +171,15 @@
         done.completeAsync(() -> null);
     }
 
-    private void observe(ModelEngine.Residency report, long askedMillis, boolean paused) {
+    /** Whether the engine's memory must be read once more, as its fence was raised after this report. */
+    private CompletableFuture<Boolean> observe(ModelEngine.Residency report, long askedMillis, boolean paused) {
         Observation observation = ledger.observe(report);
         synchronized (this) {
             readMillis = Optional.of(askedMillis);
         }
-        noteAlarms(observation);
+        if (!isRetired()) {
+            noteAlarms(observation);
+        }
         orders.settle();
         forgetUse();
         adapters.settle();
@@ -175,9 +188,14 @@
         }
         boolean stale = context.clock().monotonicMillis() - askedMillis
                 > context.limits().pauseLimitMillis();
-        if (!paused && !stale && !isRetired()) {
-            context.bundles().current().ifPresent(bundle -> act(bundle, report));
+        if (paused || stale || isRetired()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        if (orders.mustRaiseFence(report.bootId())) {
+            return orders.raiseFence(report.bootId());
         }
+        context.bundles().current().ifPresent(bundle -> act(bundle, report));
+        return CompletableFuture.completedFuture(false);
     }
 
     private void noteAlarms(Observation observation) {
