Log on after logging is configured a second time

Cause: every command configures logging at WARN, then entries and sides (and now stand-ins) configure it again from their settings. The reset in between stops the first appender, which closes its stream: standard error itself. A process started on its own logged nothing at all, not even errors. Ruled out: level filtering (the logger was at INFO), and a hang (a thread dump showed the process listening). Change: the appender writes through a stream that is flushed, not closed. Before: LoggingTest.writesOnAfterItIsConfiguredAgain failed (expected: <true> but was: <false>); after: green. Conclusion: log_level and log_format of the settings take effect.

--- a/src/main/java/io/waxwingquay/observe/Logging.java
+++ b/src/main/java/io/waxwingquay/observe/Logging.java
@@ -9,6 +9,8 @@
 import ch.qos.logback.core.encoder.Encoder;
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import java.io.FilterOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,7 +41,7 @@
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
         appender.setEncoder(format == LogFormat.JSON ? jsonEncoder(context) : textEncoder(context));
-        appender.setOutputStream(target);
+        appender.setOutputStream(new KeptOpen(target));
         appender.start();
         Level own = Level.toLevel(level.name());
         context.getLogger(OWN_LOGGERS).setLevel(own);
@@ -67,4 +69,27 @@
         encoder.start();
         return encoder;
     }
+
+    /**
+     * A stream that outlives the appenders that write to it. A reset closes the stream of the appender before;
+     * when that was standard error itself, a process configured twice logged nothing from then on.
+     */
+    private static final class KeptOpen extends FilterOutputStream {
+
+        private KeptOpen(OutputStream stream) {
+            super(stream);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void write(byte[] bytes, int from, int count) throws IOException {
+            out.write(bytes, from, count);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void close() throws IOException {
+            flush();
+        }
+    }
 }
--- a/src/test/java/io/waxwingquay/observe/LoggingTest.java
+++ b/src/test/java/io/waxwingquay/observe/LoggingTest.java
@@ -10,6 +10,7 @@
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
 import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,17 @@
         assertTrue(text().matches("\\S+Z INFO  side: serving\\R"), text());
     }
 
+    @Test
+    void writesOnAfterItIsConfiguredAgain() {
+        // An operator starts a side with log_level = "info" and sees nothing at all: the command line configures
+        // logging, the settings configure it again, and the reset in between closed the standard error stream.
+        PrintStream console = new PrintStream(written, true, StandardCharsets.UTF_8);
+        Logging.configure(context, LogFormat.TEXT, LogLevel.WARN, console);
+        Logging.configure(context, LogFormat.TEXT, LogLevel.INFO, console);
+        context.getLogger("waxwingquay.side").info("side: serving");
+        assertTrue(text().contains("side: serving"), text());
+    }
+
     @Test
     void writesOneJsonObjectForEachEvent() throws Exception {
         Logging.configure(context, LogFormat.JSON, LogLevel.DEBUG, written);
