Drive separately started processes end to end

Cause: the whole path had only been run in one JVM; nothing had started the processes one by one. Stand-ins on port 0 tell their port in the log, which was filtered at WARN; they now log at INFO. Ports of entries and sides are probed with ServerSocket(0) just before.

--- a/src/main/java/io/waxwingquay/standin/StandinCommand.java
+++ b/src/main/java/io/waxwingquay/standin/StandinCommand.java
@@ -2,6 +2,9 @@
 
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.observe.Logging;
+import io.waxwingquay.settings.ProcessSettings.LogFormat;
+import io.waxwingquay.settings.ProcessSettings.LogLevel;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -27,6 +30,8 @@
 
     private static int serve(AutoCloseable standin, String kind, int port) throws Exception {
         try (standin) {
+            // The commands log warnings only, but whoever starts a stand-in on port 0 has to learn its port.
+            Logging.configure(LogFormat.TEXT, LogLevel.INFO);
             System.getLogger("waxwingquay.standin")
                     .log(System.Logger.Level.INFO, "standin: {0} listens on port {1}", kind, String.valueOf(port));
             new CountDownLatch(1).await();
--- /dev/null
+++ b/src/test/java/io/waxwingquay/scenario/ProcessWorld.java
@@ -0,0 +1,280 @@
+package io.waxwingquay.scenario;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.waxwingquay.bench.Caller;
+import io.waxwingquay.bench.SettingsText;
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.bundle.BundleDocument;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.Json;
+import io.waxwingquay.testing.Await;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * A deployment of separate processes on loopback: platform, weight store, two engines, a plain service, their sides,
+ * and two entries.
+ *
+ * <p>Stand-ins take port 0 and tell it in their log. Entries and sides are given ports that were free a moment
+ * before: a caller has to know an entry's port, and warnings are all that they log.
+ */
+final class ProcessWorld implements AutoCloseable {
+
+    static final String BUNDLE =
+            """
+            version = 1
+
+            [[services]]
+            name = "studio"
+            kind = "model"
+            replicas = 2
+            memory_bytes = 40_000_000_000
+            accelerators = 1
+            orders_fenced = false
+            weight_loads_at_once = 4
+            weight_loads_per_second = 20.0
+            adapter_loads_at_once = 6
+            max_concurrent = 16
+
+            [[services]]
+            name = "booking"
+            kind = "plain"
+            replicas = 1
+            max_concurrent = 16
+
+            [[models]]
+            name = "throwing"
+            service = "studio"
+            version = "1"
+            size_bytes = 14_000_000_000
+            priority = 50
+
+            [[models]]
+            name = "glazing"
+            service = "studio"
+            version = "1"
+            size_bytes = 14_000_000_000
+            priority = 60
+
+            [[operations]]
+            service = "booking"
+            name = "pay-deposit"
+            non_idempotent = true
+            """;
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int ENTRIES = 2;
+    private static final long LEASE_MILLIS = 1_000L;
+    private static final long DEADLINE_MILLIS = 15_000L;
+
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final Caller caller = new Caller();
+    private final Path folder;
+    private final Bundle bundle = BundleDocument.parse("bundle", BUNDLE.getBytes(StandardCharsets.UTF_8));
+    private final Map<String, StartedProcess> processes = new LinkedHashMap<>();
+    private final Map<String, HostPort> targets = new LinkedHashMap<>();
+    private final Map<String, Integer> callerPorts = new LinkedHashMap<>();
+    private final Map<String, Integer> adminPorts = new LinkedHashMap<>();
+
+    private ProcessWorld(Path folder) {
+        this.folder = folder;
+    }
+
+    static ProcessWorld start(Path folder) throws Exception {
+        ProcessWorld world = new ProcessWorld(folder);
+        try {
+            world.open();
+            return world;
+        } catch (Exception | AssertionError failure) {
+            world.close();
+            throw failure;
+        }
+    }
+
+    Caller caller() {
+        return caller;
+    }
+
+    HostPort entry(int number) {
+        return new HostPort(LOOPBACK, callerPorts.get("entry-" + number));
+    }
+
+    StartedProcess process(String name) {
+        return processes.get(name);
+    }
+
+    Caller.Completion completion(String model, String prompt, int tokens) {
+        return new Caller.Completion(model, Optional.empty(), prompt, tokens, 0, DEADLINE_MILLIS);
+    }
+
+    Caller.ServiceCall deposit(String key) {
+        return new Caller.ServiceCall(
+                "booking", "pay-deposit", Optional.of(key), "{\"key\":\"" + key + "\"}", DEADLINE_MILLIS);
+    }
+
+    /** The text of an answer asked for in one piece, or the whole body of an error. */
+    String wholeCompletion(HostPort entry, String model, String prompt, int tokens) throws Exception {
+        String body = Json.MAPPER
+                .createObjectNode()
+                .put("model", model)
+                .put("prompt", prompt)
+                .put("max_tokens", tokens)
+                .toString();
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + entry + "/v1/completions"))
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+        JsonNode answer = Json.MAPPER.readTree(response.body());
+        return response.statusCode() == 200
+                ? answer.path("choices").path(0).path("text").asText()
+                : response.body();
+    }
+
+    /** How often the plain service ran a key. */
+    int runs(String key) throws Exception {
+        JsonNode stats = Json.MAPPER.readTree(get("http://" + targets.get("booking-0") + "/stats"));
+        return stats.path("runsByKey").path(key).asInt();
+    }
+
+    /** Makes a stand-in show faults. */
+    void fault(String standin, String settings) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + targets.get(standin) + "/faults"))
+                .POST(HttpRequest.BodyPublishers.ofString(settings))
+                .build();
+        http.send(request, HttpResponse.BodyHandlers.discarding());
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        processes.values().forEach(StartedProcess::close);
+        caller.close();
+    }
+
+    private void open() throws Exception {
+        standin("platform", List.of());
+        standin("weights", List.of("--load-millis", "100", "--loads-at-once", "4", "--loads-per-second", "50"));
+        String weights = targets.get("weights").toString();
+        standin("engine", "studio-0", List.of("--weights", weights, "--capacity-bytes", "40000000000"));
+        standin("engine", "studio-1", List.of("--weights", weights, "--capacity-bytes", "40000000000"));
+        standin("plain", "booking-0", List.of());
+        Path key = folder.resolve("operator.key");
+        Path document = Files.writeString(folder.resolve("bundle.toml"), BUNDLE);
+        command("bundle", "keygen", key.toString());
+        command("bundle", "sign", "--key", key.toString(), document.toString());
+        submit(key, document);
+        startProduct(Files.readString(Path.of(key + ".pub")).strip());
+        for (String name : adminPorts.keySet()) {
+            Await.until(() -> isServing(name));
+        }
+    }
+
+    private void submit(Path key, Path document) throws Exception {
+        String platform = "http://" + targets.get("platform");
+        command("bundle", "submit", "--platform", platform, "--trusted-key", key + ".pub", document.toString());
+    }
+
+    private void startProduct(String publicKey) throws Exception {
+        SettingsText texts = new SettingsText(targets.get("platform"), publicKey, 2, LEASE_MILLIS, 0L);
+        for (Bundle.Service service : bundle.services()) {
+            for (int replica = 0; replica < service.replicas(); replica++) {
+                String name = SettingsText.sideName(service.name(), replica);
+                List<Integer> ports = freePorts();
+                role("side", name, texts.side(service, replica, targets.get(name), ports), ports);
+            }
+        }
+        for (int number = 0; number < ENTRIES; number++) {
+            List<Integer> ports = freePorts();
+            callerPorts.put("entry-" + number, ports.get(2));
+            role("entry", "entry-" + number, texts.entry(number, "waxwingquay", ports), ports);
+        }
+    }
+
+    private void role(String role, String name, String settings, List<Integer> ports) throws IOException {
+        adminPorts.put(name, ports.get(1));
+        Path file = Files.writeString(folder.resolve(name + ".toml"), settings);
+        processes.put(
+                name,
+                StartedProcess.start(folder.resolve(name + ".log"), List.of(role, "--settings", file.toString())));
+    }
+
+    private void standin(String kind, List<String> options) throws Exception {
+        standin(kind, kind, options);
+    }
+
+    private void standin(String kind, String name, List<String> options) throws Exception {
+        List<String> arguments = new ArrayList<>(List.of("standin", kind, "--port", "0"));
+        arguments.addAll(options);
+        StartedProcess started = StartedProcess.start(folder.resolve(name + "-standin.log"), arguments);
+        processes.put(name + "-standin", started);
+        targets.put(name, new HostPort(LOOPBACK, started.awaitPort()));
+    }
+
+    private void command(String... arguments) throws Exception {
+        StartedProcess.run(folder.resolve("command-" + arguments[1] + ".log"), List.of(arguments));
+    }
+
+    /** Whether a completion of each model and a deposit get through each entry. */
+    private boolean isServing(String name) throws Exception {
+        if (!callerPorts.containsKey(name)) {
+            return isReady(name);
+        }
+        int number = Integer.parseInt(name.substring("entry-".length()));
+        return isReady(name)
+                && knowsSides(name)
+                && caller.complete(entry(number), completion("throwing", "ready?", 1))
+                        .join()
+                        .isWhole()
+                && caller.complete(entry(number), completion("glazing", "ready?", 1))
+                        .join()
+                        .isWhole()
+                && caller.call(entry(number), deposit("ready-" + number)).join().isWhole();
+    }
+
+    private boolean knowsSides(String name) throws Exception {
+        return get("http://" + LOOPBACK + ":" + adminPorts.get(name) + "/dump").contains("studio-1");
+    }
+
+    private boolean isReady(String name) throws Exception {
+        try {
+            HttpRequest request = HttpRequest.newBuilder(
+                            URI.create("http://" + LOOPBACK + ":" + adminPorts.get(name) + "/readyz"))
+                    .build();
+            return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException notListening) {
+            return false;
+        }
+    }
+
+    private String get(String url) throws Exception {
+        return http.send(HttpRequest.newBuilder(URI.create(url)).build(), HttpResponse.BodyHandlers.ofString())
+                .body();
+    }
+
+    private static List<Integer> freePorts() throws IOException {
+        List<ServerSocket> probes = new ArrayList<>();
+        try {
+            for (int number = 0; number < 3; number++) {
+                probes.add(new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)));
+            }
+            return probes.stream().map(ServerSocket::getLocalPort).toList();
+        } finally {
+            for (ServerSocket probe : probes) {
+                probe.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/scenario/StartedProcess.java
@@ -0,0 +1,98 @@
+package io.waxwingquay.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.command.Main;
+import io.waxwingquay.testing.Await;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** One process of the jar's main class, started on the test's own class path and ended by its handle. */
+final class StartedProcess implements AutoCloseable {
+
+    private static final Pattern PORT = Pattern.compile("listens on port (\\d+)");
+    private static final long END_SECONDS = 20;
+
+    private final Process process;
+    private final Path log;
+
+    private StartedProcess(Process process, Path log) {
+        this.process = process;
+        this.log = log;
+    }
+
+    static StartedProcess start(Path log, List<String> arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx192m",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                Main.class.getName()));
+        command.addAll(arguments);
+        Process started = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(log.toFile())
+                .start();
+        return new StartedProcess(started, log);
+    }
+
+    static void run(Path log, List<String> arguments) throws Exception {
+        try (StartedProcess command = start(log, arguments)) {
+            assertTrue(command.process.waitFor(END_SECONDS, TimeUnit.SECONDS), "did not end: " + arguments);
+            assertEquals(0, command.process.exitValue(), arguments + "\n" + command.logged());
+        }
+    }
+
+    /** The port that a stand-in started with port 0 tells in its log. */
+    int awaitPort() throws Exception {
+        List<Integer> found = Collections.synchronizedList(new ArrayList<>());
+        Await.until(() -> {
+            assertTrue(process.isAlive(), logged());
+            Matcher matcher = PORT.matcher(logged());
+            if (matcher.find()) {
+                found.add(Integer.valueOf(matcher.group(1)));
+            }
+            return !found.isEmpty();
+        });
+        return found.get(0);
+    }
+
+    String logged() throws IOException {
+        return Files.readString(log);
+    }
+
+    /** SIGKILL, as a machine that loses its power. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        assertTrue(process.waitFor(END_SECONDS, TimeUnit.SECONDS), "a killed process did not end");
+    }
+
+    void pause() throws Exception {
+        signal("-STOP");
+    }
+
+    void resume() throws Exception {
+        signal("-CONT");
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    private void signal(String name) throws Exception {
+        Process sent = new ProcessBuilder("kill", name, Long.toString(process.pid())).start();
+        assertTrue(sent.waitFor(END_SECONDS, TimeUnit.SECONDS), "kill did not end");
+        assertEquals(0, sent.exitValue());
+    }
+}
