Measure how cost grows with processes, sides, models and residency

Change: 'capacity' raises sizes step by step and prints the steps, a least-squares line, its standard error and the worst step. Gossip runs the product's own classes by direct calls under a stepped clock; processor time is of the thread or process; heap is after collections. Before: no figures. Conclusion: the command stands; a test holds the fit and that news crosses the field but not a cut.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/capacity/BundleSizes.java
@@ -0,0 +1,74 @@
+package io.waxwingquay.bench.capacity;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import java.util.zip.Deflater;
+
+/** Bytes of a bundle document, by models, as it is and deflated. */
+final class BundleSizes {
+
+    private static final List<Integer> MODELS = List.of(40, 80, 155, 310, 620);
+    private static final int ADAPTERS_A_MODEL = 4;
+    private static final String MODEL =
+            """
+
+            [[models]]
+            name = "%s"
+            service = "models"
+            version = "%x"
+            size_bytes = %d
+            priority = %d
+            """;
+    private static final String ADAPTER =
+            """
+
+            [[adapters]]
+            name = "%s-%d"
+            model = "%s"
+            version = "%x"
+            size_bytes = %d
+            """;
+
+    private BundleSizes() {}
+
+    static Stream<StepTable> all() {
+        return Stream.of(
+                StepTable.measure(
+                        "bytes of a bundle document, " + ADAPTERS_A_MODEL + " adapters a model",
+                        "models",
+                        MODELS,
+                        models -> document((int) models).length),
+                StepTable.measure(
+                        "bytes of the same document deflated",
+                        "models",
+                        MODELS,
+                        models -> deflatedBytes(document((int) models))));
+    }
+
+    /** Versions are random, as commit hashes are, since they bound what deflating saves. */
+    private static byte[] document(int models) {
+        Random random = new Random(5);
+        StringBuilder text = new StringBuilder("version = 4400\n");
+        for (int index = 0; index < models; index++) {
+            String name = "furnace-log-" + index;
+            text.append(
+                    MODEL.formatted(name, random.nextLong(), (1 + random.nextInt(640)) * 1_000_000_000L, index % 100));
+            for (int adapter = 0; adapter < ADAPTERS_A_MODEL; adapter++) {
+                text.append(ADAPTER.formatted(name, adapter, name, random.nextLong(), 200_000_000L));
+            }
+        }
+        return text.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static double deflatedBytes(byte[] document) {
+        Deflater deflater = new Deflater();
+        deflater.setInput(document);
+        deflater.finish();
+        byte[] room = new byte[document.length];
+        int length = deflater.deflate(room);
+        deflater.end();
+        return length;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/capacity/Costs.java
@@ -0,0 +1,203 @@
+package io.waxwingquay.bench.capacity;
+
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.MemberTable;
+import io.waxwingquay.placement.DemandMarks;
+import io.waxwingquay.placement.Plan;
+import io.waxwingquay.placement.Strategy;
+import io.waxwingquay.placement.View;
+import io.waxwingquay.routing.LoadBoard;
+import io.waxwingquay.routing.Policy;
+import io.waxwingquay.routing.RouteQuery;
+import io.waxwingquay.routing.Router;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.ThriftConnections;
+import io.waxwingquay.transport.ThriftServer;
+import io.waxwingquay.transport.generated.AttemptState;
+import io.waxwingquay.transport.generated.Chunk;
+import io.waxwingquay.transport.generated.LoadReport;
+import io.waxwingquay.transport.generated.PollAnswer;
+import io.waxwingquay.transport.generated.PollRequest;
+import java.lang.reflect.Proxy;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/** Processor time and heap of single parts, by size. */
+final class Costs {
+
+    private static final int ITEMS = 8;
+    private static final int MODELS = 620;
+    private static final int SIDES = 2_400;
+    private static final List<Integer> SIDE_STEPS = List.of(150, 300, 600, 1_200, 2_400);
+    private static final long POLL_WAIT_MILLIS = 250;
+
+    private Costs() {}
+
+    static Stream<StepTable> all() {
+        return Stream.<Supplier<StepTable>>of(
+                        Costs::recordBytes,
+                        Costs::recordHeap,
+                        Costs::snapshotMicros,
+                        Costs::routingMicros,
+                        Costs::planMicrosBySides,
+                        Costs::planMicrosByModels,
+                        Costs::pollMicros,
+                        Costs::connectionHeap)
+                .map(Supplier::get);
+    }
+
+    private static StepTable recordBytes() {
+        return StepTable.measure(
+                "bytes of a side record",
+                "items in it",
+                List.of(0, 4, 8, 16, 32, 64),
+                items -> Sides.sizeBytes(Sides.record(17, (int) items, MODELS)));
+    }
+
+    private static StepTable recordHeap() {
+        return StepTable.measure(
+                "heap bytes of a member table, " + ITEMS + " items a side",
+                "sides",
+                SIDE_STEPS,
+                sides -> Meter.heapBytes((int) sides, count -> Sides.table(count, ITEMS, MODELS)));
+    }
+
+    private static StepTable snapshotMicros() {
+        return StepTable.measure(
+                "processor microseconds of a membership snapshot after one change", "sides", SIDE_STEPS, sides -> {
+                    MemberTable table = Sides.table((int) sides, ITEMS, MODELS);
+                    AtomicLong version = new AtomicLong(1);
+                    return Meter.threadMicros(100, () -> {
+                        table.publish(Sides.record(0, ITEMS, MODELS).setVersion(version.incrementAndGet()));
+                        table.sides();
+                    });
+                });
+    }
+
+    private static StepTable routingMicros() {
+        return StepTable.measure(
+                "processor microseconds of a routing decision over " + MODELS + " models",
+                "sides",
+                SIDE_STEPS,
+                sides -> {
+                    MemberTable table = Sides.table((int) sides, ITEMS, MODELS);
+                    LoadBoard board = loadedBoard((int) sides);
+                    Router router = new Router(Policy.named("waxwingquay"));
+                    Random random = new Random(7);
+                    return Meter.threadMicros(60, () -> decide(table, board, router, random));
+                });
+    }
+
+    private static void decide(MemberTable table, LoadBoard board, Router router, Random random) {
+        List<String> items = List.of(Sides.itemName(random.nextInt(MODELS)));
+        RouteQuery query = new RouteQuery(Sides.SERVICE, Sides.dataCentre(0), items, random.nextLong(), 1, Set.of());
+        router.candidates(query, board.views(table.sides(), 1_000), random);
+    }
+
+    private static LoadBoard loadedBoard(int sides) {
+        LoadBoard board = new LoadBoard();
+        IntStream.range(0, sides)
+                .forEach(index -> board.noteReport(
+                        Sides.name(index), new LoadReport(index % 9, index % 3, index % 700, 900.0, 1L << 34, 5), 900));
+        return board;
+    }
+
+    private static StepTable planMicrosBySides() {
+        Bundle bundle = Sides.bundle(MODELS);
+        return StepTable.measure(
+                "processor microseconds of a placement plan of " + MODELS + " models",
+                "sides",
+                SIDE_STEPS,
+                sides -> planMicros(bundle, (int) sides));
+    }
+
+    private static StepTable planMicrosByModels() {
+        return StepTable.measure(
+                "processor microseconds of a placement plan over " + SIDES + " sides",
+                "models",
+                List.of(40, 80, 155, 310, 620),
+                models -> planMicros(Sides.bundle((int) models), SIDES));
+    }
+
+    private static double planMicros(Bundle bundle, int sides) {
+        MemberTable table = Sides.table(sides, ITEMS, bundle.models().size());
+        Strategy strategy = Strategy.named("planned", DemandMarks.DEFAULT);
+        return Meter.threadMicros(
+                2, () -> strategy.plan(View.of(bundle, Sides.SERVICE, table.sides(), Plan.EMPTY, 1_000)));
+    }
+
+    /** Both ends over loopback in this process, so it is the cost of the pair. */
+    private static StepTable pollMicros() {
+        try (ThriftServer server =
+                        ThriftServer.bind(new HostPort("127.0.0.1", 0)).serveSide(answering());
+                Connections connections = ThriftConnections.builder().build()) {
+            SideProtocol side = connections.to(server.address());
+            return StepTable.measure(
+                    "processor microseconds of a poll over loopback, both ends together",
+                    "chunks in the answer",
+                    List.of(0, 1, 4, 16, 64),
+                    chunks -> Meter.processMicros(
+                            3_000, () -> side.poll(new PollRequest("attempt", (long) chunks, POLL_WAIT_MILLIS))
+                                    .join()));
+        }
+    }
+
+    private static StepTable connectionHeap() {
+        return StepTable.measure(
+                "heap bytes of open connections, both ends together", "connections", List.of(8, 16, 32, 64), count -> {
+                    List<AutoCloseable> open = new ArrayList<>();
+                    double heapBytes = Meter.heapBytes((int) count, ignored -> connect((int) count, open));
+                    open.forEach(Costs::close);
+                    return heapBytes;
+                });
+    }
+
+    /** One server and a client for each connection, as clients keep their connections apart. */
+    private static Object connect(int count, List<AutoCloseable> open) {
+        ThriftServer server = ThriftServer.bind(new HostPort("127.0.0.1", 0)).serveSide(answering());
+        for (int index = 0; index < count; index++) {
+            Connections connections = ThriftConnections.builder().build();
+            connections
+                    .to(server.address())
+                    .poll(new PollRequest("attempt", 0, POLL_WAIT_MILLIS))
+                    .join();
+            open.add(connections);
+        }
+        open.add(server);
+        return open;
+    }
+
+    private static void close(AutoCloseable resource) {
+        try {
+            resource.close();
+        } catch (Exception failure) {
+            throw new IllegalStateException("a connection did not close", failure);
+        }
+    }
+
+    /** Answers polls with as many one-token chunks as the offset says. */
+    private static SideProtocol answering() {
+        return (SideProtocol) Proxy.newProxyInstance(
+                SideProtocol.class.getClassLoader(),
+                new Class<?>[] {SideProtocol.class},
+                (proxy, method, arguments) -> CompletableFuture.completedFuture(
+                        arguments != null && arguments[0] instanceof PollRequest poll ? answer(poll) : Boolean.TRUE));
+    }
+
+    private static PollAnswer answer(PollRequest poll) {
+        List<Chunk> chunks = IntStream.range(0, (int) poll.getFromOffset())
+                .mapToObj(index -> new Chunk(index, ByteBuffer.wrap(new byte[] {'t', 'o', 'k', ' '}), 1))
+                .toList();
+        return new PollAnswer().setState(AttemptState.RUNNING).setChunks(chunks).setLoad(new LoadReport());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/capacity/GossipField.java
@@ -0,0 +1,233 @@
+package io.waxwingquay.bench.capacity;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.membership.Gossip;
+import io.waxwingquay.membership.MemberTable;
+import io.waxwingquay.membership.Peers;
+import io.waxwingquay.suspect.SuspectTable;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.generated.GossipRequest;
+import io.waxwingquay.transport.generated.SideRecord;
+import io.waxwingquay.transport.generated.SideState;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+
+/** The gossip of many processes by direct calls, under one clock that is stepped. */
+final class GossipField {
+
+    private static final long STEP_MILLIS = 25;
+    private static final long WAKE_MILLIS = 250;
+    private static final long SETTLE_MILLIS = 20_000;
+    private static final long LIMIT_MILLIS = 60_000;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<HostPort, SideProtocol> protocols = new HashMap<>();
+    private final Random random = new Random(20261202);
+    private long nowMillis = 1_000;
+    private int cutOffDataCentres;
+    private final Clock clock = new Clock() {
+        @Override
+        public long monotonicMillis() {
+            return nowMillis;
+        }
+
+        @Override
+        public long epochMillis() {
+            return nowMillis;
+        }
+    };
+
+    /** Processes that each know all others' records. */
+    static GossipField ofAcquainted(int count, int items) {
+        GossipField field = new GossipField(count, 0);
+        List<SideRecord> all = IntStream.range(0, count)
+                .mapToObj(index -> Sides.record(index, items, 620))
+                .toList();
+        field.nodes.forEach(node -> node.table.merge(all));
+        field.pass(SETTLE_MILLIS);
+        return field;
+    }
+
+    /** Processes that each know some others at random and no records, so that thousands fit one machine. */
+    static GossipField ofStrangers(int count, int known) {
+        GossipField field = new GossipField(count, known);
+        field.pass(SETTLE_MILLIS);
+        return field;
+    }
+
+    private GossipField(int count, int known) {
+        IntStream.range(0, count).forEach(index -> nodes.add(new Node(index, some(count, known))));
+    }
+
+    void pass(long millis) {
+        for (long leftMillis = millis; leftMillis > 0; leftMillis -= STEP_MILLIS) {
+            nowMillis += STEP_MILLIS;
+            nodes.forEach(Node::step);
+        }
+    }
+
+    /** From now on the first data centres and the others do not reach each other; nought ends that. */
+    void cutOff(int dataCentres) {
+        cutOffDataCentres = dataCentres;
+    }
+
+    long millisToSpreadBundle() {
+        long version = nodes.get(0).bundleVersion + 1;
+        nodes.get(0).bundleVersion = version;
+        return millisUntilAll(node -> node.bundleVersion >= version);
+    }
+
+    long millisToSpreadLeaving(int side) {
+        nodes.get(0).table.noteLeaving(Sides.name(side), 1);
+        return millisUntilAll(
+                node -> node.table.side(Sides.name(side)).orElseThrow().state() == SideState.LEAVING);
+    }
+
+    void publish(int side, long version, int items) {
+        nodes.get(side).table.publish(Sides.record(side, items, 620).setVersion(version));
+    }
+
+    long millisUntilAllHave(int side, long version) {
+        return millisUntilAll(
+                node -> node.table.side(Sides.name(side)).orElseThrow().version() >= version);
+    }
+
+    /** Bytes a second that a process sends, on average, while time passes. */
+    Traffic trafficDuring(long millis, Runnable work) {
+        double bytes = sentBytes();
+        double messages = messages();
+        long fromMillis = nowMillis;
+        work.run();
+        pass(millis - (nowMillis - fromMillis));
+        double processSeconds = nodes.size() * (nowMillis - fromMillis) / MILLIS_PER_SECOND;
+        return new Traffic((sentBytes() - bytes) / processSeconds, (messages() - messages) / processSeconds);
+    }
+
+    private long millisUntilAll(Predicate<Node> condition) {
+        long fromMillis = nowMillis;
+        while (nowMillis - fromMillis < LIMIT_MILLIS && !nodes.stream().allMatch(condition)) {
+            pass(STEP_MILLIS);
+        }
+        return nowMillis - fromMillis;
+    }
+
+    private double sentBytes() {
+        return nodes.stream()
+                .flatMap(node ->
+                        node.registry.find("waxwingquay.gossip.bytes").tag("direction", "sent").counters().stream())
+                .mapToDouble(Counter::count)
+                .sum();
+    }
+
+    private double messages() {
+        return nodes.stream()
+                .flatMap(node -> node.registry.find("waxwingquay.gossip.messages").counters().stream())
+                .mapToDouble(Counter::count)
+                .sum();
+    }
+
+    private List<HostPort> some(int count, int known) {
+        return random.ints(known, 0, count)
+                .distinct()
+                .mapToObj(GossipField::address)
+                .toList();
+    }
+
+    private static HostPort address(int index) {
+        return new HostPort("127.0.0.1", Sides.PORT + index);
+    }
+
+    private boolean isCut(int from, int to) {
+        boolean fromFirst = from % Sides.DATA_CENTRES < cutOffDataCentres;
+        boolean toFirst = to % Sides.DATA_CENTRES < cutOffDataCentres;
+        return cutOffDataCentres > 0 && fromFirst != toFirst;
+    }
+
+    /**
+     * What one process exchanges.
+     *
+     * @param bytesPerSecond sent; on average it receives the same; Thrift's compact protocol without frames.
+     * @param messagesPerSecond requests and answers, both ends counted.
+     */
+    record Traffic(double bytesPerSecond, double messagesPerSecond) {}
+
+    private final class Node {
+
+        private final int index;
+        private final MemberTable table = new MemberTable(clock, MemberTable.Timing.DEFAULT);
+        private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+        private final Gossip gossip;
+        private final long phaseMillis;
+        private long lastRoundMillis;
+        private long bundleVersion = 1;
+
+        private Node(int index, List<HostPort> seeds) {
+            this.index = index;
+            Peers peers =
+                    new Peers(new Peers.Peer(Sides.name(index), address(index), Sides.dataCentre(index)), table, seeds);
+            this.phaseMillis = random.nextLong(WAKE_MILLIS / STEP_MILLIS) * STEP_MILLIS;
+            this.lastRoundMillis = nowMillis - random.nextInt(2_000);
+            this.gossip = Gossip.over(table, peers, new Direct(index))
+                    .carrying(new SuspectTable(clock, 600_000, 100))
+                    .announcing(
+                            () -> bundleVersion, (version, from) -> bundleVersion = Math.max(bundleVersion, version))
+                    .deciding(clock, new Random(index))
+                    .countedBy(registry)
+                    .build();
+        }
+
+        private void step() {
+            boolean isAwake = (nowMillis - phaseMillis) % WAKE_MILLIS == 0;
+            if (isAwake && nowMillis - lastRoundMillis >= gossip.nextDelayMillis()) {
+                lastRoundMillis = nowMillis;
+                gossip.round().join();
+            }
+        }
+    }
+
+    private final class Direct implements Connections {
+
+        private final int from;
+
+        private Direct(int from) {
+            this.from = from;
+        }
+
+        @Override
+        public SideProtocol to(HostPort address) {
+            int index = address.port() - Sides.PORT;
+            return isCut(from, index) ? unreachable() : protocols.computeIfAbsent(address, ignored -> proxy(index));
+        }
+
+        private SideProtocol proxy(int index) {
+            return (SideProtocol) Proxy.newProxyInstance(
+                    SideProtocol.class.getClassLoader(),
+                    new Class<?>[] {SideProtocol.class},
+                    (proxy, method, arguments) -> CompletableFuture.completedFuture(
+                            nodes.get(index).gossip.handler().answer(((GossipRequest) arguments[0]).deepCopy())));
+        }
+
+        private SideProtocol unreachable() {
+            return (SideProtocol) Proxy.newProxyInstance(
+                    SideProtocol.class.getClassLoader(),
+                    new Class<?>[] {SideProtocol.class},
+                    (proxy, method, arguments) ->
+                            CompletableFuture.failedFuture(new IllegalStateException("regions are parted")));
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/capacity/LeastSquares.java
@@ -0,0 +1,74 @@
+package io.waxwingquay.bench.capacity;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * A straight line fitted to measurements by least squares.
+ *
+ * @param intercept the cost at size nought.
+ * @param slope the cost of one more.
+ * @param slopeError the standard error of the slope; not a number below three steps.
+ * @param worstError the largest distance of a step from the line, as a share of the step's cost.
+ */
+public record LeastSquares(double intercept, double slope, double slopeError, double worstError) {
+
+    private static final double PERCENT = 100.0;
+
+    /**
+     * Fits a line.
+     *
+     * @param steps at least two measurements at different sizes.
+     * @return the line.
+     */
+    static LeastSquares through(List<StepTable.Step> steps) {
+        double meanSize = mean(steps.stream().mapToDouble(StepTable.Step::size).toArray());
+        double meanCost = mean(steps.stream().mapToDouble(StepTable.Step::cost).toArray());
+        double spread = 0;
+        double together = 0;
+        for (StepTable.Step step : steps) {
+            spread += (step.size() - meanSize) * (step.size() - meanSize);
+            together += (step.size() - meanSize) * (step.cost() - meanCost);
+        }
+        double slope = together / spread;
+        double intercept = meanCost - slope * meanSize;
+        double squares = 0;
+        double worst = 0;
+        for (StepTable.Step step : steps) {
+            double miss = step.cost() - intercept - slope * step.size();
+            squares += miss * miss;
+            worst = Math.max(worst, Math.abs(miss / step.cost()));
+        }
+        return new LeastSquares(intercept, slope, Math.sqrt(squares / (steps.size() - 2) / spread), worst);
+    }
+
+    /**
+     * The cost at a size, also one that was not measured.
+     *
+     * @param size the size.
+     * @return the cost on the line.
+     */
+    public double at(double size) {
+        return intercept + slope * size;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public String toString() {
+        return String.format(
+                Locale.ROOT,
+                "fit: %.4g + %.4g x size; standard error of the slope %.2g; worst step %.0f%% off the line",
+                intercept,
+                slope,
+                slopeError,
+                worstError * PERCENT);
+    }
+
+    private static double mean(double[] values) {
+        double sum = 0;
+        for (double value : values) {
+            sum += value;
+        }
+        return sum / values.length;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/bench/capacity/StepTableTest.java
@@ -0,0 +1,41 @@
+package io.waxwingquay.bench.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class StepTableTest {
+
+    @Test
+    void costsOnALineGiveThatLineWithoutError() {
+        LeastSquares line = StepTable.measure("bytes", "sides", List.of(1, 2, 5), size -> 7 + 3 * size)
+                .line();
+        assertEquals(3, line.slope(), 1e-9);
+        assertEquals(7, line.intercept(), 1e-9);
+        assertEquals(0, line.slopeError(), 1e-9);
+        assertEquals(307, line.at(100), 1e-9);
+    }
+
+    @Test
+    void aStepOffTheLineShowsInTheErrors() {
+        LeastSquares line = StepTable.measure("bytes", "sides", List.of(1, 2, 3), size -> size == 2 ? 20 : 10)
+                .line();
+        assertEquals(0, line.slope(), 1e-9);
+        assertEquals(1 / 3.0, line.worstError(), 1e-9);
+        assertTrue(line.slopeError() > 1);
+    }
+
+    // The page's figures rest on this field: news must go to all, and not across a cut.
+    @Test
+    void newsReachesEveryProcessOfTheFieldAndNotAcrossACut() {
+        GossipField field = GossipField.ofAcquainted(24, 1);
+        field.cutOff(3);
+        field.publish(0, 2, 1);
+        assertEquals(60_000, field.millisUntilAllHave(0, 2));
+        field.cutOff(0);
+        assertTrue(field.millisUntilAllHave(0, 2) < 60_000);
+        assertTrue(field.millisToSpreadBundle() < 60_000);
+    }
+}
