Add bench run: two workloads, five faults, baselines by name, one table

Engines start with the static plan in memory, so that moves count what the load causes. Model and adapter moves are counted apart.

--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -11,7 +11,9 @@
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.common.HttpCalls;
 import io.waxwingquay.placement.DemandMarks;
+import io.waxwingquay.placement.Plan;
 import io.waxwingquay.placement.Strategy;
+import io.waxwingquay.placement.View;
 import io.waxwingquay.platform.HttpObjectStore;
 import io.waxwingquay.platform.HttpTableService;
 import io.waxwingquay.process.EntryProcess;
@@ -23,6 +25,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.KeyPair;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -202,6 +205,33 @@
         sides.put(name, SideProcess.start(settings, choices.placement));
     }
 
+    /**
+     * Ends a side as a lost VM does: nothing is drained.
+     *
+     * @param name its name.
+     */
+    public void killSide(String name) {
+        sides.remove(name).close();
+    }
+
+    /**
+     * Ends an entry as a lost VM does.
+     *
+     * @param number its number.
+     */
+    public void killEntry(int number) {
+        entries.get(number).close();
+    }
+
+    /**
+     * Starts an entry again in the place of one that was killed.
+     *
+     * @param number its number.
+     */
+    public void restartEntry(int number) {
+        entries.set(number, entry(number));
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
@@ -216,15 +246,44 @@
         if (outcome.verdict() != BundleAcceptance.Verdict.ACCEPTED) {
             throw new IllegalStateException("the bundle was not accepted: " + outcome.message());
         }
+        if (choices.residents == Residents.PRELOADED) {
+            preload();
+        }
         bundle.services().forEach(service -> IntStream.range(0, service.replicas())
                 .forEach(number -> startSide(service, number)));
-        IntStream.range(0, choices.entryCount).forEach(this::startEntry);
+        IntStream.range(0, choices.entryCount).mapToObj(this::entry).forEach(entries::add);
         return this;
     }
 
-    private void startEntry(int number) {
+    private EntryProcess entry(int number) {
         String text = texts.entry(number, choices.policy, ANY_PORTS);
-        entries.add(EntryProcess.start(EntrySettings.parse("entry", text.getBytes(StandardCharsets.UTF_8))));
+        return EntryProcess.start(EntrySettings.parse("entry", text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** Puts the static plan into the engines' memory, so that every policy starts from the same residents. */
+    private void preload() {
+        Map<String, Long> sizeBytes = new HashMap<>();
+        bundle.models().forEach(model -> sizeBytes.put(model.item(), model.sizeBytes()));
+        bundle.adapters().forEach(adapter -> sizeBytes.put(adapter.item(), adapter.sizeBytes()));
+        bundle.services().stream()
+                .filter(service -> service.kind() == Bundle.Kind.MODEL)
+                .forEach(service -> preload(service, sizeBytes));
+    }
+
+    private void preload(Service service, Map<String, Long> sizeBytes) {
+        List<View.Holder> empty = IntStream.range(0, service.replicas())
+                .mapToObj(number -> new View.Holder(
+                        SettingsText.sideName(service.name(), number),
+                        texts.dataCentre(number),
+                        service.memoryBytes(),
+                        Set.of(),
+                        Map.of()))
+                .toList();
+        View view = new View(bundle, service.name(), empty, Map.of(), Map.of(), 0L);
+        Plan plan = Strategy.named("static", DemandMarks.IGNORED).plan(view);
+        empty.forEach(holder -> plan.of(holder.id())
+                .wantedItems()
+                .forEach(item -> targets.engines().get(holder.id()).preload(item, sizeBytes.get(item))));
     }
 
     private boolean servesAll(EntryProcess entry) {
@@ -254,6 +313,14 @@
         }
     }
 
+    /** What engines hold before any side starts. */
+    public enum Residents {
+        /** Nothing. */
+        NONE,
+        /** The static plan of the bundle. */
+        PRELOADED
+    }
+
     /** Describes a deployment. */
     public static final class Builder {
 
@@ -269,6 +336,7 @@
         private long weightLoadMillis = DEFAULT_WEIGHT_LOAD_MILLIS;
         private long leaseMillis = DEFAULT_LEASE_MILLIS;
         private long orderQuarantineMillis;
+        private Residents residents = Residents.NONE;
 
         private Builder(byte[] document) {
             this.document = document.clone();
@@ -340,6 +408,17 @@
             return this;
         }
 
+        /**
+         * Sets what the engines hold before any side starts.
+         *
+         * @param held what they hold.
+         * @return this builder.
+         */
+        public Builder residents(Residents held) {
+            this.residents = held;
+            return this;
+        }
+
         /**
          * Starts the deployment.
          *
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/Tally.java
@@ -0,0 +1,121 @@
+package io.waxwingquay.bench;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/** Counts what callers saw. Safe for concurrent use. */
+final class Tally {
+
+    private static final double MICROS_PER_MILLI = 1_000.0;
+    private static final double MICROS_PER_SECOND = 1_000_000.0;
+    private static final String DID_NOT_RUN = "did_not_run";
+    private static final double RECOVERED = 0.95;
+    private static final int WINDOW_SECONDS = 2;
+    private static final int WARM_SECONDS = 2;
+
+    private final Histogram firstTokenMicros = new Histogram(3);
+    private final Map<String, Integer> failures = new TreeMap<>();
+    private final long[] sentBySecond;
+    private final long[] attainedBySecond;
+    private long attained;
+    private long late;
+    private long refusedDidNotRun;
+    private long refusedUnknown;
+    private long plainAttained;
+
+    Tally(int seconds) {
+        sentBySecond = new long[seconds];
+        attainedBySecond = new long[seconds];
+    }
+
+    synchronized void note(Arrival arrival, CallerAnswer answer) {
+        boolean inTime = answer.isWhole() && answer.totalMicros() <= arrival.deadlineMillis() * MICROS_PER_MILLI;
+        if (arrival.call().isPresent()) {
+            plainAttained += inTime ? 1 : 0;
+            return;
+        }
+        int second = (int) (arrival.atMicros() / MICROS_PER_SECOND);
+        sentBySecond[second]++;
+        answer.firstTokenMicros().ifPresent(firstTokenMicros::recordValue);
+        if (inTime) {
+            attained++;
+            attainedBySecond[second]++;
+        } else if (answer.isWhole()) {
+            late++;
+        } else {
+            noteFailure(arrival, answer);
+        }
+    }
+
+    private void noteFailure(Arrival arrival, CallerAnswer answer) {
+        String code = answer.error().map(CallerAnswer.Error::code).orElse("broken connection");
+        String execution = answer.error().map(CallerAnswer.Error::execution).orElse("unknown");
+        if (execution.equals(DID_NOT_RUN)) {
+            refusedDidNotRun++;
+        } else {
+            refusedUnknown++;
+        }
+        String model = arrival.completion().map(Caller.Completion::model).orElse("");
+        failures.merge(code + "/" + execution + " " + model, 1, Integer::sum);
+    }
+
+    synchronized Counts counts() {
+        return new Counts(
+                Arrays.stream(sentBySecond).sum(),
+                attained,
+                late,
+                refusedDidNotRun,
+                refusedUnknown,
+                plainAttained,
+                firstTokenMicros.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                firstTokenMicros.getValueAtPercentile(99) / MICROS_PER_MILLI);
+    }
+
+    synchronized Map<String, Integer> failures() {
+        return Map.copyOf(failures);
+    }
+
+    synchronized List<Double> shareBySecond() {
+        return java.util.stream.IntStream.range(0, sentBySecond.length)
+                .mapToObj(second -> share(second, second + 1))
+                .toList();
+    }
+
+    /** The share attained of what arrived from one second to before another. */
+    synchronized double share(int fromSecond, int toSecond) {
+        long sent = Arrays.stream(sentBySecond, fromSecond, toSecond).sum();
+        return sent == 0
+                ? 1
+                : (double) Arrays.stream(attainedBySecond, fromSecond, toSecond).sum() / sent;
+    }
+
+    double shareBefore(double faultSeconds) {
+        return share(WARM_SECONDS, Math.max(WARM_SECONDS + 1, (int) faultSeconds));
+    }
+
+    /** Seconds from the fault's end to the first window that reaches 95% of the share before; -1 if none does. */
+    double recoverSeconds(double faultSeconds, double endSeconds) {
+        double wanted = RECOVERED * shareBefore(faultSeconds);
+        int end = (int) Math.ceil(endSeconds);
+        for (int second = end; second + WINDOW_SECONDS <= sentBySecond.length; second++) {
+            if (share(second, second + WINDOW_SECONDS) >= wanted) {
+                return second - endSeconds;
+            }
+        }
+        return -1;
+    }
+
+    /** What was counted of the whole run. */
+    record Counts(
+            long sent,
+            long attained,
+            long late,
+            long refusedDidNotRun,
+            long refusedUnknown,
+            long plainAttained,
+            double firstTokenP50Millis,
+            double firstTokenP99Millis) {}
+}
--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -49,6 +49,7 @@
                 .addSubcommand(new BundleCommand(platforms))
                 .addSubcommand(new DumpCommand())
                 .addSubcommand(new DemoCommand())
+                .addSubcommand(new BenchCommand())
                 .addSubcommand(new StandinCommand())
                 .addSubcommand(new CompletionCommand());
         describeExitCodes(root);
--- a/src/main/java/io/waxwingquay/routing/Policy.java
+++ b/src/main/java/io/waxwingquay/routing/Policy.java
@@ -27,7 +27,8 @@
     /**
      * Finds a policy by the name that settings use.
      *
-     * @param name {@code waxwingquay}, {@code round-robin}, {@code least-outstanding} or {@code model-hash}.
+     * @param name {@code waxwingquay}, {@code round-robin}, {@code least-outstanding} or {@code model-hash}; the first two
+     *     baselines also with {@code -resident} behind, to ask sides that hold the model first.
      * @return the policy.
      * @throws IllegalArgumentException if no policy has the name.
      */
@@ -37,6 +38,8 @@
             case "round-robin" -> new RoundRobin();
             case "least-outstanding" -> new LeastOutstanding();
             case "model-hash" -> new ModelHash();
+            case "round-robin-resident" -> new ResidentFirst(new RoundRobin());
+            case "least-outstanding-resident" -> new ResidentFirst(new LeastOutstanding());
             default -> throw new IllegalArgumentException("routing policy '" + name
                     + "' is unknown; write waxwingquay, round-robin, least-outstanding or model-hash");
         };
@@ -154,4 +157,28 @@
             return ordered;
         }
     }
+
+    /**
+     * Baseline: another policy's order, but sides that hold the model go first.
+     *
+     * @param inner the order among equals.
+     */
+    record ResidentFirst(Policy inner) implements Policy {
+
+        /** {@inheritDoc} */
+        @Override
+        public List<SideView> order(RouteQuery query, List<SideView> views, RandomGenerator random) {
+            List<SideView> holding = views.stream()
+                    .filter(view -> query.residentItems(view.side()) > 0)
+                    .toList();
+            List<SideView> rest = views.stream()
+                    .filter(view -> query.residentItems(view.side()) == 0)
+                    .toList();
+            List<SideView> ordered = new ArrayList<>();
+            List.of(holding, rest).stream()
+                    .filter(group -> !group.isEmpty())
+                    .forEach(group -> ordered.addAll(inner.order(query, group, random)));
+            return ordered;
+        }
+    }
 }
--- a/src/main/java/io/waxwingquay/standin/EngineMemory.java
+++ b/src/main/java/io/waxwingquay/standin/EngineMemory.java
@@ -19,6 +19,8 @@
  */
 public final class EngineMemory {
 
+    private static final String ADAPTER_PREFIX = "adapter:";
+
     private final StandinTimer timer;
     private final long capacityBytes;
     private final boolean fenced;
@@ -35,6 +37,8 @@
     private long overcommits;
     private long loads;
     private long evictions;
+    private long adapterLoads;
+    private long adapterEvictions;
     private long failedLoads;
     private long staleOrders;
     private int maxLoading;
@@ -107,7 +111,9 @@
                 evictions,
                 failedLoads,
                 staleOrders,
-                maxLoading);
+                maxLoading,
+                adapterLoads,
+                adapterEvictions);
     }
 
     private void load(Order order) {
@@ -132,6 +138,7 @@
             failedLoads++;
         } else if (bytes != null) {
             loads++;
+            adapterLoads += isAdapter(order.item()) ? 1 : 0;
             residents.put(order.item(), bytes);
         }
         recordUse();
@@ -152,10 +159,15 @@
                 return;
             }
             evictions++;
+            adapterEvictions += isAdapter(order.item()) ? 1 : 0;
         }
         evicted.accept(order.item());
     }
 
+    private static boolean isAdapter(String item) {
+        return item.startsWith(ADAPTER_PREFIX);
+    }
+
     private long usedBytes() {
         long loadingBytes = loading.entrySet().stream()
                 .filter(entry -> !residents.containsKey(entry.getKey()))
@@ -185,6 +197,8 @@
      * @param failedLoads loads that the weight store failed.
      * @param staleOrders orders refused for their fencing number.
      * @param maxLoading the most loads in flight at once.
+     * @param adapterLoads loads of adapters, also among all loads.
+     * @param adapterEvictions evictions of adapters, also among all evictions.
      */
     public record Stats(
             long capacityBytes,
@@ -195,7 +209,9 @@
             long evictions,
             long failedLoads,
             long staleOrders,
-            int maxLoading) {
+            int maxLoading,
+            long adapterLoads,
+            long adapterEvictions) {
 
         /**
          * Loads and evictions together.
