Let a side heed what membership knows of it, and pace its demand by the number of sides

Cause: a side whose VM the platform is about to take away went on serving; a home of permits went on lending after a newer side had taken its place; changes of demand alone were published each 5 s whatever the number of sides. Demand alone is published at the pace of PublishPace with half of the 9 KB/s. LocalDeployment names up to three sides as seeds, as operators do, so that a late VM list does not keep processes apart at the start. Before: SideProcess had no such look.

--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -44,6 +44,7 @@
     private static final int DATA_CENTRES = 3;
     private static final long TABLE_TIMEOUT_MILLIS = 1_000L;
     private static final long READY_STEP_MILLIS = 20L;
+    private static final int SEEDS = 3;
     private static final int OPERATOR_CONNECTIONS = 8;
 
     private final Bundle bundle;
@@ -197,8 +198,19 @@
      * @param replica its number.
      */
     public void startSide(Service service, int replica) {
+        startSide(service, replica, seeds());
+    }
+
+    /**
+     * Starts a side, or starts it again after it was closed.
+     *
+     * @param service its service.
+     * @param replica its number.
+     * @param seeds processes that it gossips with at first.
+     */
+    public void startSide(Service service, int replica, List<HostPort> seeds) {
         String name = SettingsText.sideName(service.name(), replica);
-        String text = texts.side(service, replica, targets.address(name), ANY_PORTS);
+        String text = texts.withSeeds(seeds).side(service, replica, targets.address(name), ANY_PORTS);
         SideSettings settings = SideSettings.parse(name, text.getBytes(StandardCharsets.UTF_8));
         sides.put(name, SideProcess.start(settings, choices.placement));
     }
@@ -224,10 +236,15 @@
     }
 
     private void startEntry(int number) {
-        String text = texts.entry(number, choices.policy, ANY_PORTS);
+        String text = texts.withSeeds(seeds()).entry(number, choices.policy, ANY_PORTS);
         entries.add(EntryProcess.start(EntrySettings.parse("entry", text.getBytes(StandardCharsets.UTF_8))));
     }
 
+    /** As operators do: a few processes of each deployment are named to all. */
+    private List<HostPort> seeds() {
+        return sides.values().stream().map(SideProcess::address).limit(SEEDS).toList();
+    }
+
     private boolean servesAll(EntryProcess entry) {
         Set<String> services = entry.membership().sides().stream()
                 .filter(side -> side.takesWork())
--- a/src/main/java/io/waxwingquay/bench/SettingsText.java
+++ b/src/main/java/io/waxwingquay/bench/SettingsText.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.common.HostPort;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.Collectors;
 
 /**
  * Writes the settings of a whole deployment on loopback, as an operator would by hand.
@@ -13,9 +14,15 @@
  * @param dataCentres how many data centres the processes are spread over.
  * @param leaseMillis the lease of shared limits; a restarted side lends nothing for that long.
  * @param orderQuarantineMillis how long a side before an unfenced engine sends no orders after its start.
+ * @param seeds processes to gossip with at first.
  */
 public record SettingsText(
-        HostPort platform, String publicKey, int dataCentres, long leaseMillis, long orderQuarantineMillis) {
+        HostPort platform,
+        String publicKey,
+        int dataCentres,
+        long leaseMillis,
+        long orderQuarantineMillis,
+        List<HostPort> seeds) {
 
     private static final String COMMON =
             """
@@ -27,7 +34,7 @@
             admin_port = %d
             platform_url = "http://%s"
             trusted_keys = ["%s"]
-            seeds = []
+            seeds = [%s]
             log_level = "warn"
             """;
     private static final String ENTRY =
@@ -45,6 +52,30 @@
             order_quarantine_millis = %d
             """;
 
+    /**
+     * Settings without seeds.
+     *
+     * @param platform where the platform answers.
+     * @param publicKey the operator's root key, in base64.
+     * @param dataCentres how many data centres the processes are spread over.
+     * @param leaseMillis the lease of shared limits.
+     * @param orderQuarantineMillis how long a side before an unfenced engine sends no orders after its start.
+     */
+    public SettingsText(
+            HostPort platform, String publicKey, int dataCentres, long leaseMillis, long orderQuarantineMillis) {
+        this(platform, publicKey, dataCentres, leaseMillis, orderQuarantineMillis, List.of());
+    }
+
+    /**
+     * The same with other seeds.
+     *
+     * @param addresses processes to gossip with at first.
+     * @return the changed settings.
+     */
+    public SettingsText withSeeds(List<HostPort> addresses) {
+        return new SettingsText(platform, publicKey, dataCentres, leaseMillis, orderQuarantineMillis, addresses);
+    }
+
     /**
      * The name of a side.
      *
@@ -94,7 +125,12 @@
     }
 
     private String common(String name, int number, List<Integer> ports) {
-        return COMMON.formatted(name, dataCentreNumber(number), ports.get(0), ports.get(1), platform, publicKey);
+        return COMMON.formatted(
+                name, dataCentreNumber(number), ports.get(0), ports.get(1), platform, publicKey, quoted(seeds));
+    }
+
+    private static String quoted(List<HostPort> addresses) {
+        return addresses.stream().map(address -> '"' + address.toString() + '"').collect(Collectors.joining(", "));
     }
 
     private int dataCentreNumber(int number) {
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -17,6 +17,7 @@
 import io.waxwingquay.side.SideLimits;
 import io.waxwingquay.side.SideNode;
 import io.waxwingquay.side.SideNodeBuilder;
+import io.waxwingquay.transport.generated.SideState;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -47,6 +48,7 @@
     private final SideDoor door;
     private final Strategy placement;
     private final AtomicReference<Optional<SideNode>> node = new AtomicReference<>(Optional.empty());
+    private Optional<CompletableFuture<Void>> draining = Optional.empty();
 
     private SideProcess(Foundation foundation, SideSettings settings, Strategy placement, long epoch) {
         this.foundation = foundation;
@@ -130,15 +132,30 @@
     }
 
     /**
-     * Leaves: refuses new work, finishes what runs, then closes.
+     * Leaves: refuses new work, finishes what runs, then closes. Asked again, it goes on with that.
      *
      * @return completes when closed.
      */
-    public CompletableFuture<Void> drain() {
-        CompletableFuture<Void> drained = node.get()
-                .map(running -> running.drain(settings.drainLimitMillis()))
-                .orElseGet(() -> CompletableFuture.completedFuture(null));
-        return drained.thenRunAsync(this::close);
+    public synchronized CompletableFuture<Void> drain() {
+        if (draining.isEmpty()) {
+            CompletableFuture<Void> drained = node.get()
+                    .map(running -> running.drain(settings.drainLimitMillis()))
+                    .orElseGet(() -> CompletableFuture.completedFuture(null));
+            draining = Optional.of(drained.thenRunAsync(this::close));
+        }
+        return draining.get();
+    }
+
+    /**
+     * Whether it has begun to leave.
+     *
+     * @return whether it takes no new work any more.
+     */
+    public boolean isLeaving() {
+        return node.get()
+                .map(SideNode::state)
+                .filter(state -> state.getValue() >= SideState.LEAVING.getValue())
+                .isPresent();
     }
 
     /** {@inheritDoc} */
@@ -154,14 +171,29 @@
         foundation.observe(this::notReady, this::drain, dump -> dump.section("side", this::state));
         foundation.start();
         every(HEARTBEAT_MILLIS, permitHome::heartbeat);
+        every(HEARTBEAT_MILLIS, this::heedMembership);
+    }
+
+    /**
+     * The others may know of this side what it does not: that a newer process stands in its place, or that the platform
+     * is about to take its VM away. Lending on would lend each permit twice; serving on would be cut off by the platform.
+     */
+    private void heedMembership() {
+        foundation.members().side(identity.sideId()).ifPresent(known -> {
+            if (known.epoch() > identity.epoch()) {
+                permitHome.supersede();
+            } else if (known.epoch() == identity.epoch() && known.state() == SideState.LEAVING) {
+                drain();
+            }
+        });
     }
 
     private Optional<String> notReady() {
         return isReady() ? Optional.empty() : Optional.of("no bundle in force yet");
     }
 
-    private SideState state() {
-        return new SideState(
+    private Shown state() {
+        return new Shown(
                 identity,
                 node.get().map(SideNode::state).map(Enum::name).orElse("NO_BUNDLE"),
                 node.get().flatMap(SideNode::memory),
@@ -275,6 +307,6 @@
      * @param memory the memory ledger.
      * @param refusedItems wanted items for which there is no room.
      */
-    private record SideState(
+    private record Shown(
             SideIdentity identity, String state, Optional<MemoryLedger.Snapshot> memory, List<String> refusedItems) {}
 }
--- a/src/main/java/io/waxwingquay/side/SelfRecord.java
+++ b/src/main/java/io/waxwingquay/side/SelfRecord.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.side;
 
 import io.waxwingquay.ledger.MemoryLedger.Snapshot;
+import io.waxwingquay.membership.PublishPace;
 import io.waxwingquay.transport.generated.ItemRecord;
 import io.waxwingquay.transport.generated.SideRecord;
 import io.waxwingquay.transport.generated.SideState;
@@ -20,6 +21,9 @@
 
     private static final long DEMAND_MILLIS = 30_000L;
     private static final long DEMAND_PUBLISH_MILLIS = 5_000L;
+    private static final double DEMAND_BUDGET_BYTES_PER_SECOND = 4_500.0;
+    private static final int RECORD_BYTES = 100;
+    private static final int ITEM_BYTES = 30;
     private static final int HIGHEST_STEP = 60;
     private static final double NEGLIGIBLE_PER_SECOND = 0.01;
 
@@ -66,7 +70,7 @@
         boolean demandOnly = published
                 .filter(last -> withoutDemand(last).equals(withoutDemand(next)))
                 .isPresent();
-        if (demandOnly && nowMillis - publishedMillis < DEMAND_PUBLISH_MILLIS) {
+        if (demandOnly && nowMillis - publishedMillis < demandPublishMillis(next)) {
             return;
         }
         version++;
@@ -76,6 +80,14 @@
         context.membership().publish(next.deepCopy());
     }
 
+    /** With thousands of sides, changes of demand alone would fill the gossip; they wait the longer the more there are. */
+    private long demandPublishMillis(SideRecord record) {
+        int recordBytes = RECORD_BYTES + ITEM_BYTES * record.getItemsSize();
+        int sides = context.membership().sides().size();
+        return Math.max(
+                DEMAND_PUBLISH_MILLIS, PublishPace.millisBetween(sides, recordBytes, DEMAND_BUDGET_BYTES_PER_SECOND));
+    }
+
     /** 0 for none, else 1 + floor(2 * log2(perSecond)), within 1 and 60. */
     static int demandStep(double perSecond) {
         if (perSecond < NEGLIGIBLE_PER_SECOND) {
