Count only on sides that answer, so that every model is homed again

Cause: with the platform out a dead side is never listed as gone; only its silence shows. Change: the reachable filter of the placement view is restored. Conclusion: each model answered through each entry left after a data centre and the platform were lost; with 3 targets of 2 places for 4 models that is the most that can be lost at once.

--- a/src/main/java/io/waxwingquay/placement/View.java
+++ b/src/main/java/io/waxwingquay/placement/View.java
@@ -40,6 +40,7 @@
     public static View of(Bundle bundle, String service, Collection<Side> sides, Plan previous, long nowMillis) {
         List<Side> live = sides.stream()
                 .filter(side -> side.service().equals(service))
+                .filter(Side::reachable)
                 .filter(side -> side.state() == SideState.SERVING || side.state() == SideState.STARTING)
                 .toList();
         Map<String, Double> demand = new HashMap<>();
