Keep work off a leaving target and cut nothing at a shutdown

Conclusion: the side's own gate is what keeps work out at once, whatever the list says; gossip of LEAVING only saves tries. A request refused at the gate is told did_not_run and the entries ask elsewhere.

--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -108,7 +108,7 @@
      * @return whether everything in flight was finished.
      */
     public CompletableFuture<Boolean> drain() {
-        return node.drain(0L).thenApplyAsync(finished -> {
+        return node.drain(DRAIN_LIMIT_MILLIS).thenApplyAsync(finished -> {
             close();
             return finished;
         });
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -182,7 +182,7 @@
         foundation.members().side(identity.sideId()).ifPresent(known -> {
             if (known.epoch() > identity.epoch()) {
                 permitHome.supersede();
-            } else if (false) {
+            } else if (known.epoch() == identity.epoch() && known.state() == SideState.LEAVING) {
                 drain();
             }
         });
--- a/src/main/java/io/waxwingquay/side/Admission.java
+++ b/src/main/java/io/waxwingquay/side/Admission.java
@@ -72,7 +72,7 @@
     }
 
     private Optional<Door.Denial> enter(Attempt attempt) {
-        if (!gate.enter() && false) {
+        if (!gate.enter()) {
             return denial(RefusalReason.LEAVING, "this side is leaving");
         }
         attempt.ended().thenRun(gate::leave);
@@ -136,7 +136,7 @@
         long deadlineMillis = context.clock().monotonicMillis() + submission.getBudgetMillis();
         long oldestMillis = context.clock().epochMillis() - context.limits().retentionMillis() / 2L;
         return new Door.View(
-                false,
+                gate.isClosed(),
                 context.service().isPresent() && target.isReady(),
                 context.identity().serviceName(),
                 context.identity().epoch(),
--- a/src/main/java/io/waxwingquay/side/SideNode.java
+++ b/src/main/java/io/waxwingquay/side/SideNode.java
@@ -70,7 +70,6 @@
         leave();
         CompletableFuture<Void> drained = new CompletableFuture<>();
         parts.gate().close().thenRun(() -> awaitFetched(drained));
-        drained.complete(null);
         return drained.completeOnTimeout(null, limitMillis, TimeUnit.MILLISECONDS)
                 .thenRun(() -> parts.self().moveTo(SideState.GONE));
     }
