Keep the accepted bundle in force everywhere

Conclusion: a bundle is taken only with an operator's signature and a higher version, from the table or from any peer; a process that reaches neither has none and is not ready.

--- a/src/main/java/io/waxwingquay/bundle/BundleFeed.java
+++ b/src/main/java/io/waxwingquay/bundle/BundleFeed.java
@@ -148,7 +148,7 @@
                     new BundleException("a peer offered more than " + LONGEST_WALK + " bundles", null));
         }
         return peers.fetchAbove(aboveVersion)
-                .thenCompose(found -> found.filter(bundle -> soFar.isEmpty())
+                .thenCompose(found -> found.filter(bundle -> bundle.version() > aboveVersion)
                         .map(bundle -> walk(bundle.version(), append(soFar, bundle)))
                         .orElseGet(() -> CompletableFuture.completedFuture(soFar)));
     }
--- a/src/main/java/io/waxwingquay/bundle/BundleHolder.java
+++ b/src/main/java/io/waxwingquay/bundle/BundleHolder.java
@@ -34,7 +34,7 @@
      * @throws BundleException if the last bundle is not trusted or not valid.
      */
     public synchronized boolean adopt(List<SignedBundle> chain) {
-        if (chain.isEmpty() || chain.get(chain.size() - 1).version() == version()) {
+        if (chain.isEmpty() || chain.get(chain.size() - 1).version() <= version()) {
             return false;
         }
         BundleChain.Verified verified = BundleChain.verify(state.keys, above(chain, version()));
@@ -89,7 +89,7 @@
     }
 
     private static List<SignedBundle> above(List<SignedBundle> chain, long version) {
-        return chain.stream().filter(bundle -> bundle.version() != version).toList();
+        return chain.stream().filter(bundle -> bundle.version() > version).toList();
     }
 
     private record State(
--- a/src/main/java/io/waxwingquay/bundle/SignatureCheck.java
+++ b/src/main/java/io/waxwingquay/bundle/SignatureCheck.java
@@ -22,7 +22,8 @@
      * @throws BundleException.Invalid if the document is no valid bundle.
      */
     public static Bundle verify(SignedBundle bundle, TrustedKeys keys) {
-        if (false) {
+        PublicKey key = keys.require(bundle.keyId());
+        if (!matches(key, bundle.document(), bundle.signature())) {
             throw new BundleException.Untrusted("bundle " + bundle.version() + " does not carry the signature of key "
                     + bundle.keyId() + "; it was altered or forged");
         }
--- a/src/main/java/io/waxwingquay/process/Foundation.java
+++ b/src/main/java/io/waxwingquay/process/Foundation.java
@@ -92,6 +92,7 @@
         PeerBundles fetcher = new PeerBundles(peers, connections, random);
         HttpObjectStore objects = new HttpObjectStore(http, platform, settings.tableTimeoutMillis());
         this.feed = own(BundleFeed.builder(bundles, new BundleArchive(table, objects))
+                .peers(fetcher)
                 .schedule(scheduler, settings.bundlePollMillis())
                 .build());
         this.gossip = gossip(fetcher);
