Let a permit home that was replaced lend nothing

Before: the older home went on lending. Conclusion: the older side learns of the newer by membership; for the time until then the quiet lease of the newer home stands between the two.

--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -181,7 +181,7 @@
     private void heedMembership() {
         foundation.members().side(identity.sideId()).ifPresent(known -> {
             if (known.epoch() > identity.epoch()) {
-                LOG.log(System.Logger.Level.DEBUG, "off");
+                permitHome.supersede();
             } else if (known.epoch() == identity.epoch() && known.state() == SideState.LEAVING) {
                 drain();
             }
