Let the engine stand-in begin no step while another hands out its tokens

Cause: the demo now and then counted an answer that was whole but wrong. Such answers had one or two tokens more than were asked for (13 or 14 for 12), the rest right. A step let go of the batch before it had handed out its tokens; a request that came in then began another step, which on a busy machine ended first and counted from the same tokens left. Ruled out: the path of entry and side (the pieces were in order, and the engine itself stated the total). Change: a step is over only when each sequence has its token.

--- a/src/main/java/io/waxwingquay/standin/Batch.java
+++ b/src/main/java/io/waxwingquay/standin/Batch.java
@@ -168,11 +168,12 @@
             stepped = List.copyOf(running);
             tokens += stepped.size();
             running.removeIf(sequence -> sequence.remaining() <= 1);
-            stepping = false;
         }
+        // Until all have their token no other step may begin: it would count from the tokens left before this one.
         stepped.forEach(Sequence::produceOne);
         synchronized (this) {
             if (stepEpoch == epoch) {
+                stepping = false;
                 beginStep();
             }
         }
--- a/src/test/java/io/waxwingquay/standin/BatchTest.java
+++ b/src/test/java/io/waxwingquay/standin/BatchTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.engine.ModelEngine.Generation;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -49,6 +51,27 @@
         assertEquals(160, batch.stats().cachedPromptTokens());
     }
 
+    // The caller sees an answer with a token more than was asked for. A request comes in while a step hands out its
+    // tokens, and the step it begins ends first, on a busy machine, so both count from the same number of tokens left.
+    @Test
+    void requestThatComesDuringAStepDoesNotBeginAnother() {
+        Sequence first = batch.start(generation("a", "p", 9, 0));
+        Sequence second = batch.start(generation("b", "p", 2, 0));
+        List<String> arrivals = new ArrayList<>(List.of("c"));
+        timer.advance(1_000);
+        first.watch(() -> {
+            if (first.produced() == 2 && !arrivals.isEmpty()) {
+                batch.start(generation(arrivals.remove(0), "p", 1, 0));
+                timer.advance(1_000_000);
+            }
+        });
+
+        timer.advance(1_000_000);
+        timer.advance(1_000_000);
+        assertEquals(2, second.produced());
+        assertEquals(9, first.produced());
+    }
+
     @Test
     void loadReportLags() {
         batch.load();
