--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -7,6 +7,7 @@
 import io.waxwingquay.bundle.BundleDocument;
 import io.waxwingquay.bundle.BundleSigner;
 import io.waxwingquay.bundle.KeyCodec;
+import io.waxwingquay.bundle.SignedBundle;
 import io.waxwingquay.bundle.TrustedKeys;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.common.HttpCalls;
@@ -47,6 +48,7 @@
     private static final int DATA_CENTRES = 3;
     private static final long TABLE_TIMEOUT_MILLIS = 1_000L;
     private static final long READY_STEP_MILLIS = 20L;
+    private static final int SEEDS = 3;
     private static final int OPERATOR_CONNECTIONS = 8;
 
     private final Bundle bundle;
@@ -141,15 +143,23 @@
                     new HttpTableService(client, address, TABLE_TIMEOUT_MILLIS),
                     new HttpObjectStore(client, address, TABLE_TIMEOUT_MILLIS));
             TrustedKeys roots = TrustedKeys.ofRoots(List.of(KeyCodec.text(operatorKey.getPublic())));
-            BundleSigner signer = BundleSigner.of(operatorKey.getPrivate(), operatorKey.getPublic());
-            return new BundleAcceptance(archive, roots)
-                    .submit(signer.sign(document))
-                    .join();
+            return new BundleAcceptance(archive, roots).submit(signed(document)).join();
         } finally {
             stop(client);
         }
     }
 
+    /**
+     * Signs a document with the operator's key.
+     *
+     * @param document the bundle, as TOML.
+     * @return the signed bundle, submitted to nobody.
+     */
+    public SignedBundle signed(byte[] document) {
+        return BundleSigner.of(operatorKey.getPrivate(), operatorKey.getPublic())
+                .sign(document);
+    }
+
     /**
      * Waits until every entry knows a serving side for every model and for every plain service.
      *
@@ -200,8 +210,19 @@
      * @param replica its number.
      */
     public void startSide(Service service, int replica) {
+        startSide(service, replica, seeds());
+    }
+
+    /**
+     * Starts a side, or starts it again after it was closed.
+     *
+     * @param service its service.
+     * @param replica its number.
+     * @param seeds processes that it gossips with at first.
+     */
+    public void startSide(Service service, int replica, List<HostPort> seeds) {
         String name = SettingsText.sideName(service.name(), replica);
-        String text = texts.side(service, replica, targets.address(name), ANY_PORTS);
+        String text = texts.withSeeds(seeds).side(service, replica, targets.address(name), ANY_PORTS);
         SideSettings settings = SideSettings.parse(name, text.getBytes(StandardCharsets.UTF_8));
         sides.put(name, SideProcess.start(settings, choices.placement));
     }
@@ -257,7 +278,7 @@
     }
 
     private EntryProcess entry(int number) {
-        String text = texts.entry(number, choices.policy, ANY_PORTS);
+        String text = texts.withSeeds(seeds()).entry(number, choices.policy, ANY_PORTS);
         return EntryProcess.start(EntrySettings.parse("entry", text.getBytes(StandardCharsets.UTF_8)));
     }
 
@@ -287,6 +308,11 @@
                 .forEach(item -> targets.engines().get(holder.id()).preload(item, sizeBytes.get(item))));
     }
 
+    /** As operators do: a few processes of each deployment are named to all. */
+    private List<HostPort> seeds() {
+        return sides.values().stream().map(SideProcess::address).limit(SEEDS).toList();
+    }
+
     private boolean servesAll(EntryProcess entry) {
         Set<String> services = entry.membership().sides().stream()
                 .filter(side -> side.takesWork())
