--- a/src/main/java/io/waxwingquay/observe/Logging.java
+++ b/src/main/java/io/waxwingquay/observe/Logging.java
@@ -9,6 +9,8 @@
 import ch.qos.logback.core.encoder.Encoder;
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import java.io.FilterOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -39,7 +41,7 @@
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
         appender.setEncoder(format == LogFormat.JSON ? jsonEncoder(context) : textEncoder(context));
-        appender.setOutputStream(target);
+        appender.setOutputStream(new LeftOpen(target));
         appender.start();
         Level own = Level.toLevel(level.name());
         context.getLogger(OWN_LOGGERS).setLevel(own);
@@ -67,4 +69,30 @@
         encoder.start();
         return encoder;
     }
+
+    /**
+     * Passes everything on but the close.
+     *
+     * <p>Failure: a role sets logging up again after {@code Main} did, and the reset closes the appender's stream.
+     * Symptom: standard error is closed and the process logs nothing, for as long as it lives. The stream belongs to
+     * the process and ends with it, so it needs no close.
+     */
+    private static final class LeftOpen extends FilterOutputStream {
+
+        private LeftOpen(OutputStream target) {
+            super(target);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void write(byte[] bytes, int offset, int length) throws IOException {
+            out.write(bytes, offset, length);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void close() throws IOException {
+            flush();
+        }
+    }
 }
--- a/src/test/java/io/waxwingquay/observe/LoggingTest.java
+++ b/src/test/java/io/waxwingquay/observe/LoggingTest.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.observe;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ch.qos.logback.classic.LoggerContext;
@@ -10,7 +11,10 @@
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
 import java.io.ByteArrayOutputStream;
+import java.io.FilterOutputStream;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -43,6 +47,24 @@
         assertEquals("waxwingquay.side", line.get("loggerName").asText());
     }
 
+    // A role sets logging up a second time, by its settings. The first set-up's end must not take the stream along:
+    // the process would run on without a line, and the operator would see nothing of any fault.
+    @Test
+    void secondSetUpLeavesTheStreamOpen() {
+        AtomicBoolean closed = new AtomicBoolean();
+        OutputStream target = new FilterOutputStream(written) {
+            @Override
+            public void close() {
+                closed.set(true);
+            }
+        };
+        Logging.configure(context, LogFormat.TEXT, LogLevel.WARN, target);
+        Logging.configure(context, LogFormat.TEXT, LogLevel.INFO, target);
+        context.getLogger("waxwingquay.side").info("side: serving.");
+        assertFalse(closed.get());
+        assertTrue(text().contains("side: serving."), text());
+    }
+
     private String text() {
         return written.toString(StandardCharsets.UTF_8);
     }
