Show an operator one request identity, all metrics, the whole state, and refuse bad settings by name

Cause: request identities were in no log line; metrics of calls between processes mixed control with data and both directions; counters were first seen at their first event; the dump lacked permits, attempts, the order loop, the plan, the retry budget and pending outcomes; routing_policy was checked only after the start; three settings of a side (attempt_retention_millis, stream_silence_millis, poll_wait_millis) were read and not used. Ruled out: counting calls at both ends, as each message would count twice over all processes. Change: a line at the end of each request (DEBUG, refusals and failures INFO) with the same identity in entry, side and plain target; waxwingquay_control_* and waxwingquay_data_* by kind and direction in place of waxwingquay_peer_*; counters begin at 0; ledger gauges by state; dump sections of entry and side whole; routing_policy checked when read; SideLimits gets all settings of a side; log lines end with a full stop and begin with their package's prefix. Conclusion: what is left is the identity at a model engine, which sees the attempt's id; the entry's and the side's lines join the two.

--- a/src/main/java/io/waxwingquay/admission/RetryBudget.java
+++ b/src/main/java/io/waxwingquay/admission/RetryBudget.java
@@ -35,6 +35,15 @@
         return new RetryBudget(Math.round(share * MICRO_TOKENS_PER_RETRY), burst * MICRO_TOKENS_PER_RETRY);
     }
 
+    /**
+     * What is left.
+     *
+     * @return retries that may be sent now.
+     */
+    public double available() {
+        return (double) microTokens.get() / MICRO_TOKENS_PER_RETRY;
+    }
+
     /** Notes a first try, which earns a share of a retry. */
     public void noteFirstTry() {
         microTokens.updateAndGet(held -> Math.min(maximumMicroTokens, held + earnedMicroTokens));
--- a/src/main/java/io/waxwingquay/entry/AttemptRunner.java
+++ b/src/main/java/io/waxwingquay/entry/AttemptRunner.java
@@ -26,6 +26,7 @@
  */
 final class AttemptRunner {
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.entry");
     private static final int MAXIMUM_LOSSES_IN_A_ROW = 4;
     private static final int MAXIMUM_EMPTY_POLLS_AFTER_DONE = 8;
 
@@ -57,6 +58,10 @@
 
     /** Hands the attempt over and gathers its answer. */
     CompletableFuture<AttemptEnd> run() {
+        LOG.log(
+                System.Logger.Level.DEBUG,
+                () -> "entry: request " + submission.getRequestId() + " goes to side " + side.id() + " as attempt "
+                        + submission.getAttemptId() + ".");
         parts.board().noteSent(side.id());
         end.whenComplete((ended, failure) -> parts.board().noteOver(side.id()));
         guarded(this::submit);
--- a/src/main/java/io/waxwingquay/entry/CallersHandler.java
+++ b/src/main/java/io/waxwingquay/entry/CallersHandler.java
@@ -24,6 +24,7 @@
  */
 final class CallersHandler extends Handler.Abstract.NonBlocking {
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.entry");
     private static final String COMPLETIONS = "/v1/completions";
     private static final Pattern SERVICES = Pattern.compile("/v1/services/([^/]+)/([^/]+)");
 
@@ -189,7 +190,7 @@
             models.answer(call, events).whenComplete((end, failure) -> {
                 if (failure != null) {
                     CallFailure told = CallFailure.from(failure);
-                    parts.metrics().failed(kind, told);
+                    noteFailed(told);
                     events.fail(told, callback);
                 } else {
                     answered();
@@ -203,11 +204,20 @@
         }
 
         private void answered() {
+            LOG.log(System.Logger.Level.DEBUG, () -> "entry: request " + requestId + " was answered.");
             parts.metrics().answered(kind, parts.remainingMillis(context.deadlineAtMillis()) >= 0);
         }
 
-        private void fail(CallFailure failure) {
+        private void noteFailed(CallFailure failure) {
             parts.metrics().failed(kind, failure);
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    () -> "entry: request " + requestId + " failed, "
+                            + failure.code().code() + ", " + failure.execution() + ".");
+        }
+
+        private void fail(CallFailure failure) {
+            noteFailed(failure);
             HttpAnswer.write(response, callback, failure);
         }
 
--- a/src/main/java/io/waxwingquay/entry/EntryMetrics.java
+++ b/src/main/java/io/waxwingquay/entry/EntryMetrics.java
@@ -1,7 +1,11 @@
 package io.waxwingquay.entry;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
+import io.waxwingquay.transport.generated.Execution;
+import io.waxwingquay.transport.generated.RefusalReason;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -20,6 +24,18 @@
  */
 public final class EntryMetrics {
 
+    private static final List<String> KINDS = List.of("model", "service");
+    private static final List<String> CLAIM_OUTCOMES = List.of(
+            "recorded",
+            "superseded",
+            "outcome_dropped",
+            "withdrawn",
+            "unknown",
+            "did_not_run",
+            "replayed",
+            "in_progress",
+            "table_out");
+
     private final MeterRegistry registry;
     private final Timer firstToken;
 
@@ -33,29 +49,40 @@
         this.firstToken = Timer.builder("waxwingquay.first.token")
                 .publishPercentiles(0.5, 0.95, 0.99)
                 .register(registry);
+        registerAll();
+    }
+
+    /** A counter that is first seen at its first event hides that event from rates, so all begin at 0. */
+    private void registerAll() {
+        for (String kind : KINDS) {
+            requests(kind, "answered");
+            attainment(kind, true);
+            attainment(kind, false);
+        }
+        CLAIM_OUTCOMES.forEach(this::claims);
+        for (FailureCode code : FailureCode.values()) {
+            refusals(code.code(), Execution.DID_NOT_RUN);
+        }
+        for (RefusalReason reason : RefusalReason.values()) {
+            retries(reason.name());
+        }
+        registry.counter("waxwingquay.resumes");
     }
 
     void answered(String kind, boolean inTime) {
-        registry.counter("waxwingquay.requests", "kind", kind, "outcome", "answered")
-                .increment();
-        attainment(kind, inTime);
+        requests(kind, "answered").increment();
+        attainment(kind, inTime).increment();
     }
 
     void failed(String kind, CallFailure failure) {
         String code = failure.code().code();
-        registry.counter("waxwingquay.requests", "kind", kind, "outcome", code).increment();
-        registry.counter(
-                        "waxwingquay.refusals",
-                        "reason",
-                        code,
-                        "execution",
-                        failure.execution().name())
-                .increment();
-        attainment(kind, false);
+        requests(kind, code).increment();
+        refusals(code, failure.execution()).increment();
+        attainment(kind, false).increment();
     }
 
     void retried(String reason) {
-        registry.counter("waxwingquay.retries", "reason", reason).increment();
+        retries(reason).increment();
     }
 
     void resumed() {
@@ -63,15 +90,30 @@
     }
 
     void claim(String outcome) {
-        registry.counter("waxwingquay.claims", "outcome", outcome).increment();
+        claims(outcome).increment();
     }
 
     void firstToken(long tookMillis) {
         firstToken.record(tookMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void attainment(String kind, boolean met) {
-        registry.counter("waxwingquay.attainment", "kind", kind, "met", Boolean.toString(met))
-                .increment();
+    private Counter requests(String kind, String outcome) {
+        return registry.counter("waxwingquay.requests", "kind", kind, "outcome", outcome);
+    }
+
+    private Counter attainment(String kind, boolean met) {
+        return registry.counter("waxwingquay.attainment", "kind", kind, "met", Boolean.toString(met));
+    }
+
+    private Counter refusals(String reason, Execution execution) {
+        return registry.counter("waxwingquay.refusals", "reason", reason, "execution", execution.name());
+    }
+
+    private Counter retries(String reason) {
+        return registry.counter("waxwingquay.retries", "reason", reason);
+    }
+
+    private Counter claims(String outcome) {
+        return registry.counter("waxwingquay.claims", "outcome", outcome);
     }
 }
--- a/src/main/java/io/waxwingquay/entry/EntryNode.java
+++ b/src/main/java/io/waxwingquay/entry/EntryNode.java
@@ -54,16 +54,19 @@
     private final DrainGate gate = new DrainGate();
     private final LoadBoard board = new LoadBoard();
     private final AtomicBoolean closed = new AtomicBoolean();
+    private final EntryParts parts;
+    private final OutcomeWriter outcomes;
     private final Server server;
     private final ServerConnector connector;
 
     private EntryNode(Builder builder) {
         this.executor = new ScheduledThreadPoolExecutor(FLOW_THREADS, EntryNode::daemon);
         this.executor.setRemoveOnCancelPolicy(true);
-        EntryParts parts = parts(builder);
+        this.parts = parts(builder);
         GroupCommitter committer = new GroupCommitter(builder.table, builder.settings.claimBatch(), executor);
         ClaimStore store = new ClaimStore(committer);
-        ServiceFlow services = new ServiceFlow(parts, store, new OutcomeWriter(parts, store, gate));
+        this.outcomes = new OutcomeWriter(parts, store, gate);
+        ServiceFlow services = new ServiceFlow(parts, store, outcomes);
         this.server = new Server(httpThreads());
         this.connector = connector(builder.settings);
         server.addConnector(connector);
@@ -128,6 +131,24 @@
         return gate.inside();
     }
 
+    /**
+     * What is left of the retry budget, for dumps.
+     *
+     * @return retries that may be sent now.
+     */
+    public double retriesLeft() {
+        return parts.retryBudget().available();
+    }
+
+    /**
+     * Outcomes of claimed calls that are still to be recorded in the table, for dumps.
+     *
+     * @return the number.
+     */
+    public int pendingOutcomes() {
+        return outcomes.pending();
+    }
+
     /**
      * Refuses new requests, waits for those in flight, and closes.
      *
--- a/src/main/java/io/waxwingquay/entry/OutcomeWriter.java
+++ b/src/main/java/io/waxwingquay/entry/OutcomeWriter.java
@@ -28,6 +28,10 @@
         this.gate = gate;
     }
 
+    int pending() {
+        return pending.get();
+    }
+
     /**
      * Starts to record; never fails the caller.
      *
--- a/src/main/java/io/waxwingquay/observe/AdminHandler.java
+++ b/src/main/java/io/waxwingquay/observe/AdminHandler.java
@@ -68,7 +68,7 @@
 
     private Answer shutdown() {
         if (draining.compareAndSet(false, true)) {
-            LOG.log(System.Logger.Level.INFO, "observe: an operator asked for a drain");
+            LOG.log(System.Logger.Level.INFO, "observe: an operator asked for a drain.");
             new Thread(drain, "drain").start();
         }
         return Answer.text(HttpStatus.ACCEPTED_202, "draining\n");
--- a/src/main/java/io/waxwingquay/observe/ProcessMeters.java
+++ b/src/main/java/io/waxwingquay/observe/ProcessMeters.java
@@ -7,7 +7,7 @@
 import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.bundle.BundleSource;
 import io.waxwingquay.common.Clock;
-import java.util.Locale;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -15,8 +15,9 @@
  */
 public final class ProcessMeters {
 
-    private static final String CONTROL_MESSAGES = "waxwingquay.control.messages";
-    private static final String CONTROL_BYTES = "waxwingquay.control.bytes";
+    private static final List<String> DATA = List.of("submit", "poll", "cancel", "resolve");
+    private static final List<String> CONTROL =
+            List.of("gossip", "fetchBundle", "noteSuspects", "borrowPermit", "returnPermit", "ping");
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final MeterRegistry registry;
@@ -31,6 +32,8 @@
     public ProcessMeters(MeterRegistry registry, Clock clock) {
         this.registry = registry;
         this.clock = clock;
+        CONTROL.forEach(method -> count(method, 0, 0, 0));
+        DATA.forEach(method -> count(method, 0, 0, 0));
         new ProcessorMetrics().bindTo(registry);
         new JvmMemoryMetrics().bindTo(registry);
     }
@@ -55,16 +58,28 @@
     }
 
     /**
-     * Counts one control message, which is any message between processes that carries no caller's work.
+     * Counts a finished call between processes, at the process that made it: the question as {@code out} and the
+     * answer as {@code in}. Over all processes each message counts once. Calls that carry a caller's work count as
+     * data, all others as control.
      *
-     * @param kind the kind of message, such as {@code gossip}; one of a fixed few.
-     * @param direction whether it came or went.
-     * @param sizeBytes its size on the wire.
+     * @param method the called method.
+     * @param writtenBytes bytes written for it.
+     * @param readBytes bytes read for it; 0 if no answer came.
      */
-    public void countControl(String kind, Direction direction, long sizeBytes) {
-        String way = direction.name().toLowerCase(Locale.ROOT);
-        registry.counter(CONTROL_MESSAGES, "kind", kind, "direction", way).increment();
-        registry.counter(CONTROL_BYTES, "kind", kind, "direction", way).increment(sizeBytes);
+    public void countCall(String method, long writtenBytes, long readBytes) {
+        count(method, 1, writtenBytes, readBytes);
+    }
+
+    private void count(String method, int calls, long writtenBytes, long readBytes) {
+        String name = DATA.contains(method) ? "waxwingquay.data" : "waxwingquay.control";
+        count(name, method, "out", calls, writtenBytes);
+        count(name, method, "in", readBytes > 0 ? calls : 0, readBytes);
+    }
+
+    private void count(String name, String kind, String direction, int messages, long sizeBytes) {
+        registry.counter(name + ".messages", "kind", kind, "direction", direction)
+                .increment(messages);
+        registry.counter(name + ".bytes", "kind", kind, "direction", direction).increment(sizeBytes);
     }
 
     private static double version(BundleSource bundles) {
@@ -74,12 +89,4 @@
     private double ageSeconds(AtomicLong adoptedAtMillis) {
         return (clock.monotonicMillis() - adoptedAtMillis.get()) / MILLIS_PER_SECOND;
     }
-
-    /** Which way a message went. */
-    public enum Direction {
-        /** It was received. */
-        IN,
-        /** It was sent. */
-        OUT
-    }
 }
--- a/src/main/java/io/waxwingquay/permit/PermitHome.java
+++ b/src/main/java/io/waxwingquay/permit/PermitHome.java
@@ -111,6 +111,17 @@
                 .orElse(false);
     }
 
+    /**
+     * What is lent now, for dumps.
+     *
+     * @param limit the limit.
+     * @return permits whose lease has not ended.
+     */
+    public synchronized int lent(Limit limit) {
+        Pool pool = pools.get(limit);
+        return pool == null ? 0 : pool.lent(clock.monotonicMillis());
+    }
+
     private long beat() {
         long nowMillis = clock.monotonicMillis();
         if (nowMillis - lastBeatMillis > pauseMillis) {
@@ -188,6 +199,12 @@
             this.nextStartMillis = nowMillis;
         }
 
+        int lent(long nowMillis) {
+            return (int) leaseEndMillis.values().stream()
+                    .filter(endMillis -> endMillis > nowMillis)
+                    .count();
+        }
+
         PermitAnswer lend(String permitId, long nowMillis, long leaseMillis, int slots, double startsPerSecond) {
             leaseEndMillis.values().removeIf(endMillis -> endMillis <= nowMillis);
             if (leaseEndMillis.containsKey(permitId)) {
--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -130,6 +130,8 @@
         return new EntryState(
                 foundation.settings().name(),
                 node.inFlight(),
+                node.pendingOutcomes(),
+                node.retriesLeft(),
                 node.loadBoard()
                         .views(foundation.members().sides(), foundation.clock().monotonicMillis()));
     }
@@ -154,7 +156,10 @@
      *
      * @param name its name.
      * @param inFlight requests in flight.
+     * @param pendingOutcomes outcomes of claimed calls still to be recorded in the table.
+     * @param retriesLeft retries that may be sent now.
      * @param sides the sides with their load, as this entry knows them.
      */
-    private record EntryState(String name, long inFlight, List<SideView> sides) {}
+    private record EntryState(
+            String name, long inFlight, int pendingOutcomes, double retriesLeft, List<SideView> sides) {}
 }
--- a/src/main/java/io/waxwingquay/process/Foundation.java
+++ b/src/main/java/io/waxwingquay/process/Foundation.java
@@ -1,8 +1,8 @@
 package io.waxwingquay.process;
 
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.bundle.BundleArchive;
 import io.waxwingquay.bundle.BundleFeed;
 import io.waxwingquay.bundle.BundleHolder;
@@ -24,12 +24,12 @@
 import io.waxwingquay.platform.VmList;
 import io.waxwingquay.settings.ProcessSettings;
 import io.waxwingquay.suspect.SuspectTable;
-import io.waxwingquay.transport.CallObserver;
 import io.waxwingquay.transport.Connections;
 import io.waxwingquay.transport.ThriftConnections;
 import io.waxwingquay.transport.ThriftServer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -57,6 +57,7 @@
     private final Clock clock = Clock.SYSTEM;
     private final RandomGenerator random;
     private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ProcessMeters measures = new ProcessMeters(meters, clock);
     private final ScheduledExecutorService scheduler;
     private final HttpClient http;
     private final TableService table;
@@ -81,7 +82,8 @@
         this.http = HttpCalls.startClient(HTTP_CONNECTIONS, CONNECT_TIMEOUT_MILLIS);
         owned.push(http::stop);
         this.table = new HttpTableService(http, platform, settings.tableTimeoutMillis());
-        this.connections = own(ThriftConnections.builder().observer(counting()).build());
+        this.connections =
+                own(ThriftConnections.builder().observer(measures::countCall).build());
         this.server = own(ThriftServer.bind(new HostPort(settings.host(), settings.thriftPort())));
         this.members = new MemberTable(clock, MemberTable.Timing.DEFAULT);
         HostPort address = server.address();
@@ -120,12 +122,12 @@
     void observe(Supplier<Optional<String>> notReady, Runnable drain, Consumer<StateDump> sections) {
         StateDump dump = new StateDump()
                 .section("settings", () -> settings)
-                .section("bundle", () -> new BundleState(bundles.version(), feed.lastFailure()))
+                .section("bundle", () -> bundleState())
                 .section("members", members::sides)
                 .section("peers", peers::all)
                 .section("suspects", suspects::snapshot);
         sections.accept(dump);
-        new ProcessMeters(meters, clock).watch(bundles);
+        measures.watch(bundles);
         admin = Optional.of(own(AdminServer.builder(meters, dump)
                 .listen(settings.host(), settings.adminPort())
                 .notReady(notReady)
@@ -239,16 +241,14 @@
                 .build();
     }
 
-    private CallObserver counting() {
-        return (method, writtenBytes, readBytes) -> {
-            count("waxwingquay.peer.bytes", method, writtenBytes + readBytes);
-            count("waxwingquay.peer.messages", method, 1);
-        };
-    }
-
-    private void count(String name, String method, long amount) {
-        MeterRegistry registry = meters;
-        registry.counter(name, "kind", method).increment(amount);
+    private BundleState bundleState() {
+        Optional<Bundle> bundle = bundles.current();
+        return new BundleState(
+                bundles.version(),
+                bundle.map(Bundle::services).map(List::size).orElse(0),
+                bundle.map(Bundle::models).map(List::size).orElse(0),
+                bundle.map(Bundle::adapters).map(List::size).orElse(0),
+                feed.lastFailure());
     }
 
     private static ScheduledExecutorService scheduler(String name) {
@@ -264,7 +264,10 @@
      * What the state dump shows of the bundle.
      *
      * @param version the version in force, 0 while there is none.
+     * @param services services it names.
+     * @param models models it names.
+     * @param adapters adapters it names.
      * @param lastFailure why the last look for a newer one failed.
      */
-    private record BundleState(long version, Optional<String> lastFailure) {}
+    private record BundleState(long version, long services, long models, long adapters, Optional<String> lastFailure) {}
 }
--- a/src/main/java/io/waxwingquay/process/PlannedItems.java
+++ b/src/main/java/io/waxwingquay/process/PlannedItems.java
@@ -7,6 +7,7 @@
 import io.waxwingquay.placement.Strategy;
 import io.waxwingquay.placement.View;
 import io.waxwingquay.side.WantedItems;
+import java.util.List;
 
 /**
  * Placement for one side. The plan is made again at most once an interval, as the order loop asks far more often than
@@ -34,6 +35,16 @@
         this.intervalMillis = intervalMillis;
     }
 
+    /** This side's share of the plan as it was last made. */
+    synchronized Plan.Share share() {
+        return plan.of(sideId);
+    }
+
+    /** Models for which the plan found no room on any side. */
+    synchronized List<String> homelessModels() {
+        return plan.homelessModels();
+    }
+
     /** {@inheritDoc} */
     @Override
     public synchronized Wanted wanted(Bundle bundle) {
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -17,7 +17,9 @@
 import io.waxwingquay.side.SideLimits;
 import io.waxwingquay.side.SideNode;
 import io.waxwingquay.side.SideNodeBuilder;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -44,13 +46,13 @@
     private final PermitHome permitHome;
     private final PeerHandler peer;
     private final SideDoor door;
-    private final Strategy placement;
+    private final PlannedItems planned;
+    private final AtomicReference<Optional<LentPermits>> held = new AtomicReference<>(Optional.empty());
     private final AtomicReference<Optional<SideNode>> node = new AtomicReference<>(Optional.empty());
 
     private SideProcess(Foundation foundation, SideSettings settings, Strategy placement, long epoch) {
         this.foundation = foundation;
         this.settings = settings;
-        this.placement = placement;
         this.identity = new SideIdentity(
                 foundation.settings().name(),
                 foundation.server().address(),
@@ -58,6 +60,13 @@
                 settings.service(),
                 settings.replica(),
                 epoch);
+        this.planned = new PlannedItems(
+                identity.sideId(),
+                identity.serviceName(),
+                foundation.members(),
+                placement,
+                foundation.clock(),
+                PLAN_MILLIS);
         PermitHome.Slots none = new PermitHome.Slots(settings.replica(), settings.replica() + 1, 0, 0.0, 0);
         this.permitHome = new PermitHome(foundation.clock(), settings.permitLeaseMillis(), PAUSE_MILLIS, none);
         this.peer = new PeerHandler(
@@ -159,14 +168,33 @@
         return isReady() ? Optional.empty() : Optional.of("no bundle in force yet");
     }
 
-    private SideState state() {
-        return new SideState(
+    private SideDump state() {
+        return new SideDump(
                 identity,
                 node.get().map(SideNode::state).map(Enum::name).orElse("NO_BUNDLE"),
+                node.get().map(SideNode::attemptsByState).orElse(Map.of()),
                 node.get().flatMap(SideNode::memory),
+                orderLoop(),
+                permitsByLimit(),
+                new SideDump.Placement(planned.share(), planned.homelessModels()));
+    }
+
+    private SideDump.OrderLoop orderLoop() {
+        long nowMillis = foundation.clock().monotonicMillis();
+        return new SideDump.OrderLoop(
+                node.get().flatMap(SideNode::residencyReadMillis).map(readMillis -> nowMillis - readMillis),
                 node.get().map(SideNode::refusedItems).orElse(List.of()));
     }
 
+    private Map<Permits.Limit, SideDump.PermitCount> permitsByLimit() {
+        Map<Permits.Limit, SideDump.PermitCount> counts = new EnumMap<>(Permits.Limit.class);
+        for (Permits.Limit limit : Permits.Limit.values()) {
+            int heldHere = held.get().map(permits -> permits.inUse(limit)).orElse(0);
+            counts.put(limit, new SideDump.PermitCount(permitHome.lent(limit), heldHere));
+        }
+        return counts;
+    }
+
     private void adopted(Bundle bundle) {
         Optional<Service> service = bundle.service(settings.service());
         if (service.isEmpty()) {
@@ -185,6 +213,7 @@
 
     private void open(Service service) {
         LentPermits permits = permits();
+        held.set(Optional.of(permits));
         every(settings.permitLeaseMillis() / RENEWALS_A_LEASE, permits::renew);
         SideNodeBuilder builder = builder(permits);
         SideNode ready = settings.targetKind() == TargetType.PLAIN
@@ -200,7 +229,10 @@
         return new SideNodeBuilder(identity)
                 .limits(SideLimits.defaults()
                         .withQueueLimit(settings.queueLimit())
-                        .withQuarantineMillis(settings.orderQuarantineMillis()))
+                        .withQuarantineMillis(settings.orderQuarantineMillis())
+                        .withRetentionMillis(settings.attemptRetentionMillis())
+                        .withStreamSilenceMillis(settings.streamSilenceMillis())
+                        .withPollWaitMillis(settings.pollWaitMillis()))
                 .clock(foundation.clock())
                 .random(foundation.random())
                 .bundles(foundation.bundles())
@@ -209,13 +241,7 @@
                 .connections(foundation.connections())
                 .peer(peer)
                 .permits(permits)
-                .wantedItems(new PlannedItems(
-                        identity.sideId(),
-                        identity.serviceName(),
-                        foundation.members(),
-                        placement,
-                        foundation.clock(),
-                        PLAN_MILLIS))
+                .wantedItems(planned)
                 .meters(foundation.meters());
     }
 
@@ -265,15 +291,4 @@
     private void every(long millis, Runnable task) {
         foundation.scheduler().scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
     }
-
-    /**
-     * What the state dump shows of a side.
-     *
-     * @param identity who it is.
-     * @param state its lifecycle.
-     * @param memory the memory ledger.
-     * @param refusedItems wanted items for which there is no room.
-     */
-    private record SideState(
-            SideIdentity identity, String state, Optional<MemoryLedger.Snapshot> memory, List<String> refusedItems) {}
 }
--- a/src/main/java/io/waxwingquay/routing/Policy.java
+++ b/src/main/java/io/waxwingquay/routing/Policy.java
@@ -14,6 +14,9 @@
 @FunctionalInterface
 public interface Policy {
 
+    /** The names that {@link #named} knows, for messages. */
+    String NAMES = "waxwingquay, round-robin, least-outstanding or model-hash";
+
     /**
      * Orders sides.
      *
@@ -37,8 +40,7 @@
             case "round-robin" -> new RoundRobin();
             case "least-outstanding" -> new LeastOutstanding();
             case "model-hash" -> new ModelHash();
-            default -> throw new IllegalArgumentException("routing policy '" + name
-                    + "' is unknown; write waxwingquay, round-robin, least-outstanding or model-hash");
+            default -> throw new IllegalArgumentException("routing policy '" + name + "' is unknown; write " + NAMES);
         };
     }
 
--- a/src/main/java/io/waxwingquay/settings/EntrySettings.java
+++ b/src/main/java/io/waxwingquay/settings/EntrySettings.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.settings;
 
+import io.waxwingquay.routing.Policy;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -61,9 +62,18 @@
                 table.number("max_body_bytes", 1_048_576, BODY_BYTES),
                 (int) table.number("retry_budget_percent", 10, PERCENT),
                 table.text("routing_policy", "waxwingquay"));
+        settings.checkPolicy(table);
         if (settings.defaultDeadlineMillis > settings.maxDeadlineMillis) {
             table.report("default_deadline_millis", "is above max_deadline_millis; lower it or raise that");
         }
         return settings;
     }
+
+    private void checkPolicy(TomlTable table) {
+        try {
+            Policy.named(routingPolicy);
+        } catch (IllegalArgumentException unknown) {
+            table.report("routing_policy", "is '" + routingPolicy + "'; write one of " + Policy.NAMES);
+        }
+    }
 }
--- a/src/main/java/io/waxwingquay/side/Admission.java
+++ b/src/main/java/io/waxwingquay/side/Admission.java
@@ -15,6 +15,7 @@
  */
 final class Admission {
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.side");
     private final SideContext context;
     private final AttemptBook book;
     private final DrainGate gate;
@@ -69,9 +70,20 @@
             refuse(attempt, found);
             attempt.noteTold();
         });
+        if (denial.isEmpty()) {
+            attempt.ended().thenAccept(Admission::logEnd);
+        }
         return denial;
     }
 
+    private static void logEnd(Attempt attempt) {
+        boolean expected = attempt.state() == RequestState.DONE || attempt.state() == RequestState.CANCELLED;
+        LOG.log(
+                expected ? System.Logger.Level.DEBUG : System.Logger.Level.INFO,
+                () -> "side: request " + attempt.submission().getRequestId() + " ended as attempt " + attempt.id()
+                        + ", " + attempt.state() + ", " + attempt.execution() + ".");
+    }
+
     private Optional<Door.Denial> enter(Attempt attempt) {
         if (!gate.tryEnter()) {
             return denial(RefusalReason.LEAVING, "this side is leaving");
--- a/src/main/java/io/waxwingquay/side/CrashHandler.java
+++ b/src/main/java/io/waxwingquay/side/CrashHandler.java
@@ -108,7 +108,7 @@
         Set<Long> fingerprints = victims.stream()
                 .map(attempt -> attempt.submission().getFingerprint())
                 .collect(Collectors.toSet());
-        LOG.log(System.Logger.Level.ERROR, "side: target crashed with {0} requests running", victims.size());
+        LOG.log(System.Logger.Level.ERROR, "side: target crashed with {0} requests running.", victims.size());
         context.count("waxwingquay.side.crashes", "side", context.identity().sideId());
         List<SuspectRecord> records =
                 context.suspects().recordCrash(context.identity().sideId() + "/" + bootId, fingerprints);
--- a/src/main/java/io/waxwingquay/side/Housekeeping.java
+++ b/src/main/java/io/waxwingquay/side/Housekeeping.java
@@ -79,7 +79,7 @@
     private void runAndSchedule() {
         round().whenComplete((ignored, failure) -> {
             if (failure != null) {
-                LOG.log(System.Logger.Level.ERROR, "side: housekeeping failed, going on", failure);
+                LOG.log(System.Logger.Level.ERROR, "side: housekeeping failed, going on.", failure);
             }
             boolean awaited = residency.filter(Residency::isAdapterAwaited).isPresent();
             synchronized (this) {
--- a/src/main/java/io/waxwingquay/side/ModelRunner.java
+++ b/src/main/java/io/waxwingquay/side/ModelRunner.java
@@ -236,7 +236,7 @@
                 opened.close();
             } catch (Exception failure) {
                 System.getLogger("waxwingquay.side")
-                        .log(System.Logger.Level.DEBUG, "side: stream closed badly", failure);
+                        .log(System.Logger.Level.DEBUG, "side: a stream closed badly.", failure);
             }
         }
     }
--- a/src/main/java/io/waxwingquay/side/Residency.java
+++ b/src/main/java/io/waxwingquay/side/Residency.java
@@ -83,7 +83,7 @@
                     observe(report, askedMillis, paused);
                 }
             } catch (RuntimeException unexpected) {
-                LOG.log(System.Logger.Level.ERROR, "side: order loop failed, retrying", unexpected);
+                LOG.log(System.Logger.Level.ERROR, "side: the order loop failed, retrying.", unexpected);
             } finally {
                 endTick(done);
             }
@@ -149,7 +149,7 @@
                 .isPresent();
         lastTickMillis = Optional.of(nowMillis);
         if (paused) {
-            LOG.log(System.Logger.Level.WARNING, "side: paused, holding orders back");
+            LOG.log(System.Logger.Level.WARNING, "side: paused, holding orders back.");
             context.count("waxwingquay.side.pauses", "side", context.identity().sideId());
             ledger.quarantine();
         }
@@ -184,10 +184,12 @@
         if (observation.surplusBytes() > 0L) {
             context.count(
                     "waxwingquay.side.overcommits", "side", context.identity().sideId());
-            LOG.log(System.Logger.Level.ERROR, "side: memory overcommitted, evicting " + observation.surplusBytes());
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "side: memory is overcommitted, evicting " + observation.surplusBytes() + " bytes.");
         }
-        observation.adopted().forEach(item -> LOG.log(System.Logger.Level.WARNING, "side: adopted item {0}", item));
-        observation.vanished().forEach(item -> LOG.log(System.Logger.Level.WARNING, "side: item {0} is gone", item));
+        observation.adopted().forEach(item -> LOG.log(System.Logger.Level.WARNING, "side: adopted item {0}.", item));
+        observation.vanished().forEach(item -> LOG.log(System.Logger.Level.WARNING, "side: item {0} is gone.", item));
     }
 
     private boolean isSuperseded(ModelEngine.Residency report) {
@@ -211,7 +213,7 @@
             }
             retired = true;
         }
-        LOG.log(System.Logger.Level.ERROR, "side: stepping down, {0}", cause);
+        LOG.log(System.Logger.Level.ERROR, "side: stepping down, {0}.", cause);
         superseded.run();
     }
 
@@ -239,7 +241,7 @@
     private synchronized void noteRefused(List<String> items) {
         items.stream()
                 .filter(item -> !refused.contains(item))
-                .forEach(item -> LOG.log(System.Logger.Level.WARNING, "side: no room for {0}", item));
+                .forEach(item -> LOG.log(System.Logger.Level.WARNING, "side: no room for {0}.", item));
         refused = items;
     }
 
--- a/src/main/java/io/waxwingquay/side/SideLimits.java
+++ b/src/main/java/io/waxwingquay/side/SideLimits.java
@@ -16,6 +16,7 @@
  * @param noticeMillis the longest wait for other sides to take in suspects.
  * @param resumeAttempts how often a cut stream is opened again in a row without a new token.
  * @param streamSilenceMillis how long a stream may bring nothing before it is opened afresh.
+ * @param pollWaitMillis how long a poll is held open at most.
  */
 public record SideLimits(
         int queueLimit,
@@ -30,7 +31,8 @@
         long pauseLimitMillis,
         long noticeMillis,
         int resumeAttempts,
-        long streamSilenceMillis) {
+        long streamSilenceMillis,
+        long pollWaitMillis) {
 
     /**
      * Limits that suit the sizes of the brief.
@@ -39,7 +41,7 @@
      */
     public static SideLimits defaults() {
         return new SideLimits(
-                256, 50_000, 900_000L, 60_000L, 10_000L, 200L, 5L, 2_000L, 30_000L, 2_000L, 300L, 5, 1_000L);
+                256, 50_000, 900_000L, 60_000L, 10_000L, 200L, 5L, 2_000L, 30_000L, 2_000L, 300L, 5, 1_000L, 10_000L);
     }
 
     /**
@@ -62,7 +64,8 @@
                 pauseLimitMillis,
                 noticeMillis,
                 resumeAttempts,
-                streamSilenceMillis);
+                streamSilenceMillis,
+                pollWaitMillis);
     }
 
     /**
@@ -85,6 +88,79 @@
                 pauseLimitMillis,
                 noticeMillis,
                 resumeAttempts,
-                streamSilenceMillis);
+                streamSilenceMillis,
+                pollWaitMillis);
+    }
+
+    /**
+     * The same with another retention of ended attempts.
+     *
+     * @param millis how long an ended attempt is remembered.
+     * @return the changed limits.
+     */
+    public SideLimits withRetentionMillis(long millis) {
+        return new SideLimits(
+                queueLimit,
+                attemptLimit,
+                millis,
+                answerRetentionMillis,
+                unpolledLimitMillis,
+                tickMillis,
+                adapterTickMillis,
+                resendMillis,
+                quarantineMillis,
+                pauseLimitMillis,
+                noticeMillis,
+                resumeAttempts,
+                streamSilenceMillis,
+                pollWaitMillis);
+    }
+
+    /**
+     * The same with another limit of a silent stream.
+     *
+     * @param millis how long a stream may bring nothing.
+     * @return the changed limits.
+     */
+    public SideLimits withStreamSilenceMillis(long millis) {
+        return new SideLimits(
+                queueLimit,
+                attemptLimit,
+                retentionMillis,
+                answerRetentionMillis,
+                unpolledLimitMillis,
+                tickMillis,
+                adapterTickMillis,
+                resendMillis,
+                quarantineMillis,
+                pauseLimitMillis,
+                noticeMillis,
+                resumeAttempts,
+                millis,
+                pollWaitMillis);
+    }
+
+    /**
+     * The same with another longest wait of a poll.
+     *
+     * @param millis how long a poll is held open at most.
+     * @return the changed limits.
+     */
+    public SideLimits withPollWaitMillis(long millis) {
+        return new SideLimits(
+                queueLimit,
+                attemptLimit,
+                retentionMillis,
+                answerRetentionMillis,
+                unpolledLimitMillis,
+                tickMillis,
+                adapterTickMillis,
+                resendMillis,
+                quarantineMillis,
+                pauseLimitMillis,
+                noticeMillis,
+                resumeAttempts,
+                streamSilenceMillis,
+                millis);
     }
 }
--- a/src/main/java/io/waxwingquay/side/SideNode.java
+++ b/src/main/java/io/waxwingquay/side/SideNode.java
@@ -22,10 +22,13 @@
 import io.waxwingquay.transport.generated.SubmitAnswer;
 import io.waxwingquay.transport.generated.SuspectNotice;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * The only door to one target. Built by {@link SideNodeBuilder}.
@@ -92,6 +95,26 @@
         return parts.residency().map(Residency::refused).orElse(List.of());
     }
 
+    /**
+     * The attempts that are remembered, for dumps.
+     *
+     * @return how many are in each state.
+     */
+    public Map<RequestState, Long> attemptsByState() {
+        return parts.book().all().stream()
+                .collect(Collectors.groupingBy(
+                        Attempt::state, () -> new EnumMap<>(RequestState.class), Collectors.counting()));
+    }
+
+    /**
+     * When the order loop last read the engine's residency, for dumps.
+     *
+     * @return the time by the monotonic clock, or empty before the first report and for a plain service.
+     */
+    public Optional<Long> residencyReadMillis() {
+        return parts.residency().flatMap(Residency::readMillis);
+    }
+
     /**
      * The lifecycle of this side.
      *
@@ -110,6 +133,10 @@
         denial.ifPresent(found -> {
             parts.context()
                     .count("waxwingquay.side.refusals", "reason", found.reason().name());
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    () -> "side: request " + submission.getRequestId() + " was refused, " + found.reason() + ", "
+                            + found.execution() + ".");
             answer.setRefusal(parts.meter().refusal(found.reason(), found.message(), found.execution()));
         });
         return CompletableFuture.completedFuture(answer);
@@ -129,7 +156,9 @@
         return attempt.get()
                 .poll(
                         request.getFromOffset(),
-                        request.getWaitMillis(),
+                        Math.min(
+                                request.getWaitMillis(),
+                                parts.context().limits().pollWaitMillis()),
                         parts.context().clock().monotonicMillis(),
                         parts.meter()::report);
     }
@@ -198,7 +227,7 @@
 
     /** Refuses new and queued work from now on. */
     void leave() {
-        LOG.log(System.Logger.Level.INFO, "side: leaving");
+        LOG.log(System.Logger.Level.INFO, "side: leaving.");
         parts.gate().close();
         parts.residency().ifPresent(Residency::retire);
         parts.self().on(SideEvent.LEAVE);
--- a/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
+++ b/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
@@ -203,10 +203,7 @@
         AtomicReference<Runnable> leave = new AtomicReference<>(() -> {});
         AtomicReference<Runnable> wake = new AtomicReference<>(() -> {});
         AtomicReference<Admission> way = new AtomicReference<>();
-        meters.gauge("waxwingquay.side.memory.counted", ledger, found -> found.snapshot()
-                .countedBytes());
-        meters.gauge("waxwingquay.side.memory.capacity", ledger, found -> found.snapshot()
-                .capacityBytes());
+        new SideMeters(meters, identity.sideId()).registerModel(ledger);
         LoadMeter meter = new LoadMeter(clock, random, () -> ledger.snapshot().freeBytes());
         Residency residency = new Residency(
                 context, engine, ledger, permits, wantedItems, () -> leave.get().run());
@@ -234,6 +231,7 @@
     }
 
     private SideContext context() {
+        new SideMeters(meters, identity.sideId()).registerCommon();
         ScheduledThreadPoolExecutor scheduler = new ScheduledThreadPoolExecutor(SCHEDULER_THREADS, task -> {
             Thread thread = new Thread(task, "side-" + identity.sideId());
             thread.setDaemon(true);
--- a/src/main/java/io/waxwingquay/standin/LinkStandin.java
+++ b/src/main/java/io/waxwingquay/standin/LinkStandin.java
@@ -164,7 +164,8 @@
         try {
             closeable.close();
         } catch (Exception failure) {
-            System.getLogger("waxwingquay.standin").log(System.Logger.Level.DEBUG, "link: close failed", failure);
+            System.getLogger("waxwingquay.standin")
+                    .log(System.Logger.Level.DEBUG, "standin: a link did not close.", failure);
         }
     }
 
@@ -209,7 +210,7 @@
                 }
             } catch (IOException failure) {
                 System.getLogger("waxwingquay.standin")
-                        .log(System.Logger.Level.DEBUG, "link: a connection ended", failure);
+                        .log(System.Logger.Level.DEBUG, "standin: a link's connection ended.", failure);
             }
             if (!silent || ended.incrementAndGet() == DIRECTIONS) {
                 close();
--- a/src/main/java/io/waxwingquay/standin/PlainServiceStandin.java
+++ b/src/main/java/io/waxwingquay/standin/PlainServiceStandin.java
@@ -14,6 +14,7 @@
  */
 public final class PlainServiceStandin implements AutoCloseable {
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.standin");
     private static final String OPERATIONS = "/operations/";
 
     private final Faults faults = new Faults();
@@ -82,6 +83,7 @@
 
     private synchronized StandinReply run(StandinExchange exchange) {
         String requestId = exchange.header(HttpPlainService.REQUEST_ID_HEADER).orElse("");
+        LOG.log(System.Logger.Level.DEBUG, () -> "standin: request " + requestId + " runs.");
         runsByRequest.merge(requestId, 1, Integer::sum);
         exchange.header(HttpPlainService.IDEMPOTENCY_KEY_HEADER)
                 .ifPresent(key -> runsByKey.merge(key, 1, Integer::sum));
--- a/src/main/java/io/waxwingquay/standin/StandinServer.java
+++ b/src/main/java/io/waxwingquay/standin/StandinServer.java
@@ -94,7 +94,7 @@
         try {
             connector.stop();
         } catch (Exception failure) {
-            LOG.log(System.Logger.Level.WARNING, "standin: cannot stop port " + port(), failure);
+            LOG.log(System.Logger.Level.WARNING, "standin: cannot stop port " + port() + ".", failure);
         }
     }
 
@@ -106,7 +106,7 @@
             away = false;
             connector.start();
         } catch (Exception failure) {
-            LOG.log(System.Logger.Level.WARNING, "standin: cannot reopen port " + port(), failure);
+            LOG.log(System.Logger.Level.WARNING, "standin: cannot reopen port " + port() + ".", failure);
         }
     }
 
@@ -116,7 +116,7 @@
         try {
             server.stop();
         } catch (Exception failure) {
-            LOG.log(System.Logger.Level.WARNING, "standin: cannot stop port " + port(), failure);
+            LOG.log(System.Logger.Level.WARNING, "standin: cannot stop port " + port() + ".", failure);
         }
     }
 
--- a/src/main/java/io/waxwingquay/standin/StandinTimer.java
+++ b/src/main/java/io/waxwingquay/standin/StandinTimer.java
@@ -58,7 +58,7 @@
             try {
                 step.run();
             } catch (RuntimeException failure) {
-                LOG.log(System.Logger.Level.ERROR, "standin: a step failed", failure);
+                LOG.log(System.Logger.Level.ERROR, "standin: a step failed.", failure);
             }
         }
     }
--- a/src/test/java/io/waxwingquay/command/MainTest.java
+++ b/src/test/java/io/waxwingquay/command/MainTest.java
@@ -16,6 +16,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
@@ -98,6 +100,46 @@
         assertTrue(out.toString().contains("_picocli_waxwingquay_bundle_submit"));
     }
 
+    @Test
+    void everyCommandHasHelpWithExitCodes() {
+        assertHelp(Main.commandLine(url -> new Fake()), List.of());
+    }
+
+    // A process with a bad setting that started all the same would run with a default nobody chose. It refuses to
+    // start, with one sentence for each key, and the exit code says that it was refused and did not fail.
+    @Test
+    void badSettingsRefuseTheStartOfEveryRole() throws IOException {
+        String entry = Files.readString(Path.of("docs", "settings", "entry.toml"))
+                .replace("routing_policy = \"waxwingquay\"", "routing_policy = \"fastest\"");
+        assertEquals(ExitCodes.REFUSED, run("entry", "--settings", settings("entry", entry + "\ncallr_port = 1\n")));
+        assertTrue(err.toString().contains("routing_policy: is 'fastest'; write one of waxwingquay"), err.toString());
+        assertTrue(err.toString().contains("callr_port: is no known key; did you mean caller_port?"), err.toString());
+        String side = Files.readString(Path.of("docs", "settings", "side.toml"))
+                .replace("queue_limit = 256", "queue_limit = -1");
+        assertEquals(ExitCodes.REFUSED, run("side", "--settings", settings("side", side)));
+        assertTrue(err.toString().contains("queue_limit: is -1, which is not allowed; write 0 to"), err.toString());
+        assertEquals(ExitCodes.FAILED, run("side", "--settings", "nowhere.toml"));
+        assertEquals(ExitCodes.USAGE, run("side"));
+    }
+
+    private void assertHelp(CommandLine command, List<String> path) {
+        command.getSubcommands().forEach((name, subcommand) -> {
+            List<String> below = new ArrayList<>(path);
+            below.add(name);
+            assertHelp(subcommand, below);
+        });
+        List<String> arguments = new ArrayList<>(path);
+        arguments.add("--help");
+        out.getBuffer().setLength(0);
+        assertEquals(ExitCodes.OK, run(arguments.toArray(String[]::new)), path.toString());
+        assertTrue(out.toString().contains("Exit codes:"), path.toString());
+        assertTrue(command.getCommandSpec().usageMessage().description().length > 0, path.toString());
+    }
+
+    private String settings(String role, String text) throws IOException {
+        return Files.writeString(directory.resolve(role + ".toml"), text).toString();
+    }
+
     private String bundle(long version) throws IOException {
         String text = "version = " + version + "\n[[services]]\nname = \"records\"\nkind = \"plain\"\n"
                 + "replicas = 3\nmax_concurrent = 8\n";
--- a/src/test/java/io/waxwingquay/observe/AdminServerTest.java
+++ b/src/test/java/io/waxwingquay/observe/AdminServerTest.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.observe;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -59,11 +60,16 @@
         meters.watch(bundles);
         bundles.adopt(7);
         nowMillis.addAndGet(2_500);
-        meters.countControl("gossip", ProcessMeters.Direction.OUT, 120);
+        meters.countCall("gossip", 120, 80);
+        meters.countCall("poll", 40, 0);
         String text = get("/metrics").getContentAsString();
         assertTrue(text.contains("waxwingquay_bundle_version 7.0"), text);
         assertTrue(text.contains("waxwingquay_bundle_age_seconds 2.5"), text);
         assertTrue(text.contains("waxwingquay_control_bytes_total{direction=\"out\",kind=\"gossip\"} 120.0"), text);
+        assertTrue(text.contains("waxwingquay_control_bytes_total{direction=\"in\",kind=\"gossip\"} 80.0"), text);
+        assertTrue(text.contains("waxwingquay_data_messages_total{direction=\"out\",kind=\"poll\"} 1.0"), text);
+        assertTrue(text.contains("waxwingquay_data_messages_total{direction=\"in\",kind=\"poll\"} 0.0"), text);
+        assertFalse(text.contains("waxwingquay_control_bytes_total{direction=\"out\",kind=\"poll\"}"), text);
         assertTrue(text.contains("process_cpu_time_ns_total"), text);
         assertTrue(text.contains("jvm_memory_used_bytes"), text);
     }
