--- a/src/main/java/io/waxwingquay/membership/Gossip.java
+++ b/src/main/java/io/waxwingquay/membership/Gossip.java
@@ -28,7 +28,7 @@
  *
  * <p>Idle cost: each process asks one peer every 2 s and is asked as often; a test of 200 processes measures 26 bytes
  * a second sent and as many received, of the 9 KB/s a node may use. The figures for news stand in
- * docs/design/membership.md.
+ * docs/DESIGN.md.
  */
 public final class Gossip {
 
