--- a/src/main/java/io/waxwingquay/observe/Logging.java
+++ b/src/main/java/io/waxwingquay/observe/Logging.java
@@ -41,7 +41,7 @@
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
         appender.setEncoder(format == LogFormat.JSON ? jsonEncoder(context) : textEncoder(context));
-        appender.setOutputStream(new KeptOpen(target));
+        appender.setOutputStream(new LeftOpen(target));
         appender.start();
         Level own = Level.toLevel(level.name());
         context.getLogger(OWN_LOGGERS).setLevel(own);
@@ -71,19 +71,22 @@
     }
 
     /**
-     * A stream that outlives the appenders that write to it. A reset closes the stream of the appender before;
-     * when that was standard error itself, a process configured twice logged nothing from then on.
+     * Passes everything on but the close.
+     *
+     * <p>Failure: a role sets logging up again after {@code Main} did, and the reset closes the appender's stream.
+     * Symptom: standard error is closed and the process logs nothing, for as long as it lives. The stream belongs to
+     * the process and ends with it, so it needs no close.
      */
-    private static final class KeptOpen extends FilterOutputStream {
+    private static final class LeftOpen extends FilterOutputStream {
 
-        private KeptOpen(OutputStream stream) {
-            super(stream);
+        private LeftOpen(OutputStream target) {
+            super(target);
         }
 
         /** {@inheritDoc} */
         @Override
-        public void write(byte[] bytes, int from, int count) throws IOException {
-            out.write(bytes, from, count);
+        public void write(byte[] bytes, int offset, int length) throws IOException {
+            out.write(bytes, offset, length);
         }
 
         /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/process/PlannedItems.java
+++ b/src/main/java/io/waxwingquay/process/PlannedItems.java
@@ -39,6 +39,16 @@
         this.startMillis = clock.monotonicMillis();
     }
 
+    /** This side's share of the plan as it was last made. */
+    synchronized Plan.Share share() {
+        return plan.of(sideId);
+    }
+
+    /** Models for which the plan found no room on any side. */
+    synchronized List<String> homelessModels() {
+        return plan.homelessModels();
+    }
+
     /** {@inheritDoc} */
     @Override
     public synchronized Wanted wanted(Bundle bundle) {
--- a/src/main/java/io/waxwingquay/routing/Policy.java
+++ b/src/main/java/io/waxwingquay/routing/Policy.java
@@ -15,6 +15,9 @@
 @FunctionalInterface
 public interface Policy {
 
+    /** The names that {@link #named} knows, for messages. */
+    String NAMES = "waxwingquay, round-robin, least-outstanding or model-hash";
+
     /**
      * Orders sides.
      *
@@ -52,8 +55,7 @@
             case "model-hash" -> new ModelHash();
             case "round-robin-resident" -> new ResidentFirst(new RoundRobin());
             case "least-outstanding-resident" -> new ResidentFirst(new LeastOutstanding());
-            default -> throw new IllegalArgumentException("routing policy '" + name
-                    + "' is unknown; write waxwingquay, round-robin, least-outstanding or model-hash");
+            default -> throw new IllegalArgumentException("routing policy '" + name + "' is unknown; write " + NAMES);
         };
     }
 
