End a role's process after the drain that an operator asked for

Cause: Roles waited on a latch that nothing released, so after POST /shutdown the process had closed its ports and stayed. Found by reading Roles while writing OPERATING.md; the symptom was not run before the change (not seen red). Ruled out: System.exit in the admin handler, which would end deployments that run in one JVM. Change: a process tells when it has closed, and its role ends with exit code 0 then; the drain on a signal is not started a second time. The admin port is logged at start, since 0 lets the system choose it. Test: OperatorKeysTest.processLogsInTheFormatOfItsSettingsAndEndsAfterADrain (the test of the log format, renamed) asks an entry's process to drain and awaits its end with 0. Conclusion: what INTERFACES.md says of /shutdown holds for an entry; a side's process was not started by this test.

--- a/src/main/java/io/waxwingquay/command/EntryCommand.java
+++ b/src/main/java/io/waxwingquay/command/EntryCommand.java
@@ -5,6 +5,7 @@
 import io.waxwingquay.settings.EntrySettings;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -24,11 +25,11 @@
 
     /** {@inheritDoc} */
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() throws InterruptedException, ExecutionException {
         return Roles.run(file, spec.commandLine().getErr(), EntrySettings::read, settings -> {
             Logging.configure(settings.process().logFormat(), settings.process().logLevel());
             EntryProcess process = EntryProcess.start(settings);
-            return process::drain;
+            return new Roles.Running(process::drain, process.closed());
         });
     }
 }
--- a/src/main/java/io/waxwingquay/command/Roles.java
+++ b/src/main/java/io/waxwingquay/command/Roles.java
@@ -7,7 +7,8 @@
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
 
 /**
  * What the commands of the long-running roles share: reading settings, and leaving gracefully on a signal.
@@ -28,7 +29,7 @@
      * @throws InterruptedException if the wait is interrupted.
      */
     static <S> int run(Path file, PrintWriter errors, Reader<S> reader, Starter<S> starter)
-            throws InterruptedException {
+            throws InterruptedException, ExecutionException {
         S settings;
         try {
             settings = reader.read(file);
@@ -39,17 +40,18 @@
             errors.println("settings file " + file + " cannot be read: " + failure.getMessage());
             return ExitCodes.FAILED;
         }
-        Drain drain;
+        Running running;
         try {
             ShippedCharts.check();
-            drain = starter.start(settings);
+            running = starter.start(settings);
         } catch (ChartException faulty) {
             errors.println("failed: " + faulty.getMessage());
             return ExitCodes.FAILED;
         }
         // The virtual machine exits when the hooks have ended, so a signal drains before the process goes.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> drain.now().join(), "drain"));
-        new CountDownLatch(1).await();
+        Runtime.getRuntime().addShutdownHook(new Thread(running::drainUnlessClosed, "drain"));
+        // A drain that an operator asked for ends the process too; without this it would stay, deaf and idle.
+        running.closed().get();
         return ExitCodes.OK;
     }
 
@@ -72,13 +74,21 @@
     @FunctionalInterface
     interface Starter<S> {
 
-        Drain start(S settings);
+        Running start(S settings);
     }
 
-    /** Starts a graceful shutdown. */
-    @FunctionalInterface
-    interface Drain {
+    /**
+     * A role that runs.
+     *
+     * @param drain starts a graceful shutdown.
+     * @param closed completes when it has closed.
+     */
+    record Running(Supplier<CompletableFuture<?>> drain, CompletableFuture<Void> closed) {
 
-        CompletableFuture<?> now();
+        void drainUnlessClosed() {
+            if (!closed.isDone()) {
+                drain.get().join();
+            }
+        }
     }
 }
--- a/src/main/java/io/waxwingquay/command/SideCommand.java
+++ b/src/main/java/io/waxwingquay/command/SideCommand.java
@@ -5,6 +5,7 @@
 import io.waxwingquay.settings.SideSettings;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -24,11 +25,11 @@
 
     /** {@inheritDoc} */
     @Override
-    public Integer call() throws InterruptedException {
+    public Integer call() throws InterruptedException, ExecutionException {
         return Roles.run(file, spec.commandLine().getErr(), SideSettings::read, settings -> {
             Logging.configure(settings.process().logFormat(), settings.process().logLevel());
             SideProcess process = SideProcess.start(settings);
-            return process::drain;
+            return new Roles.Running(process::drain, process.closed());
         });
     }
 }
--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -115,6 +115,15 @@
         });
     }
 
+    /**
+     * Tells when this process has closed, by a drain or otherwise.
+     *
+     * @return completes then.
+     */
+    public CompletableFuture<Void> closed() {
+        return foundation.closed();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
--- a/src/main/java/io/waxwingquay/process/Foundation.java
+++ b/src/main/java/io/waxwingquay/process/Foundation.java
@@ -31,6 +31,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -52,6 +53,7 @@
     private static final int SUSPECT_LIMIT = 4_096;
     private static final long VM_LIST_INTERVAL_MILLIS = 2_000L;
 
+    private final CompletableFuture<Void> closed = new CompletableFuture<>();
     private final Deque<AutoCloseable> owned = new ArrayDeque<>();
     private final ProcessSettings settings;
     private final Clock clock = Clock.SYSTEM;
@@ -133,6 +135,11 @@
                 .notReady(notReady)
                 .drain(drain)
                 .start()));
+        LOG.log(System.Logger.Level.INFO, () -> "process: listening for operators on port " + adminPort() + ".");
+    }
+
+    CompletableFuture<Void> closed() {
+        return closed.copy();
     }
 
     int adminPort() {
@@ -217,6 +224,7 @@
         while (!owned.isEmpty()) {
             closeOne(owned.pop());
         }
+        closed.complete(null);
     }
 
     private static void closeOne(AutoCloseable resource) {
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -149,6 +149,15 @@
         return drained.thenRunAsync(this::close);
     }
 
+    /**
+     * Tells when this process has closed, by a drain or otherwise.
+     *
+     * @return completes then.
+     */
+    public CompletableFuture<Void> closed() {
+        return foundation.closed();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
--- a/src/test/java/io/waxwingquay/command/OperatorKeysTest.java
+++ b/src/test/java/io/waxwingquay/command/OperatorKeysTest.java
@@ -22,6 +22,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -30,6 +31,7 @@
 /** An operator at the command line, against a platform over HTTP and a running process. */
 class OperatorKeysTest {
 
+    private static final long LIMIT_SECONDS = 60;
     private static final String LOOPBACK = "127.0.0.1";
     private static final List<Integer> ANY_PORTS = List.of(0, 0, 0);
 
@@ -72,7 +74,7 @@
     }
 
     @Test
-    void logFormatIsASettingOfTheProcess() throws Exception {
+    void processLogsInTheFormatOfItsSettingsAndEndsAfterADrain() throws Exception {
         String first = key("first");
         assertEquals(ExitCodes.OK, submit(first, bundle(1, "")));
         Path settings = Files.writeString(
@@ -91,6 +93,10 @@
                 assertTrue(event.has("timestamp") && event.has("level"), line);
                 assertTrue(event.has("loggerName") && event.has("formattedMessage"), line);
             }
+            String admin = Files.readString(log).replaceAll("(?s).*for operators on port ([0-9]+).*", "127.0.0.1:$1");
+            assertEquals(202, call(admin, "/shutdown", "none"));
+            assertTrue(process.waitFor(LIMIT_SECONDS, TimeUnit.SECONDS), "the process stayed after its drain");
+            assertEquals(ExitCodes.OK, process.exitValue());
         } finally {
             process.destroyForcibly().waitFor();
         }
