--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -167,6 +167,15 @@
                 .isPresent();
     }
 
+    /**
+     * Tells when this process has closed, by a drain or otherwise.
+     *
+     * @return completes then.
+     */
+    public CompletableFuture<Void> closed() {
+        return foundation.closed();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
