Publish changes of demand at a pace that all sides can afford

Cause: a side published a change of demand each 5 s whatever the number of sides. PublishPace said so but nothing used it. Ruled out: larger steps of demand alone; they do not bound the rate. Change: a change of demand alone waits until all sides together stay within 3,000 B/s. After: 5 s up to 10 sides of 292 bytes, 1,168 s at 2,400 (calculated from PublishPace). Conclusion: the budget holds, at the price of demand that is up to 19 min old at 2,400 sides; records with only the changed items would carry it, and are not built.

--- a/src/main/java/io/waxwingquay/membership/PublishPace.java
+++ b/src/main/java/io/waxwingquay/membership/PublishPace.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.membership;
 
+import io.waxwingquay.transport.generated.SideRecord;
+
 /**
  * How often a side may publish a change of demand alone, so that gossip of all sides together stays within a budget.
  *
@@ -17,11 +19,12 @@
      * The least time between two publications of a side.
      *
      * @param sides how many sides there are.
-     * @param recordBytes the size of a record.
+     * @param record the record.
      * @param budgetBytesPerSecond what a process may receive of them.
      * @return milliseconds.
      */
-    public static long millisBetween(int sides, int recordBytes, double budgetBytesPerSecond) {
-        return (long) Math.ceil(MILLIS_PER_SECOND * sides * recordBytes * COPIES_HEARD / budgetBytesPerSecond);
+    public static long millisBetween(int sides, SideRecord record, double budgetBytesPerSecond) {
+        return (long)
+                Math.ceil(MILLIS_PER_SECOND * sides * Records.sizeBytes(record) * COPIES_HEARD / budgetBytesPerSecond);
     }
 }
--- a/src/main/java/io/waxwingquay/side/SelfRecord.java
+++ b/src/main/java/io/waxwingquay/side/SelfRecord.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.side;
 
 import io.waxwingquay.ledger.MemoryLedger.Snapshot;
+import io.waxwingquay.membership.PublishPace;
 import io.waxwingquay.transport.generated.ItemRecord;
 import io.waxwingquay.transport.generated.SideRecord;
 import io.waxwingquay.transport.generated.SideState;
@@ -20,6 +21,7 @@
 
     private static final long DEMAND_MILLIS = 30_000L;
     private static final long DEMAND_PUBLISH_MILLIS = 5_000L;
+    private static final double DEMAND_BYTES_PER_SECOND = 3_000.0;
     private static final int HIGHEST_STEP = 60;
     private static final double NEGLIGIBLE_PER_SECOND = 0.01;
 
@@ -66,7 +68,7 @@
         boolean demandOnly = published
                 .filter(last -> withoutDemand(last).equals(withoutDemand(next)))
                 .isPresent();
-        if (demandOnly && nowMillis - publishedMillis < DEMAND_PUBLISH_MILLIS) {
+        if (demandOnly && nowMillis - publishedMillis < demandWaitMillis(next)) {
             return;
         }
         version++;
@@ -85,6 +87,12 @@
         return Math.max(1, Math.min(HIGHEST_STEP, step));
     }
 
+    // At 2,400 sides, one change each 5 s would send every process some 600 KB/s of others' records.
+    private long demandWaitMillis(SideRecord next) {
+        int sides = context.membership().sides().size();
+        return Math.max(DEMAND_PUBLISH_MILLIS, PublishPace.millisBetween(sides, next, DEMAND_BYTES_PER_SECOND));
+    }
+
     private SideRecord record() {
         Optional<Snapshot> snapshot = memory.get();
         SideIdentity self = context.identity();
