--- a/src/main/java/io/waxwingquay/bench/capacity/BundleSizes.java
+++ b/src/main/java/io/waxwingquay/bench/capacity/BundleSizes.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.bench.capacity;
 
+import io.waxwingquay.bundle.SignedBundle;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
@@ -10,7 +11,24 @@
 final class BundleSizes {
 
     private static final List<Integer> MODELS = List.of(40, 80, 155, 310, 620);
+    private static final long VERSION = 4_400;
     private static final int ADAPTERS_A_MODEL = 4;
+    private static final String HEAD =
+            """
+            version = 4400
+
+            [[services]]
+            name = "models"
+            kind = "model"
+            replicas = 2400
+            memory_bytes = 640_000_000_000
+            accelerators = 8
+            orders_fenced = true
+            weight_loads_at_once = 60
+            weight_loads_per_second = 30.0
+            adapter_loads_at_once = 600
+            max_concurrent = 64
+            """;
     private static final String MODEL =
             """
 
@@ -44,13 +62,18 @@
                         "bytes of the same document deflated",
                         "models",
                         MODELS,
-                        models -> deflatedBytes(document((int) models))));
+                        models -> deflatedBytes(document((int) models))),
+                StepTable.measure(
+                        "processor microseconds to read and check that document",
+                        "models",
+                        MODELS,
+                        models -> readMicros(document((int) models))));
     }
 
     /** Versions are random, as commit hashes are, since they bound what deflating saves. */
     private static byte[] document(int models) {
         Random random = new Random(5);
-        StringBuilder text = new StringBuilder("version = 4400\n");
+        StringBuilder text = new StringBuilder(HEAD);
         for (int index = 0; index < models; index++) {
             String name = "furnace-log-" + index;
             text.append(
@@ -62,6 +85,11 @@
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    private static double readMicros(byte[] document) {
+        SignedBundle signed = new SignedBundle(VERSION, document, "", "");
+        return Meter.threadMicros(10, signed::read);
+    }
+
     private static double deflatedBytes(byte[] document) {
         Deflater deflater = new Deflater();
         deflater.setInput(document);
--- a/src/main/java/io/waxwingquay/bench/capacity/Costs.java
+++ b/src/main/java/io/waxwingquay/bench/capacity/Costs.java
@@ -51,6 +51,7 @@
                         Costs::recordBytes,
                         Costs::recordHeap,
                         Costs::snapshotMicros,
+                        Costs::gossipRoundMicros,
                         Costs::routingMicros,
                         Costs::planMicrosBySides,
                         Costs::planMicrosByModels,
@@ -87,6 +88,15 @@
                 });
     }
 
+    /** An idle round and its answer at a process that knows as many: both ends. */
+    private static StepTable gossipRoundMicros() {
+        return StepTable.measure(
+                "processor microseconds of an idle gossip round, both ends together", "sides", SIDE_STEPS, sides -> {
+                    GossipField pair = GossipField.ofPair((int) sides, ITEMS);
+                    return Meter.threadMicros(100, pair::round);
+                });
+    }
+
     private static StepTable routingMicros() {
         return StepTable.measure(
                 "processor microseconds of a routing decision over " + MODELS + " models",
--- a/src/main/java/io/waxwingquay/bench/capacity/GossipField.java
+++ b/src/main/java/io/waxwingquay/bench/capacity/GossipField.java
@@ -67,6 +67,28 @@
         return field;
     }
 
+    /** Two processes that know many sides; whichever side the first asks, the second answers. */
+    static GossipField ofPair(int sides, int items) {
+        GossipField field = new GossipField(2, 0);
+        List<SideRecord> all = IntStream.range(0, sides)
+                .mapToObj(index -> Sides.record(index, items, 620))
+                .toList();
+        field.nodes.forEach(node -> node.table.merge(all));
+        IntStream.range(0, sides)
+                .forEach(index -> field.protocols.put(
+                        address(index), field.nodes.get(0).direct.proxy(1)));
+        for (int round = 0; round < sides; round++) {
+            field.nowMillis += WAKE_MILLIS;
+            field.round();
+        }
+        return field;
+    }
+
+    /** One round of the first process. */
+    void round() {
+        nodes.get(0).gossip.round().join();
+    }
+
     private GossipField(int count, int known) {
         IntStream.range(0, count).forEach(index -> nodes.add(new Node(index, some(count, known))));
     }
@@ -169,6 +191,7 @@
         private final MemberTable table = new MemberTable(clock, MemberTable.Timing.DEFAULT);
         private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
         private final Gossip gossip;
+        private final Direct direct;
         private final long phaseMillis;
         private long lastRoundMillis;
         private long bundleVersion = 1;
@@ -179,7 +202,8 @@
                     new Peers(new Peers.Peer(Sides.name(index), address(index), Sides.dataCentre(index)), table, seeds);
             this.phaseMillis = random.nextLong(WAKE_MILLIS / STEP_MILLIS) * STEP_MILLIS;
             this.lastRoundMillis = nowMillis - random.nextInt(2_000);
-            this.gossip = Gossip.over(table, peers, new Direct(index))
+            this.direct = new Direct(index);
+            this.gossip = Gossip.over(table, peers, direct)
                     .carrying(new SuspectTable(clock, 600_000, 100))
                     .announcing(
                             () -> bundleVersion, (version, from) -> bundleVersion = Math.max(bundleVersion, version))
