--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -50,6 +50,7 @@
                 .addSubcommand(new DumpCommand())
                 .addSubcommand(new DemoCommand())
                 .addSubcommand(new CapacityCommand())
+                .addSubcommand(new BenchCommand())
                 .addSubcommand(new StandinCommand())
                 .addSubcommand(new CompletionCommand());
         describeExitCodes(root);
--- a/src/main/java/io/waxwingquay/entry/EntryNode.java
+++ b/src/main/java/io/waxwingquay/entry/EntryNode.java
@@ -8,6 +8,7 @@
 import io.waxwingquay.claim.ClaimStore;
 import io.waxwingquay.claim.GroupCommitter;
 import io.waxwingquay.common.Clock;
+import io.waxwingquay.common.DrainGate;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.membership.Membership;
 import io.waxwingquay.membership.Side;
@@ -161,7 +162,7 @@
     }
 
     private EntryParts parts(Builder builder) {
-        EntrySettings settings = builder.settings;
+        EntryLimits settings = builder.settings;
         return new EntryParts(
                 settings,
                 builder.membership,
@@ -176,7 +177,6 @@
                 builder.random,
                 executor,
                 new EntryMetrics(builder.meters),
-                builder.chart,
                 builder.suspects);
     }
 
@@ -184,7 +184,7 @@
         board.retain(membership.sides().stream().map(Side::id).collect(Collectors.toSet()));
     }
 
-    private ServerConnector connector(EntrySettings settings) {
+    private ServerConnector connector(EntryLimits settings) {
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         ServerConnector listening = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
@@ -210,7 +210,7 @@
     /** Gathers what an entry process works with. */
     public static final class Builder {
 
-        private EntrySettings settings;
+        private EntryLimits settings;
         private BundleSource bundles;
         private Membership membership;
         private Connections connections;
@@ -218,7 +218,6 @@
         private MeterRegistry meters;
         private Clock clock = Clock.SYSTEM;
         private RandomGenerator random = new Random();
-        private RequestPhase.Chart chart = RequestPhase.Chart.BUILT_IN;
 
         private Optional<SuspectBook> suspects = Optional.empty();
 
@@ -230,7 +229,7 @@
          * @param value the settings.
          * @return this builder.
          */
-        public Builder settings(EntrySettings value) {
+        public Builder settings(EntryLimits value) {
             this.settings = value;
             return this;
         }
@@ -312,17 +311,6 @@
             return this;
         }
 
-        /**
-         * Sets the phases of an attempt; those of {@link RequestPhase} by default.
-         *
-         * @param value the chart.
-         * @return this builder.
-         */
-        public Builder chart(RequestPhase.Chart value) {
-            this.chart = value;
-            return this;
-        }
-
         /**
          * Sets the book by which quarantined completions are refused here; without it only the sides refuse them.
          *
