Show whole answer red: offsets ignored

Cause: the promise had no scenario over real links. Safeguard off: the offset checks of HttpStream and Attempt and the comparison of the end's total with the units received. Conclusion: without the offsets a caller reads doubled text with a valid end.

--- a/src/main/java/io/waxwingquay/engine/HttpStream.java
+++ b/src/main/java/io/waxwingquay/engine/HttpStream.java
@@ -112,16 +112,16 @@
     }
 
     private void takeToken(long offset, String text) {
-        if (offset > nextOffset) {
+        if (offset < 0) {
             lose("skipped from token " + nextOffset + " to " + offset);
-        } else if (offset == nextOffset) {
+        } else {
             nextOffset++;
             listener.token(offset, text);
         }
     }
 
     private void takeEnd(long total) {
-        if (total != nextOffset) {
+        if (total < 0) {
             lose("ended at token " + nextOffset + " and states a total of " + total);
             return;
         }
--- a/src/main/java/io/waxwingquay/side/Attempt.java
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -82,10 +82,10 @@
     boolean append(long offset, byte[] unit) {
         List<CompletableFuture<Void>> woken;
         synchronized (this) {
-            if (offset > buffer.units()) {
+            if (offset < 0) {
                 return false;
             }
-            if (offset < buffer.units() || state != RequestState.RUNNING) {
+            if (state != RequestState.RUNNING) {
                 return true;
             }
             buffer.append(unit);
--- /dev/null
+++ b/src/test/java/io/waxwingquay/scenario/CallPathWorld.java
@@ -0,0 +1,337 @@
+package io.waxwingquay.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.waxwingquay.bench.Caller;
+import io.waxwingquay.bench.CallerAnswer;
+import io.waxwingquay.bench.SettingsText;
+import io.waxwingquay.bundle.Bundle;
+import io.waxwingquay.bundle.BundleAcceptance;
+import io.waxwingquay.bundle.BundleArchive;
+import io.waxwingquay.bundle.BundleDocument;
+import io.waxwingquay.bundle.BundleSigner;
+import io.waxwingquay.bundle.BundleSource;
+import io.waxwingquay.bundle.KeyCodec;
+import io.waxwingquay.bundle.TrustedKeys;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.entry.EntryNode;
+import io.waxwingquay.platform.HttpObjectStore;
+import io.waxwingquay.platform.HttpTableService;
+import io.waxwingquay.process.EntryProcess;
+import io.waxwingquay.process.SideProcess;
+import io.waxwingquay.settings.EntrySettings;
+import io.waxwingquay.settings.SideSettings;
+import io.waxwingquay.standin.LinkStandin;
+import io.waxwingquay.standin.ModelEngineStandin;
+import io.waxwingquay.standin.PlainServiceStandin;
+import io.waxwingquay.standin.PlatformStandin;
+import io.waxwingquay.standin.StandinText;
+import io.waxwingquay.testing.Await;
+import io.waxwingquay.transport.Connections;
+import io.waxwingquay.transport.SideProtocol;
+import io.waxwingquay.transport.ThriftConnections;
+import java.nio.charset.StandardCharsets;
+import java.security.KeyPair;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Real sides and entries in this JVM with a link that can fail in front of every target and of every side.
+ *
+ * <p>Entries 0 and 1 reach the sides over links. Processes 0 and 1 are whole entry processes without links; the
+ * membership that entries use is that of process 0. The random seed of the entries is 11.
+ */
+final class CallPathWorld implements AutoCloseable {
+
+    static final long DEADLINE_MILLIS = 15_000L;
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int ENTRIES = 2;
+    private static final long SEED = 11L;
+    private static final long TABLE_TIMEOUT_MILLIS = 1_000L;
+    private static final long LEASE_MILLIS = 500L;
+    private static final List<Integer> ANY_PORTS = List.of(0, 0, 0);
+
+    private final String document;
+    private final Bundle bundle;
+    private final PlatformStandin platform = PlatformStandin.builder().start();
+    private final KeyPair operatorKey = KeyCodec.generate();
+    private final SettingsText texts = new SettingsText(
+            new HostPort(LOOPBACK, platform.port()), KeyCodec.text(operatorKey.getPublic()), 1, LEASE_MILLIS, 0L);
+    private final HttpClient http = HttpCalls.startClient(16, TABLE_TIMEOUT_MILLIS);
+    private final Caller caller = new Caller();
+    private final Map<String, ModelEngineStandin> engines = new LinkedHashMap<>();
+    private final Map<String, PlainServiceStandin> plains = new LinkedHashMap<>();
+    private final Map<String, LinkStandin> targetLinks = new LinkedHashMap<>();
+    private final Map<String, SideProcess> sides = new LinkedHashMap<>();
+    private final Map<HostPort, LinkStandin> sideLinks = new ConcurrentHashMap<>();
+    private final List<EntryProcess> processes = new ArrayList<>();
+    private final List<EntryNode> entries = new ArrayList<>();
+    private final List<ThriftConnections> connections = new ArrayList<>();
+    private final List<MeterRegistry> meters = new ArrayList<>();
+
+    private CallPathWorld(int engineCount, int plainCount) {
+        this.document = ProcessWorld.BUNDLE
+                .replace("replicas = 2", "replicas = " + engineCount)
+                .replace("replicas = 1", "replicas = " + plainCount);
+        this.bundle = BundleDocument.parse("bundle", document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static CallPathWorld start(int engineCount, int plainCount) throws Exception {
+        CallPathWorld world = new CallPathWorld(engineCount, plainCount);
+        try {
+            world.open();
+            return world;
+        } catch (Exception | AssertionError failure) {
+            world.close();
+            throw failure;
+        }
+    }
+
+    PlatformStandin platform() {
+        return platform;
+    }
+
+    ModelEngineStandin engine(int replica) {
+        return engines.get("studio-" + replica);
+    }
+
+    List<ModelEngineStandin> engines() {
+        return List.copyOf(engines.values());
+    }
+
+    PlainServiceStandin plain(int replica) {
+        return plains.get("booking-" + replica);
+    }
+
+    SideProcess side(String name) {
+        return sides.get(name);
+    }
+
+    LinkStandin targetLink(String name) {
+        return targetLinks.get(name);
+    }
+
+    /** The link over which entries 0 and 1 reach a side. */
+    LinkStandin sideLink(String name) {
+        return linkTo(sides.get(name).address());
+    }
+
+    /** The address for callers of an entry whose way to the sides leads over links. */
+    HostPort entry(int number) {
+        return entries.get(number).address();
+    }
+
+    HostPort process(int number) {
+        return processes.get(number).callerAddress();
+    }
+
+    /** Ends an entry at once, as a process that dies: what it had in flight is dropped. */
+    void closeEntry(int number) {
+        entries.get(number).close();
+    }
+
+    void stopSide(String name) {
+        sides.get(name).close();
+    }
+
+    /** Starts a side again in its next epoch. */
+    void restartSide(String name) throws Exception {
+        String service = name.substring(0, name.lastIndexOf('-'));
+        int replica = Integer.parseInt(name.substring(name.lastIndexOf('-') + 1));
+        startSide(bundle.service(service).orElseThrow(), replica);
+        Await.until(() -> sides.get(name).isReady());
+    }
+
+    /** Puts a plain service without memory of any call behind the address of the old one. */
+    void replacePlain(int replica) {
+        String name = "booking-" + replica;
+        HostPort address = new HostPort(LOOPBACK, plains.get(name).port());
+        plains.get(name).close();
+        plains.put(name, PlainServiceStandin.builder().address(address).start());
+    }
+
+    CompletableFuture<CallerAnswer> complete(HostPort entry, String prompt, int tokens) {
+        return caller.complete(
+                entry, new Caller.Completion("throwing", Optional.empty(), prompt, tokens, 0, DEADLINE_MILLIS));
+    }
+
+    CompletableFuture<CallerAnswer> deposit(HostPort entry, String key) {
+        return deposit(entry, key, DEADLINE_MILLIS);
+    }
+
+    CompletableFuture<CallerAnswer> deposit(HostPort entry, String key, long deadlineMillis) {
+        return caller.call(
+                entry,
+                new Caller.ServiceCall(
+                        "booking", "pay-deposit", Optional.of(key), "{\"key\":\"" + key + "\"}", deadlineMillis));
+    }
+
+    static String expected(String prompt, int tokens) {
+        return StandinText.answer("model:throwing@1", Optional.empty(), prompt, tokens);
+    }
+
+    /** Runs of a key over all plain services that are there now. */
+    int runs(String key) {
+        return plains.values().stream()
+                .mapToInt(plain -> plain.stats().runsByKey().getOrDefault(key, 0))
+                .sum();
+    }
+
+    /** How often an entry took an attempt up again after a lost connection. */
+    double resumes(int entry) {
+        return meters.get(entry).find("waxwingquay.resumes").counters().stream()
+                .mapToDouble(counter -> counter.count())
+                .sum();
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void close() {
+        entries.forEach(EntryNode::close);
+        connections.forEach(ThriftConnections::close);
+        processes.forEach(EntryProcess::close);
+        sides.values().forEach(SideProcess::close);
+        sideLinks.values().forEach(LinkStandin::close);
+        targetLinks.values().forEach(LinkStandin::close);
+        engines.values().forEach(ModelEngineStandin::close);
+        plains.values().forEach(PlainServiceStandin::close);
+        platform.close();
+        caller.close();
+        Await.closing(http::stop);
+    }
+
+    private void open() throws Exception {
+        submit();
+        for (Bundle.Service service : bundle.services()) {
+            for (int replica = 0; replica < service.replicas(); replica++) {
+                startTarget(service, replica);
+                startSide(service, replica);
+            }
+        }
+        for (int number = 0; number < ENTRIES; number++) {
+            String text = texts.entry(number, "waxwingquay", ANY_PORTS);
+            processes.add(EntryProcess.start(EntrySettings.parse("entry", text.getBytes(StandardCharsets.UTF_8))));
+        }
+        for (EntryProcess process : processes) {
+            Await.until(() -> knowsAll(process));
+        }
+        for (int number = 0; number < ENTRIES; number++) {
+            startEntry();
+        }
+    }
+
+    private boolean knowsAll(EntryProcess process) {
+        return process.bundleVersion() == 1
+                && process.membership().sides().size() == sides.size()
+                && process.membership().sides().stream()
+                        .allMatch(side -> side.takesWork()
+                                && (side.service().equals("booking")
+                                        || side.residentItems().contains("model:throwing@1")));
+    }
+
+    private void submit() {
+        HostPort address = new HostPort(LOOPBACK, platform.port());
+        BundleArchive archive = new BundleArchive(
+                new HttpTableService(http, address, TABLE_TIMEOUT_MILLIS),
+                new HttpObjectStore(http, address, TABLE_TIMEOUT_MILLIS));
+        BundleSigner signer = BundleSigner.of(operatorKey.getPrivate(), operatorKey.getPublic());
+        BundleAcceptance.Outcome outcome = new BundleAcceptance(
+                        archive, TrustedKeys.ofRoots(List.of(KeyCodec.text(operatorKey.getPublic()))))
+                .submit(signer.sign(document.getBytes(StandardCharsets.UTF_8)))
+                .join();
+        assertEquals(BundleAcceptance.Verdict.ACCEPTED, outcome.verdict());
+    }
+
+    private void startTarget(Bundle.Service service, int replica) {
+        String name = SettingsText.sideName(service.name(), replica);
+        int port;
+        if (service.kind() == Bundle.Kind.PLAIN) {
+            plains.put(name, PlainServiceStandin.builder().start());
+            port = plains.get(name).port();
+        } else {
+            engines.put(
+                    name,
+                    ModelEngineStandin.builder()
+                            .capacityBytes(service.memoryBytes())
+                            .ignoringFences()
+                            .timeScale(0.5)
+                            .start());
+            port = engines.get(name).port();
+        }
+        targetLinks.put(name, LinkStandin.to(new HostPort(LOOPBACK, port)));
+    }
+
+    private void startSide(Bundle.Service service, int replica) {
+        String name = SettingsText.sideName(service.name(), replica);
+        HostPort target = new HostPort(LOOPBACK, targetLinks.get(name).port());
+        String text = texts.side(service, replica, target, ANY_PORTS);
+        sides.put(name, SideProcess.start(SideSettings.parse(name, text.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    private void startEntry() {
+        ThriftConnections direct = ThriftConnections.builder().build();
+        MeterRegistry registry = new SimpleMeterRegistry();
+        connections.add(direct);
+        meters.add(registry);
+        entries.add(EntryNode.builder()
+                .settings(new io.waxwingquay.entry.EntrySettings(
+                        LOOPBACK, 0, "dc-1", "round-robin", 30_000, 600_000, 1 << 20, 64 << 10, 250, 1.0, 64))
+                .bundles(new FixedBundle())
+                .membership(processes.get(0).membership())
+                .connections(new OverLinks(direct))
+                .table(new HttpTableService(http, new HostPort(LOOPBACK, platform.port()), TABLE_TIMEOUT_MILLIS))
+                .meters(registry)
+                .random(new Random(SEED))
+                .build()
+                .start());
+    }
+
+    private LinkStandin linkTo(HostPort address) {
+        return sideLinks.computeIfAbsent(address, LinkStandin::to);
+    }
+
+    /** The bundle that every process of this world serves. */
+    private final class FixedBundle implements BundleSource {
+
+        @Override
+        public Optional<Bundle> current() {
+            return Optional.of(bundle);
+        }
+
+        @Override
+        public void onAdopted(Consumer<Bundle> listener) {
+            listener.accept(bundle);
+        }
+    }
+
+    /** Connections that lead over this world's links. */
+    private final class OverLinks implements Connections {
+
+        private final Connections direct;
+
+        private OverLinks(Connections direct) {
+            this.direct = direct;
+        }
+
+        @Override
+        public SideProtocol to(HostPort address) {
+            return direct.to(new HostPort(LOOPBACK, linkTo(address).port()));
+        }
+
+        @Override
+        public void close() {
+            direct.close();
+        }
+    }
+}
