--- a/src/main/java/io/waxwingquay/engine/HttpStream.java
+++ b/src/main/java/io/waxwingquay/engine/HttpStream.java
@@ -112,16 +112,16 @@
     }
 
     private void takeToken(long offset, String text) {
-        if (offset < 0) {
+        if (offset > nextOffset) {
             lose("skipped from token " + nextOffset + " to " + offset);
-        } else {
+        } else if (offset == nextOffset) {
             nextOffset++;
             listener.token(offset, text);
         }
     }
 
     private void takeEnd(long total) {
-        if (total < 0) {
+        if (total != nextOffset) {
             lose("ended at token " + nextOffset + " and states a total of " + total);
             return;
         }
--- a/src/main/java/io/waxwingquay/side/Attempt.java
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -82,10 +82,10 @@
     boolean append(long offset, byte[] unit) {
         List<CompletableFuture<Void>> woken;
         synchronized (this) {
-            if (offset < 0) {
+            if (offset > buffer.units()) {
                 return false;
             }
-            if (state != RequestState.RUNNING) {
+            if (offset < buffer.units() || state != RequestState.RUNNING) {
                 return true;
             }
             buffer.append(unit);
--- a/src/main/java/io/waxwingquay/side/ModelRunner.java
+++ b/src/main/java/io/waxwingquay/side/ModelRunner.java
@@ -120,7 +120,7 @@
         }
 
         private void ended(OptionalLong total, Optional<TargetException> failure) {
-            if (total.isPresent()) {
+            if (total.isPresent() && attempt.units() == total.getAsLong()) {
                 finish();
             } else if (total.isPresent()) {
                 cut();
