--- a/src/main/java/io/waxwingquay/side/CrashHandler.java
+++ b/src/main/java/io/waxwingquay/side/CrashHandler.java
@@ -131,13 +131,22 @@
         SuspectNotice notice = new SuspectNotice(records);
         CompletableFuture<?>[] pushes = context.membership().sides().stream()
                 .filter(side -> !side.id().equals(context.identity().sideId()))
-                .filter(side -> side.residentItems().stream().anyMatch(items::contains))
+                .filter(side -> side.service().equals(context.identity().serviceName()))
+                .filter(side -> mayRunNext(side, items))
                 .map(side -> push(side, notice))
                 .toArray(CompletableFuture[]::new);
         return CompletableFuture.allOf(pushes)
                 .completeOnTimeout(null, context.limits().noticeMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * A side that shows nothing resident counts too: its target has just crashed and loads the model again. Left out, it
+     * knows of its own crash only, takes the request a second time, and a third target goes down.
+     */
+    private static boolean mayRunNext(Side side, Set<String> items) {
+        return side.residentItems().isEmpty() || side.residentItems().stream().anyMatch(items::contains);
+    }
+
     private CompletableFuture<Void> push(Side side, SuspectNotice notice) {
         return context.connections().to(side.address()).noteSuspects(notice).handle((taken, failure) -> null);
     }
