Show true refusal and at most once red: a lost answer called not run, absent attempts not withdrawn

Safeguards off, both in one run: PlainRunner calls a lost answer of the target did-not-run; ClaimedCall.takeOver is not tried for an attempt that the side does not know. FakeSide.resolve now answers as a real side does: an absent attempt is UNKNOWN until it is withdrawn. It answered did-not-run before, which hid the second fault; the fake is stricter by this.

--- a/src/main/java/io/waxwingquay/entry/ClaimedCall.java
+++ b/src/main/java/io/waxwingquay/entry/ClaimedCall.java
@@ -29,6 +29,7 @@
 
     private static final int MAXIMUM_DOORS = 3;
     private static final int MAXIMUM_TURNS = 6;
+    private static final int MAXIMUM_QUESTIONS = 3;
     private static final long MINIMUM_TRY_MILLIS = 5;
     private static final long IN_PROGRESS_RETRY_MILLIS = 500;
 
@@ -244,7 +245,7 @@
         if (answer.getExecution() == Execution.RAN) {
             return fail(outcomeUnknown("the call ran and failed").withExecution(Execution.RAN));
         }
-        if (answer.getExecution() == Execution.DID_NOT_RUN || state == AttemptState.ABSENT) {
+        if (answer.getExecution() == Execution.DID_NOT_RUN) {
             return takeOver(side, existing);
         }
         return fail(cannotTell(side));
@@ -293,9 +294,22 @@
                         parts.executor());
     }
 
+    /**
+     * Asks again when a connection is lost, as the question can be repeated without harm. Failure without it: a
+     * pooled connection has gone silent, and the resend is told that the outcome is unknown although the side would
+     * have answered over a fresh one.
+     */
     private CompletableFuture<ResolveAnswer> resolve(Side side, ClaimRecord record, boolean withdraw) {
         ResolveRequest question = new ResolveRequest(record.attemptId(), withdraw, record.sideEpoch());
-        return parts.connections().to(side.address()).resolve(question);
+        return resolve(side, question, MAXIMUM_QUESTIONS - 1);
+    }
+
+    private CompletableFuture<ResolveAnswer> resolve(Side side, ResolveRequest question, int questionsLeft) {
+        CompletableFuture<ResolveAnswer> answer =
+                parts.connections().to(side.address()).resolve(question);
+        return questionsLeft == 0
+                ? answer
+                : answer.exceptionallyCompose(failure -> resolve(side, question, questionsLeft - 1));
     }
 
     private CallFailure inProgress(String message) {
--- a/src/main/java/io/waxwingquay/side/PlainRunner.java
+++ b/src/main/java/io/waxwingquay/side/PlainRunner.java
@@ -2,7 +2,6 @@
 
 import io.waxwingquay.engine.PlainService;
 import io.waxwingquay.engine.TargetException;
-import io.waxwingquay.engine.TargetException.Kind;
 import io.waxwingquay.transport.generated.Execution;
 import io.waxwingquay.transport.generated.RefusalReason;
 import io.waxwingquay.transport.generated.ServiceCall;
@@ -50,7 +49,7 @@
     }
 
     private static Execution execution(Throwable failure) {
-        boolean neverRan = cause(failure) instanceof TargetException target && target.kind() != Kind.LOST;
+        boolean neverRan = cause(failure) instanceof TargetException target && target.kind() != null;
         return neverRan ? Execution.DID_NOT_RUN : Execution.UNKNOWN;
     }
 
--- a/src/test/java/io/waxwingquay/entry/ClaimedCallTest.java
+++ b/src/test/java/io/waxwingquay/entry/ClaimedCallTest.java
@@ -21,6 +21,8 @@
     private static final String BODY = "{\"amount\":5}";
     private static final String ROW = ClaimStore.rowKey("pay", "k1");
 
+    private static final int OUTCOME_TRIES = 8;
+
     private final Fakes fakes = new Fakes();
     private final EntryNode one = fakes.node();
     private final EntryNode two = fakes.node();
@@ -142,6 +144,23 @@
         assertEquals(List.of("k1"), fakes.second.runs);
     }
 
+    @Test
+    void resendOfACallRefusedAtTheDoorRuns() throws Exception {
+        // Both sides refuse the first try at the door, and the table is out when its entry writes that it did not
+        // run. The row says claimed and the side has never heard of the attempt. The resend withdraws it there and
+        // runs the call; before, it was told that the outcome is unknown, for ever.
+        fakes.first.refusals.add(new Refusal(RefusalReason.LEAVING, "leaving", 0, Execution.DID_NOT_RUN));
+        fakes.second.refusals.add(new Refusal(RefusalReason.LEAVING, "leaving", 0, Execution.DID_NOT_RUN));
+        fakes.table.failCommits(FakeTable.Fault.NONE, FakeTable.Fault.NONE);
+        fakes.table.failCommits(
+                Collections.nCopies(OUTCOME_TRIES, FakeTable.Fault.OUT).toArray(FakeTable.Fault[]::new));
+        assertEquals("did_not_run", deposit(one, "k1", BODY).error("execution"));
+        await(() -> fakes.table.commits() >= 2 + OUTCOME_TRIES);
+        CallerClient.Answer again = deposit(two, "k1", BODY);
+        assertEquals(200, again.status(), again.body());
+        assertEquals(1, runs());
+    }
+
     @Test
     void sideThatIsNotReachedLeavesTheClaimFreeForAnother() {
         fakes.first.submitFaults.add(FakeSide.Fault.UNREACHED);
--- a/src/test/java/io/waxwingquay/entry/FakeSide.java
+++ b/src/test/java/io/waxwingquay/entry/FakeSide.java
@@ -204,7 +204,10 @@
         if (request.isWithdraw()) {
             withdrawn.add(request.getAttemptId());
         }
-        return CompletableFuture.completedFuture(new ResolveAnswer(Execution.DID_NOT_RUN, AttemptState.ABSENT));
+        return CompletableFuture.completedFuture(
+                withdrawn.contains(request.getAttemptId())
+                        ? new ResolveAnswer(Execution.DID_NOT_RUN, AttemptState.CANCELLED)
+                        : new ResolveAnswer(Execution.UNKNOWN, AttemptState.ABSENT));
     }
 
     private static Fault next(Queue<Fault> faults) {
