--- a/src/main/java/io/waxwingquay/entry/ClaimedCall.java
+++ b/src/main/java/io/waxwingquay/entry/ClaimedCall.java
@@ -245,7 +245,7 @@
         if (answer.getExecution() == Execution.RAN) {
             return fail(outcomeUnknown("the call ran and failed").withExecution(Execution.RAN));
         }
-        if (answer.getExecution() == Execution.DID_NOT_RUN) {
+        if (answer.getExecution() == Execution.DID_NOT_RUN || state == AttemptState.ABSENT) {
             return takeOver(side, existing);
         }
         return fail(cannotTell(side));
--- a/src/main/java/io/waxwingquay/side/PlainRunner.java
+++ b/src/main/java/io/waxwingquay/side/PlainRunner.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.engine.PlainService;
 import io.waxwingquay.engine.TargetException;
+import io.waxwingquay.engine.TargetException.Kind;
 import io.waxwingquay.transport.generated.Execution;
 import io.waxwingquay.transport.generated.RefusalReason;
 import io.waxwingquay.transport.generated.ServiceCall;
@@ -49,7 +50,7 @@
     }
 
     private static Execution execution(Throwable failure) {
-        boolean neverRan = cause(failure) instanceof TargetException target && target.kind() != null;
+        boolean neverRan = cause(failure) instanceof TargetException target && target.kind() != Kind.LOST;
         return neverRan ? Execution.DID_NOT_RUN : Execution.UNKNOWN;
     }
 
