Route by requests in flight, and count an absent adapter as a cost

Cause: sides were ordered by the number of resident items before any load. An adapter is resident at one side, so all its callers queued there while other sides with the same model were idle. Ruled out: dropping adapter affinity; every request would then load an adapter somewhere, which are moves. Change: sides that hold the model first, then requests in flight, to which an absent adapter, a cold prefix and another data centre add what they cost. The policy before stays runnable as waxwingquay-1.

--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -202,7 +202,7 @@
         String name = SettingsText.sideName(service.name(), replica);
         String text = texts.side(service, replica, targets.address(name), ANY_PORTS);
         SideSettings settings = SideSettings.parse(name, text.getBytes(StandardCharsets.UTF_8));
-        sides.put(name, SideProcess.start(settings, choices.placement));
+        sides.put(name, SideProcess.start(settings, choices.decisions));
     }
 
     /**
@@ -330,7 +330,7 @@
         private final byte[] document;
         private int entryCount = 2;
         private String policy = "waxwingquay";
-        private Strategy placement = Strategy.named("planned", DemandMarks.DEFAULT);
+        private SideProcess.Decisions decisions = SideProcess.Decisions.DEFAULT;
         private CostModel costs = CostModel.DEFAULT;
         private double timeScale = 1.0;
         private long weightLoadMillis = DEFAULT_WEIGHT_LOAD_MILLIS;
@@ -365,13 +365,13 @@
         }
 
         /**
-         * Sets the placement of the sides.
+         * Sets how the sides decide.
          *
-         * @param strategy the strategy.
+         * @param choice the decisions.
          * @return this builder.
          */
-        public Builder placement(Strategy strategy) {
-            this.placement = strategy;
+        public Builder decisions(SideProcess.Decisions choice) {
+            this.decisions = choice;
             return this;
         }
 
--- /dev/null
+++ b/src/main/java/io/waxwingquay/bench/Overhead.java
@@ -0,0 +1,197 @@
+package io.waxwingquay.bench;
+
+import io.waxwingquay.bench.Caller.Completion;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
+import io.waxwingquay.engine.HttpModelEngine;
+import io.waxwingquay.engine.ModelEngine;
+import io.waxwingquay.engine.ModelEngine.Generation;
+import io.waxwingquay.engine.TargetException;
+import io.waxwingquay.standin.CostModel;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+import org.eclipse.jetty.client.HttpClient;
+
+/**
+ * Measures what the path through entry and side adds to a direct call: requests take turns between both, at the same
+ * rate, to the same stand-in, which generates one token every 20 ms.
+ *
+ * @param perSecond the rates to measure, in requests a second of both together.
+ * @param seconds how long each rate lasts.
+ */
+public record Overhead(List<Integer> perSecond, int seconds) {
+
+    private static final String BUNDLE = "/bench/overhead.toml";
+    private static final String MODEL = "throwing";
+    private static final String ENGINE = "studio-0";
+    private static final int TOKENS = 16;
+    private static final int MAX_BATCH = 256;
+    private static final int CONNECTIONS = 1_024;
+    private static final long TIMEOUT_MILLIS = 5_000L;
+    private static final long SERVING_LIMIT_MILLIS = 20_000L;
+    private static final long TAIL_SECONDS = 10L;
+    private static final CostModel COSTS = new CostModel(0, 0, 20_000, 0, MAX_BATCH, 65_536, 50_000, 500_000, 250_000);
+    private static final double MICROS_PER_MILLI = 1_000.0;
+
+    /**
+     * Runs it and prints a table.
+     *
+     * @param out where the table goes.
+     * @throws IOException if the bundle cannot be read.
+     * @throws InterruptedException if a wait is interrupted.
+     */
+    public void run(PrintWriter out) throws IOException, InterruptedException {
+        try (LocalDeployment deployment =
+                        LocalDeployment.of(document()).entries(1).costs(COSTS).start();
+                Caller caller = new Caller()) {
+            deployment.awaitServing(SERVING_LIMIT_MILLIS);
+            Paths paths = new Paths(deployment, caller);
+            measure(paths, perSecond.get(0));
+            out.println("requests/s  direct p50 ms  p99 ms  through p50 ms  p99 ms  ratio p50  ratio p99  failed");
+            for (int rate : perSecond) {
+                out.println(measure(paths, rate).line(rate));
+                out.flush();
+            }
+            paths.close();
+        }
+    }
+
+    private Figures measure(Paths paths, int rate) throws InterruptedException {
+        Figures figures = new Figures();
+        List<CompletableFuture<Void>> all = new ArrayList<>();
+        long startNanos = System.nanoTime();
+        long count = (long) rate * seconds;
+        for (long number = 0; number < count; number++) {
+            sleepUntil(startNanos + number * TimeUnit.SECONDS.toNanos(1) / rate);
+            all.add(number % 2 == 0 ? paths.direct(number, figures) : paths.through(number, figures));
+        }
+        try {
+            CompletableFuture.allOf(all.toArray(CompletableFuture[]::new)).get(TAIL_SECONDS, TimeUnit.SECONDS);
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException unanswered) {
+            figures.failed.addAndGet(
+                    all.stream().filter(answer -> !answer.isDone()).count());
+        }
+        return figures;
+    }
+
+    private static void sleepUntil(long dueNanos) {
+        long left = dueNanos - System.nanoTime();
+        while (left > 0) {
+            LockSupport.parkNanos(left);
+            left = dueNanos - System.nanoTime();
+        }
+    }
+
+    private static byte[] document() throws IOException {
+        try (InputStream stream = Overhead.class.getResourceAsStream(BUNDLE)) {
+            return stream.readAllBytes();
+        }
+    }
+
+    private static final class Figures {
+
+        private final Histogram directMicros = new Histogram(3);
+        private final Histogram throughMicros = new Histogram(3);
+        private final AtomicLong failed = new AtomicLong();
+
+        private synchronized void note(Histogram histogram, long micros) {
+            histogram.recordValue(micros);
+        }
+
+        private synchronized String line(int rate) {
+            double[] direct = {at(directMicros, 50), at(directMicros, 99)};
+            double[] through = {at(throughMicros, 50), at(throughMicros, 99)};
+            return String.format(
+                    "%10d  %13.1f  %6.1f  %14.1f  %6.1f  %9.3f  %9.3f  %6d",
+                    rate,
+                    direct[0],
+                    direct[1],
+                    through[0],
+                    through[1],
+                    through[0] / direct[0],
+                    through[1] / direct[1],
+                    failed.get());
+        }
+
+        private static double at(Histogram histogram, double percentile) {
+            return histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+        }
+    }
+
+    private static final class Paths implements AutoCloseable {
+
+        private final HttpClient client = HttpCalls.startClient(CONNECTIONS, TIMEOUT_MILLIS);
+        private final Caller caller;
+        private final HostPort entry;
+        private final ModelEngine engine;
+        private final String item;
+        private final AtomicLong ids = new AtomicLong();
+
+        private Paths(LocalDeployment deployment, Caller caller) {
+            this.caller = caller;
+            this.entry = deployment.entries().get(0).callerAddress();
+            this.engine =
+                    new HttpModelEngine(client, deployment.targets().address(ENGINE), TIMEOUT_MILLIS, TIMEOUT_MILLIS);
+            this.item = deployment.bundle().models().get(0).item();
+        }
+
+        private CompletableFuture<Void> through(long number, Figures figures) {
+            Completion asked = new Completion(MODEL, Optional.empty(), "through " + number, TOKENS, 0, TIMEOUT_MILLIS);
+            return caller.complete(entry, asked).thenAccept(answer -> {
+                if (answer.isWhole()) {
+                    figures.note(figures.throughMicros, answer.totalMicros());
+                } else {
+                    figures.failed.incrementAndGet();
+                }
+            });
+        }
+
+        private CompletableFuture<Void> direct(long number, Figures figures) {
+            String id = "direct-" + ids.incrementAndGet();
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            long startNanos = System.nanoTime();
+            Generation asked = new Generation(id, item, Optional.empty(), "direct " + number, TOKENS, 0);
+            engine.stream(asked, 0, new ModelEngine.Listener() {
+
+                /** {@inheritDoc} */
+                @Override
+                public void token(long offset, String text) {
+                    // Only the end is timed.
+                }
+
+                /** {@inheritDoc} */
+                @Override
+                public void end(OptionalLong totalTokens, Optional<TargetException> failure) {
+                    if (totalTokens.isPresent()) {
+                        long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos);
+                        figures.note(figures.directMicros, micros);
+                    } else {
+                        figures.failed.incrementAndGet();
+                    }
+                    done.complete(null);
+                }
+            });
+            return done;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void close() {
+            try {
+                client.stop();
+            } catch (Exception failure) {
+                throw new IllegalStateException("the HTTP client of the bench did not stop", failure);
+            }
+        }
+    }
+}
--- a/src/main/java/io/waxwingquay/bench/PolicyPair.java
+++ b/src/main/java/io/waxwingquay/bench/PolicyPair.java
@@ -2,33 +2,53 @@
 
 import io.waxwingquay.placement.DemandMarks;
 import io.waxwingquay.placement.Strategy;
+import io.waxwingquay.process.SideProcess.Decisions;
+import io.waxwingquay.side.AdmissionRule;
 
 /**
- * Routing and placement that are measured together.
+ * Routing, placement and admission that are measured together.
  *
  * @param name the name that the command line uses.
  * @param routing the routing policy's name.
- * @param placement decides what each side holds.
+ * @param decisions how each side decides.
  */
-record PolicyPair(String name, String routing, Strategy placement) {
+record PolicyPair(String name, String routing, Decisions decisions) {
 
-    private static final String KNOWN = "waxwingquay, round-robin, least-outstanding, model-hash, load-on-miss-lru, "
-            + "round-robin-blind or least-outstanding-blind";
+    private static final String KNOWN = "waxwingquay, waxwingquay-1 to -6, round-robin, least-outstanding, model-hash, "
+            + "load-on-miss-lru, round-robin-blind or least-outstanding-blind";
+
+    /** A third of the demand adds a replica already. */
+    private static final DemandMarks QUICK = new DemandMarks(1.0, 0.3, 60_000);
 
     static PolicyPair named(String name) {
         return switch (name) {
-            case "waxwingquay" -> new PolicyPair(name, "waxwingquay", placement("planned"));
-            case "round-robin" -> new PolicyPair(name, "round-robin-resident", placement("static"));
-            case "least-outstanding" -> new PolicyPair(name, "least-outstanding-resident", placement("static"));
-            case "model-hash" -> new PolicyPair(name, "model-hash", placement("load-on-miss"));
-            case "load-on-miss-lru" -> new PolicyPair(name, "least-outstanding-resident", placement("load-on-miss"));
-            case "round-robin-blind" -> new PolicyPair(name, "round-robin", placement("load-on-miss"));
-            case "least-outstanding-blind" -> new PolicyPair(name, "least-outstanding", placement("load-on-miss"));
+            case "waxwingquay" -> new PolicyPair(name, "waxwingquay", Decisions.DEFAULT);
+            case "waxwingquay-1" -> of(name, "waxwingquay-1", "planned-1", AdmissionRule.WAIT_ONLY);
+            case "waxwingquay-2" -> of(name, "waxwingquay", "planned-1", AdmissionRule.WAIT_ONLY);
+            case "waxwingquay-3" -> of(name, "waxwingquay", "planned-1", AdmissionRule.WITH_RUN_TIME);
+            case "waxwingquay-4" -> of(name, "waxwingquay", "planned-1", AdmissionRule.WAITING_ROOM);
+            case "waxwingquay-5" -> of(name, "waxwingquay", "planned", AdmissionRule.WITH_RUN_TIME);
+            case "waxwingquay-6" -> new PolicyPair(
+                    name, "waxwingquay", new Decisions(Strategy.named("planned", QUICK), AdmissionRule.WITH_RUN_TIME));
+            case "round-robin" -> baseline(name, "round-robin-resident", "static");
+            case "least-outstanding" -> baseline(name, "least-outstanding-resident", "static");
+            case "model-hash" -> baseline(name, "model-hash", "load-on-miss");
+            case "load-on-miss-lru" -> baseline(name, "least-outstanding-resident", "load-on-miss");
+            case "round-robin-blind" -> baseline(name, "round-robin", "load-on-miss");
+            case "least-outstanding-blind" -> baseline(name, "least-outstanding", "load-on-miss");
             default -> throw new IllegalArgumentException("policy '" + name + "' is unknown; write " + KNOWN);
         };
     }
 
-    private static Strategy placement(String name) {
-        return Strategy.named(name, DemandMarks.DEFAULT);
+    Decisions decisionsBehind(StartGate gate) {
+        return new Decisions(gate.before(decisions.placement()), decisions.admission());
+    }
+
+    private static PolicyPair baseline(String name, String routing, String placement) {
+        return of(name, routing, placement, AdmissionRule.WAIT_ONLY);
+    }
+
+    private static PolicyPair of(String name, String routing, String placement, AdmissionRule admission) {
+        return new PolicyPair(name, routing, new Decisions(Strategy.named(placement, DemandMarks.DEFAULT), admission));
     }
 }
--- a/src/main/java/io/waxwingquay/command/BenchCommand.java
+++ b/src/main/java/io/waxwingquay/command/BenchCommand.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.command;
 
 import io.waxwingquay.bench.Bench;
+import io.waxwingquay.bench.Overhead;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -18,7 +19,7 @@
         description = "Measures policies under load and faults, on real entries and sides before stand-ins.",
         mixinStandardHelpOptions = true,
         synopsisSubcommandLabel = "COMMAND",
-        subcommands = BenchCommand.Run.class)
+        subcommands = {BenchCommand.Run.class, BenchCommand.OverheadRun.class})
 final class BenchCommand implements Runnable {
 
     @Spec
@@ -77,4 +78,28 @@
             }
         }
     }
+
+    /** Measures the path. */
+    @Command(
+            name = "overhead",
+            description = "Measures calls through entry and side against direct calls to the same stand-in.",
+            mixinStandardHelpOptions = true)
+    static final class OverheadRun implements Callable<Integer> {
+
+        @Spec
+        private CommandSpec spec;
+
+        @Option(names = "--rates", split = ",", defaultValue = "20,50,100,200", description = "requests a second")
+        private List<Integer> perSecond;
+
+        @Option(names = "--seconds", defaultValue = "8", description = "seconds for each rate (${DEFAULT-VALUE})")
+        private int seconds;
+
+        /** {@inheritDoc} */
+        @Override
+        public Integer call() throws Exception {
+            new Overhead(perSecond, seconds).run(spec.commandLine().getOut());
+            return ExitCodes.OK;
+        }
+    }
 }
--- a/src/main/java/io/waxwingquay/placement/Placement.java
+++ b/src/main/java/io/waxwingquay/placement/Placement.java
@@ -27,14 +27,34 @@
     private static final int BASE_HOMES = 2;
 
     private final DemandMarks marks;
+    private final Order order;
 
     /**
-     * A strategy.
+     * A strategy that gives room to demand before second homes.
      *
      * @param marks when replicas follow demand.
      */
     public Placement(DemandMarks marks) {
+        this(marks, Order.DEMAND_FIRST);
+    }
+
+    /**
+     * A strategy.
+     *
+     * @param marks when replicas follow demand.
+     * @param order what goes first when room is short.
+     */
+    public Placement(DemandMarks marks, Order order) {
         this.marks = marks;
+        this.order = order;
+    }
+
+    /** What goes first when room is short. */
+    public enum Order {
+        /** Copies for demand, then second homes of what is asked little. */
+        DEMAND_FIRST,
+        /** Second homes of all models, then copies for demand. */
+        SECOND_HOMES_FIRST
     }
 
     /** {@inheritDoc} */
@@ -43,9 +63,11 @@
         Fleet fleet = new Fleet(view.sides());
         List<Wish> wishes = wishes(view, fleet);
         wishes.forEach(wish -> fleet.keepFirst(wish.item));
-        wishes.forEach(wish -> fleet.keepSecond(wish.item));
-        wishes.forEach(wish -> fleet.placeFirst(wish.item));
-        wishes.forEach(wish -> fleet.placeElsewhere(wish.item));
+        if (order == Order.DEMAND_FIRST) {
+            wishes.forEach(wish -> fleet.placeFirst(wish.item));
+            placeForDemand(wishes, fleet);
+        }
+        placeSecondHomes(wishes, fleet);
         placeForDemand(wishes, fleet);
         placeAdapters(view, wishes, fleet);
         protectOldVersions(view, fleet);
@@ -97,6 +119,12 @@
         return Map.copyOf(next);
     }
 
+    private static void placeSecondHomes(List<Wish> wishes, Fleet fleet) {
+        wishes.forEach(wish -> fleet.keepSecond(wish.item));
+        wishes.forEach(wish -> fleet.placeFirst(wish.item));
+        wishes.forEach(wish -> fleet.placeElsewhere(wish.item));
+    }
+
     private static void placeForDemand(List<Wish> wishes, Fleet fleet) {
         wishes.stream()
                 .filter(wish -> wish.copies > BASE_HOMES)
--- a/src/main/java/io/waxwingquay/placement/Strategy.java
+++ b/src/main/java/io/waxwingquay/placement/Strategy.java
@@ -18,14 +18,15 @@
     /**
      * A strategy by the name that settings use.
      *
-     * @param name {@code planned}, {@code static} or {@code load-on-miss}.
-     * @param demandMarks the marks of {@code planned}.
+     * @param name {@code planned}, its earlier {@code planned-1}, {@code static} or {@code load-on-miss}.
+     * @param demandMarks the marks of the planned ones.
      * @return the strategy.
      * @throws IllegalArgumentException if no strategy has that name.
      */
     static Strategy named(String name, DemandMarks demandMarks) {
         return switch (name) {
             case "planned" -> new Placement(demandMarks);
+            case "planned-1" -> new Placement(demandMarks, Placement.Order.SECOND_HOMES_FIRST);
             case "static" -> Strategy::planBaseHomes;
             case "load-on-miss" -> new LoadOnMiss();
             default -> throw new IllegalArgumentException(
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -13,6 +13,7 @@
 import io.waxwingquay.placement.Strategy;
 import io.waxwingquay.settings.SideSettings;
 import io.waxwingquay.settings.SideSettings.TargetType;
+import io.waxwingquay.side.AdmissionRule;
 import io.waxwingquay.side.SideIdentity;
 import io.waxwingquay.side.SideLimits;
 import io.waxwingquay.side.SideNode;
@@ -44,13 +45,13 @@
     private final PermitHome permitHome;
     private final PeerHandler peer;
     private final SideDoor door;
-    private final Strategy placement;
+    private final Decisions decisions;
     private final AtomicReference<Optional<SideNode>> node = new AtomicReference<>(Optional.empty());
 
-    private SideProcess(Foundation foundation, SideSettings settings, Strategy placement, long epoch) {
+    private SideProcess(Foundation foundation, SideSettings settings, Decisions decisions, long epoch) {
         this.foundation = foundation;
         this.settings = settings;
-        this.placement = placement;
+        this.decisions = decisions;
         this.identity = new SideIdentity(
                 foundation.settings().name(),
                 foundation.server().address(),
@@ -69,27 +70,27 @@
      * Starts a side process. It answers its peers at once and serves when it has a bundle in force.
      *
      * @param settings what it is told.
-     * @param placement decides what its target holds.
+     * @param decisions how it decides.
      * @return the running process.
      */
-    public static SideProcess start(SideSettings settings, Strategy placement) {
+    public static SideProcess start(SideSettings settings, Decisions decisions) {
         Foundation foundation = new Foundation(settings.process(), ROLE, RandomGenerator.of("L64X128MixRandom"));
         long epoch = new BootEpoch(foundation.table(), foundation.clock())
                 .take(settings.process().name())
                 .join();
-        SideProcess process = new SideProcess(foundation, settings, placement, epoch);
+        SideProcess process = new SideProcess(foundation, settings, decisions, epoch);
         process.run();
         return process;
     }
 
     /**
-     * Starts a side process with the placement of the product.
+     * Starts a side process that decides as the product does.
      *
      * @param settings what it is told.
      * @return the running process.
      */
     public static SideProcess start(SideSettings settings) {
-        return start(settings, Strategy.named("planned", DemandMarks.DEFAULT));
+        return start(settings, Decisions.DEFAULT);
     }
 
     /**
@@ -213,9 +214,10 @@
                         identity.sideId(),
                         identity.serviceName(),
                         foundation.members(),
-                        placement,
+                        decisions.placement(),
                         foundation.clock(),
                         PLAN_MILLIS))
+                .admissionRule(decisions.admission())
                 .meters(foundation.meters());
     }
 
@@ -266,6 +268,19 @@
         foundation.scheduler().scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * How a side decides.
+     *
+     * @param placement what its target holds.
+     * @param admission which requests can still make their deadline.
+     */
+    public record Decisions(Strategy placement, AdmissionRule admission) {
+
+        /** The product's. */
+        public static final Decisions DEFAULT =
+                new Decisions(Strategy.named("planned", DemandMarks.DEFAULT), AdmissionRule.WITH_RUN_TIME);
+    }
+
     /**
      * What the state dump shows of a side.
      *
--- a/src/main/java/io/waxwingquay/routing/Policy.java
+++ b/src/main/java/io/waxwingquay/routing/Policy.java
@@ -27,7 +27,7 @@
     /**
      * Finds a policy by the name that settings use.
      *
-     * @param name {@code waxwingquay}, {@code round-robin}, {@code least-outstanding} or {@code model-hash}; the first two
+     * @param name {@code waxwingquay}, its earlier {@code waxwingquay-1}, {@code round-robin}, {@code least-outstanding} or {@code model-hash}; the first two
      *     baselines also with {@code -resident} behind, to ask sides that hold the model first.
      * @return the policy.
      * @throws IllegalArgumentException if no policy has the name.
@@ -35,6 +35,7 @@
     static Policy named(String name) {
         return switch (name) {
             case "waxwingquay" -> new Default();
+            case "waxwingquay-1" -> new ExpectedFinish();
             case "round-robin" -> new RoundRobin();
             case "least-outstanding" -> new LeastOutstanding();
             case "model-hash" -> new ModelHash();
@@ -59,11 +60,56 @@
     }
 
     /**
-     * Resident items first, then the least expected finish, to which another data centre adds its distance and
-     * from which the prefix's home takes a bonus; away from that home the better of two random choices.
+     * Sides that hold the model first, then the fewest requests at the side, to which a prefix that is cached
+     * elsewhere, an adapter to load and another data centre add what they cost, counted in requests. An adapter
+     * loads in milliseconds: were its sides always preferred, its callers would queue at one side while the
+     * model's other sides are idle.
      */
     final class Default implements Policy {
 
+        private static final double COLD_PREFIX = 1.5;
+        private static final double ABSENT_ADAPTER = 4;
+        private static final double OTHER_DATA_CENTRE = 0.25;
+
+        /** {@inheritDoc} */
+        @Override
+        public List<SideView> order(RouteQuery query, List<SideView> views, RandomGenerator random) {
+            List<SideView> ordered = new ArrayList<>(views);
+            List<SideView> holders = views.stream()
+                    .filter(view -> query.residentItems(view.side()) > 0)
+                    .toList();
+            if (!query.items().isEmpty() && holders.isEmpty()) {
+                ordered.sort(Comparator.comparingLong(SideView::freeBytes).reversed());
+                return ordered;
+            }
+            String home = home(query, holders.isEmpty() ? views : holders);
+            ordered.sort(Comparator.comparing((SideView view) -> query.residentItems(view.side()) == 0)
+                    .thenComparingDouble(view -> cost(query, view, home)));
+            return ordered;
+        }
+
+        private static String home(RouteQuery query, List<SideView> holders) {
+            return holders.stream()
+                    .max(Comparator.comparingLong(view ->
+                            rendezvousWeight(query.prefixHash(), view.side().id())))
+                    .map(view -> view.side().id())
+                    .orElse("");
+        }
+
+        private static double cost(RouteQuery query, SideView view, String home) {
+            int missing = query.items().size() - query.residentItems(view.side());
+            double distance = view.side().dataCentre().equals(query.dataCentre()) ? 0 : OTHER_DATA_CENTRE;
+            double prefix = query.items().isEmpty() || view.side().id().equals(home) ? 0 : COLD_PREFIX;
+            return view.inFlight() + prefix + missing * ABSENT_ADAPTER + distance;
+        }
+    }
+
+    /**
+     * The first policy of ours, kept to measure against. Resident items first, then the least expected finish, to which another data centre adds its distance and
+     * from which the prefix's home takes a bonus; away from that home the better of two random choices.
+     */
+    final class ExpectedFinish implements Policy {
+
         private static final double PREFIX_BONUS = 0.7;
         private static final double OTHER_DATA_CENTRE_MILLIS = 3;
 
--- a/src/main/java/io/waxwingquay/routing/SideView.java
+++ b/src/main/java/io/waxwingquay/routing/SideView.java
@@ -56,6 +56,15 @@
         return unitMillis + Math.max(agedMillis, 0) + ownMillis;
     }
 
+    /**
+     * Requests at the side: those of the last report, or this process's own if they are more by now.
+     *
+     * @return the number.
+     */
+    public int inFlight() {
+        return Math.max(running + queued, outstanding);
+    }
+
     private double reportedWorkMillis(double unitMillis) {
         if (reportAgeMillis == NO_REPORT) {
             return 0;
--- a/src/main/java/io/waxwingquay/side/Admission.java
+++ b/src/main/java/io/waxwingquay/side/Admission.java
@@ -21,16 +21,25 @@
     private final LoadMeter meter;
     private final SelfRecord self;
     private final Dispatcher dispatcher;
+    private final AdmissionRule rule;
     private final AtomicReference<Optional<Attempt>> suspect = new AtomicReference<>(Optional.empty());
 
-    Admission(SideContext context, AttemptBook book, DrainGate gate, Target target, LoadMeter meter, SelfRecord self) {
+    Admission(
+            SideContext context,
+            AttemptBook book,
+            DrainGate gate,
+            Target target,
+            LoadMeter meter,
+            SelfRecord self,
+            AdmissionRule rule) {
         this.context = context;
         this.book = book;
         this.gate = gate;
         this.target = target;
         this.meter = meter;
         this.self = self;
-        this.dispatcher = new Dispatcher(context, meter, this::maxConcurrent, this::begin);
+        this.rule = rule;
+        this.dispatcher = new Dispatcher(context, meter, this::maxConcurrent, rule, this::begin);
     }
 
     Dispatcher dispatcher() {
@@ -149,7 +158,9 @@
                 dispatcher.aheadOf(priority, deadlineMillis),
                 maxConcurrent(),
                 context.limits().queueLimit(),
-                meter.drainPerSecond());
+                meter.drainPerSecond(),
+                Dispatcher.runMillis(meter, submission),
+                rule);
     }
 
     private int maxConcurrent() {
--- a/src/main/java/io/waxwingquay/side/Dispatcher.java
+++ b/src/main/java/io/waxwingquay/side/Dispatcher.java
@@ -3,6 +3,7 @@
 import io.waxwingquay.transport.generated.Execution;
 import io.waxwingquay.transport.generated.Refusal;
 import io.waxwingquay.transport.generated.RefusalReason;
+import io.waxwingquay.transport.generated.Submission;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -29,15 +30,22 @@
     private final SideContext context;
     private final LoadMeter meter;
     private final IntSupplier maxConcurrent;
+    private final AdmissionRule rule;
     private final Consumer<Attempt> runner;
     private final TreeSet<Attempt> ready = new TreeSet<>(ORDER);
     private final Set<Attempt> waiting = new HashSet<>();
     private final Map<Attempt, Long> startedMillis = new HashMap<>();
 
-    Dispatcher(SideContext context, LoadMeter meter, IntSupplier maxConcurrent, Consumer<Attempt> runner) {
+    Dispatcher(
+            SideContext context,
+            LoadMeter meter,
+            IntSupplier maxConcurrent,
+            AdmissionRule rule,
+            Consumer<Attempt> runner) {
         this.context = context;
         this.meter = meter;
         this.maxConcurrent = maxConcurrent;
+        this.rule = rule;
         this.runner = runner;
     }
 
@@ -96,7 +104,10 @@
     }
 
     private void expire(Attempt attempt) {
-        String message = "the deadline passed in the queue";
+        expire(attempt, "the deadline passed in the queue");
+    }
+
+    private void expire(Attempt attempt, String message) {
         attempt.withdrawWith(
                 meter.refusal(RefusalReason.DEADLINE, message, Execution.DID_NOT_RUN),
                 context.clock().monotonicMillis());
@@ -107,7 +118,7 @@
             waiting.remove(attempt);
             ready.remove(attempt);
             Optional.ofNullable(startedMillis.remove(attempt))
-                    .ifPresent(started -> meter.noteFinished(context.clock().monotonicMillis() - started));
+                    .ifPresent(started -> noteFinished(attempt, context.clock().monotonicMillis() - started));
             publishCounts();
         }
         pump();
@@ -125,7 +136,10 @@
         while (startedMillis.size() < maxConcurrent.getAsInt() && !ready.isEmpty()) {
             Attempt first = ready.pollFirst();
             waiting.remove(first);
-            if (first.start()) {
+            if (!mayStart(first)) {
+                publishCounts();
+                context.scheduler().execute(() -> expire(first, "too little time is left to finish"));
+            } else if (first.start()) {
                 startedMillis.put(first, context.clock().monotonicMillis());
                 publishCounts();
                 return Optional.of(first);
@@ -134,6 +148,22 @@
         return Optional.empty();
     }
 
+    private boolean mayStart(Attempt attempt) {
+        long budgetMillis = attempt.deadlineMillis() - context.clock().monotonicMillis();
+        double runMillis = runMillis(meter, attempt.submission());
+        return rule.mayStart(new AdmissionRule.Outlook(0, runMillis, budgetMillis, startedMillis.size()));
+    }
+
+    /** How long a submission would run; 0 for a plain call, whose time does not follow from its size. */
+    static double runMillis(LoadMeter meter, Submission submission) {
+        return submission.isSetModel() ? meter.runMillis(submission.getModel().getMaxTokens()) : 0.0;
+    }
+
+    private void noteFinished(Attempt attempt, long runMillis) {
+        meter.noteFinished(runMillis);
+        meter.noteUnits(runMillis, attempt.units());
+    }
+
     private void publishCounts() {
         long tokens = waiting.stream()
                 .filter(attempt -> attempt.submission().isSetModel())
--- a/src/main/java/io/waxwingquay/side/Door.java
+++ b/src/main/java/io/waxwingquay/side/Door.java
@@ -83,7 +83,9 @@
         }
         boolean waits = view.running() >= view.maxConcurrent() && view.drainPerSecond() > 0.0;
         double waitMillis = waits ? view.queuedAhead() / view.drainPerSecond() * MILLIS_PER_SECOND : 0.0;
-        if (waitMillis > submission.getBudgetMillis()) {
+        AdmissionRule.Outlook outlook =
+                new AdmissionRule.Outlook(waitMillis, view.runMillis(), submission.getBudgetMillis(), view.running());
+        if (!view.rule().mayEnter(outlook)) {
             return deny(RefusalReason.DEADLINE, "the queue is longer than the deadline allows");
         }
         return Optional.empty();
@@ -119,6 +121,8 @@
      * @param maxConcurrent attempts the target runs at once.
      * @param queueLimit attempts that may wait.
      * @param drainPerSecond attempts finished a second; 0 if not measured.
+     * @param runMillis how long the attempt would run; 0 if not measured.
+     * @param rule what may come in.
      */
     record View(
             boolean leaving,
@@ -134,5 +138,7 @@
             int queuedAhead,
             int maxConcurrent,
             int queueLimit,
-            double drainPerSecond) {}
+            double drainPerSecond,
+            double runMillis,
+            AdmissionRule rule) {}
 }
--- a/src/main/java/io/waxwingquay/side/LoadMeter.java
+++ b/src/main/java/io/waxwingquay/side/LoadMeter.java
@@ -25,6 +25,7 @@
     private final LongSupplier freeBytes;
     private volatile Counts counts = new Counts(0, 0, 0L, 0);
     private double meanRunMillis;
+    private double meanUnitMillis;
 
     LoadMeter(Clock clock, RandomGenerator random, LongSupplier freeBytes) {
         this.random = random;
@@ -45,6 +46,24 @@
         meanRunMillis = meanRunMillis == 0.0 ? newest : meanRunMillis + NEWEST_SHARE * (newest - meanRunMillis);
     }
 
+    /**
+     * Notes the time of a run that brought units.
+     *
+     * @param runMillis the time from its start.
+     * @param units what it brought; 0 tells nothing.
+     */
+    synchronized void noteUnits(long runMillis, long units) {
+        if (units > 0) {
+            double newest = (double) runMillis / units;
+            meanUnitMillis = meanUnitMillis == 0.0 ? newest : meanUnitMillis + NEWEST_SHARE * (newest - meanUnitMillis);
+        }
+    }
+
+    /** The expected time of a run that brings so many units; 0 before any was measured. */
+    synchronized double runMillis(long units) {
+        return meanUnitMillis * units;
+    }
+
     void noteToken() {
         tokens.add(1.0);
     }
--- a/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
+++ b/src/main/java/io/waxwingquay/side/SideNodeBuilder.java
@@ -36,6 +36,7 @@
     private Connections connections;
     private PeerProtocol peer;
     private Permits permits;
+    private AdmissionRule admissionRule = AdmissionRule.WITH_RUN_TIME;
     private WantedItems wantedItems;
     private MeterRegistry meters;
 
@@ -158,6 +159,17 @@
         return this;
     }
 
+    /**
+     * Sets which requests can still make their deadline.
+     *
+     * @param value the rule.
+     * @return this builder.
+     */
+    public SideNodeBuilder admissionRule(AdmissionRule value) {
+        admissionRule = value;
+        return this;
+    }
+
     /**
      * Sets where counts go.
      *
@@ -182,7 +194,7 @@
         AttemptBook book = book();
         SelfRecord self = new SelfRecord(context, TargetKind.PLAIN_SERVICE, Optional::empty);
         DrainGate gate = new DrainGate();
-        Admission admission = new Admission(context, book, gate, target, meter, self);
+        Admission admission = new Admission(context, book, gate, target, meter, self, admissionRule);
         Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.empty(), () -> {});
         return new SideNode(
                 new SideParts(
@@ -218,7 +230,7 @@
         AttemptBook book = book();
         SelfRecord self = new SelfRecord(context, TargetKind.MODEL_ENGINE, memory);
         DrainGate gate = new DrainGate();
-        way.set(new Admission(context, book, gate, target, meter, self));
+        way.set(new Admission(context, book, gate, target, meter, self, admissionRule));
         Housekeeping housekeeping = new Housekeeping(context, book, self, Optional.of(residency), runner::reopenSilent);
         SideParts parts = new SideParts(
                 context, book, gate, meter, self, way.get(), housekeeping, Optional.of(residency), memory);
--- /dev/null
+++ b/src/test/java/io/waxwingquay/side/AdmissionRuleTest.java
@@ -0,0 +1,44 @@
+package io.waxwingquay.side;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.side.AdmissionRule.Outlook;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class AdmissionRuleTest {
+
+    private static final long BUDGET_MILLIS = 1_000L;
+    private static final int BUSY = 16;
+
+    @Property(tries = 300, seed = "20261202")
+    void busyTargetTakesWhatEndsByTheDeadlineAndNothingElse(
+            @ForAll @DoubleRange(max = 2_000) double waitMillis, @ForAll @DoubleRange(max = 2_000) double runMillis) {
+        Outlook outlook = new Outlook(waitMillis, runMillis, BUDGET_MILLIS, BUSY);
+        assertEquals(waitMillis + runMillis <= BUDGET_MILLIS, AdmissionRule.WITH_RUN_TIME.mayEnter(outlook));
+    }
+
+    /*
+     * Every caller is refused for good although the target is idle.
+     * During a slow spell runs took longer than any deadline; since then all are refused, so no run brings a
+     * newer measure. An idle target therefore takes whatever comes.
+     */
+    @Property(tries = 100, seed = "20261202")
+    void idleTargetRefusesNothing(@ForAll @IntRange(min = 1, max = 1_000_000) int runMillis) {
+        Outlook outlook = new Outlook(0, runMillis, 1L, 0);
+        assertTrue(AdmissionRule.WITH_RUN_TIME.mayEnter(outlook));
+        assertTrue(AdmissionRule.WITH_RUN_TIME.mayStart(outlook));
+    }
+
+    @Test
+    void waitingRoomLetsAllInButOffersNoStartThatIsTooLate() {
+        Outlook late = new Outlook(0, 2 * BUDGET_MILLIS, BUDGET_MILLIS, BUSY);
+        assertTrue(AdmissionRule.WAITING_ROOM.mayEnter(late));
+        assertFalse(AdmissionRule.WAITING_ROOM.mayStart(late));
+    }
+}
