Give copies for demand the room of idle second homes

Cause: second homes of all models were placed before copies for demand. Ruled out: fewer base homes, as a lost data centre would then take models with it while nothing is asked. Change: first homes, copies for demand, second homes, further copies.

--- a/src/test/java/io/waxwingquay/placement/PlacementTest.java
+++ b/src/test/java/io/waxwingquay/placement/PlacementTest.java
@@ -102,6 +102,24 @@
         });
     }
 
+    /*
+     * Callers of one popular model are refused while memory holds two copies of models that nobody asks.
+     * Three sides hold everything twice and are full; then demand for one model rises far above its mark.
+     * Its third copy takes the room of second copies; every other model keeps one home.
+     */
+    @Test
+    void demandTakesTheRoomOfIdleSecondHomes() {
+        Bundle bundle = bundle(List.of(50L, 50L, 50L));
+        String busy = bundle.models().get(0).item();
+        View full = settled(view(bundle, sides(3), Map.of()));
+        View asked = new View(bundle, SERVICE, full.sides(), Map.of(busy, 20.0), Map.of(), 0);
+        Plan plan = placement.plan(asked);
+        Placement earlier = new Placement(MARKS, Placement.Order.SECOND_HOMES_FIRST);
+        assertEquals(2, holders(earlier.plan(asked), busy).size());
+        assertEquals(3, holders(plan, busy).size());
+        assertEquals(List.of(), plan.homelessModels());
+    }
+
     @Test
     void demandAddsReplicasAndGivesThemUpOnlyAfterTheHold() {
         Bundle bundle = bundle(List.of(20L));
