--- a/src/main/java/io/waxwingquay/bench/Bench.java
+++ b/src/main/java/io/waxwingquay/bench/Bench.java
@@ -21,6 +21,18 @@
 public record Bench(
         String workload, List<String> policies, int seeds, int seconds, String fault, Path bundles, Path directory) {
 
+    /**
+     * Checks the names.
+     *
+     * @throws IllegalArgumentException if a name is not known.
+     */
+    public Bench {
+        Workload.named(workload);
+        Fault.named(fault);
+        policies = List.copyOf(policies);
+        policies.forEach(PolicyPair::named);
+    }
+
     /**
      * Runs all and writes table, CSV, JSON and plot.
      *
--- a/src/main/java/io/waxwingquay/bench/Fault.java
+++ b/src/main/java/io/waxwingquay/bench/Fault.java
@@ -5,6 +5,7 @@
 import io.waxwingquay.standin.Faults;
 import io.waxwingquay.standin.Faults.Settings;
 import io.waxwingquay.standin.ModelEngineStandin;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.IntStream;
@@ -13,7 +14,7 @@
 enum Fault {
     /** Nothing. */
     NONE,
-    /** The engine with most residents crashes, and comes back empty at the end. */
+    /** The first engine crashes, and comes back empty at the end. */
     TARGET_DEATH {
         @Override
         void begin(LocalDeployment deployment, long lastsMillis) {
@@ -87,7 +88,11 @@
     private static final long SLOW_MILLIS = 3_000L;
 
     static Fault named(String name) {
-        return valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+        return Arrays.stream(values())
+                .filter(fault -> fault.title().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("fault '" + name + "' is unknown; write none, "
+                        + "target-death, data-centre-loss, store-outage, tenfold or slow-weights"));
     }
 
     String title() {
--- a/src/main/java/io/waxwingquay/bench/LoadRun.java
+++ b/src/main/java/io/waxwingquay/bench/LoadRun.java
@@ -116,7 +116,7 @@
                 && number == Fault.LOST
                 && at > Fault.BEGIN * seconds + 1
                 && at < Fault.END * seconds + 1;
-        return deployment.entries().get(isLost ? number + 1 : number).callerAddress();
+        return deployment.callerAddress(isLost ? number + 1 : number);
     }
 
     private void showFault(LocalDeployment deployment) {
--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -30,6 +30,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -57,6 +58,7 @@
     private final SettingsText texts;
     private final Map<String, SideProcess> sides = new LinkedHashMap<>();
     private final List<EntryProcess> entries = new ArrayList<>();
+    private final List<HostPort> callerAddresses = new CopyOnWriteArrayList<>();
 
     private LocalDeployment(Builder choices) {
         this.choices = choices;
@@ -230,6 +232,17 @@
      */
     public void restartEntry(int number) {
         entries.set(number, entry(number));
+        callerAddresses.set(number, entries.get(number).callerAddress());
+    }
+
+    /**
+     * Where callers reach an entry, or last reached it if it was killed.
+     *
+     * @param number its number.
+     * @return the address.
+     */
+    public HostPort callerAddress(int number) {
+        return callerAddresses.get(number);
     }
 
     /** {@inheritDoc} */
@@ -252,6 +265,7 @@
         bundle.services().forEach(service -> IntStream.range(0, service.replicas())
                 .forEach(number -> startSide(service, number)));
         IntStream.range(0, choices.entryCount).mapToObj(this::entry).forEach(entries::add);
+        entries.forEach(entry -> callerAddresses.add(entry.callerAddress()));
         return this;
     }
 
--- a/src/main/java/io/waxwingquay/command/BenchCommand.java
+++ b/src/main/java/io/waxwingquay/command/BenchCommand.java
@@ -69,10 +69,13 @@
         /** {@inheritDoc} */
         @Override
         public Integer call() throws Exception {
+            bench().run(spec.commandLine().getOut());
+            return ExitCodes.OK;
+        }
+
+        private Bench bench() {
             try {
-                new Bench(workload, policies, seeds, seconds, fault, bundles, directory)
-                        .run(spec.commandLine().getOut());
-                return ExitCodes.OK;
+                return new Bench(workload, policies, seeds, seconds, fault, bundles, directory);
             } catch (IllegalArgumentException wrong) {
                 throw new ParameterException(spec.commandLine(), wrong.getMessage(), wrong);
             }
