--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -31,6 +31,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -59,6 +60,7 @@
     private final SettingsText texts;
     private final Map<String, SideProcess> sides = new LinkedHashMap<>();
     private final List<EntryProcess> entries = new ArrayList<>();
+    private final List<HostPort> callerAddresses = new CopyOnWriteArrayList<>();
 
     private LocalDeployment(Builder choices) {
         this.choices = choices;
@@ -224,7 +226,7 @@
         String name = SettingsText.sideName(service.name(), replica);
         String text = texts.withSeeds(seeds).side(service, replica, targets.address(name), ANY_PORTS);
         SideSettings settings = SideSettings.parse(name, text.getBytes(StandardCharsets.UTF_8));
-        sides.put(name, SideProcess.start(settings, choices.placement));
+        sides.put(name, SideProcess.start(settings, choices.decisions));
     }
 
     /**
@@ -252,6 +254,17 @@
      */
     public void restartEntry(int number) {
         entries.set(number, entry(number));
+        callerAddresses.set(number, entries.get(number).callerAddress());
+    }
+
+    /**
+     * Where callers reach an entry, or last reached it if it was killed.
+     *
+     * @param number its number.
+     * @return the address.
+     */
+    public HostPort callerAddress(int number) {
+        return callerAddresses.get(number);
     }
 
     /** {@inheritDoc} */
@@ -274,6 +287,7 @@
         bundle.services().forEach(service -> IntStream.range(0, service.replicas())
                 .forEach(number -> startSide(service, number)));
         IntStream.range(0, choices.entryCount).mapToObj(this::entry).forEach(entries::add);
+        entries.forEach(entry -> callerAddresses.add(entry.callerAddress()));
         return this;
     }
 
@@ -357,7 +371,7 @@
         private final byte[] document;
         private int entryCount = 2;
         private String policy = "waxwingquay";
-        private Strategy placement = Strategy.named("planned", DemandMarks.DEFAULT);
+        private SideProcess.Decisions decisions = SideProcess.Decisions.DEFAULT;
         private CostModel costs = CostModel.DEFAULT;
         private double timeScale = 1.0;
         private long weightLoadMillis = DEFAULT_WEIGHT_LOAD_MILLIS;
@@ -393,13 +407,13 @@
         }
 
         /**
-         * Sets the placement of the sides.
+         * Sets how the sides decide.
          *
-         * @param strategy the strategy.
+         * @param choice the decisions.
          * @return this builder.
          */
-        public Builder placement(Strategy strategy) {
-            this.placement = strategy;
+        public Builder decisions(SideProcess.Decisions choice) {
+            this.decisions = choice;
             return this;
         }
 
--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -13,6 +13,7 @@
 import io.waxwingquay.placement.Strategy;
 import io.waxwingquay.settings.SideSettings;
 import io.waxwingquay.settings.SideSettings.TargetType;
+import io.waxwingquay.side.AdmissionRule;
 import io.waxwingquay.side.SideIdentity;
 import io.waxwingquay.side.SideLimits;
 import io.waxwingquay.side.SideNode;
@@ -50,12 +51,14 @@
     private final SideDoor door;
     private final PlannedItems planned;
     private final AtomicReference<Optional<LentPermits>> held = new AtomicReference<>(Optional.empty());
+    private final Decisions decisions;
     private final AtomicReference<Optional<SideNode>> node = new AtomicReference<>(Optional.empty());
     private Optional<CompletableFuture<Void>> draining = Optional.empty();
 
-    private SideProcess(Foundation foundation, SideSettings settings, Strategy placement, long epoch) {
+    private SideProcess(Foundation foundation, SideSettings settings, Decisions decisions, long epoch) {
         this.foundation = foundation;
         this.settings = settings;
+        this.decisions = decisions;
         this.identity = new SideIdentity(
                 foundation.settings().name(),
                 foundation.server().address(),
@@ -67,7 +70,7 @@
                 identity.sideId(),
                 identity.serviceName(),
                 foundation.members(),
-                placement,
+                decisions.placement(),
                 foundation.clock(),
                 new PlannedItems.Pace(PLAN_MILLIS, SETTLE_MILLIS));
         PermitHome.Slots none = new PermitHome.Slots(settings.replica(), settings.replica() + 1, 0, 0.0, 0);
@@ -81,27 +84,27 @@
      * Starts a side process. It answers its peers at once and serves when it has a bundle in force.
      *
      * @param settings what it is told.
-     * @param placement decides what its target holds.
+     * @param decisions how it decides.
      * @return the running process.
      */
-    public static SideProcess start(SideSettings settings, Strategy placement) {
+    public static SideProcess start(SideSettings settings, Decisions decisions) {
         Foundation foundation = new Foundation(settings.process(), ROLE, RandomGenerator.of("L64X128MixRandom"));
         long epoch = new BootEpoch(foundation.table(), foundation.clock())
                 .take(settings.process().name())
                 .join();
-        SideProcess process = new SideProcess(foundation, settings, placement, epoch);
+        SideProcess process = new SideProcess(foundation, settings, decisions, epoch);
         process.run();
         return process;
     }
 
     /**
-     * Starts a side process with the placement of the product.
+     * Starts a side process that decides as the product does.
      *
      * @param settings what it is told.
      * @return the running process.
      */
     public static SideProcess start(SideSettings settings) {
-        return start(settings, Strategy.named("planned", DemandMarks.DEFAULT));
+        return start(settings, Decisions.DEFAULT);
     }
 
     /**
@@ -284,6 +287,7 @@
                 .peer(peer)
                 .permits(permits)
                 .wantedItems(planned)
+                .admissionRule(decisions.admission())
                 .meters(foundation.meters());
     }
 
@@ -333,4 +337,17 @@
     private void every(long millis, Runnable task) {
         foundation.scheduler().scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
     }
+
+    /**
+     * How a side decides.
+     *
+     * @param placement what its target holds.
+     * @param admission which requests can still make their deadline.
+     */
+    public record Decisions(Strategy placement, AdmissionRule admission) {
+
+        /** The product's. */
+        public static final Decisions DEFAULT =
+                new Decisions(Strategy.named("planned", DemandMarks.DEFAULT), AdmissionRule.WITH_RUN_TIME);
+    }
 }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/side/AdmissionRule.java
@@ -0,0 +1,125 @@
+package io.waxwingquay.side;
+
+/**
+ * Whether a request can still make its deadline. Pure.
+ */
+public interface AdmissionRule {
+
+    /**
+     * Whether a request may come in to wait.
+     *
+     * @param outlook what is expected of it.
+     * @return whether it may.
+     */
+    boolean mayEnter(Outlook outlook);
+
+    /**
+     * Whether a request that has waited may still be handed to the target.
+     *
+     * @param outlook what is expected of it, without a wait.
+     * @return whether it may.
+     */
+    boolean mayStart(Outlook outlook);
+
+    /** Refuses what would wait past its deadline, and starts all that came in. */
+    AdmissionRule WAIT_ONLY = new WaitOnly();
+
+    /** Refuses what would not be finished by its deadline, at the door and once more before its start. */
+    AdmissionRule WITH_RUN_TIME = new WithRunTime();
+
+    /** As {@link #WITH_RUN_TIME}, with a quarter more than the mean time of a run, as half of the runs take longer. */
+    AdmissionRule WITH_MARGIN = new WithMargin();
+
+    /** Lets all wait, and offers a start until it is too late to finish: a waiting room before a paced target. */
+    AdmissionRule WAITING_ROOM = new WaitingRoom();
+
+    /**
+     * What is expected of a request.
+     *
+     * @param waitMillis until its start.
+     * @param runMillis from its start to its end; 0 if unknown.
+     * @param budgetMillis until its deadline.
+     * @param running requests that the target runs now.
+     */
+    record Outlook(double waitMillis, double runMillis, long budgetMillis, int running) {
+
+        /**
+         * An idle target takes any request: else one slow spell would be believed for ever, since what is refused
+         * brings no newer measure.
+         */
+        boolean finishesInTime() {
+            return running == 0 || waitMillis + runMillis <= budgetMillis;
+        }
+    }
+
+    /** See {@link #WAIT_ONLY}. */
+    final class WaitOnly implements AdmissionRule {
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayEnter(Outlook outlook) {
+            return outlook.waitMillis() <= outlook.budgetMillis();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayStart(Outlook outlook) {
+            return true;
+        }
+    }
+
+    /** See {@link #WITH_RUN_TIME}. */
+    final class WithRunTime implements AdmissionRule {
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayEnter(Outlook outlook) {
+            return outlook.finishesInTime();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayStart(Outlook outlook) {
+            return outlook.finishesInTime();
+        }
+    }
+
+    /** See {@link #WITH_MARGIN}. */
+    final class WithMargin implements AdmissionRule {
+
+        private static final double MARGIN = 1.25;
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayEnter(Outlook outlook) {
+            return longer(outlook).finishesInTime();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayStart(Outlook outlook) {
+            return longer(outlook).finishesInTime();
+        }
+
+        private static Outlook longer(Outlook outlook) {
+            return new Outlook(
+                    outlook.waitMillis(), outlook.runMillis() * MARGIN, outlook.budgetMillis(), outlook.running());
+        }
+    }
+
+    /** See {@link #WAITING_ROOM}. */
+    final class WaitingRoom implements AdmissionRule {
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayEnter(Outlook outlook) {
+            return true;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayStart(Outlook outlook) {
+            return outlook.finishesInTime();
+        }
+    }
+}
--- a/src/test/java/io/waxwingquay/placement/PlacementTest.java
+++ b/src/test/java/io/waxwingquay/placement/PlacementTest.java
@@ -102,6 +102,40 @@
         });
     }
 
+    /*
+     * Callers of one popular model are refused while memory holds two copies of models that nobody asks.
+     * Three sides hold everything twice and are full; then demand for one model rises far above its mark.
+     * Its third copy takes the room of second copies; every other model keeps one home.
+     */
+    @Test
+    void demandTakesTheRoomOfIdleSecondHomes() {
+        Bundle bundle = bundle(List.of(50L, 50L, 50L));
+        String busy = bundle.models().get(0).item();
+        View full = settled(view(bundle, sides(3), Map.of()));
+        View asked = new View(bundle, SERVICE, full.sides(), Map.of(busy, 20.0), Map.of(), 0);
+        Plan plan = placement.plan(asked);
+        Placement earlier = new Placement(MARKS, Placement.Order.SECOND_HOMES_FIRST);
+        assertEquals(2, holders(earlier.plan(asked), busy).size());
+        assertEquals(3, holders(plan, busy).size());
+        assertEquals(List.of(), plan.homelessModels());
+    }
+
+    /*
+     * A request waits for an adapter until its deadline while another side that holds the adapter is idle.
+     * Second copies of models fill the memory of its side, and what is planned is not evicted for an adapter.
+     * A share that only first copies may take leaves room for adapters.
+     */
+    @Test
+    void secondCopiesLeaveRoomForAdapters() {
+        Bundle bundle = bundle(List.of(45L, 45L));
+        View view = view(bundle, sides(2), Map.of());
+        Plan roomy = new Placement(MARKS, Placement.Order.DEMAND_FIRST, 0.2).plan(view);
+        Plan full = new Placement(MARKS, Placement.Order.DEMAND_FIRST).plan(view);
+        assertEquals(4, copies(full));
+        assertTrue(copies(roomy) < 4);
+        assertEquals(List.of(), roomy.homelessModels());
+    }
+
     @Test
     void demandAddsReplicasAndGivesThemUpOnlyAfterTheHold() {
         Bundle bundle = bundle(List.of(20L));
@@ -233,6 +267,12 @@
         return holders;
     }
 
+    private static int copies(Plan plan) {
+        return plan.shares().values().stream()
+                .mapToInt(share -> share.wantedItems().size())
+                .sum();
+    }
+
     private static View view(Bundle bundle, List<Holder> sides, Map<String, Double> demand) {
         return new View(bundle, SERVICE, sides, demand, Map.of(), 0);
     }
