--- a/src/test/java/io/waxwingquay/scenario/EndToEndProcessesTest.java
+++ b/src/test/java/io/waxwingquay/scenario/EndToEndProcessesTest.java
@@ -5,6 +5,7 @@
 
 import io.waxwingquay.bench.CallerAnswer;
 import io.waxwingquay.standin.StandinText;
+import io.waxwingquay.testing.Await;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,7 @@
         try (ProcessWorld world = ProcessWorld.start(folder)) {
             completeThrough(world, List.of(0, 1), "before");
             paidOnce(world, "deposit-1", 0, 1);
+            paidOnceThoughItsHolderIsPaused(world, "deposit-paused");
             world.process("studio-0").kill();
             completeThrough(world, List.of(0, 1), "side gone");
             world.process("entry-0").kill();
@@ -38,6 +40,26 @@
         }
     }
 
+    /**
+     * The caller sends a deposit, hears nothing, and sends it again through the other entry. The first entry has its claim
+     * in the table but is stopped (SIGSTOP) before it reads the answer; the resend withdraws that attempt at its side
+     * and runs its own; the first entry goes on (SIGCONT) and may not run what it still believes to hold.
+     */
+    private static void paidOnceThoughItsHolderIsPaused(ProcessWorld world, String key) throws Exception {
+        world.fault("platform", "{\"slowMillis\":800}");
+        CompletableFuture<CallerAnswer> first = world.caller().call(world.entry(0), world.deposit(key));
+        Await.until(() -> world.inFlight("entry-0") > 0);
+        world.process("entry-0").pause();
+        Await.until(() -> world.isClaimed(key));
+        world.fault("platform", "{\"slowMillis\":0}");
+        CallerAnswer second =
+                world.caller().call(world.entry(1), world.deposit(key)).join();
+        world.process("entry-0").resume();
+        assertTrue(second.isWhole(), second.toString());
+        assertEquals(second.text(), first.join().text());
+        assertEquals(1, world.runs(key));
+    }
+
     private static void completeThrough(ProcessWorld world, List<Integer> entries, String prefix) throws Exception {
         List<CompletableFuture<CallerAnswer>> streams = IntStream.range(0, COMPLETIONS)
                 .mapToObj(number -> world.caller()
--- a/src/test/java/io/waxwingquay/scenario/ProcessWorld.java
+++ b/src/test/java/io/waxwingquay/scenario/ProcessWorld.java
@@ -5,8 +5,11 @@
 import io.waxwingquay.bench.SettingsText;
 import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.bundle.BundleDocument;
+import io.waxwingquay.claim.ClaimStore;
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.common.HttpCalls;
 import io.waxwingquay.common.Json;
+import io.waxwingquay.platform.HttpTableService;
 import io.waxwingquay.testing.Await;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -84,6 +87,8 @@
     private final Path folder;
     private final Bundle bundle = BundleDocument.parse("bundle", BUNDLE.getBytes(StandardCharsets.UTF_8));
     private final Map<String, StartedProcess> processes = new LinkedHashMap<>();
+    private static final long TABLE_TIMEOUT_MILLIS = 5_000L;
+
     private final Map<String, HostPort> targets = new LinkedHashMap<>();
     private final Map<String, Integer> callerPorts = new LinkedHashMap<>();
     private final Map<String, Integer> adminPorts = new LinkedHashMap<>();
@@ -149,6 +154,26 @@
         return stats.path("runsByKey").path(key).asInt();
     }
 
+    /** Requests in flight at an entry, by its state dump. */
+    long inFlight(String entry) throws Exception {
+        JsonNode dump = Json.MAPPER.readTree(get("http://" + LOOPBACK + ":" + adminPorts.get(entry) + "/dump"));
+        return dump.path("sections").path("entry").path("inFlight").asLong();
+    }
+
+    /** Whether the table has a claim under a key. */
+    boolean isClaimed(String key) {
+        String row = ClaimStore.rowKey("booking", key);
+        org.eclipse.jetty.client.HttpClient client = HttpCalls.startClient(1, TABLE_TIMEOUT_MILLIS);
+        try {
+            return new HttpTableService(client, targets.get("platform"), TABLE_TIMEOUT_MILLIS)
+                    .read(List.of(row))
+                    .join()
+                    .containsKey(row);
+        } finally {
+            Await.closing(client::stop);
+        }
+    }
+
     /** Makes a stand-in show faults. */
     void fault(String standin, String settings) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + targets.get(standin) + "/faults"))
