--- a/src/main/java/io/waxwingquay/side/AttemptBook.java
+++ b/src/main/java/io/waxwingquay/side/AttemptBook.java
@@ -44,6 +44,9 @@
         if (known != null) {
             return new Taken(Outcome.ATTACHED, Optional.of(known));
         }
+        if (withdrawn.containsKey(submission.getAttemptId())) {
+            return new Taken(Outcome.WITHDRAWN, Optional.empty());
+        }
         if (forgotten.contains(hash(submission.getAttemptId()))) {
             return new Taken(Outcome.FORGOTTEN, Optional.empty());
         }
