Keep what any process may ask in one place, and tell a failed command in a sentence

Ruled out: letting SideNode drop the calls (tests and the door speak to it as a whole side). Change: transport.ForwardingPeer; Bench checks its bundle file; one handler prints a failed command's sentence. Conclusion: one door, one forwarding.

--- a/src/main/java/io/waxwingquay/bench/Bench.java
+++ b/src/main/java/io/waxwingquay/bench/Bench.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,10 +25,14 @@
     /**
      * Checks the names.
      *
-     * @throws IllegalArgumentException if a name is not known.
+     * @throws IllegalArgumentException if a name is not known, or the workload's bundle is not there.
      */
     public Bench {
-        Workload.named(workload);
+        Path bundle = bundles.resolve(Workload.named(workload).bundleFile());
+        if (!Files.isRegularFile(bundle)) {
+            throw new IllegalArgumentException("bundle file " + bundle + " of workload " + workload
+                    + " is not there; run at the repository's root or give --bundles");
+        }
         Fault.named(fault);
         policies = List.copyOf(policies);
         policies.forEach(PolicyPair::named);
--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -8,6 +8,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.ParseResult;
 import picocli.CommandLine.Spec;
 
 /**
@@ -54,7 +55,7 @@
                 .addSubcommand(new StandinCommand())
                 .addSubcommand(new CompletionCommand());
         describeExitCodes(root);
-        return root;
+        return root.setExecutionExceptionHandler(Main::tell);
     }
 
     /** {@inheritDoc} */
@@ -63,6 +64,13 @@
         throw new ParameterException(spec.commandLine(), "a command is needed");
     }
 
+    /** An operator is told what failed in a sentence; the trace is for a search after a cause, at DEBUG. */
+    private static int tell(Exception failure, CommandLine command, ParseResult arguments) {
+        command.getErr().println(command.getCommandSpec().qualifiedName() + " failed: " + failure);
+        System.getLogger("waxwingquay.command").log(System.Logger.Level.DEBUG, "command: a command failed.", failure);
+        return ExitCodes.FAILED;
+    }
+
     private static void describeExitCodes(CommandLine command) {
         command.getCommandSpec()
                 .usageMessage()
--- a/src/main/java/io/waxwingquay/process/SideDoor.java
+++ b/src/main/java/io/waxwingquay/process/SideDoor.java
@@ -1,18 +1,12 @@
 package io.waxwingquay.process;
 
 import io.waxwingquay.side.SideNode;
+import io.waxwingquay.transport.ForwardingPeer;
 import io.waxwingquay.transport.PeerProtocol;
 import io.waxwingquay.transport.SideProtocol;
 import io.waxwingquay.transport.generated.AttemptState;
-import io.waxwingquay.transport.generated.BundleAnswer;
-import io.waxwingquay.transport.generated.BundleRequest;
 import io.waxwingquay.transport.generated.Execution;
-import io.waxwingquay.transport.generated.GossipAnswer;
-import io.waxwingquay.transport.generated.GossipRequest;
 import io.waxwingquay.transport.generated.LoadReport;
-import io.waxwingquay.transport.generated.PermitAnswer;
-import io.waxwingquay.transport.generated.PermitRequest;
-import io.waxwingquay.transport.generated.PermitReturn;
 import io.waxwingquay.transport.generated.PollAnswer;
 import io.waxwingquay.transport.generated.PollRequest;
 import io.waxwingquay.transport.generated.Refusal;
@@ -21,7 +15,6 @@
 import io.waxwingquay.transport.generated.ResolveRequest;
 import io.waxwingquay.transport.generated.Submission;
 import io.waxwingquay.transport.generated.SubmitAnswer;
-import io.waxwingquay.transport.generated.SuspectNotice;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -31,16 +24,15 @@
 /**
  * What a side process answers from its first moment on: its peers at once, entries once it has a bundle in force.
  */
-final class SideDoor implements SideProtocol {
+final class SideDoor extends ForwardingPeer implements SideProtocol {
 
     private static final long RETRY_AFTER_MILLIS = 1_000L;
 
-    private final PeerProtocol peer;
     private final long epoch;
     private final AtomicReference<Optional<SideNode>> node = new AtomicReference<>(Optional.empty());
 
     SideDoor(PeerProtocol peer, long epoch) {
-        this.peer = peer;
+        super(peer);
         this.epoch = epoch;
     }
 
@@ -82,42 +74,6 @@
         return whenOpen(open -> open.resolve(request), new ResolveAnswer(Execution.UNKNOWN, AttemptState.ABSENT));
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<GossipAnswer> gossip(GossipRequest request) {
-        return peer.gossip(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<BundleAnswer> fetchBundle(BundleRequest request) {
-        return peer.fetchBundle(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<Boolean> noteSuspects(SuspectNotice notice) {
-        return peer.noteSuspects(notice);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<PermitAnswer> borrowPermit(PermitRequest request) {
-        return peer.borrowPermit(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<Boolean> returnPermit(PermitReturn request) {
-        return peer.returnPermit(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<Boolean> ping() {
-        return peer.ping();
-    }
-
     private <T> CompletableFuture<T> whenOpen(Function<SideNode, CompletableFuture<T>> call, T otherwise) {
         return node.get().map(call).orElseGet(() -> CompletableFuture.completedFuture(otherwise));
     }
--- a/src/main/java/io/waxwingquay/side/SideNode.java
+++ b/src/main/java/io/waxwingquay/side/SideNode.java
@@ -1,17 +1,11 @@
 package io.waxwingquay.side;
 
 import io.waxwingquay.ledger.MemoryLedger.Snapshot;
+import io.waxwingquay.transport.ForwardingPeer;
 import io.waxwingquay.transport.PeerProtocol;
 import io.waxwingquay.transport.SideProtocol;
 import io.waxwingquay.transport.generated.AttemptState;
-import io.waxwingquay.transport.generated.BundleAnswer;
-import io.waxwingquay.transport.generated.BundleRequest;
 import io.waxwingquay.transport.generated.Execution;
-import io.waxwingquay.transport.generated.GossipAnswer;
-import io.waxwingquay.transport.generated.GossipRequest;
-import io.waxwingquay.transport.generated.PermitAnswer;
-import io.waxwingquay.transport.generated.PermitRequest;
-import io.waxwingquay.transport.generated.PermitReturn;
 import io.waxwingquay.transport.generated.PollAnswer;
 import io.waxwingquay.transport.generated.PollRequest;
 import io.waxwingquay.transport.generated.RefusalReason;
@@ -20,7 +14,6 @@
 import io.waxwingquay.transport.generated.SideState;
 import io.waxwingquay.transport.generated.Submission;
 import io.waxwingquay.transport.generated.SubmitAnswer;
-import io.waxwingquay.transport.generated.SuspectNotice;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -33,17 +26,16 @@
 /**
  * The only door to one target. Built by {@link SideNodeBuilder}.
  */
-public final class SideNode implements SideProtocol, AutoCloseable {
+public final class SideNode extends ForwardingPeer implements SideProtocol, AutoCloseable {
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.side");
     private static final long DRAIN_CHECK_MILLIS = 20L;
 
     private final SideParts parts;
-    private final PeerProtocol peer;
 
     SideNode(SideParts parts, PeerProtocol peer) {
+        super(peer);
         this.parts = parts;
-        this.peer = peer;
     }
 
     /**
@@ -180,42 +172,6 @@
         return CompletableFuture.completedFuture(parts.book().resolve(request.getAttemptId(), request.isWithdraw()));
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<GossipAnswer> gossip(GossipRequest request) {
-        return peer.gossip(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<BundleAnswer> fetchBundle(BundleRequest request) {
-        return peer.fetchBundle(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<Boolean> noteSuspects(SuspectNotice notice) {
-        return peer.noteSuspects(notice);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<PermitAnswer> borrowPermit(PermitRequest request) {
-        return peer.borrowPermit(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<Boolean> returnPermit(PermitReturn request) {
-        return peer.returnPermit(request);
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public CompletableFuture<Boolean> ping() {
-        return CompletableFuture.completedFuture(true);
-    }
-
     /** Stops at once, whatever is in flight; drain first. */
     @Override
     public void close() {
--- a/src/test/java/io/waxwingquay/command/MainTest.java
+++ b/src/test/java/io/waxwingquay/command/MainTest.java
@@ -122,6 +122,20 @@
         assertEquals(ExitCodes.USAGE, run("side"));
     }
 
+    @Test
+    void namesTheBundleFileThatTheBenchLacks() {
+        String folder = directory.toString();
+        int exitCode = run(
+                "bench",
+                "run",
+                "--workload=tamworth",
+                "--policy=waxwingquay",
+                "--bundles=" + folder,
+                "--out=" + folder);
+        assertEquals(ExitCodes.USAGE, exitCode);
+        assertTrue(err.toString().contains("tamworth.toml of workload tamworth is not there"), err.toString());
+    }
+
     private void assertHelp(CommandLine command, List<String> path) {
         command.getSubcommands().forEach((name, subcommand) -> {
             List<String> below = new ArrayList<>(path);
