--- a/src/main/java/io/waxwingquay/bench/LocalDeployment.java
+++ b/src/main/java/io/waxwingquay/bench/LocalDeployment.java
@@ -21,7 +21,6 @@
 import io.waxwingquay.process.SideProcess;
 import io.waxwingquay.settings.EntrySettings;
 import io.waxwingquay.settings.SideSettings;
-import io.waxwingquay.standin.CostModel;
 import io.waxwingquay.standin.PlatformStandin;
 import java.nio.charset.StandardCharsets;
 import java.security.KeyPair;
@@ -56,13 +55,13 @@
     private final KeyPair operatorKey = KeyCodec.generate();
     private final PlatformStandin platform;
     private final LocalTargets targets;
-    private final Builder choices;
+    private final LocalDeploymentBuilder choices;
     private final SettingsText texts;
     private final Map<String, SideProcess> sides = new LinkedHashMap<>();
     private final List<EntryProcess> entries = new ArrayList<>();
     private final List<HostPort> callerAddresses = new CopyOnWriteArrayList<>();
 
-    private LocalDeployment(Builder choices) {
+    LocalDeployment(LocalDeploymentBuilder choices) {
         this.choices = choices;
         this.bundle = BundleDocument.parse("bundle", choices.document);
         this.platform =
@@ -82,8 +81,8 @@
      * @param document the bundle to serve, as TOML.
      * @return a builder.
      */
-    public static Builder of(byte[] document) {
-        return new Builder(document);
+    public static LocalDeploymentBuilder of(byte[] document) {
+        return new LocalDeploymentBuilder(document);
     }
 
     /**
@@ -276,7 +275,7 @@
         platform.close();
     }
 
-    private LocalDeployment start() {
+    LocalDeployment start() {
         BundleAcceptance.Outcome outcome = submit(choices.document);
         if (outcome.verdict() != BundleAcceptance.Verdict.ACCEPTED) {
             throw new IllegalStateException("the bundle was not accepted: " + outcome.message());
@@ -361,135 +360,4 @@
         /** The static plan of the bundle. */
         PRELOADED
     }
-
-    /** Describes a deployment. */
-    public static final class Builder {
-
-        private static final long DEFAULT_LEASE_MILLIS = 1_000L;
-        private static final long DEFAULT_WEIGHT_LOAD_MILLIS = 2_000L;
-
-        private final byte[] document;
-        private int entryCount = 2;
-        private String policy = "waxwingquay";
-        private SideProcess.Decisions decisions = SideProcess.Decisions.DEFAULT;
-        private CostModel costs = CostModel.DEFAULT;
-        private double timeScale = 1.0;
-        private long weightLoadMillis = DEFAULT_WEIGHT_LOAD_MILLIS;
-        private long leaseMillis = DEFAULT_LEASE_MILLIS;
-        private long orderQuarantineMillis;
-        private long listLagMillis;
-        private Residents residents = Residents.NONE;
-
-        private Builder(byte[] document) {
-            this.document = document.clone();
-        }
-
-        /**
-         * Sets how many entries there are.
-         *
-         * @param count 1 or above.
-         * @return this builder.
-         */
-        public Builder entries(int count) {
-            this.entryCount = count;
-            return this;
-        }
-
-        /**
-         * Sets the routing policy of the entries.
-         *
-         * @param name its name.
-         * @return this builder.
-         */
-        public Builder routing(String name) {
-            this.policy = name;
-            return this;
-        }
-
-        /**
-         * Sets how the sides decide.
-         *
-         * @param choice the decisions.
-         * @return this builder.
-         */
-        public Builder decisions(SideProcess.Decisions choice) {
-            this.decisions = choice;
-            return this;
-        }
-
-        /**
-         * Sets what work costs an engine.
-         *
-         * @param model the costs at scale 1.
-         * @return this builder.
-         */
-        public Builder costs(CostModel model) {
-            this.costs = model;
-            return this;
-        }
-
-        /**
-         * Scales the times of the stand-ins.
-         *
-         * @param scale 0.1 is ten times as fast.
-         * @return this builder.
-         */
-        public Builder timeScale(double scale) {
-            this.timeScale = scale;
-            return this;
-        }
-
-        /**
-         * Sets the time of one model load at full speed.
-         *
-         * @param millis the time at scale 1.
-         * @return this builder.
-         */
-        public Builder weightLoadMillis(long millis) {
-            this.weightLoadMillis = millis;
-            return this;
-        }
-
-        /**
-         * Sets how long a side before an unfenced engine holds its orders back.
-         *
-         * @param millis longer than the longest delay of an order.
-         * @return this builder.
-         */
-        public Builder orderQuarantineMillis(long millis) {
-            this.orderQuarantineMillis = millis;
-            return this;
-        }
-
-        /**
-         * Sets how old the platform's VM list is.
-         *
-         * @param millis the lag.
-         * @return this builder.
-         */
-        public Builder listLagMillis(long millis) {
-            this.listLagMillis = millis;
-            return this;
-        }
-
-        /**
-         * Sets what the engines hold before any side starts.
-         *
-         * @param held what they hold.
-         * @return this builder.
-         */
-        public Builder residents(Residents held) {
-            this.residents = held;
-            return this;
-        }
-
-        /**
-         * Starts the deployment.
-         *
-         * @return the running deployment, which may not serve yet.
-         */
-        public LocalDeployment start() {
-            return new LocalDeployment(this).start();
-        }
-    }
 }
--- a/src/test/java/io/waxwingquay/scenario/DeploymentWorld.java
+++ b/src/test/java/io/waxwingquay/scenario/DeploymentWorld.java
@@ -3,6 +3,7 @@
 import io.waxwingquay.bench.Caller;
 import io.waxwingquay.bench.CallerAnswer;
 import io.waxwingquay.bench.LocalDeployment;
+import io.waxwingquay.bench.LocalDeploymentBuilder;
 import io.waxwingquay.bundle.Bundle;
 import io.waxwingquay.process.EntryProcess;
 import io.waxwingquay.process.SideProcess;
@@ -58,7 +59,7 @@
     }
 
     /** Starts a deployment and waits until it serves every model. */
-    void start(UnaryOperator<LocalDeployment.Builder> choices) throws InterruptedException {
+    void start(UnaryOperator<LocalDeploymentBuilder> choices) throws InterruptedException {
         LocalDeployment started = own(choices.apply(
                         LocalDeployment.of(document()).timeScale(TIME_SCALE).entries(2))
                 .start());
