Place copies by what each is worth

Ruled out: the engines' own speed (64 running at 45,000 of 155,000 tokens). Besides, a look again in state AWAITING was illegal in the chart and ended the tick for all requests; orders for adapters met 409 while a model loads. Change: a copy's worth is the requests a second not served without it; intents are told in news.

--- a/src/main/java/io/waxwingquay/command/HostedCommand.java
+++ b/src/main/java/io/waxwingquay/command/HostedCommand.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.hosted.HostedEntry;
 import io.waxwingquay.hosted.HostedProcess;
 import io.waxwingquay.hosted.HostedSide;
+import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.observe.Logging;
 import io.waxwingquay.platform.SettingsFile;
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
@@ -12,8 +13,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -58,7 +60,7 @@
             spec.commandLine().getErr().println("settings file " + path() + " cannot be read: " + failure.getMessage());
             return ExitCodes.FAILED;
         }
-        HostedProcess process = role.start.apply(settings);
+        HostedProcess process = start(settings);
         CountDownLatch left = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), signal -> process.leave().thenRun(left::countDown));
         // The settings that this program uses do not change while a VM lives; the virtual machine would exit on HUP.
@@ -68,6 +70,20 @@
         return ExitCodes.OK;
     }
 
+    /** All of a process is put together on its loop, so that two threads never read and load classes side by side. */
+    private HostedProcess start(HostSettings settings) {
+        EventLoop loop = EventLoop.start("loop");
+        CompletableFuture<HostedProcess> started = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                started.complete(role.start.apply(loop, settings));
+            } catch (RuntimeException failure) {
+                started.completeExceptionally(failure);
+            }
+        });
+        return started.join();
+    }
+
     private Path path() {
         return file != null ? file : Path.of(System.getenv().getOrDefault(SettingsFile.VARIABLE, "local.toml"));
     }
@@ -79,9 +95,9 @@
         /** Looks after the engine beside it. */
         SIDE(HostedSide::start);
 
-        private final Function<HostSettings, HostedProcess> start;
+        private final BiFunction<EventLoop, HostSettings, HostedProcess> start;
 
-        Role(Function<HostSettings, HostedProcess> start) {
+        Role(BiFunction<EventLoop, HostSettings, HostedProcess> start) {
             this.start = start;
         }
     }
--- a/src/main/java/io/waxwingquay/forward/DemandMeter.java
+++ b/src/main/java/io/waxwingquay/forward/DemandMeter.java
@@ -8,9 +8,15 @@
 final class DemandMeter {
 
     /** Short enough to follow a shift of demand within seconds, long enough not to chase single requests. */
-    private static final double HALF_LIFE_MILLIS = 3_000.0;
+    private static final double HALF_LIFE_MILLIS = 2_000.0;
 
-    private static final double FORGOTTEN = 0.02;
+    private static final double FORGOTTEN = 0.01;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    /** What a request is taken to last before one has ended, and the weight of the newest. */
+    private static final double FIRST_DURATION_MILLIS = 800.0;
+
+    private static final double SMOOTHING = 0.05;
 
     private final Map<String, Demand> byModel = new HashMap<>();
 
@@ -22,16 +28,10 @@
         demand(model).inFlight++;
     }
 
-    void ended(String model) {
-        demand(model).inFlight--;
-    }
-
-    void turnedAway(String model, long nowMillis) {
-        demand(model).turnedAway.add(1, nowMillis);
-    }
-
-    void waiting(String model, int change) {
-        demand(model).waiting += change;
+    void ended(String model, long tookMillis) {
+        Demand demand = demand(model);
+        demand.inFlight--;
+        demand.durationMillis += SMOOTHING * (tookMillis - demand.durationMillis);
     }
 
     Map<String, ModelDemand> snapshot(long nowMillis) {
@@ -48,17 +48,17 @@
     private static final class Demand {
 
         private final Decayed asked = new Decayed(HALF_LIFE_MILLIS);
-        private final Decayed turnedAway = new Decayed(HALF_LIFE_MILLIS);
+        private double durationMillis = FIRST_DURATION_MILLIS;
         private int inFlight;
-        private int waiting;
 
         private boolean isOver(long nowMillis) {
-            return inFlight == 0 && waiting == 0 && asked.value(nowMillis) < FORGOTTEN;
+            return inFlight == 0 && asked.value(nowMillis) < FORGOTTEN;
         }
 
+        /** Those that were refused are not under way; they count by what they would have taken. */
         private ModelDemand tell(long nowMillis) {
-            int away = (int) Math.round(turnedAway.value(nowMillis)) + waiting;
-            return new ModelDemand(asked.perSecond(nowMillis), inFlight + waiting, away);
+            double perSecond = asked.perSecond(nowMillis);
+            return new ModelDemand(perSecond, Math.max(inFlight, perSecond * durationMillis / MILLIS_PER_SECOND));
         }
     }
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -195,7 +195,6 @@
 
     private void awaitModel(long readyMillis, long nowMillis) {
         long leftMillis = limitMillis - nowMillis;
-        context.demand().turnedAway(ask.model().get(), nowMillis);
         context.modelMissed();
         if (isResuming() || readyMillis < leftMillis * MODEL_WAIT_SHARE) {
             lookAgain();
@@ -448,7 +447,7 @@
             attempt = null;
         }
         of.target().ended(ask.model(), ask.adapter());
-        ask.model().ifPresent(context.demand()::ended);
+        ask.model().ifPresent(model -> context.demand().ended(model, EventLoop.nowMillis() - of.sentMillis()));
     }
 
     private void move(ExchangeState.Event event) {
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -39,8 +39,11 @@
     /** How exactly time limits are kept. */
     private static final long TICK_MILLIS = 15L;
 
-    /** Before a configuration is known a caller may come back soon, as reading it takes milliseconds. */
-    private static final long NO_MANIFEST_COME_BACK_MILLIS = 500L;
+    /** A caller refused by this process alone may come back soon: it reaches another entry. */
+    private static final long ELSEWHERE_MILLIS = 200L;
+
+    /** How many times its objective a call of a plain service may take. */
+    private static final long PLAIN_OBJECTIVES = 4L;
 
     /** Kept free at each replica for other callers than our entries, such as health checks. */
     private static final double CONNECTION_SHARE = 0.9;
@@ -65,6 +68,7 @@
     private Optional<Manifest> manifest = Optional.empty();
     private RouteTable routes = RouteTable.of(List.of());
     private int entries;
+    private long exitMillis = Long.MAX_VALUE;
 
     /**
      * A forwarder without a configuration yet.
@@ -124,6 +128,15 @@
         return manifest;
     }
 
+    /**
+     * From now on refuses what may not end in time: streams, and near the end everything.
+     *
+     * @param millis how long until this process exits.
+     */
+    public void leaveWithin(long millis) {
+        exitMillis = EventLoop.nowMillis() + millis;
+    }
+
     /** {@inheritDoc} */
     @Override
     public void handle(ServerExchange caller) {
@@ -144,6 +157,10 @@
             caller.respond(NOT_FOUND, HttpFields.EMPTY, "no route leads there");
             return;
         }
+        if (mayOutlast(route.get())) {
+            refuse(caller, "this process is about to exit");
+            return;
+        }
         Exchange exchange = new Exchange(this, caller, route.get(), ask);
         active.add(exchange);
         exchange.start();
@@ -235,6 +252,19 @@
                 .toList();
     }
 
+    /**
+     * Models that requests sent from here use on one engine.
+     *
+     * @param engine the engine's address.
+     * @return their names.
+     */
+    public List<String> modelsInUse(HostPort engine) {
+        return targets.values().stream()
+                .filter(target -> target.address().equals(engine))
+                .flatMap(target -> target.modelsInUse().stream())
+                .toList();
+    }
+
     /**
      * How many requests are under way.
      *
@@ -322,10 +352,12 @@
         meters.ended(outcome.status(), tookMillis);
         LOG.log(
                 System.Logger.Level.INFO,
-                "forward: ended id={0} route={1} service={2} status={3} sent={4} took_ms={5} why={6}",
+                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} why={7}",
                 outcome.ask().id(),
                 outcome.route().name(),
                 outcome.service(),
+                outcome.ask().model().orElse("")
+                        + outcome.ask().adapter().map(name -> "/" + name).orElse(""),
                 outcome.status(),
                 outcome.attempts(),
                 tookMillis,
@@ -333,13 +365,34 @@
     }
 
     private void refuse(ServerExchange caller, String why) {
-        HttpFields fields = codec.refusal(Optional.of(jitter(NO_MANIFEST_COME_BACK_MILLIS)));
+        HttpFields fields = codec.refusal(Optional.of(jitter(ELSEWHERE_MILLIS)));
         caller.respond(UNAVAILABLE, fields, "it has not run: " + why);
     }
 
+    /** A request that is cut by this process's exit may have run; one that is refused before can go elsewhere. */
+    private boolean mayOutlast(Route route) {
+        if (exitMillis == Long.MAX_VALUE) {
+            return false;
+        }
+        long leftMillis = exitMillis - EventLoop.nowMillis();
+        return route.kind() == Route.Kind.STREAM || leftMillis < PLAIN_OBJECTIVES * route.objectiveMillis();
+    }
+
     private void tick() {
         long nowMillis = EventLoop.nowMillis();
-        new ArrayList<>(active).forEach(exchange -> exchange.tick(nowMillis));
+        new ArrayList<>(active).forEach(exchange -> tick(exchange, nowMillis));
+    }
+
+    /** A fault in one request must not keep the time limits of the others from being looked at. */
+    private static void tick(Exchange exchange, long nowMillis) {
+        try {
+            exchange.tick(nowMillis);
+        } catch (RuntimeException failure) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "forward: a request failed id=" + exchange.ask().id(),
+                    failure);
+        }
     }
 
     private void entries(int count) {
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** One life of a replica, as this entry sees it. */
 final class Target {
@@ -180,8 +181,16 @@
         return adaptersInUse;
     }
 
-    int modelInUse(String model) {
-        return modelsInUse.getOrDefault(model, 0);
+    Set<String> modelsInUse() {
+        return modelsInUse.keySet();
+    }
+
+    /** How long the engine loads a model still; meanwhile it takes no order for an adapter. */
+    long loadingMillis(long nowMillis) {
+        return freshNews(nowMillis)
+                .filter(EngineNews::isSetLoadingModel)
+                .map(EngineNews::getLoadingMillis)
+                .orElse(0L);
     }
 
     void began(Optional<String> model, Optional<String> adapter) {
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -140,6 +140,10 @@
         if (target.holdsAdapter(model, adapter, nowMillis)) {
             return 0;
         }
+        long loadingMillis = target.loadingMillis(nowMillis);
+        if (loadingMillis > 0) {
+            return ADAPTER_EVICTION_MILLIS + loadingMillis;
+        }
         double affinity = AFFINITY_MILLIS * uniform(target.id(), adapter);
         if (target.adaptersInUse().size() >= engine.adapterSlots()) {
             return ADAPTER_SLOTS_TAKEN_MILLIS + affinity;
--- a/src/main/java/io/waxwingquay/hosted/Departure.java
+++ b/src/main/java/io/waxwingquay/hosted/Departure.java
@@ -4,14 +4,15 @@
 import io.waxwingquay.net.HttpServer;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.IntSupplier;
+import java.util.function.LongConsumer;
 
 /**
  * How an entry leaves without cutting a request.
  *
  * <p>Failure: an entry that is told to stop stops listening at once. Symptom: callers whom the platform still sends here
  * are refused, and requests on kept connections are cut. So it is not ready from the first moment, but takes requests
- * until the platform has looked twice and sends nobody any more; then answers end their connections, idle ones are
- * closed, and it exits when no request is under way, or just before it would be killed.
+ * until the platform has looked twice and sends nobody any more, each answer ending its connection; then idle ones are
+ * closed, what could not end in time is refused, and it exits when no request is under way, or just before it would be killed.
  */
 final class Departure {
 
@@ -28,15 +29,17 @@
     private final EventLoop loop;
     private final HttpServer server;
     private final IntSupplier active;
+    private final LongConsumer refuser;
     private final long graceMillis;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private volatile boolean underWay;
     private long beganMillis;
 
-    Departure(EventLoop loop, HttpServer server, IntSupplier active, long graceMillis) {
+    Departure(EventLoop loop, HttpServer server, IntSupplier active, LongConsumer refuser, long graceMillis) {
         this.loop = loop;
         this.server = server;
         this.active = active;
+        this.refuser = refuser;
         this.graceMillis = graceMillis;
     }
 
@@ -49,8 +52,9 @@
         loop.execute(() -> {
             beganMillis = EventLoop.nowMillis();
             LOG.log(System.Logger.Level.INFO, "hosted: leaving active={0}", active.getAsInt());
+            server.leave();
             loop.schedule(UNNOTICED_MILLIS, () -> {
-                server.leave();
+                refuser.accept(graceMillis - UNNOTICED_MILLIS - EXIT_MILLIS);
                 look();
             });
         });
@@ -58,6 +62,7 @@
     }
 
     private void look() {
+        server.closeIdle();
         boolean late = EventLoop.nowMillis() - beganMillis > graceMillis - EXIT_MILLIS;
         if (late || active.getAsInt() == 0 && server.connectionCount() == 0) {
             LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", active.getAsInt());
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -54,9 +54,9 @@
     private long number;
     private boolean tellingSoon;
 
-    private HostedEntry(HostSettings settings) {
+    private HostedEntry(EventLoop loop, HostSettings settings) {
         this.settings = settings;
-        this.loop = EventLoop.start("loop");
+        this.loop = loop;
         this.admin = new AdminPages(loop, new HostPort(settings.host(), settings.adminPort()));
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::received);
         this.forwarder = new Forwarder(
@@ -72,19 +72,24 @@
         this.server = HttpServer.listen(loop, socket(callers), forwarder);
         HttpServer.listen(loop, socket(readiness), this::readiness);
         this.departure = new Departure(
-                loop, server, forwarder::activeCount, settings.bounds().graceMillis());
+                loop,
+                server,
+                forwarder::activeCount,
+                forwarder::leaveWithin,
+                settings.bounds().graceMillis());
         admin.dump(() -> "active=" + forwarder.activeCount() + " replicas=" + replicas.replicas());
         loop.execute(this::begin);
     }
 
     /**
-     * Starts the process.
+     * Starts the process; called on the loop.
      *
+     * @param loop where everything runs.
      * @param settings what it is told.
      * @return the running process.
      */
-    public static HostedEntry start(HostSettings settings) {
-        return new HostedEntry(settings);
+    public static HostedEntry start(EventLoop loop, HostSettings settings) {
+        return new HostedEntry(loop, settings);
     }
 
     /** {@inheritDoc} */
@@ -132,8 +137,11 @@
                 .setEntries(0)
                 .setEntryAddresses(List.of())
                 .setSuspects(List.of());
-        engines.forEach(engine ->
-                peers.send(beside(engine), PeerDatagram.entry(news.setAdaptersInUse(forwarder.adaptersInUse(engine)))));
+        engines.forEach(engine -> {
+            news.setAdaptersInUse(forwarder.adaptersInUse(engine));
+            news.setModelsInUse(forwarder.modelsInUse(engine));
+            peers.send(beside(engine), PeerDatagram.entry(news));
+        });
     }
 
     private Optional<Engine> engine() {
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -31,9 +31,9 @@
     private boolean known;
     private boolean reading;
 
-    private HostedSide(HostSettings settings, HostPort engine) {
+    private HostedSide(EventLoop loop, HostSettings settings, HostPort engine) {
         this.settings = settings;
-        this.loop = EventLoop.start("loop");
+        this.loop = loop;
         this.service = settings.service().orElse("");
         PreparedPlatform platform = new PreparedPlatform(loop, settings.store());
         this.manifests = platform.manifests();
@@ -45,15 +45,16 @@
     }
 
     /**
-     * Starts the process.
+     * Starts the process; called on the loop.
      *
+     * @param loop where everything runs.
      * @param settings what it is told.
      * @return the running process.
      */
-    public static HostedSide start(HostSettings settings) {
+    public static HostedSide start(EventLoop loop, HostSettings settings) {
         HostPort engine = settings.engine()
                 .orElseThrow(() -> new IllegalArgumentException("app: is missing; this role runs beside an engine"));
-        return new HostedSide(settings, engine);
+        return new HostedSide(loop, settings, engine);
     }
 
     /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -50,9 +50,13 @@
         this.limits = newLimits;
     }
 
-    /** From now on each answer ends its connection, and connections without a request are closed. */
+    /** From now on each answer ends its connection. */
     public void leave() {
         leaving = true;
+    }
+
+    /** Closes connections without a request. */
+    public void closeIdle() {
         new ArrayList<>(connections).stream().filter(ServerConnection::isIdle).forEach(ServerConnection::close);
     }
 
--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -3,12 +3,12 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -39,6 +39,14 @@
         awaitInput();
     }
 
+    /**
+     * Jetty's endpoint turns a reset into an orderly end. Symptom: an answer without a length that its server broke off
+     * is taken for a whole one. The channel itself tells the two apart.
+     */
+    private ReadableByteChannel channel() {
+        return (ReadableByteChannel) getEndPoint().getTransport();
+    }
+
     /** Asks to be called when there is something to read. */
     final void awaitInput() {
         if (!ended && getEndPoint().isOpen() && !getEndPoint().isFillInterested()) {
@@ -51,10 +59,11 @@
     public void onFillable() {
         ByteBuffer buffer = loop.input();
         while (!ended && getEndPoint().isOpen()) {
-            BufferUtil.clear(buffer);
+            buffer.clear();
             int count;
             try {
-                count = getEndPoint().fill(buffer);
+                count = channel().read(buffer);
+                buffer.flip();
             } catch (IOException failure) {
                 end(failure);
                 return;
--- a/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
+++ b/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
@@ -14,7 +14,7 @@
 final class HttpEngineControl implements EngineControl {
 
     /** An engine on the same VM answers within milliseconds; later answers are of no use. */
-    private static final long TIMEOUT_MILLIS = 1_000L;
+    private static final long TIMEOUT_MILLIS = 300L;
 
     /**
      * Each engine is ordered by the one process beside it for all its life, so that numbers of holders never compete;
@@ -28,6 +28,7 @@
 
     private final HttpCaller engine;
     private final String holder;
+    boolean shown;
 
     HttpEngineControl(EventLoop loop, HostPort address, String holder) {
         this.engine = new HttpCaller(loop, address, TIMEOUT_MILLIS);
@@ -42,6 +43,10 @@
                 throw new StoreException("the engine answered a question with " + reply.status());
             }
             try {
+                if (!shown) {
+                    shown = true;
+                    System.getLogger("waxwingquay.x").log(System.Logger.Level.INFO, new String(reply.body()));
+                }
                 return ReplicaReader.report(Wire.read(reply.body()));
             } catch (IOException failure) {
                 throw new StoreException("the engine's report can't be read: " + failure);
--- a/src/main/java/io/waxwingquay/residency/AdapterShelf.java
+++ b/src/main/java/io/waxwingquay/residency/AdapterShelf.java
@@ -43,14 +43,14 @@
         return !waits.isEmpty();
     }
 
-    /** Answers those whose adapter is there, and those whose model is not. */
+    /** Answers those whose adapter is there, and those who had better ask elsewhere: the engine takes no order now. */
     void settle(EngineReport report, Answerer answerer) {
         for (Iterator<Map.Entry<Name, Wait>> each = waits.entrySet().iterator(); each.hasNext(); ) {
             Map.Entry<Name, Wait> entry = each.next();
             Name name = entry.getKey();
             Optional<Boolean> present =
                     report.model(name.model).map(model -> model.adapters().contains(name.adapter));
-            if (present.isEmpty() || present.get()) {
+            if (report.ordering() || present.isEmpty() || present.get()) {
                 each.remove();
                 entry.getValue().answer(answerer, present.orElse(false));
             }
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -16,23 +16,26 @@
  * engine best for the same model, so each acts only on its own part and none has to lead. Different views cost a load
  * too many, never memory, as each process guards that of its own engine.
  *
- * <p>A model without any copy that callers ask for goes first, then copies of busy models, then models without a copy
- * that nobody asks for, into free room only. The last copy of a model goes only for one that is asked for more.
+ * <p>Each copy of a model has a worth in requests a second that would not be served in time without it. A copy is
+ * loaded where that gains clearly more than what makes way for it is worth, so the last copy of a model goes only for
+ * one that far more callers ask for, and what nobody asks for goes first.
  */
 public final class CopyPlan {
 
-    /** The part of an engine's places that one model's load should take at the most, so that a burst finds room. */
+    /** The part of an engine's places that one model should take at the most, so that a burst finds room. */
     private static final double PLACES_SHARE = 0.5;
 
-    /** Requests a second from which a second copy is worth its room, as an engine may fail at any time. */
-    private static final double SECOND_COPY_PER_SECOND = 2.0;
+    /** What a copy beyond those needed for the load is worth: engines fail now and then, and seconds are lost then. */
+    private static final double SPARE_SHARE = 0.02;
 
-    /** How much more a model must be asked for than the one whose last copy makes way for it. */
-    private static final double LAST_COPY_FACTOR = 2.0;
+    /** How much more a copy must gain than what makes way for it is worth; less would swap models to and fro. */
+    private static final double GAIN_FACTOR = 2.0;
+
+    /** A model that nobody asked for lately is still worth this, so that it is dropped for need and not for nothing. */
+    private static final double UNASKED_WORTH = 0.01;
 
-    private static final double LAST_COPY_COST = 1_000.0;
-    private static final double COPY_COST = 50.0;
     private static final double BUSY_COST = 30.0;
+    private static final double LOSS_COST = 20.0;
     private static final double MILLIS_PER_COST = 100.0;
 
     private final Engine engine;
@@ -68,7 +71,7 @@
      */
     public Optional<Step> stepFor(HostPort own) {
         Set<HostPort> taken = new HashSet<>();
-        for (Engine.Model model : missing()) {
+        for (Engine.Model model : byGain()) {
             Optional<Candidate> best = engines.stream()
                     .filter(view -> view.loading().isEmpty())
                     .filter(view -> !taken.contains(view.address()))
@@ -84,53 +87,55 @@
         return Optional.empty();
     }
 
-    /** Copies that a model should have. */
-    int wanted(String model) {
-        Demand asked = demandFor(model);
-        int forLoad = (int) Math.ceil(asked.atOnce() / (engine.slots() * PLACES_SHARE));
-        int forFailure = asked.perSecond() >= SECOND_COPY_PER_SECOND ? 2 : 1;
-        return Math.min(engines.size(), Math.max(forLoad, forFailure));
+    /** Copies that a model's load needs. */
+    int needed(String model) {
+        return Math.max(1, (int) Math.ceil(demandFor(model).atOnce() / (engine.slots() * PLACES_SHARE)));
     }
 
-    private List<Engine.Model> missing() {
-        return engine.models().stream()
-                .filter(model -> copiesOf(model.name()) < wanted(model.name()))
-                .sorted(Comparator.comparingInt((Engine.Model model) -> urgency(model.name()))
-                        .thenComparingDouble(model -> -demandFor(model.name()).perSecond())
-                        .thenComparing(Engine.Model::name))
-                .toList();
+    /** Requests a second that one more copy would serve in time. */
+    double gain(String model) {
+        return worthOfCopy(model, copiesOf(model) + 1);
+    }
+
+    private double loss(String model) {
+        return worthOfCopy(model, copiesOf(model));
     }
 
-    private int urgency(String model) {
-        boolean absent = copiesOf(model) == 0;
-        if (absent && demandFor(model).isAsked()) {
-            return 0;
+    private double worthOfCopy(String model, int number) {
+        double perSecond = demandFor(model).perSecond();
+        if (number == 1) {
+            return Math.max(perSecond, UNASKED_WORTH);
         }
-        return absent ? 2 : 1;
+        int needed = needed(model);
+        return number <= needed ? perSecond / needed : perSecond * SPARE_SHARE;
+    }
+
+    private List<Engine.Model> byGain() {
+        return engine.models().stream()
+                .filter(model -> copiesOf(model.name()) < engines.size())
+                .filter(model -> gain(model.name()) >= UNASKED_WORTH)
+                .sorted(Comparator.comparingDouble((Engine.Model model) -> -gain(model.name()))
+                        .thenComparing(Engine.Model::name))
+                .toList();
     }
 
     private Optional<Candidate> candidate(EngineView view, Engine.Model model) {
         double loadMillis = view.near().contains(model.name()) ? model.diskLoadMillis() : model.storeLoadMillis();
-        double base = loadMillis / MILLIS_PER_COST
+        double cost = loadMillis / MILLIS_PER_COST
                 + BUSY_COST * view.load() / Math.max(1, engine.slots())
                 + spread(view.address(), model.name());
         double lacking = model.weightsMegabytes() - freeMegabytes(view);
         if (lacking <= 0) {
-            return Optional.of(new Candidate(view, List.of(), base));
+            return Optional.of(new Candidate(view, List.of(), cost));
         }
-        return makeWay(view, model, lacking)
-                .map(way -> new Candidate(
-                        view,
-                        way,
-                        base + way.stream().mapToDouble(each -> lossOf(each)).sum()));
+        return makeWay(view, model, lacking).map(way -> new Candidate(view, way, cost + LOSS_COST * losses(way)));
     }
 
     private Optional<List<String>> makeWay(EngineView view, Engine.Model model, double lackingMegabytes) {
         List<String> way = new ArrayList<>();
         double lacking = lackingMegabytes;
         List<String> byLoss = view.held().stream()
-                .filter(held -> mayGoFor(held, model.name()))
-                .sorted(Comparator.comparingDouble(this::lossOf).thenComparing(held -> held))
+                .sorted(Comparator.comparingDouble(this::loss).thenComparing(held -> held))
                 .toList();
         for (String held : byLoss) {
             if (lacking <= 0) {
@@ -139,32 +144,12 @@
             way.add(held);
             lacking -= weights(held);
         }
-        return lacking <= 0 && !way.isEmpty() ? Optional.of(way) : Optional.empty();
+        boolean worthIt = gain(model.name()) > GAIN_FACTOR * losses(way);
+        return lacking <= 0 && worthIt ? Optional.of(way) : Optional.empty();
     }
 
-    private boolean mayGoFor(String held, String wanted) {
-        int left = copiesOf(held) - 1;
-        Demand asked = demandFor(wanted);
-        boolean absent = copiesOf(wanted) == 0;
-        if (left >= wanted(held)) {
-            return asked.isAsked();
-        }
-        if (left >= 1) {
-            // A copy of a busy model makes way only for one that callers can't reach at all.
-            return absent && asked.isAsked();
-        }
-        return absent
-                && asked.isAsked()
-                && asked.perSecond() > LAST_COPY_FACTOR * demandFor(held).perSecond();
-    }
-
-    private double lossOf(String held) {
-        int left = copiesOf(held) - 1;
-        double asked = demandFor(held).perSecond();
-        if (left >= wanted(held)) {
-            return asked;
-        }
-        return left >= 1 ? COPY_COST + asked * COPY_COST : LAST_COPY_COST * asked;
+    private double losses(List<String> models) {
+        return models.stream().mapToDouble(this::loss).sum();
     }
 
     private double freeMegabytes(EngineView view) {
@@ -202,7 +187,7 @@
      *
      * @param address the engine.
      * @param held models that it holds.
-     * @param loading the model that it loads.
+     * @param loading the model that it loads, or makes way for.
      * @param near models whose weights lie in its host's memory or on its disk.
      * @param load requests in it.
      */
@@ -213,15 +198,12 @@
      * What callers ask of a model, over all entries.
      *
      * @param perSecond requests a second, smoothed.
-     * @param atOnce requests under way.
-     * @param turnedAway requests that found no copy lately.
+     * @param atOnce requests that are, or would be, under way at the same time.
      */
-    public record Demand(double perSecond, double atOnce, int turnedAway) {
+    public record Demand(double perSecond, double atOnce) {
 
         /** Nothing. */
-        public static final Demand NONE = new Demand(0, 0, 0);
-
-        private static final double ASKED_PER_SECOND = 0.02;
+        public static final Demand NONE = new Demand(0, 0);
 
         /**
          * Adds another entry's demand.
@@ -230,11 +212,7 @@
          * @return both together.
          */
         public Demand plus(Demand other) {
-            return new Demand(perSecond + other.perSecond, atOnce + other.atOnce, turnedAway + other.turnedAway);
-        }
-
-        boolean isAsked() {
-            return turnedAway > 0 || atOnce > 0 || perSecond > ASKED_PER_SECOND;
+            return new Demand(perSecond + other.perSecond, atOnce + other.atOnce);
         }
     }
 
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -39,6 +39,9 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
+    /** Before this process has heard the others, it would take their models for missing. */
+    private static final long HEAR_MILLIS = 1_500L;
+
     private final EventLoop loop;
     private final HostPort address;
     private final String service;
@@ -51,6 +54,7 @@
     private Optional<Engine> engine = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
     private Optional<Retiring> retiring = Optional.empty();
+    private long beganMillis;
     private boolean asking;
     private boolean lookSoon;
     private long number;
@@ -80,7 +84,18 @@
 
     /** Begins; called on the loop. */
     public void start() {
+        beganMillis = EventLoop.nowMillis();
         loop.every(LOOK_MILLIS, this::look);
+        loop.every(
+                1000,
+                () -> report.ifPresent(now -> LOG.log(
+                        System.Logger.Level.INFO,
+                        "residency: state running={0} waiting={1} kv={2} busy={3} models={4}",
+                        now.running(),
+                        now.waiting(),
+                        now.kvUsedTokens(),
+                        now.ordering(),
+                        now.models().toString().replace("ResidentModel", ""))));
         look();
     }
 
@@ -207,6 +222,10 @@
         if (retiring.isPresent()) {
             return retire(now, nowMillis);
         }
+        if (nowMillis - beganMillis < HEAR_MILLIS
+                || neighbours.entryAddresses(nowMillis).isEmpty()) {
+            return Optional.empty();
+        }
         Set<String> held = new HashSet<>(names(now));
         held.addAll(orders.doubtfulLoads());
         Set<String> near = new HashSet<>(now.onDisk());
@@ -224,7 +243,7 @@
         if (!step.get().makesWay().isEmpty()) {
             String first = step.get().makesWay().get(0);
             LOG.log(System.Logger.Level.INFO, "residency: model retires model={0} for={1}", first, model);
-            retiring = Optional.of(new Retiring(first, nowMillis));
+            retiring = Optional.of(new Retiring(first, model, nowMillis));
             tell(true);
             return Optional.empty();
         }
@@ -241,13 +260,10 @@
             return Optional.empty();
         }
         long waitedMillis = nowMillis - leaving.sinceMillis;
-        boolean idle = now.running() + now.waiting() == 0;
-        if (waitedMillis < RETIRE_MILLIS || !idle && waitedMillis < RETIRE_LIMIT_MILLIS / 4) {
+        boolean inUse = neighbours.modelsInUse(nowMillis).contains(leaving.model);
+        if (waitedMillis < RETIRE_MILLIS || inUse && waitedMillis < RETIRE_LIMIT_MILLIS) {
             return Optional.empty();
         }
-        if (waitedMillis > RETIRE_LIMIT_MILLIS) {
-            retiring = Optional.empty();
-        }
         return Optional.of(new EngineControl.Order(false, leaving.model, Optional.empty(), now.ordersTaken()));
     }
 
@@ -311,9 +327,10 @@
                 .setStoreLoads(pace.recent(nowMillis))
                 .setDraining(now.draining())
                 .setEntries(neighbours.entryAddresses(nowMillis).size());
-        orders.loading(now).ifPresent(model -> {
+        Optional<String> underWay = orders.loading(now).or(() -> retiring.map(Retiring::successor));
+        underWay.ifPresent(model -> {
             news.setLoadingModel(model);
-            news.setLoadingMillis(orders.loadingMillis(engine, now));
+            news.setLoadingMillis(orders.loadingMillis(engine, now, model));
         });
         return news;
     }
@@ -331,7 +348,14 @@
         return now.models().stream().map(ReplicaRecord.ResidentModel::name).collect(Collectors.toList());
     }
 
-    private record Retiring(String model, long sinceMillis) {}
+    /**
+     * A model that makes way.
+     *
+     * @param model the model.
+     * @param successor the one that is to be loaded then; the others are told, so that they do not load it too.
+     * @param sinceMillis since when.
+     */
+    private record Retiring(String model, String successor, long sinceMillis) {}
 
     /** Sends datagrams. */
     public interface Sender {
--- a/src/main/java/io/waxwingquay/residency/Neighbours.java
+++ b/src/main/java/io/waxwingquay/residency/Neighbours.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** What this process hears from entries and from the processes beside other engines. */
@@ -49,16 +50,22 @@
         entries.values().forEach(heard -> heard.news
                 .getDemand()
                 .forEach((model, each) -> all.merge(
-                        model,
-                        new CopyPlan.Demand(each.getPerSecond(), each.getAtOnce(), each.getTurnedAway()),
-                        CopyPlan.Demand::plus)));
+                        model, new CopyPlan.Demand(each.getPerSecond(), each.getAtOnce()), CopyPlan.Demand::plus)));
         return all;
     }
 
     Set<String> adaptersInUse(long nowMillis) {
+        return inUse(EntryNews::getAdaptersInUse, nowMillis);
+    }
+
+    Set<String> modelsInUse(long nowMillis) {
+        return inUse(EntryNews::getModelsInUse, nowMillis);
+    }
+
+    private Set<String> inUse(Function<EntryNews, List<String>> names, long nowMillis) {
         return entries.values().stream()
                 .filter(heard -> !heard.isOld(nowMillis))
-                .flatMap(heard -> heard.news.getAdaptersInUse().stream())
+                .flatMap(heard -> names.apply(heard.news).stream())
                 .collect(Collectors.toCollection(HashSet::new));
     }
 
--- a/src/main/java/io/waxwingquay/residency/OrderBook.java
+++ b/src/main/java/io/waxwingquay/residency/OrderBook.java
@@ -21,6 +21,9 @@
     /** The longest that an unanswered order is known to take, and a margin. */
     static final long LATE_MILLIS = 13_000L;
 
+    /** A load that should be over has at least this to go. */
+    private static final long LEAST_MILLIS = 50L;
+
     private final EngineControl control;
     private final LongSupplier clockMillis;
     private final List<Doubtful> doubtful = new ArrayList<>();
@@ -78,13 +81,14 @@
     }
 
     /** How long the load under way is expected to take still. */
-    long loadingMillis(Optional<Engine> engine, EngineReport report) {
-        return loading.flatMap(
-                        each -> engine.flatMap(known -> known.model(each.model)).map(model -> {
-                            boolean near = report.onDisk().contains(each.model);
-                            long all = near ? model.diskLoadMillis() : model.storeLoadMillis();
-                            return Math.max(0, all - (clockMillis.getAsLong() - each.sinceMillis));
-                        }))
+    long loadingMillis(Optional<Engine> engine, EngineReport report, String name) {
+        long elapsedMillis = loading.filter(each -> each.model.equals(name))
+                .map(each -> clockMillis.getAsLong() - each.sinceMillis)
+                .orElse(0L);
+        boolean near = report.onDisk().contains(name) || report.inHostMemory().contains(name);
+        return engine.flatMap(known -> known.model(name))
+                .map(model -> near ? model.diskLoadMillis() : model.storeLoadMillis())
+                .map(allMillis -> Math.max(LEAST_MILLIS, allMillis - elapsedMillis))
                 .orElse(0L);
     }
 
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -277,8 +277,7 @@
 /** What one entry sees of one model. */
 struct ModelDemand {
   1: double perSecond,
-  2: double atOnce,
-  3: i32 turnedAway
+  2: double atOnce
 }
 
 /** What an entry tells the process beside each engine of a service, several times a second. */
@@ -291,7 +290,8 @@
   6: i64 engineDigest,
   7: i32 entries,
   8: list<string> entryAddresses,
-  9: list<SuspectRecord> suspects
+  9: list<SuspectRecord> suspects,
+  10: list<string> modelsInUse
 }
 
 /** An entry needs an adapter on the engine beside the receiver. */
