Bring in models one at a time: announce, confirm, retire, load

Change: a state chart for one move, announcements in news with a tie broken by address, the pace in the plan's view, a load counted once a move.

--- a/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
+++ b/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
@@ -28,7 +28,6 @@
 
     private final HttpCaller engine;
     private final String holder;
-    boolean shown;
 
     HttpEngineControl(EventLoop loop, HostPort address, String holder) {
         this.engine = new HttpCaller(loop, address, TIMEOUT_MILLIS);
@@ -43,10 +42,6 @@
                 throw new StoreException("the engine answered a question with " + reply.status());
             }
             try {
-                if (!shown) {
-                    shown = true;
-                    System.getLogger("waxwingquay.x").log(System.Logger.Level.INFO, new String(reply.body()));
-                }
                 return ReplicaReader.report(Wire.read(reply.body()));
             } catch (IOException failure) {
                 throw new StoreException("the engine's report can't be read: " + failure);
--- a/src/main/java/io/waxwingquay/process/ShippedCharts.java
+++ b/src/main/java/io/waxwingquay/process/ShippedCharts.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.entry.RequestPhase;
 import io.waxwingquay.forward.ExchangeState;
 import io.waxwingquay.ledger.MemoryLedger;
+import io.waxwingquay.residency.MoveState;
 import io.waxwingquay.side.RequestState;
 import io.waxwingquay.side.SideEvent;
 import io.waxwingquay.transport.generated.SideState;
@@ -32,6 +33,7 @@
         StateChart.load(SideEvent.CHART_NAME, SideState.class, SideEvent.class);
         StateChart.load(ClaimRecord.CHART_NAME, ClaimRecord.State.class, ClaimRecord.Event.class);
         StateChart.load(ExchangeState.CHART_NAME, ExchangeState.class, ExchangeState.Event.class);
+        StateChart.load(MoveState.CHART_NAME, MoveState.class, MoveState.Event.class);
         StateChart.load(BundleChart.CHART_NAME, BundleChart.State.class, BundleChart.Event.class);
     }
 }
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -36,9 +36,14 @@
 
     private static final double BUSY_COST = 30.0;
     private static final double LOSS_COST = 20.0;
+    /** A model in use is waited for, seconds at the worst. */
+    private static final double WAIT_COST = 15.0;
+
     private static final double MILLIS_PER_COST = 100.0;
 
     private final Engine engine;
+    private final LoadPace.Ceiling pace;
+    private final int storeLoads;
     private final List<EngineView> engines;
     private final Map<String, Demand> demand;
     private final Map<String, Integer> copies = new HashMap<>();
@@ -49,9 +54,12 @@
      * @param engine what each engine is.
      * @param engines the engines of the service that are there, leaving ones left out.
      * @param demand what callers ask of each model.
+     * @param pace how many loads from the weight store may begin.
      */
-    public CopyPlan(Engine engine, List<EngineView> engines, Map<String, Demand> demand) {
+    public CopyPlan(Engine engine, List<EngineView> engines, Map<String, Demand> demand, LoadPace.Ceiling pace) {
         this.engine = engine;
+        this.pace = pace;
+        this.storeLoads = engines.stream().mapToInt(EngineView::storeLoads).sum();
         this.engines = engines.stream()
                 .sorted(Comparator.comparing(view -> view.address().toString()))
                 .toList();
@@ -120,7 +128,11 @@
     }
 
     private Optional<Candidate> candidate(EngineView view, Engine.Model model) {
-        double loadMillis = view.near().contains(model.name()) ? model.diskLoadMillis() : model.storeLoadMillis();
+        boolean isNear = view.near().contains(model.name());
+        if (!isNear && !pace.allows(view.storeLoads(), storeLoads, gain(model.name()))) {
+            return Optional.empty();
+        }
+        double loadMillis = isNear ? model.diskLoadMillis() : model.storeLoadMillis();
         double cost = loadMillis / MILLIS_PER_COST
                 + BUSY_COST * view.load() / Math.max(1, engine.slots())
                 + spread(view.address(), model.name());
@@ -128,7 +140,12 @@
         if (lacking <= 0) {
             return Optional.of(new Candidate(view, List.of(), cost));
         }
-        return makeWay(view, model, lacking).map(way -> new Candidate(view, way, cost + LOSS_COST * losses(way)));
+        if (demandFor(model.name()).perSecond() < UNASKED_WORTH) {
+            // What nobody asks for takes free room only: at a start no demand is known, and what stands stands well.
+            return Optional.empty();
+        }
+        return makeWay(view, model, lacking)
+                .map(way -> new Candidate(view, way, cost + LOSS_COST * losses(way) + waitCost(view, way)));
     }
 
     private Optional<List<String>> makeWay(EngineView view, Engine.Model model, double lackingMegabytes) {
@@ -148,6 +165,10 @@
         return lacking <= 0 && worthIt ? Optional.of(way) : Optional.empty();
     }
 
+    private static double waitCost(EngineView view, List<String> way) {
+        return way.stream().anyMatch(view.inUse()::contains) ? WAIT_COST : 0;
+    }
+
     private double losses(List<String> models) {
         return models.stream().mapToDouble(this::loss).sum();
     }
@@ -189,10 +210,23 @@
      * @param held models that it holds.
      * @param loading the model that it loads, or makes way for.
      * @param near models whose weights lie in its host's memory or on its disk.
+     * @param inUse models that requests in it use; they would have to be waited for.
+     * @param storeLoads loads from the weight store that began there within the window of their ceiling.
      * @param load requests in it.
      */
     public record EngineView(
-            HostPort address, Set<String> held, Optional<String> loading, Set<String> near, int load) {}
+            HostPort address,
+            Set<String> held,
+            Optional<String> loading,
+            Set<String> near,
+            Set<String> inUse,
+            int storeLoads,
+            int load) {
+
+        EngineView withoutLoading() {
+            return new EngineView(address, held, Optional.empty(), near, inUse, storeLoads, load);
+        }
+    }
 
     /**
      * What callers ask of a model, over all entries.
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -28,15 +28,12 @@
     /** While adapters are under way it looks this often, as callers wait for them. */
     private static final long LOOK_SOON_MILLIS = 4L;
 
+    /** While a model is being brought in each step follows soon. */
+    private static final long LOOK_MOVING_MILLIS = 30L;
+
     /** At least this often the others are told, changed or not. */
     private static final long TELL_MILLIS = 200L;
 
-    /** Between the news that a model goes and the order: news reach entries, and what was sent before begins. */
-    private static final long RETIRE_MILLIS = 250L;
-
-    /** A model that requests still use is waited for this long; its unload would wait for them anyway. */
-    private static final long RETIRE_LIMIT_MILLIS = 3_000L;
-
     private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
     /** Before this process has heard the others, it would take their models for missing. */
@@ -53,7 +50,8 @@
     private final OrderBook orders;
     private Optional<Engine> engine = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
-    private Optional<Retiring> retiring = Optional.empty();
+    private Optional<EngineReport> lastReport = Optional.empty();
+    private final ModelMover mover = new ModelMover();
     private long beganMillis;
     private boolean asking;
     private boolean lookSoon;
@@ -166,22 +164,28 @@
     }
 
     private void reported(EngineReport newer) {
-        boolean otherLife =
-                report.map(known -> known.bornMillis() != newer.bornMillis()).orElse(true);
+        boolean otherLife = lastReport.map(known -> isOtherLife(known, newer)).orElse(true);
+        lastReport = Optional.of(newer);
         if (otherLife) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "residency: engine begins born={0} models={1}",
-                    newer.bornMillis(),
+                    "residency: engine begins orders={0} models={1}",
+                    newer.ordersTaken(),
                     names(newer));
-            retiring = Optional.empty();
+            mover.lost();
         }
         report = Optional.of(newer);
-        orders.reported(newer);
+        orders.reported(newer, otherLife);
         act();
         tell(false);
     }
 
+    /** An engine begins empty, with no order taken. */
+    private static boolean isOtherLife(EngineReport before, EngineReport now) {
+        boolean emptied = now.models().isEmpty() && !before.models().isEmpty();
+        return now.ordersTaken() < before.ordersTaken() || emptied && now.ordersTaken() == before.ordersTaken();
+    }
+
     private void lost(Throwable failure) {
         if (report.isPresent()) {
             LOG.log(System.Logger.Level.WARNING, "residency: engine lost cause={0}", failure.getMessage());
@@ -209,9 +213,11 @@
     }
 
     private void lookSoon() {
-        if (shelf.isWaiting() && !lookSoon) {
+        boolean isMoving = mover.coming().isPresent()
+                && report.filter(EngineReport::ordering).isEmpty();
+        if ((shelf.isWaiting() || isMoving) && !lookSoon) {
             lookSoon = true;
-            loop.schedule(LOOK_SOON_MILLIS, () -> {
+            loop.schedule(shelf.isWaiting() ? LOOK_SOON_MILLIS : LOOK_MOVING_MILLIS, () -> {
                 lookSoon = false;
                 look();
             });
@@ -219,62 +225,18 @@
     }
 
     private Optional<EngineControl.Order> modelOrder(EngineReport now, long nowMillis) {
-        if (retiring.isPresent()) {
-            return retire(now, nowMillis);
-        }
-        if (nowMillis - beganMillis < HEAR_MILLIS
-                || neighbours.entryAddresses(nowMillis).isEmpty()) {
-            return Optional.empty();
-        }
-        Set<String> held = new HashSet<>(names(now));
-        held.addAll(orders.doubtfulLoads());
-        Set<String> near = new HashSet<>(now.onDisk());
-        near.addAll(now.inHostMemory());
-        List<CopyPlan.EngineView> views = new ArrayList<>(neighbours.others(address, nowMillis));
-        views.add(new CopyPlan.EngineView(address, held, Optional.empty(), near, now.running() + now.waiting()));
-        Optional<CopyPlan.Step> step = new CopyPlan(engine.get(), views, neighbours.demand(nowMillis)).stepFor(address);
-        if (step.isEmpty()) {
-            return Optional.empty();
-        }
-        String model = step.get().model();
-        if (!near.contains(model) && !mayLoadFromStore(views.size(), nowMillis)) {
-            return Optional.empty();
-        }
-        if (!step.get().makesWay().isEmpty()) {
-            String first = step.get().makesWay().get(0);
-            LOG.log(System.Logger.Level.INFO, "residency: model retires model={0} for={1}", first, model);
-            retiring = Optional.of(new Retiring(first, model, nowMillis));
+        Optional<String> before = mover.coming();
+        Optional<EngineControl.Order> order =
+                mover.next(now, new Plans(now, nowMillis), neighbours.modelsInUse(nowMillis), nowMillis);
+        if (!before.equals(mover.coming())) {
             tell(true);
-            return Optional.empty();
-        }
-        if (!near.contains(model)) {
-            pace.began(nowMillis);
-        }
-        return Optional.of(new EngineControl.Order(true, model, Optional.empty(), now.ordersTaken()));
-    }
-
-    private Optional<EngineControl.Order> retire(EngineReport now, long nowMillis) {
-        Retiring leaving = retiring.get();
-        if (now.model(leaving.model).isEmpty()) {
-            retiring = Optional.empty();
-            return Optional.empty();
         }
-        long waitedMillis = nowMillis - leaving.sinceMillis;
-        boolean inUse = neighbours.modelsInUse(nowMillis).contains(leaving.model);
-        if (waitedMillis < RETIRE_MILLIS || inUse && waitedMillis < RETIRE_LIMIT_MILLIS) {
-            return Optional.empty();
-        }
-        return Optional.of(new EngineControl.Order(false, leaving.model, Optional.empty(), now.ordersTaken()));
-    }
-
-    private boolean mayLoadFromStore(int engines, long nowMillis) {
-        int listed = Math.max(engines, neighbours.listedEngines(nowMillis).size());
-        return pace.allows(
-                engine.get().storeLoadsPerSecond(), listed, neighbours.othersStoreLoads(address, nowMillis), nowMillis);
+        return order;
     }
 
     private void give(EngineControl.Order order) {
         orders.give(order, answer -> {
+            mover.answered(order, answer, EventLoop.nowMillis());
             LOG.log(
                     System.Logger.Level.INFO,
                     "residency: order load={0} model={1} adapter={2} after={3} answer={4}",
@@ -326,11 +288,12 @@
                 .setNearModels(near)
                 .setStoreLoads(pace.recent(nowMillis))
                 .setDraining(now.draining())
+                .setModelsInUse(new ArrayList<>(neighbours.modelsInUse(nowMillis)))
                 .setEntries(neighbours.entryAddresses(nowMillis).size());
-        Optional<String> underWay = orders.loading(now).or(() -> retiring.map(Retiring::successor));
-        underWay.ifPresent(model -> {
+        mover.coming().ifPresent(model -> {
             news.setLoadingModel(model);
-            news.setLoadingMillis(orders.loadingMillis(engine, now, model));
+            news.setLoadingMillis(engine.map(known -> mover.remainingMillis(known, now, nowMillis))
+                    .orElse(0L));
         });
         return news;
     }
@@ -338,8 +301,7 @@
     /** What requests may be sent for: all that is held, but for a model that is about to go. */
     private List<HeldModel> offered(EngineReport now) {
         return now.models().stream()
-                .filter(model -> retiring.filter(leaving -> leaving.model.equals(model.name()))
-                        .isEmpty())
+                .filter(model -> !mover.leaving().contains(model.name()))
                 .map(model -> new HeldModel(model.name(), new ArrayList<>(model.adapters())))
                 .toList();
     }
@@ -348,14 +310,57 @@
         return now.models().stream().map(ReplicaRecord.ResidentModel::name).collect(Collectors.toList());
     }
 
-    /**
-     * A model that makes way.
-     *
-     * @param model the model.
-     * @param successor the one that is to be loaded then; the others are told, so that they do not load it too.
-     * @param sinceMillis since when.
-     */
-    private record Retiring(String model, String successor, long sinceMillis) {}
+    /** The plan over what this process knows at one moment. */
+    private final class Plans implements ModelMover.Planner {
+
+        private final EngineReport now;
+        private final long nowMillis;
+
+        private Plans(EngineReport now, long nowMillis) {
+            this.now = now;
+            this.nowMillis = nowMillis;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public Optional<CopyPlan.Step> step(Optional<String> announced) {
+            boolean early = nowMillis - beganMillis < HEAR_MILLIS
+                    || neighbours.entryAddresses(nowMillis).isEmpty();
+            if (early) {
+                return Optional.empty();
+            }
+            Set<String> held = new HashSet<>(names(now));
+            held.addAll(orders.doubtfulLoads());
+            Set<String> near = new HashSet<>(now.onDisk());
+            near.addAll(now.inHostMemory());
+            List<CopyPlan.EngineView> views = new ArrayList<>(neighbours.others(address, announced, nowMillis));
+            views.add(new CopyPlan.EngineView(
+                    address,
+                    held,
+                    Optional.empty(),
+                    near,
+                    neighbours.modelsInUse(nowMillis),
+                    pace.recent(nowMillis),
+                    now.running() + now.waiting()));
+            return new CopyPlan(engine.get(), views, neighbours.demand(nowMillis), ceiling()).stepFor(address);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayLoadFromStore() {
+            int everywhere = pace.recent(nowMillis) + neighbours.othersStoreLoads(address, nowMillis);
+            boolean allowed = ceiling().allows(pace.recent(nowMillis), everywhere, Double.MAX_VALUE);
+            if (allowed) {
+                pace.began(nowMillis);
+            }
+            return allowed;
+        }
+
+        private LoadPace.Ceiling ceiling() {
+            int engines = Math.max(1, neighbours.listedEngines(nowMillis).size());
+            return pace.ceiling(engine.get().storeLoadsPerSecond(), engines);
+        }
+    }
 
     /** Sends datagrams. */
     public interface Sender {
--- a/src/main/java/io/waxwingquay/residency/LoadPace.java
+++ b/src/main/java/io/waxwingquay/residency/LoadPace.java
@@ -4,8 +4,9 @@
 import java.util.Deque;
 
 /**
- * Keeps loads from the weight store below the ceiling that all engines share. Each process takes its part of the
- * ceiling by the number of engines, so that it holds with the platform's store away too.
+ * Counts loads from the weight store that began here, and tells how many may. Loads have a ceiling over all engines in a
+ * sliding window; each process takes its part by the number of engines, so that it holds with the platform's store away
+ * too, and looks at what the others told besides.
  */
 public final class LoadPace {
 
@@ -31,19 +32,15 @@
     }
 
     /**
-     * Whether a load may begin.
+     * The ceiling over all engines.
      *
      * @param loadsPerSecond the rate over all engines.
      * @param engines how many engines there are.
-     * @param othersBegun loads that other processes told of within the window.
-     * @param nowMillis the steady time.
-     * @return whether it stays below the ceiling.
+     * @return the ceiling for one window.
      */
-    public boolean allows(double loadsPerSecond, int engines, int othersBegun, long nowMillis) {
-        forget(nowMillis);
-        double ceiling = loadsPerSecond * windowMillis / MILLIS_PER_SECOND * excess + EXTRA_LOADS - KEPT_BACK;
-        double own = Math.max(1, Math.floor(ceiling / Math.max(1, engines)));
-        return begunMillis.size() < own && begunMillis.size() + othersBegun + 1 <= ceiling;
+    public Ceiling ceiling(double loadsPerSecond, int engines) {
+        double all = loadsPerSecond * windowMillis / MILLIS_PER_SECOND * excess + EXTRA_LOADS - KEPT_BACK;
+        return new Ceiling(all, Math.max(1, (int) Math.floor(all / Math.max(1, engines))));
     }
 
     /**
@@ -62,13 +59,36 @@
      * @return their number.
      */
     public int recent(long nowMillis) {
-        forget(nowMillis);
+        while (!begunMillis.isEmpty() && nowMillis - begunMillis.peek() > windowMillis) {
+            begunMillis.poll();
+        }
         return begunMillis.size();
     }
 
-    private void forget(long nowMillis) {
-        while (!begunMillis.isEmpty() && nowMillis - begunMillis.peek() > windowMillis) {
-            begunMillis.poll();
+    /**
+     * How many loads may begin within one window.
+     *
+     * @param all over all engines.
+     * @param each at one engine.
+     */
+    public record Ceiling(double all, int each) {
+
+        /** Models that few ask for leave this part of the ceiling to busy ones. */
+        private static final double RARE_SHARE = 0.6;
+
+        private static final double BUSY_PER_SECOND = 1.0;
+
+        /**
+         * Whether a load may begin.
+         *
+         * @param here loads that began at that engine within the window.
+         * @param everywhere loads that began at all engines.
+         * @param gainPerSecond requests a second that the load serves.
+         * @return whether it stays below the ceiling.
+         */
+        boolean allows(int here, int everywhere, double gainPerSecond) {
+            double limit = gainPerSecond >= BUSY_PER_SECOND ? all : all * RARE_SHARE;
+            return here < each && everywhere + 1 <= limit;
         }
     }
 }
--- a/src/main/java/io/waxwingquay/residency/Neighbours.java
+++ b/src/main/java/io/waxwingquay/residency/Neighbours.java
@@ -69,12 +69,17 @@
                 .collect(Collectors.toCollection(HashSet::new));
     }
 
-    List<CopyPlan.EngineView> others(HostPort own, long nowMillis) {
+    /**
+     * The other engines. Where two processes have announced the same model, the one that comes first in order brings it
+     * in; for that one the other's announcement does not count.
+     */
+    List<CopyPlan.EngineView> others(HostPort own, Optional<String> announced, long nowMillis) {
         engines.values().removeIf(heard -> heard.isOld(nowMillis));
         return engines.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(own))
                 .filter(entry -> !entry.getValue().news.isDraining())
                 .map(entry -> view(entry.getKey(), entry.getValue().news))
+                .map(view -> isAfter(view, own, announced) ? view.withoutLoading() : view)
                 .toList();
     }
 
@@ -93,12 +98,20 @@
                 .anyMatch(other -> other != 0 && other != digest);
     }
 
+    private static boolean isAfter(CopyPlan.EngineView view, HostPort own, Optional<String> announced) {
+        return announced.isPresent()
+                && view.loading().equals(announced)
+                && view.address().toString().compareTo(own.toString()) > 0;
+    }
+
     private static CopyPlan.EngineView view(HostPort address, EngineNews news) {
         return new CopyPlan.EngineView(
                 address,
                 news.getModels().stream().map(HeldModel::getName).collect(Collectors.toSet()),
                 Optional.ofNullable(news.getLoadingModel()),
                 Set.copyOf(news.getNearModels()),
+                Set.copyOf(news.getModelsInUse()),
+                news.getStoreLoads(),
                 news.getRunning() + news.getWaiting());
     }
 
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -271,7 +271,8 @@
   12: list<string> nearModels,
   13: i32 storeLoads,
   14: bool draining,
-  15: i32 entries
+  15: i32 entries,
+  16: list<string> modelsInUse
 }
 
 /** What one entry sees of one model. */
