--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -48,6 +48,7 @@
                 .addSubcommand(new EntryCommand())
                 .addSubcommand(new SideCommand())
                 .addSubcommand(new HostedCommand())
+                .addSubcommand(new RehearseCommand())
                 .addSubcommand(new BundleCommand(platforms))
                 .addSubcommand(new DumpCommand())
                 .addSubcommand(new DemoCommand())
--- a/src/main/java/io/waxwingquay/fleet/TableWatch.java
+++ b/src/main/java/io/waxwingquay/fleet/TableWatch.java
@@ -14,9 +14,6 @@
     /** How long the store waits for a change. Longer means fewer priced calls, shorter finds a dead connection sooner. */
     private static final long WAIT_MILLIS = 8_000L;
 
-    /** Pause after an answer with changes, so that a burst of them costs one call and not one each. */
-    private static final long GATHER_MILLIS = 150L;
-
     /** First and longest pause after a failed call; the longest is well below the two seconds that entries need. */
     private static final long FIRST_RETRY_MILLIS = 100L;
 
@@ -27,6 +24,7 @@
     private final String name;
     private final WatchedTable<T> table;
     private final Listener<T> listener;
+    private final long gatherMillis;
     private long version;
     private boolean readWhole;
     private boolean reachable = true;
@@ -38,12 +36,14 @@
      * @param loop where everything runs.
      * @param name the table's name, for logs.
      * @param table the table.
+     * @param gatherMillis pause after an answer with changes, so that a burst of them costs one priced call, not one each.
      * @param listener told what is found.
      */
-    public TableWatch(EventLoop loop, String name, WatchedTable<T> table, Listener<T> listener) {
+    public TableWatch(EventLoop loop, String name, WatchedTable<T> table, long gatherMillis, Listener<T> listener) {
         this.loop = loop;
         this.name = name;
         this.table = table;
+        this.gatherMillis = gatherMillis;
         this.listener = listener;
     }
 
@@ -89,7 +89,7 @@
             return;
         }
         listener.onChanges(page);
-        loop.schedule(GATHER_MILLIS, this::start);
+        loop.schedule(gatherMillis, this::start);
     }
 
     private void answered() {
--- a/src/main/java/io/waxwingquay/forward/DemandMeter.java
+++ b/src/main/java/io/waxwingquay/forward/DemandMeter.java
@@ -10,6 +10,9 @@
     /** Short enough to follow a shift of demand within seconds, long enough not to chase single requests. */
     private static final double HALF_LIFE_MILLIS = 2_000.0;
 
+    /** Long enough to tell a model that is asked for every few seconds from one that nobody asks for. */
+    private static final double SLOW_HALF_LIFE_MILLIS = 12_000.0;
+
     private static final double FORGOTTEN = 0.01;
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
@@ -22,6 +25,7 @@
 
     void asked(String model, long nowMillis) {
         demand(model).asked.add(1, nowMillis);
+        demand(model).askedSlowly.add(1, nowMillis);
     }
 
     void began(String model) {
@@ -48,17 +52,19 @@
     private static final class Demand {
 
         private final Decayed asked = new Decayed(HALF_LIFE_MILLIS);
+        private final Decayed askedSlowly = new Decayed(SLOW_HALF_LIFE_MILLIS);
         private double durationMillis = FIRST_DURATION_MILLIS;
         private int inFlight;
 
         private boolean isOver(long nowMillis) {
-            return inFlight == 0 && asked.value(nowMillis) < FORGOTTEN;
+            return inFlight == 0 && askedSlowly.value(nowMillis) < FORGOTTEN;
         }
 
         /** Those that were refused are not under way; they count by what they would have taken. */
         private ModelDemand tell(long nowMillis) {
             double perSecond = asked.perSecond(nowMillis);
-            return new ModelDemand(perSecond, Math.max(inFlight, perSecond * durationMillis / MILLIS_PER_SECOND));
+            double atOnce = Math.max(inFlight, perSecond * durationMillis / MILLIS_PER_SECOND);
+            return new ModelDemand(perSecond, atOnce, askedSlowly.perSecond(nowMillis));
         }
     }
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -66,8 +66,7 @@
     private int connectFailures;
     private boolean mayHaveRun;
     private boolean callerGone;
-    private boolean streamBegan;
-    private OptionalLong lastEventId;
+    private final StreamProgress stream;
     private long lookAgainMillis = Long.MAX_VALUE;
     private long brokenMillis;
     private String lastFailure = "";
@@ -82,7 +81,8 @@
         this.engine = context.engine(service);
         this.callerLimitMillis = request.arrivedMillis() + ask.remainingMillis().orElse(route.timeoutMillis());
         this.limitMillis = Math.min(callerLimitMillis, request.arrivedMillis() + route.timeoutMillis());
-        this.lastEventId = ask.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty());
+        this.stream = new StreamProgress(
+                request.arrivedMillis(), ask.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty()));
     }
 
     MessageCodec codec() {
@@ -234,7 +234,7 @@
                 target.id(),
                 leftMillis,
                 engine.map(each -> rank()),
-                lastEventId.isPresent() ? Optional.of(lastEventId.getAsLong()) : Optional.empty());
+                stream.lastEventId().stream().boxed().findFirst());
         HttpFields fields = codec().toReplica(request.fields(), order);
         Attempt next = new Attempt(this, target);
         attempt = next;
@@ -267,13 +267,13 @@
             from.target().failed();
             mayHaveRun = true;
             lastFailure = "status " + from.status();
-            if (!streamBegan && route.mayRepeat() && tryAgain()) {
+            if (!stream.began() && route.mayRepeat() && tryAgain()) {
                 return;
             }
         } else {
             from.target().succeeded(EventLoop.nowMillis() - from.sentMillis());
         }
-        if (streamBegan) {
+        if (stream.began()) {
             breakOff("a resumed stream was answered " + from.status());
             return;
         }
@@ -283,25 +283,22 @@
 
     /** A whole event has come. */
     void event(Attempt from, byte[] bytes, OptionalLong id) {
-        if (id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong()) {
+        if (stream.has(id)) {
             return;
         }
-        if (!streamBegan) {
-            streamBegan = true;
+        if (!stream.began()) {
             move(ExchangeState.Event.BEGIN);
             from.target().succeeded(EventLoop.nowMillis() - from.sentMillis());
             caller.begin(from.status(), MessageHead.endToEnd(from.fields()));
         }
-        if (id.isPresent()) {
-            lastEventId = id;
-        }
+        stream.passed(id, EventLoop.nowMillis());
         caller.write(ByteBuffer.wrap(bytes));
     }
 
     /** A stream has come to its orderly end. */
     void streamEnded(Attempt from, byte[] rest) {
         release(from);
-        if (!streamBegan) {
+        if (!stream.began()) {
             caller.respond(from.status(), MessageHead.endToEnd(from.fields()), rest);
             end(from.status(), "answered by " + from.target().id() + " without an event");
             return;
@@ -323,7 +320,7 @@
             attempts--;
             connectFailures++;
         }
-        if (streamBegan) {
+        if (stream.began()) {
             brokenMillis = EventLoop.nowMillis();
             if (!route.mayRepeat() || !tryAgain()) {
                 breakOff(why);
@@ -345,7 +342,7 @@
         } else if (reply.full()) {
             from.target().full();
         }
-        if (streamBegan) {
+        if (stream.began()) {
             brokenMillis = EventLoop.nowMillis();
         }
         if (!tryAgain()) {
@@ -386,7 +383,7 @@
     }
 
     private void giveUp(String why) {
-        if (streamBegan) {
+        if (stream.began()) {
             breakOff(why);
         } else if (mayHaveRun) {
             caller.respond(BAD_GATEWAY, HttpFields.EMPTY, "the replica gave no answer");
@@ -414,7 +411,7 @@
             late.cancel();
             release(late);
         }
-        if (streamBegan) {
+        if (stream.began()) {
             breakOff("its time is over");
         } else if (wasSent) {
             caller.respond(GATEWAY_TIMEOUT, HttpFields.EMPTY, "no answer in time");
@@ -457,26 +454,6 @@
     private void end(int status, String why) {
         move(ExchangeState.Event.END);
         lookAgainMillis = Long.MAX_VALUE;
-        context.ended(this, new Outcome(ask, route, service, status, attempts, why, request.arrivedMillis()));
+        context.ended(this, new Outcome(ask, route, service, status, attempts, why, request.arrivedMillis(), stream));
     }
-
-    /**
-     * How a request ended.
-     *
-     * @param ask what was asked.
-     * @param route its route.
-     * @param service the service that it went to.
-     * @param status the status that its caller got; 0 if it got no whole answer.
-     * @param attempts how often it was sent.
-     * @param why what decided it.
-     * @param arrivedMillis when it came.
-     */
-    record Outcome(
-            MessageCodec.Ask ask,
-            Route route,
-            String service,
-            int status,
-            int attempts,
-            String why,
-            long arrivedMillis) {}
 }
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -34,5 +34,5 @@
     /** A replica said that it is another one, or lacks what was asked for. */
     void misdirected(Target target, MessageCodec.Ask ask);
 
-    void ended(Exchange exchange, Exchange.Outcome outcome);
+    void ended(Exchange exchange, Outcome outcome);
 }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -31,7 +31,7 @@
 /**
  * Takes callers' requests to replicas. All of it runs on the loop.
  */
-public final class Forwarder implements ServerHandler, ReplicaDirectory.Listener, ForwardContext {
+public final class Forwarder implements ServerHandler, ForwardContext {
 
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
@@ -62,7 +62,7 @@
     private final ForwardMeters meters;
     private final Runnable modelMissed;
     private final DemandMeter demand = new DemandMeter();
-    private final Map<String, Target> targets = new HashMap<>();
+    private final TargetTable targets;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Set<Exchange> active = new HashSet<>();
     private Optional<Manifest> manifest = Optional.empty();
@@ -97,6 +97,7 @@
         this.adapters = new AdapterDesk(
                 loop, (target, call) -> peers.askAdapter(target.address(), call.id(), call.model(), call.adapter()));
         this.modelMissed = peers::demandChanged;
+        this.targets = new TargetTable(this::pool);
         loop.execute(() -> loop.every(TICK_MILLIS, this::tick));
     }
 
@@ -111,7 +112,7 @@
         }
         manifest = Optional.of(newer);
         routes = RouteTable.of(newer.routes());
-        targets.values().forEach(target -> target.pool().limit(connections(target.record())));
+        targets.all().forEach(target -> target.pool().limit(connections(target.record())));
         LOG.log(
                 System.Logger.Level.INFO,
                 "forward: configuration in force version={0} routes={1}",
@@ -119,6 +120,15 @@
                 newer.routes().size());
     }
 
+    /**
+     * Where changes among the replicas are to be told.
+     *
+     * @return the listener.
+     */
+    public ReplicaDirectory.Listener replicas() {
+        return targets;
+    }
+
     /**
      * The configuration in force.
      *
@@ -166,33 +176,6 @@
         exchange.start();
     }
 
-    /** {@inheritDoc} */
-    @Override
-    public void onReplica(ReplicaRecord record, Optional<ReplicaRecord> before) {
-        Target known = targets.get(record.id());
-        if (known != null && known.record().sameLife(record)) {
-            known.record(record);
-        } else {
-            Optional.ofNullable(known).ifPresent(Target::gone);
-            targets.put(record.id(), new Target(record, pool(record)));
-        }
-        boolean stateChanged = before.map(ReplicaRecord::draining).orElse(false) != record.draining();
-        if (known == null || stateChanged) {
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "forward: replica id={0} service={1} draining={2}",
-                    record.id(),
-                    record.service(),
-                    record.draining());
-        }
-    }
-
-    /** {@inheritDoc} */
-    @Override
-    public void onGone(ReplicaRecord record) {
-        Optional.ofNullable(targets.remove(record.id())).ifPresent(Target::gone);
-    }
-
     /**
      * Takes in what the process beside an engine tells.
      *
@@ -200,9 +183,7 @@
      */
     public void engineNews(EngineNews news) {
         long nowMillis = EventLoop.nowMillis();
-        targets.values().stream()
-                .filter(target -> target.address().toString().equals(news.getEngineAddress()))
-                .forEach(target -> target.news(news, nowMillis));
+        targets.at(HostPort.of(news.getEngineAddress())).forEach(target -> target.news(news, nowMillis));
         if (news.getEntries() > 0) {
             entries(news.getEntries());
         }
@@ -233,7 +214,7 @@
      * @return the addresses of replicas of services with an engine.
      */
     public List<HostPort> engines() {
-        return targets.values().stream()
+        return targets.all().stream()
                 .filter(target -> engine(target.record().service()).isPresent())
                 .map(Target::address)
                 .toList();
@@ -246,8 +227,7 @@
      * @return names as {@code model/adapter}.
      */
     public List<String> adaptersInUse(HostPort engine) {
-        return targets.values().stream()
-                .filter(target -> target.address().equals(engine))
+        return targets.at(engine).stream()
                 .flatMap(target -> target.adaptersInUse().keySet().stream())
                 .toList();
     }
@@ -259,8 +239,7 @@
      * @return their names.
      */
     public List<String> modelsInUse(HostPort engine) {
-        return targets.values().stream()
-                .filter(target -> target.address().equals(engine))
+        return targets.at(engine).stream()
                 .flatMap(target -> target.modelsInUse().stream())
                 .toList();
     }
@@ -301,9 +280,7 @@
     /** {@inheritDoc} */
     @Override
     public Collection<Target> targets(String service) {
-        return targets.values().stream()
-                .filter(target -> target.record().service().equals(service))
-                .toList();
+        return targets.of(service);
     }
 
     /** {@inheritDoc} */
@@ -346,13 +323,13 @@
 
     /** {@inheritDoc} */
     @Override
-    public void ended(Exchange exchange, Exchange.Outcome outcome) {
+    public void ended(Exchange exchange, Outcome outcome) {
         active.remove(exchange);
         long tookMillis = EventLoop.nowMillis() - outcome.arrivedMillis();
         meters.ended(outcome.status(), tookMillis);
         LOG.log(
                 System.Logger.Level.INFO,
-                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} why={7}",
+                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} first_ms={7} pause_ms={8} why={9}",
                 outcome.ask().id(),
                 outcome.route().name(),
                 outcome.service(),
@@ -361,6 +338,8 @@
                 outcome.status(),
                 outcome.attempts(),
                 tookMillis,
+                outcome.stream().firstEventMillis(),
+                outcome.stream().longestPauseMillis(),
                 outcome.why());
     }
 
@@ -399,7 +378,7 @@
         if (count != entries) {
             entries = count;
             budgets.values().forEach(budget -> budget.limitBurst(burst()));
-            targets.values().forEach(target -> target.pool().limit(connections(target.record())));
+            targets.all().forEach(target -> target.pool().limit(connections(target.record())));
         }
     }
 
--- /dev/null
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -0,0 +1,55 @@
+package io.waxwingquay.forward;
+
+import java.util.OptionalLong;
+
+/** How far a stream has come at its caller, and how smoothly. */
+final class StreamProgress {
+
+    private final long arrivedMillis;
+    private OptionalLong lastEventId;
+    private boolean began;
+    private long firstEventMillis;
+    private long heardMillis;
+    private long longestPauseMillis;
+
+    StreamProgress(long arrivedMillis, OptionalLong lastEventId) {
+        this.arrivedMillis = arrivedMillis;
+        this.lastEventId = lastEventId;
+    }
+
+    boolean began() {
+        return began;
+    }
+
+    /** The last event that the caller has, of this run or of one before. */
+    OptionalLong lastEventId() {
+        return lastEventId;
+    }
+
+    /** Whether the caller has this event already, from an earlier run of the stream. */
+    boolean has(OptionalLong id) {
+        return id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong();
+    }
+
+    void passed(OptionalLong id, long nowMillis) {
+        if (!began) {
+            began = true;
+            firstEventMillis = nowMillis - arrivedMillis;
+            heardMillis = nowMillis;
+        }
+        if (id.isPresent()) {
+            lastEventId = id;
+        }
+        longestPauseMillis = Math.max(longestPauseMillis, nowMillis - heardMillis);
+        heardMillis = nowMillis;
+    }
+
+    /** How long the caller waited for the first event. */
+    long firstEventMillis() {
+        return firstEventMillis;
+    }
+
+    long longestPauseMillis() {
+        return longestPauseMillis;
+    }
+}
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -39,6 +39,12 @@
     /** Until it is heard how many entries there are, each takes no more than this part of what they share. */
     private static final int ASSUMED_ENTRIES = 8;
 
+    /** Well within the two seconds in which a new configuration must be in force. */
+    private static final long CONFIGURATION_GATHER_MILLIS = 300L;
+
+    /** What engines hold is heard from beside them; the list is for who comes and leaves, which may take two seconds. */
+    private static final long REPLICA_GATHER_MILLIS = 700L;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
@@ -66,7 +72,7 @@
                 admin.forwardMeters(),
                 new Telling(),
                 RandomGenerator.of("L64X128MixRandom"));
-        this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder);
+        this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicas());
         HostPort callers = settings.callers().orElseThrow();
         HostPort readiness = settings.readiness().orElseThrow();
         this.server = HttpServer.listen(loop, socket(callers), forwarder);
@@ -100,8 +106,9 @@
 
     private void begin() {
         PreparedPlatform platform = new PreparedPlatform(loop, settings.store());
-        new TableWatch<>(loop, "configuration", platform.manifests(), new Configurations()).start();
-        new TableWatch<>(loop, "replicas", platform.replicas(), replicas).start();
+        new TableWatch<>(loop, "configuration", platform.manifests(), CONFIGURATION_GATHER_MILLIS, new Configurations())
+                .start();
+        new TableWatch<>(loop, "replicas", platform.replicas(), REPLICA_GATHER_MILLIS, replicas).start();
         loop.every(ReplicaDirectory.LAPSE_MILLIS / 8, replicas::settle);
         loop.every(TELL_MILLIS, this::tell);
         LOG.log(System.Logger.Level.INFO, "hosted: entry started node={0} zone={1}", settings.node(), settings.zone());
--- a/src/main/java/io/waxwingquay/net/EventLoop.java
+++ b/src/main/java/io/waxwingquay/net/EventLoop.java
@@ -12,14 +12,13 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -51,10 +50,9 @@
     private final ByteBuffer input = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final ByteBuffer output = ByteBuffer.allocateDirect(SCRATCH_BYTES);
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
-    private final Map<Integer, Function<EndPoint, Connection>> listeners = new HashMap<>();
+    private final TimerQueue timers = new TimerQueue();
+    private final Map<SocketAddress, Function<EndPoint, Connection>> listeners = new HashMap<>();
     private final Channels channels;
-    private long timerCount;
     private volatile Thread thread;
 
     private EventLoop(String name) {
@@ -102,12 +100,11 @@
      *
      * @param delayMillis how long from now.
      * @param task the task.
-     * @return the timer, to cancel it.
+     * @return to give it up.
      */
-    public Timer schedule(long delayMillis, Runnable task) {
-        Timer timer = new Timer(nowMillis() + Math.max(0, delayMillis), timerCount++, task);
-        timers.add(timer);
-        return timer;
+    public Cancellable schedule(long delayMillis, Runnable task) {
+        TimerQueue.Timer timer = timers.add(nowMillis() + Math.max(0, delayMillis), task);
+        return timer::cancel;
     }
 
     /**
@@ -137,12 +134,12 @@
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             server.bind(address, ACCEPT_BACKLOG);
             server.configureBlocking(false);
-            int port = ((InetSocketAddress) server.getLocalAddress()).getPort();
+            InetSocketAddress local = (InetSocketAddress) server.getLocalAddress();
             execute(() -> {
-                listeners.put(port, connections);
+                listeners.put(local, connections);
                 channels.acceptor(server);
             });
-            return port;
+            return local.getPort();
         } catch (IOException failure) {
             throw new UncheckedIOException("can't listen on " + address + "; free the port or change it", failure);
         }
@@ -245,12 +242,7 @@
     }
 
     private void runTimers() {
-        long now = nowMillis();
-        Queue<Timer> due = new ArrayDeque<>();
-        while (!timers.isEmpty() && timers.peek().dueMillis <= now) {
-            due.add(timers.poll());
-        }
-        due.stream().filter(timer -> !timer.cancelled).forEach(timer -> guarded(timer.task));
+        timers.due(nowMillis()).forEach(EventLoop::guarded);
     }
 
     /** A fault in one task must not end the thread that serves all others. */
@@ -262,55 +254,6 @@
         }
     }
 
-    private long waitMillis() {
-        while (!timers.isEmpty() && timers.peek().cancelled) {
-            timers.poll();
-        }
-        return timers.isEmpty() ? Long.MAX_VALUE : Math.max(0, timers.peek().dueMillis - nowMillis());
-    }
-
-    /** A task to come. */
-    public static final class Timer implements Comparable<Timer>, Scheduler.Task {
-
-        private final long dueMillis;
-        private final long order;
-        private final Runnable task;
-        private boolean cancelled;
-
-        private Timer(long dueMillis, long order, Runnable task) {
-            this.dueMillis = dueMillis;
-            this.order = order;
-            this.task = task;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean cancel() {
-            boolean first = !cancelled;
-            cancelled = true;
-            return first;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public int compareTo(Timer other) {
-            int byTime = Long.compare(dueMillis, other.dueMillis);
-            return byTime != 0 ? byTime : Long.compare(order, other.order);
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean equals(Object other) {
-            return this == other;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public int hashCode() {
-            return Long.hashCode(order);
-        }
-    }
-
     /**
      * What becomes of a channel.
      *
@@ -346,12 +289,17 @@
         /** {@inheritDoc} */
         @Override
         public Task schedule(Runnable task, long delay, TimeUnit unit) {
+            long dueMillis = nowMillis() + unit.toMillis(delay);
             if (isLoopThread()) {
-                return EventLoop.this.schedule(unit.toMillis(delay), task);
+                return timers.add(dueMillis, task);
             }
-            Timer timer = new Timer(nowMillis() + unit.toMillis(delay), 0, task);
-            EventLoop.this.execute(() -> timers.add(timer));
-            return timer;
+            AtomicBoolean cancelled = new AtomicBoolean();
+            EventLoop.this.execute(() -> timers.add(dueMillis, () -> {
+                if (!cancelled.get()) {
+                    task.run();
+                }
+            }));
+            return () -> !cancelled.getAndSet(true);
         }
     }
 
@@ -383,7 +331,7 @@
                 protected int nioSelect(Selector nio, boolean now) throws IOException {
                     selector = nio;
                     runPosted();
-                    int selected = now ? nio.selectNow() : select(nio, waitMillis());
+                    int selected = now ? nio.selectNow() : select(nio, timers.waitMillis(nowMillis()));
                     runPosted();
                     runTimers();
                     return selected;
@@ -417,10 +365,9 @@
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             SocketChannel socket = (SocketChannel) channel;
-            SocketAddress local = socket.getLocalAddress();
             socket.configureBlocking(false);
             prepare(socket);
-            Function<EndPoint, Connection> connections = listeners.get(((InetSocketAddress) local).getPort());
+            Function<EndPoint, Connection> connections = listeners.get(socket.getLocalAddress());
             accept(channel, new Connecting(connections, failure -> {}));
         }
 
--- a/src/main/java/io/waxwingquay/platform/HttpCaller.java
+++ b/src/main/java/io/waxwingquay/platform/HttpCaller.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.StoreException;
+import io.waxwingquay.net.Cancellable;
 import io.waxwingquay.net.ClientCall;
 import io.waxwingquay.net.ClientListener;
 import io.waxwingquay.net.ClientPool;
@@ -46,7 +47,7 @@
         Collector collector = new Collector(request.target());
         ClientCall call = pool.send(request, collector);
         // A connection on which an answer was lost delivers nothing any more, so the time-out closes it.
-        EventLoop.Timer timer = loop.schedule(waitMillis + timeoutMillis, () -> {
+        Cancellable timer = loop.schedule(waitMillis + timeoutMillis, () -> {
             if (!collector.future.isDone()) {
                 call.cancel();
                 collector.future.completeExceptionally(
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -22,17 +22,23 @@
  */
 public final class CopyPlan {
 
-    /** The part of an engine's places that one model should take at the most, so that a burst finds room. */
-    private static final double PLACES_SHARE = 0.5;
+    /** The part of its places up to which an engine serves all in time, and the share served late when all are taken. */
+    private static final double EASY_SHARE = 0.5;
 
-    /** What a copy beyond those needed for the load is worth: engines fail now and then, and seconds are lost then. */
-    private static final double SPARE_SHARE = 0.02;
+    private static final double LATE_SHARE_WHEN_FULL = 0.3;
+
+    /** What a second copy is worth besides: engines fail now and then, and seconds are lost then; and a further one. */
+    private static final double SECOND_SHARE = 0.02;
+
+    private static final double FURTHER_SHARE = 0.003;
 
     /** How much more a copy must gain than what makes way for it is worth; less would swap models to and fro. */
     private static final double GAIN_FACTOR = 2.0;
 
-    /** A model that nobody asked for lately is still worth this, so that it is dropped for need and not for nothing. */
-    private static final double UNASKED_WORTH = 0.01;
+    /** The last copy of a model that nobody asked for lately is still worth this: someone asks every few seconds. */
+    private static final double UNASKED_WORTH = 0.12;
+
+    private static final double LEAST_GAIN = 0.01;
 
     private static final double BUSY_COST = 30.0;
     private static final double LOSS_COST = 20.0;
@@ -95,11 +101,6 @@
         return Optional.empty();
     }
 
-    /** Copies that a model's load needs. */
-    int needed(String model) {
-        return Math.max(1, (int) Math.ceil(demandFor(model).atOnce() / (engine.slots() * PLACES_SHARE)));
-    }
-
     /** Requests a second that one more copy would serve in time. */
     double gain(String model) {
         return worthOfCopy(model, copiesOf(model) + 1);
@@ -110,18 +111,31 @@
     }
 
     private double worthOfCopy(String model, int number) {
-        double perSecond = demandFor(model).perSecond();
+        Demand asked = demandFor(model);
         if (number == 1) {
-            return Math.max(perSecond, UNASKED_WORTH);
+            return Math.max(Math.max(asked.perSecond(), asked.slowPerSecond()), UNASKED_WORTH);
+        }
+        double relieved = lateShare(asked.atOnce() / (number - 1)) - lateShare(asked.atOnce() / number);
+        return asked.perSecond() * (relieved + (number == 2 ? SECOND_SHARE : FURTHER_SHARE));
+    }
+
+    /** The share of requests that an engine does not serve in time, by how many it would have to run at once. */
+    private double lateShare(double atOnce) {
+        double taken = atOnce / engine.slots();
+        if (taken <= EASY_SHARE) {
+            return 0;
+        }
+        if (taken > 1) {
+            return 1 - (1 - LATE_SHARE_WHEN_FULL) / taken;
         }
-        int needed = needed(model);
-        return number <= needed ? perSecond / needed : perSecond * SPARE_SHARE;
+        double over = (taken - EASY_SHARE) / (1 - EASY_SHARE);
+        return LATE_SHARE_WHEN_FULL * over * over;
     }
 
     private List<Engine.Model> byGain() {
         return engine.models().stream()
                 .filter(model -> copiesOf(model.name()) < engines.size())
-                .filter(model -> gain(model.name()) >= UNASKED_WORTH)
+                .filter(model -> gain(model.name()) >= LEAST_GAIN)
                 .sorted(Comparator.comparingDouble((Engine.Model model) -> -gain(model.name()))
                         .thenComparing(Engine.Model::name))
                 .toList();
@@ -140,7 +154,7 @@
         if (lacking <= 0) {
             return Optional.of(new Candidate(view, List.of(), cost));
         }
-        if (demandFor(model.name()).perSecond() < UNASKED_WORTH) {
+        if (demandFor(model.name()).perSecond() < LEAST_GAIN) {
             // What nobody asks for takes free room only: at a start no demand is known, and what stands stands well.
             return Optional.empty();
         }
@@ -231,13 +245,14 @@
     /**
      * What callers ask of a model, over all entries.
      *
-     * @param perSecond requests a second, smoothed.
+     * @param perSecond requests a second, over the last seconds.
+     * @param slowPerSecond requests a second, over a longer time: what is asked for seldom is still asked for.
      * @param atOnce requests that are, or would be, under way at the same time.
      */
-    public record Demand(double perSecond, double atOnce) {
+    public record Demand(double perSecond, double slowPerSecond, double atOnce) {
 
         /** Nothing. */
-        public static final Demand NONE = new Demand(0, 0);
+        public static final Demand NONE = new Demand(0, 0, 0);
 
         /**
          * Adds another entry's demand.
@@ -246,7 +261,7 @@
          * @return both together.
          */
         public Demand plus(Demand other) {
-            return new Demand(perSecond + other.perSecond, atOnce + other.atOnce);
+            return new Demand(perSecond + other.perSecond, slowPerSecond + other.slowPerSecond, atOnce + other.atOnce);
         }
     }
 
--- a/src/main/java/io/waxwingquay/residency/Neighbours.java
+++ b/src/main/java/io/waxwingquay/residency/Neighbours.java
@@ -50,7 +50,9 @@
         entries.values().forEach(heard -> heard.news
                 .getDemand()
                 .forEach((model, each) -> all.merge(
-                        model, new CopyPlan.Demand(each.getPerSecond(), each.getAtOnce()), CopyPlan.Demand::plus)));
+                        model,
+                        new CopyPlan.Demand(each.getPerSecond(), each.getSlowPerSecond(), each.getAtOnce()),
+                        CopyPlan.Demand::plus)));
         return all;
     }
 
--- /dev/null
+++ b/src/main/java/io/waxwingquay/standin/prepared/StoreStandin.java
@@ -0,0 +1,193 @@
+package io.waxwingquay.standin.prepared;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.net.HttpServer;
+import io.waxwingquay.net.ServerExchange;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * The platform's store, as far as tables are read and followed. Its own methods may be called from any thread.
+ */
+public final class StoreStandin {
+
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int UNAVAILABLE = 503;
+    private static final JsonMapper MAPPER = new JsonMapper();
+
+    private final EventLoop loop;
+    private final HostPort address;
+    private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
+    private final List<Follower> followers = new ArrayList<>();
+    private long version;
+    private long historyFrom;
+    private boolean away;
+
+    private StoreStandin(EventLoop loop, HostPort address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    /**
+     * Starts a store without rows.
+     *
+     * @param loop where it runs.
+     * @param address where it listens.
+     * @return the store.
+     */
+    public static StoreStandin start(EventLoop loop, HostPort address) {
+        StoreStandin store = new StoreStandin(loop, address);
+        HttpServer.listen(loop, new InetSocketAddress(address.host(), address.port()), store::answer);
+        return store;
+    }
+
+    /**
+     * Where it listens.
+     *
+     * @return the address.
+     */
+    public HostPort address() {
+        return address;
+    }
+
+    /**
+     * Writes a row.
+     *
+     * @param table the table.
+     * @param key the key.
+     * @param value the value.
+     */
+    public void put(String table, String key, String value) {
+        onLoop(() -> change(table, key, value, false));
+    }
+
+    /**
+     * Drops a row.
+     *
+     * @param table the table.
+     * @param key the key.
+     */
+    public void remove(String table, String key) {
+        onLoop(() -> change(table, key, "", true));
+    }
+
+    /** Forgets its history: whoever follows has to read again. */
+    public void dropHistory() {
+        onLoop(() -> {
+            version++;
+            historyFrom = version;
+            wake();
+        });
+    }
+
+    /**
+     * Sets whether it turns every call away.
+     *
+     * @param isAway whether it does.
+     */
+    public void away(boolean isAway) {
+        onLoop(() -> {
+            away = isAway;
+            wake();
+        });
+    }
+
+    private void onLoop(Runnable task) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            task.run();
+            done.complete(null);
+        });
+        done.join();
+    }
+
+    private void change(String table, String key, String value, boolean deleted) {
+        version++;
+        tables.computeIfAbsent(table, name -> new TreeMap<>()).put(key, new Row(key, value, version, deleted));
+        wake();
+    }
+
+    private void answer(ServerExchange caller) {
+        if (away) {
+            caller.respond(UNAVAILABLE, HttpFields.EMPTY, "away");
+            return;
+        }
+        Map<String, String> query = query(caller.request().target());
+        if (caller.request().path().equals("/rows-get")) {
+            caller.respond(OK, HttpFields.EMPTY, page(rows(query.get("table"), 0, false)));
+            return;
+        }
+        Follower follower = new Follower(caller, query.get("table"), Long.parseLong(query.get("after")));
+        followers.add(follower);
+        loop.schedule(Long.parseLong(query.get("wait_ms")), () -> {
+            if (followers.remove(follower)) {
+                caller.respond(OK, HttpFields.EMPTY, page(List.of()));
+            }
+        });
+        wake();
+    }
+
+    private void wake() {
+        new ArrayList<>(followers).forEach(follower -> {
+            List<Row> changed = rows(follower.table, follower.after, true);
+            if (away || follower.after < historyFrom || !changed.isEmpty()) {
+                followers.remove(follower);
+                follower.caller.respond(status(follower), HttpFields.EMPTY, page(changed));
+            }
+        });
+    }
+
+    private int status(Follower follower) {
+        if (away) {
+            return UNAVAILABLE;
+        }
+        return follower.after < historyFrom ? GONE : OK;
+    }
+
+    private List<Row> rows(String table, long after, boolean withDeleted) {
+        return tables.getOrDefault(table, new TreeMap<>()).values().stream()
+                .filter(row -> row.version > after)
+                .filter(row -> withDeleted || !row.deleted)
+                .toList();
+    }
+
+    private String page(List<Row> rows) {
+        ObjectNode page = MAPPER.createObjectNode();
+        ArrayNode list = page.putArray("rows");
+        rows.forEach(row -> {
+            ObjectNode node = list.addObject().put("key", row.key).put("ver", row.version);
+            if (row.deleted) {
+                node.put("deleted", true);
+            } else {
+                node.put("value", Base64.getEncoder().encodeToString(row.value.getBytes(StandardCharsets.UTF_8)));
+            }
+        });
+        return page.put("has_more", false).put("ver", version).toString();
+    }
+
+    private static Map<String, String> query(String target) {
+        Map<String, String> pairs = new HashMap<>();
+        for (String pair : target.substring(target.indexOf('?') + 1).split("&")) {
+            String[] parts = pair.split("=", 2);
+            pairs.put(parts[0], parts.length > 1 ? parts[1] : "");
+        }
+        return pairs;
+    }
+
+    private record Row(String key, String value, long version, boolean deleted) {}
+
+    private record Follower(ServerExchange caller, String table, long after) {}
+}
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -278,7 +278,8 @@
 /** What one entry sees of one model. */
 struct ModelDemand {
   1: double perSecond,
-  2: double atOnce
+  2: double atOnce,
+  3: double slowPerSecond
 }
 
 /** What an entry tells the process beside each engine of a service, several times a second. */
--- /dev/null
+++ b/src/test/java/io/waxwingquay/fleet/ReplicaDirectoryTest.java
@@ -0,0 +1,90 @@
+package io.waxwingquay.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+
+class ReplicaDirectoryTest {
+
+    private final List<String> gone = new ArrayList<>();
+    private long nowMillis = 1_000;
+    private final ReplicaDirectory directory = new ReplicaDirectory(() -> nowMillis, new ReplicaDirectory.Listener() {
+        @Override
+        public void onReplica(ReplicaRecord record, Optional<ReplicaRecord> before) {
+            // Only departures matter here.
+        }
+
+        @Override
+        public void onGone(ReplicaRecord record) {
+            gone.add(record.id());
+        }
+    });
+
+    @Test
+    void droppedRowIsADepartureAtOnceWhileTheStoreIsSound() {
+        directory.onAll(page(row("r1"), row("r2")));
+        directory.onChanges(page(dropped("r1")));
+        assertEquals(List.of("r1"), gone);
+    }
+
+    // The store is away and rows lapse. Callers would be refused everywhere if each missing row were a departure, so
+    // what is missing at its return gets two seconds to come back, and only then is gone.
+    @Test
+    void rowsThatLapsedInAnOutageMayComeBack() {
+        directory.onAll(page(row("r1"), row("r2")));
+        directory.onReachable(false);
+        nowMillis += 10_000;
+        directory.onReachable(true);
+        directory.onAll(page());
+        assertTrue(gone.isEmpty());
+        nowMillis += 1_900;
+        directory.onChanges(page(row("r2")));
+        directory.settle();
+        assertTrue(gone.isEmpty());
+        nowMillis += 500;
+        directory.settle();
+        assertEquals(List.of("r1"), gone);
+    }
+
+    @Test
+    void rowsMissingAfterALostHistoryMayComeBackToo() {
+        directory.onAll(page(row("r1")));
+        directory.onHistoryLost();
+        directory.onAll(page());
+        assertTrue(gone.isEmpty());
+        nowMillis += ReplicaDirectory.LAPSE_MILLIS;
+        directory.settle();
+        assertEquals(List.of("r1"), gone);
+    }
+
+    @Test
+    void nothingGoesWhileTheStoreIsAway() {
+        directory.onAll(page(row("r1")));
+        directory.onReachable(false);
+        directory.onChanges(page(dropped("r1")));
+        nowMillis += 60_000;
+        directory.settle();
+        assertTrue(gone.isEmpty());
+    }
+
+    @SafeVarargs
+    private static WatchedTable.Page<ReplicaRecord> page(WatchedTable.Row<ReplicaRecord>... rows) {
+        return new WatchedTable.Page<>(1, List.of(rows));
+    }
+
+    private static WatchedTable.Row<ReplicaRecord> row(String id) {
+        ReplicaRecord record = new ReplicaRecord(
+                id, 1, "s", new HostPort("10.0.0.1", 80), "z", 4, false, OptionalLong.empty(), List.of());
+        return new WatchedTable.Row<>(id, Optional.of(record));
+    }
+
+    private static WatchedTable.Row<ReplicaRecord> dropped(String id) {
+        return new WatchedTable.Row<>(id, Optional.empty());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -0,0 +1,116 @@
+package io.waxwingquay.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.ReplicaRecord;
+import io.waxwingquay.manifest.Engine;
+import io.waxwingquay.net.ClientPool;
+import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.transport.generated.EngineNews;
+import io.waxwingquay.transport.generated.HeldModel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class TargetChooserTest {
+
+    private static final Engine ENGINE =
+            new Engine(10, 1_000, 200.0, 2, 1.0, List.of(new Engine.Model("m", 70.0, 6_000, 1_300, 600, 1.0)));
+
+    private final TargetChooser chooser = new TargetChooser("a", new Random(1));
+    private final long nowMillis = EventLoop.nowMillis();
+
+    @Test
+    void sendsToTheLessBusyEngineThatHoldsTheModel() {
+        Target busy = target("busy", "a", false);
+        busy.news(news(busy, 8, List.of()), nowMillis);
+        Target free = target("free", "b", false);
+        free.news(news(free, 1, List.of()), nowMillis);
+        Choice choice = choose(List.of(busy, free), Optional.empty());
+        assertEquals(free, assertInstanceOf(Choice.Send.class, choice).target());
+    }
+
+    // A replica that is leaving is emptied and taken away. A caller sent there late is cut off, so it gets nothing new,
+    // though it is the least busy of all.
+    @Test
+    void sendsNothingToAReplicaThatLeaves() {
+        Target leaving = target("leaving", "a", true);
+        Target staying = target("staying", "b", false);
+        Choice choice = chooser.choosePlain(List.of(leaving, staying), Set.of(), nowMillis);
+        assertEquals(staying, assertInstanceOf(Choice.Send.class, choice).target());
+        assertInstanceOf(Choice.Nowhere.class, chooser.choosePlain(List.of(leaving), Set.of(), nowMillis));
+    }
+
+    @Test
+    void hasAnAdapterLoadedWhereItCanBeSoonest() {
+        Target full = target("full", "a", false);
+        full.news(news(full, 0, List.of("a1", "a2")), nowMillis);
+        Target room = target("room", "a", false);
+        room.news(news(room, 0, List.of("a1")), nowMillis);
+        Choice choice = choose(List.of(full, room), Optional.of("a9"));
+        assertEquals(room, assertInstanceOf(Choice.LoadAdapter.class, choice).target());
+    }
+
+    // An engine that loads a model refuses orders for adapters until it is done. A request that waits there for its
+    // adapter is refused seconds later; another engine takes it at once.
+    @Test
+    void asksNoAdapterOfAnEngineThatLoadsAModel() {
+        Target loading = target("loading", "a", false);
+        loading.news(news(loading, 0, List.of()).setLoadingModel("n").setLoadingMillis(3_000), nowMillis);
+        Target busy = target("busy", "b", false);
+        busy.news(news(busy, 9, List.of("a1", "a2")), nowMillis);
+        Choice choice = choose(List.of(loading, busy), Optional.of("a9"));
+        assertEquals(busy, assertInstanceOf(Choice.LoadAdapter.class, choice).target());
+    }
+
+    @Test
+    void tellsWhenAnAbsentModelIsExpected() {
+        Target other = target("other", "a", false);
+        EngineNews news = news(other, 0, List.of()).setModels(new ArrayList<>());
+        other.news(news.setLoadingModel("m").setLoadingMillis(900), nowMillis);
+        Choice choice = choose(List.of(other), Optional.empty());
+        assertEquals(900, assertInstanceOf(Choice.ModelAbsent.class, choice).readyMillis());
+    }
+
+    @Test
+    void saysFullWhenAllThatHoldTheModelAreFull() {
+        Target full = target("full", "a", false);
+        full.news(news(full, 40, List.of()), nowMillis);
+        assertInstanceOf(Choice.Full.class, choose(List.of(full), Optional.empty()));
+    }
+
+    private Choice choose(List<Target> targets, Optional<String> adapter) {
+        return chooser.chooseEngine(targets, Set.of(), ENGINE, "m", adapter, nowMillis);
+    }
+
+    private static EngineNews news(Target target, int running, List<String> adapters) {
+        return new EngineNews()
+                .setEngineAddress(target.address().toString())
+                .setNumber(1)
+                .setRunning(running)
+                .setNearModels(List.of())
+                .setModels(new ArrayList<>(List.of(new HeldModel("m", new ArrayList<>(adapters)))));
+    }
+
+    private static Target target(String id, String zone, boolean draining) {
+        HostPort address = new HostPort("10.0.0.1", 80);
+        ReplicaRecord record = new ReplicaRecord(
+                id,
+                1,
+                "s",
+                address,
+                zone,
+                10,
+                draining,
+                OptionalLong.empty(),
+                List.of(new ReplicaRecord.ResidentModel("m", List.of())));
+        return new Target(record, new ClientPool(null, new InetSocketAddress("127.0.0.1", 1), 10));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
@@ -0,0 +1,77 @@
+package io.waxwingquay.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.forward.MessageCodec;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+
+class HeaderCodecTest {
+
+    private final HeaderCodec codec = new HeaderCodec();
+
+    @Test
+    void readsWhatACallerAsks() {
+        MessageCodec.Ask ask = codec.read(HttpFields.build()
+                .put("Attempt-Id", "9c")
+                .put("Deadline-Remaining", "1500")
+                .put("Model", "daka/a3")
+                .put("Token-Counts", "1460,80")
+                .put("Prompt-Prefix", "5c:800,91:410,e4:250"));
+        assertEquals(Optional.of("daka"), ask.model());
+        assertEquals(Optional.of("a3"), ask.adapter());
+        assertEquals(Optional.of(1_500L), ask.remainingMillis());
+        assertEquals(1_460, ask.inputTokens());
+        assertEquals(80, ask.outputTokens());
+        assertEquals("5c:800,91:410", ask.promptKey());
+    }
+
+    // A client sends fields that are the system's to set. A replica that saw them would hold memory, skip its queue or
+    // go on from another request's memory, as the client pleases.
+    @Test
+    void dropsWhatIsTheSystemsToSet() {
+        HttpFields out = codec.toReplica(
+                HttpFields.build()
+                        .put("Host", "x.test")
+                        .put("Attempt-Id", "9c")
+                        .put("Hold", "h")
+                        .put("Pin-Duration", "1")
+                        .put("Kv-From", "10.0.0.1:1/x")
+                        .put("Kv-Backup", "10.0.0.1:1")
+                        .put("Target-Replica", "forged")
+                        .put("Request-Priority", "0")
+                        .put("Connection", "x-secret")
+                        .put("X-Secret", "1")
+                        .put("X-Other", "kept"),
+                new MessageCodec.Order("i-1", 900, Optional.of(3), Optional.empty()));
+        assertEquals("i-1", out.get("Target-Replica"));
+        assertEquals("3", out.get("Request-Priority"));
+        assertEquals("900", out.get("Deadline-Remaining"));
+        assertEquals("9c", out.get("Attempt-Id"));
+        assertEquals("kept", out.get("X-Other"));
+        assertNull(out.get("Hold"));
+        assertNull(out.get("Pin-Duration"));
+        assertNull(out.get("Kv-From"));
+        assertNull(out.get("Kv-Backup"));
+        assertNull(out.get("X-Secret"));
+        assertNull(out.get("Last-Event-Id"));
+    }
+
+    @Test
+    void onlyAReplicasOwnWordSaysThatItDidNotRun() {
+        HttpFields none = HttpFields.build().put("Attempt-Id", "9c");
+        assertTrue(codec.reply(503, HttpFields.build().put("Not-Executed", "1")).didNotRun());
+        assertTrue(codec.reply(421, none).didNotRun());
+        assertFalse(codec.reply(503, none).didNotRun());
+        assertFalse(codec.reply(500, none).didNotRun());
+    }
+
+    @Test
+    void refusalSaysWhenToComeBackInSeconds() {
+        assertEquals("1.250", codec.refusal(Optional.of(1_250L)).get("Retry-After"));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/platform/ReplicaReaderTest.java
@@ -0,0 +1,67 @@
+package io.waxwingquay.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.EngineReport;
+import io.waxwingquay.fleet.ReplicaRecord;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ReplicaReaderTest {
+
+    @Test
+    void readsARow() throws IOException {
+        ReplicaRecord record = row("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":64,"
+                        + "\"state\":\"draining\",\"remaining_ms\":1800,\"born\":17,"
+                        + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[\"a1\"]}]}")
+                .orElseThrow();
+        assertEquals(new HostPort("10.0.0.9", 80), record.address());
+        assertEquals(17, record.bornMillis());
+        assertTrue(record.draining());
+        assertEquals(OptionalLong.of(1_800), record.remainingMillis());
+        assertEquals(List.of(new ReplicaRecord.ResidentModel("m", List.of("a1"))), record.models());
+    }
+
+    // Rows may come from another writer. One that can't be understood names no replica, and must not keep the others
+    // from being read.
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{}",
+                "[1]",
+                "\"text\"",
+                "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"slots\":4,\"state\":\"napping\"}",
+                "{\"service\":7,\"address\":\"10.0.0.9:80\",\"slots\":4,\"state\":\"ready\"}",
+                "{\"service\":\"s\",\"address\":\"nowhere\",\"slots\":4,\"state\":\"ready\"}",
+                "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"slots\":\"four\",\"state\":\"ready\"}"
+            })
+    void passesOverAForeignRow(String json) throws IOException {
+        assertEquals(Optional.empty(), row(json));
+    }
+
+    @Test
+    void readsAReport() throws IOException {
+        EngineReport report = ReplicaReader.report(Wire.read(("{\"models\":[{\"name\":\"m\",\"adapters\":[\"a1\"]}],"
+                        + "\"at_hand\":{\"in_memory\":[\"n\"],\"on_disk\":[\"m\",\"n\"]},\"busy\":true,\"seq\":5,"
+                        + "\"running\":3,\"waiting\":2,\"coming\":[\"m/a2@1\"],\"state\":\"ready\"}")
+                .getBytes(StandardCharsets.UTF_8)));
+        assertEquals(5, report.ordersTaken());
+        assertTrue(report.ordering());
+        assertEquals(Set.of("m/a2"), report.comingAdapters());
+        assertEquals(2, report.adapterCount());
+        assertEquals(Set.of("m", "n"), report.onDisk());
+    }
+
+    private static Optional<ReplicaRecord> row(String json) throws IOException {
+        return ReplicaReader.row("r1", Wire.read(json.getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
@@ -0,0 +1,104 @@
+package io.waxwingquay.residency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.manifest.Engine;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class CopyPlanTest {
+
+    private static final HostPort FIRST = new HostPort("10.0.0.1", 80);
+    private static final HostPort SECOND = new HostPort("10.0.0.2", 80);
+    private static final HostPort THIRD = new HostPort("10.0.0.3", 80);
+    private static final LoadPace.Ceiling OPEN = new LoadPace.Ceiling(100, 100);
+    private static final Engine ENGINE = new Engine(
+            64,
+            100_000,
+            230,
+            8,
+            1.2,
+            Stream.of("busy", "rare", "idle", "other", "more")
+                    .map(name -> new Engine.Model(name, 72, 6_400, 1_300, 600, 0.1))
+                    .toList());
+
+    // All of a busy model's callers go to one engine, which runs all it can; each second dozens are refused while
+    // another engine holds models that nobody asks for. The busy model's second copy goes before their last ones.
+    @Test
+    void overloadedModelGetsACopyInPlaceOfOneThatNobodyAsksFor() {
+        List<CopyPlan.EngineView> engines =
+                List.of(view(FIRST, "busy", "rare", "more"), view(SECOND, "idle", "other", "more"));
+        CopyPlan plan = new CopyPlan(ENGINE, engines, Map.of("busy", demand(60, 120)), OPEN);
+        CopyPlan.Step step = plan.stepFor(SECOND).orElseThrow();
+        assertEquals("busy", step.model());
+        assertEquals(List.of("more"), step.makesWay());
+    }
+
+    // At a start no entry has told yet what callers ask for. If copies moved then, the platform's own placement would
+    // be
+    // undone for nothing, and the first callers would find their models gone.
+    @Test
+    void nothingIsMovedBeforeAnythingIsAskedFor() {
+        List<CopyPlan.EngineView> engines =
+                List.of(view(FIRST, "busy", "rare", "more"), view(SECOND, "busy", "idle", "more"));
+        CopyPlan plan = new CopyPlan(ENGINE, engines, Map.of(), OPEN);
+        assertTrue(plan.stepFor(FIRST).isEmpty());
+        assertTrue(plan.stepFor(SECOND).isEmpty());
+    }
+
+    @Test
+    void absentModelThatIsAskedForTakesTheRoomOfASpareCopy() {
+        List<CopyPlan.EngineView> engines =
+                List.of(view(FIRST, "busy", "rare", "more"), view(SECOND, "busy", "idle", "more"));
+        CopyPlan plan = new CopyPlan(
+                ENGINE, engines, Map.of("other", demand(0.5, 1), "rare", demand(0.3, 1), "idle", demand(0.3, 1)), OPEN);
+        Optional<CopyPlan.Step> step = plan.stepFor(FIRST).or(() -> plan.stepFor(SECOND));
+        assertEquals("other", step.orElseThrow().model());
+    }
+
+    @Test
+    void freeRoomIsFilledWithWhatNoEngineHolds() {
+        List<CopyPlan.EngineView> engines = List.of(view(FIRST, "busy", "rare", "more"), view(SECOND, "idle"));
+        CopyPlan plan = new CopyPlan(ENGINE, engines, Map.of(), OPEN);
+        assertEquals("other", plan.stepFor(SECOND).orElseThrow().model());
+    }
+
+    // Three processes see the same view in the same instant. Only one of them may act for a model that one copy of is
+    // missing, or all drop what they hold for it.
+    @Test
+    void processesWithTheSameViewDoNotChooseTheSameModel() {
+        List<CopyPlan.EngineView> engines =
+                List.of(view(FIRST, "busy", "rare"), view(SECOND, "busy", "idle"), view(THIRD, "busy", "more"));
+        CopyPlan plan = new CopyPlan(ENGINE, engines, Map.of("other", demand(1, 1)), OPEN);
+        long loading = Stream.of(FIRST, SECOND, THIRD)
+                .map(plan::stepFor)
+                .flatMap(Optional::stream)
+                .filter(step -> step.model().equals("other"))
+                .count();
+        assertEquals(1, loading);
+    }
+
+    @Test
+    void engineThatLoadedMuchLeavesTheNextLoadToAnother() {
+        CopyPlan.EngineView spent =
+                new CopyPlan.EngineView(FIRST, Set.of("busy"), Optional.empty(), Set.of(), Set.of(), 1, 0);
+        List<CopyPlan.EngineView> engines = List.of(spent, view(SECOND, "busy", "idle", "rare"));
+        CopyPlan plan = new CopyPlan(ENGINE, engines, Map.of("other", demand(5, 5)), new LoadPace.Ceiling(10, 1));
+        assertTrue(plan.stepFor(FIRST).isEmpty());
+        assertEquals("other", plan.stepFor(SECOND).orElseThrow().model());
+    }
+
+    private static CopyPlan.EngineView view(HostPort address, String... held) {
+        return new CopyPlan.EngineView(address, Set.of(held), Optional.empty(), Set.of(), Set.of(), 0, 0);
+    }
+
+    private static CopyPlan.Demand demand(double perSecond, double atOnce) {
+        return new CopyPlan.Demand(perSecond, perSecond, atOnce);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/residency/LoadPaceTest.java
@@ -0,0 +1,46 @@
+package io.waxwingquay.residency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class LoadPaceTest {
+
+    @Test
+    void forgetsLoadsThatLeftTheWindow() {
+        LoadPace pace = new LoadPace(5_000, 1.1);
+        pace.began(0);
+        pace.began(3_000);
+        assertEquals(2, pace.recent(5_000));
+        assertEquals(1, pace.recent(5_001));
+    }
+
+    // Loads of all engines together have a ceiling in each window. With the platform's store away nobody counts them
+    // for all; the shares alone must hold it as long as there are fewer engines than loads allowed.
+    @Property(seed = "11")
+    void sharesOfAllEnginesStayBelowTheCeiling(
+            @ForAll @DoubleRange(min = 0.2, max = 9) double perSecond,
+            @ForAll @IntRange(min = 1, max = 60) int engines) {
+        LoadPace.Ceiling ceiling = new LoadPace(5_000, 1.1).ceiling(perSecond, engines);
+        double allowed = perSecond * 5 * 1.1 + 3;
+        if (engines <= allowed - 1) {
+            assertTrue(engines * ceiling.each() <= allowed);
+        }
+        assertTrue(ceiling.all() < allowed);
+    }
+
+    @Test
+    void rareModelsLeaveLoadsToBusyOnes() {
+        LoadPace.Ceiling ceiling = new LoadPace.Ceiling(10, 2);
+        assertTrue(ceiling.allows(0, 6, 40.0));
+        assertFalse(ceiling.allows(0, 6, 0.2));
+        assertFalse(ceiling.allows(2, 2, 40.0));
+        assertFalse(ceiling.allows(0, 10, 40.0));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/waxwingquay/residency/OrderBookTest.java
@@ -0,0 +1,74 @@
+package io.waxwingquay.residency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.fleet.EngineReport;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class OrderBookTest {
+
+    private final CompletableFuture<EngineControl.Answer> answer = new CompletableFuture<>();
+    private long nowMillis;
+    private final OrderBook orders = new OrderBook(
+            new EngineControl() {
+                @Override
+                public CompletableFuture<EngineReport> report() {
+                    throw new UnsupportedOperationException("not asked here");
+                }
+
+                @Override
+                public CompletableFuture<Answer> give(Order order) {
+                    return answer;
+                }
+            },
+            () -> nowMillis);
+
+    // An order to load gets no answer and may be carried out seconds later. If its model did not count as held, another
+    // would be ordered into the same room, and the engine would crash with both.
+    @Test
+    void modelOfAnUnansweredLoadCountsAsHeldUntilTheEngineTookAnotherOrder() {
+        give();
+        assertTrue(orders.isOpen());
+        answer.complete(EngineControl.Answer.UNKNOWN);
+        assertFalse(orders.isOpen());
+        orders.reported(report(3), false);
+        assertEquals(List.of("m"), orders.doubtfulLoads());
+        orders.reported(report(4), false);
+        assertTrue(orders.doubtfulLoads().isEmpty());
+    }
+
+    // The engine crashes and starts anew, and counts its orders from nothing: a late order of the life before may fit
+    // the count again. So its model counts as held for as long as such an order is known to take.
+    @Test
+    void unansweredLoadOutlivesTheEnginesLife() {
+        give();
+        answer.complete(EngineControl.Answer.UNKNOWN);
+        orders.reported(report(0), true);
+        orders.reported(report(9), false);
+        assertEquals(List.of("m"), orders.doubtfulLoads());
+        nowMillis += OrderBook.LATE_MILLIS + 1;
+        orders.reported(report(9), false);
+        assertTrue(orders.doubtfulLoads().isEmpty());
+    }
+
+    @Test
+    void answeredLoadIsNotInDoubt() {
+        give();
+        answer.complete(EngineControl.Answer.TAKEN);
+        assertTrue(orders.doubtfulLoads().isEmpty());
+    }
+
+    private void give() {
+        orders.give(new EngineControl.Order(true, "m", Optional.empty(), 3), given -> {});
+    }
+
+    private static EngineReport report(long ordersTaken) {
+        return new EngineReport(0, ordersTaken, false, 0, 0, 0, 0, List.of(), Set.of(), Set.of(), Set.of(), false);
+    }
+}
