--- a/src/main/java/io/waxwingquay/command/HostedCommand.java
+++ b/src/main/java/io/waxwingquay/command/HostedCommand.java
@@ -32,7 +32,7 @@
         mixinStandardHelpOptions = true)
 final class HostedCommand implements Callable<Integer> {
 
-    private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
+    private static final System.Logger LOG = System.getLogger("waxwingquay.command");
 
     @Spec
     private CommandSpec spec;
@@ -64,7 +64,11 @@
         CountDownLatch left = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), signal -> process.leave().thenRun(left::countDown));
         // The settings that this program uses do not change while a VM lives; the virtual machine would exit on HUP.
-        Signal.handle(new Signal("HUP"), signal -> LOG.log(System.Logger.Level.INFO, "hosted: settings read again"));
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> LOG.log(
+                        System.Logger.Level.INFO,
+                        "command: told of changed settings, none of which apply to a running process"));
         left.await();
         Logging.flush();
         return ExitCodes.OK;
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -23,7 +23,7 @@
 public final class CopyPlan {
 
     /** The part of its places up to which an engine serves all in time, and the share served late when all are taken. */
-    private static final double EASY_SHARE = 0.5;
+    private static final double EASY_SHARE = 0.3;
 
     private static final double LATE_SHARE_WHEN_FULL = 0.3;
 
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -36,6 +36,9 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
+    /** How often the engine's state is logged. */
+    private static final long STATE_MILLIS = 2_000L;
+
     /** Before this process has heard the others, it would take their models for missing. */
     private static final long HEAR_MILLIS = 1_500L;
 
@@ -84,19 +87,22 @@
     public void start() {
         beganMillis = EventLoop.nowMillis();
         loop.every(LOOK_MILLIS, this::look);
-        loop.every(
-                1000,
-                () -> report.ifPresent(now -> LOG.log(
-                        System.Logger.Level.INFO,
-                        "residency: state running={0} waiting={1} kv={2} busy={3} models={4}",
-                        now.running(),
-                        now.waiting(),
-                        now.kvUsedTokens(),
-                        now.ordering(),
-                        now.models().toString().replace("ResidentModel", ""))));
+        loop.every(STATE_MILLIS, this::logState);
         look();
     }
 
+    /** So that a late answer can be told from a crowded engine afterwards. */
+    private void logState() {
+        report.ifPresent(now -> LOG.log(
+                System.Logger.Level.INFO,
+                "residency: state running={0} waiting={1} kv_tokens={2} ordering={3} models={4}",
+                now.running(),
+                now.waiting(),
+                now.kvUsedTokens(),
+                now.ordering(),
+                names(now)));
+    }
+
     /**
      * Sets what the engine is.
      *
