Let requests wait for room for a fifth of their time

Ruled out: longer queues in engines, which make everything late. Change: it waits at the entry and looks for room each 60 ms, for a fifth of its time.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -33,8 +33,14 @@
     /** The part of its remaining time that a request may wait for a model that is being loaded. */
     private static final double MODEL_WAIT_SHARE = 0.4;
 
-    /** The part of its objective that a request may wait for room. */
-    private static final double ROOM_WAIT_SHARE = 0.125;
+    /**
+     * The part of its time that a request may wait here for room. Engines' own queues stay short, so those that come
+     * when there is room are in time; the others are late, which their callers like better than a refusal.
+     */
+    private static final double ROOM_WAIT_SHARE = 0.2;
+
+    /** How often a request that waits for room looks again. */
+    private static final long LOOK_FOR_ROOM_MILLIS = 60L;
 
     /** A broken stream that can't go on within this has been given up by its caller, which waits two seconds. */
     private static final long RESUME_LIMIT_MILLIS = 1_500L;
@@ -205,18 +211,23 @@
 
     private void awaitRoom(long freeMillis, long nowMillis) {
         long waitedMillis = nowMillis - request.arrivedMillis();
-        if (isResuming() || waitedMillis < route.objectiveMillis() * ROOM_WAIT_SHARE) {
-            lookAgain();
+        long allowedMillis = (long) ((limitMillis - request.arrivedMillis()) * ROOM_WAIT_SHARE);
+        if (isResuming() || waitedMillis < allowedMillis) {
+            lookAgain(LOOK_FOR_ROOM_MILLIS);
         } else {
             unplaced("no room", freeMillis);
         }
     }
 
     private void lookAgain() {
+        lookAgain(LOOK_AGAIN_MILLIS);
+    }
+
+    private void lookAgain(long pauseMillis) {
         if (state == ExchangeState.CHOOSING) {
             move(ExchangeState.Event.AWAIT);
         }
-        lookAgainMillis = EventLoop.nowMillis() + LOOK_AGAIN_MILLIS;
+        lookAgainMillis = EventLoop.nowMillis() + pauseMillis;
     }
 
     private void send(Target target) {
