Read as a newcomer: constants to the top, the rehearsal beside its stand-ins, fields that nobody read

Cause: constants stood between methods, the product depended on a stand-in, news had fields without a reader, and a caller that takes nothing let its answer grow without bound. Change: moved and dropped; a stream ends when a megabyte waits for its caller; the list is read at least three times within the time in which a leaving replica must get nothing new.

--- a/src/main/java/io/waxwingquay/command/RehearseCommand.java
+++ b/src/main/java/io/waxwingquay/command/RehearseCommand.java
@@ -1,9 +1,9 @@
 package io.waxwingquay.command;
 
-import io.waxwingquay.hosted.Rehearsal;
 import io.waxwingquay.observe.Logging;
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import io.waxwingquay.standin.prepared.Rehearsal;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ThreadLocalRandom;
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -56,6 +56,17 @@
 
     private static final int MOST_CONNECT_FAILURES = 4;
 
+    /** When to come back if nothing better is known: most replicas that went are replaced or found again by then. */
+    private static final long FORWARD_AGAIN_MILLIS = 400L;
+
+    /** Of two requests of the same rank the one with an objective above this can wait. */
+    private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
+
+    private static final int LOWEST_RANK = 9;
+
+    /** A caller that takes nothing would let its answer grow here until the process is killed for its memory. */
+    private static final long MOST_UNSENT_BYTES = 1_048_576L;
+
     private final ForwardContext context;
     private final ServerExchange caller;
     private final ServerRequest request;
@@ -179,8 +190,6 @@
         }
     }
 
-    private static final long FORWARD_AGAIN_MILLIS = 400L;
-
     private boolean isResuming() {
         return state == ExchangeState.RESUMING;
     }
@@ -264,9 +273,6 @@
         return Math.min(LOWEST_RANK, 2 * route.priority() + relaxed);
     }
 
-    private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
-    private static final int LOWEST_RANK = 9;
-
     /** A whole answer has come, of any status. */
     void answered(Attempt from, MessageCodec.Reply reply, byte[] body) {
         release(from);
@@ -304,6 +310,11 @@
         }
         stream.passed(id, EventLoop.nowMillis());
         caller.write(ByteBuffer.wrap(bytes));
+        if (caller.unsentBytes() > MOST_UNSENT_BYTES) {
+            from.cancel();
+            release(from);
+            breakOff("its caller takes nothing");
+        }
     }
 
     /** A stream has come to its orderly end. */
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -47,6 +47,9 @@
     /** How long a load is expected to take when no replica tells of one under way. */
     private static final long LEAST_LOAD_MILLIS = 700L;
 
+    /** When a replica that was full is expected to have room: a few short answers' time. */
+    private static final long FULL_RETRY_MILLIS = 150L;
+
     private final String zone;
     private final RandomGenerator random;
 
@@ -75,8 +78,6 @@
                 .orElseGet(() -> there.isEmpty() ? new Choice.Nowhere() : new Choice.Full(FULL_RETRY_MILLIS));
     }
 
-    private static final long FULL_RETRY_MILLIS = 150L;
-
     /**
      * Chooses among the engines of a service.
      *
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -16,6 +16,7 @@
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.residency.EngineKeeper;
+import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.EntryNews;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.net.InetSocketAddress;
@@ -42,8 +43,8 @@
     /** Well within the two seconds in which a new configuration must be in force. */
     private static final long CONFIGURATION_GATHER_MILLIS = 300L;
 
-    /** What engines hold is heard from beside them; the list is for who comes and leaves, which may take two seconds. */
-    private static final long REPLICA_GATHER_MILLIS = 700L;
+    /** What engines hold is heard from beside them; the list is for who comes and leaves, in this part of the time allowed. */
+    private static final double REPLICA_GATHER_SHARE = 1.0 / 3;
 
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -108,12 +109,16 @@
         PreparedPlatform platform = new PreparedPlatform(loop, settings.store());
         new TableWatch<>(loop, "configuration", platform.manifests(), CONFIGURATION_GATHER_MILLIS, new Configurations())
                 .start();
-        new TableWatch<>(loop, "replicas", platform.replicas(), REPLICA_GATHER_MILLIS, replicas).start();
+        new TableWatch<>(loop, "replicas", platform.replicas(), replicaGatherMillis(), replicas).start();
         loop.every(ReplicaDirectory.LAPSE_MILLIS / 8, replicas::settle);
         loop.every(TELL_MILLIS, this::tell);
         LOG.log(System.Logger.Level.INFO, "hosted: entry started node={0} zone={1}", settings.node(), settings.zone());
     }
 
+    private long replicaGatherMillis() {
+        return (long) (settings.bounds().drainMillis() * REPLICA_GATHER_SHARE);
+    }
+
     private void readiness(ServerExchange caller) {
         boolean isAsked = caller.request().path().equals(PreparedPlatform.READINESS_PATH);
         boolean ready =
@@ -140,10 +145,7 @@
                 .setNumber(++number)
                 .setDemand(forwarder.demandNow())
                 .setEngineAddresses(addresses)
-                .setEngineDigest(EngineKeeper.digest(engine()))
-                .setEntries(0)
-                .setEntryAddresses(List.of())
-                .setSuspects(List.of());
+                .setEngineDigest(EngineKeeper.digest(engine()));
         engines.forEach(engine -> {
             news.setAdaptersInUse(forwarder.adaptersInUse(engine));
             news.setModelsInUse(forwarder.modelsInUse(engine));
@@ -180,9 +182,7 @@
         /** {@inheritDoc} */
         @Override
         public void askAdapter(HostPort engine, long id, String model, String adapter) {
-            peers.send(
-                    beside(engine),
-                    PeerDatagram.adapterCall(new io.waxwingquay.transport.generated.AdapterCall(id, model, adapter)));
+            peers.send(beside(engine), PeerDatagram.adapterCall(new AdapterCall(id, model, adapter)));
         }
 
         /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
+++ b/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.residency.EngineControl;
+import java.util.Optional;
 
 /**
  * What the platform offers to one process. All of it runs on the loop.
@@ -43,7 +44,7 @@
         return new StoreTable<>(
                 store,
                 "op",
-                (key, node) -> key.equals(CONFIGURATION_KEY) ? ManifestReader.read(node) : java.util.Optional.empty());
+                (key, node) -> key.equals(CONFIGURATION_KEY) ? ManifestReader.read(node) : Optional.empty());
     }
 
     /**
--- a/src/main/java/io/waxwingquay/hosted/Rehearsal.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/Rehearsal.java
@@ -1,12 +1,14 @@
-package io.waxwingquay.hosted;
+package io.waxwingquay.standin.prepared;
 
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.hosted.HostSettings;
+import io.waxwingquay.hosted.HostedEntry;
+import io.waxwingquay.hosted.HostedProcess;
+import io.waxwingquay.hosted.HostedSide;
 import io.waxwingquay.net.ClientListener;
 import io.waxwingquay.net.ClientPool;
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.EventLoop;
-import io.waxwingquay.standin.prepared.EngineStandin;
-import io.waxwingquay.standin.prepared.StoreStandin;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.List;
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -290,10 +290,7 @@
   4: list<string> adaptersInUse,
   5: list<string> engineAddresses,
   6: i64 engineDigest,
-  7: i32 entries,
-  8: list<string> entryAddresses,
-  9: list<SuspectRecord> suspects,
-  10: list<string> modelsInUse
+  7: list<string> modelsInUse
 }
 
 /** An entry needs an adapter on the engine beside the receiver. */
