Take a request that is given up back by a reset

Six requests reached an engine 3.6 s after their clients had left: they lay in the buffers of a machine that stood still when the entry gave them up, and an orderly close is read after them. Ruled out: a send after the client's close (the entry's last send was at once on arrival). Change: a connection whose request is given up is closed by a reset, which takes what was not delivered with it. ClientPoolTest.requestThatIsGivenUpIsTakenBackByAReset failed before.

--- a/src/main/java/io/waxwingquay/net/ClientConnection.java
+++ b/src/main/java/io/waxwingquay/net/ClientConnection.java
@@ -93,7 +93,7 @@
             listener = null;
             broken = true;
             pool.closed(this);
-            getEndPoint().close();
+            closeWithReset();
         }
     }
 
--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -2,8 +2,10 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
@@ -16,6 +18,8 @@
  */
 abstract class LoopConnection extends AbstractConnection {
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.net");
+
     private final EventLoop loop;
     private final Callback readable = new Readable();
     private final Queue<ByteBuffer> unsent = new ArrayDeque<>();
@@ -47,6 +51,21 @@
         return (ReadableByteChannel) getEndPoint().getTransport();
     }
 
+    /**
+     * Closes with a reset.
+     *
+     * <p>Failure: a peer's machine stands still, or the way to it is cut, when a request is given up. Symptom of an orderly
+     * close: the request arrives before it, seconds later, and is run for nobody. What a reset finds undelivered is lost.
+     */
+    final void closeWithReset() {
+        try {
+            ((SocketChannel) getEndPoint().getTransport()).setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException failure) {
+            LOG.log(System.Logger.Level.DEBUG, "net: a connection is closed and not reset: {0}", failure);
+        }
+        getEndPoint().close();
+    }
+
     /** Asks to be called when there is something to read. */
     final void awaitInput() {
         if (!ended && getEndPoint().isOpen() && !getEndPoint().isFillInterested()) {
--- a/src/test/java/io/waxwingquay/net/ClientPoolTest.java
+++ b/src/test/java/io/waxwingquay/net/ClientPoolTest.java
@@ -1,6 +1,8 @@
 package io.waxwingquay.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.testing.Await;
 import java.io.IOException;
@@ -10,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -93,6 +96,24 @@
         }
     }
 
+    // An engine's machine stands still with a request in its buffers; the caller leaves and the request is given up. An
+    // orderly close would be read after the request, seconds later, and the engine would begin work for nobody. A reset
+    // takes what was not read yet with it.
+    @Test
+    void requestThatIsGivenUpIsTakenBackByAReset() throws Exception {
+        CompletableFuture<ClientCall> call = new CompletableFuture<>();
+        HttpFields fields = HttpFields.build().put("Host", "x.test");
+        ClientRequest request = new ClientRequest("GET", "/", fields, new byte[0], true);
+        loop.execute(() -> call.complete(pool.send(request, new Noted(new CompletableFuture<>()))));
+        try (Socket socket = server.accept()) {
+            InputStream in = socket.getInputStream();
+            assertTrue(in.read() >= 0);
+            ClientCall given = Await.value(call);
+            loop.execute(given::cancel);
+            assertThrows(SocketException.class, () -> in.readAllBytes());
+        }
+    }
+
     private CompletableFuture<String> ask() {
         CompletableFuture<String> answer = new CompletableFuture<>();
         HttpFields fields = HttpFields.build().put("Host", "x.test");
