--- a/src/test/java/io/waxwingquay/scenario/PoisonSteps.java
+++ b/src/test/java/io/waxwingquay/scenario/PoisonSteps.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 /** Steps on requests that crash their targets. They go through whole entry processes. */
@@ -87,13 +88,17 @@
         }
     }
 
-    /** A caller whose answer broke off sends it again, as callers do. */
+    /**
+     * A caller whose answer broke off sends it again, when it is told to. The crashed target is away for a while and then
+     * loads its model again; resends that don't wait are all over before that, on a machine that is busy.
+     */
     @Then("poison: every other caller got its whole answer, sending again where it was told to")
     public void othersWhole() throws Exception {
         for (int number = 0; number < innocent.size(); number++) {
             CallerAnswer answer = Await.value(innocent.get(number));
             for (int resend = 0; !answer.isWhole() && resend < RESENDS; resend++) {
                 assertTrue(answer.statusCode() != QUARANTINED, answer.toString());
+                awaitComeBack(answer);
                 answer = Await.value(path().complete(path().process(resend % ENTRIES), prompt(number), TOKENS));
             }
             assertTrue(answer.isWhole(), answer.toString());
@@ -101,6 +106,12 @@
         }
     }
 
+    private static void awaitComeBack(CallerAnswer answer) throws Exception {
+        long comeBackMillis =
+                answer.error().map(CallerAnswer.Error::retryAfterMillis).orElse(0L);
+        Await.value(new CompletableFuture<Void>().completeOnTimeout(null, comeBackMillis, TimeUnit.MILLISECONDS));
+    }
+
     private void startOthers(int count) throws Exception {
         long tokensBefore = tokens();
         innocent = IntStream.range(0, count)
