Keep services with engines apart; part what had grown; one copy of the callers' limits

Limits of callers stood in two types and twice in defaults; a factory had no caller; two classes were named LoadPace; Exchange and Forwarder were large.

--- a/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
+++ b/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
@@ -1,6 +1,5 @@
 package io.waxwingquay.fleet;
 
-import io.waxwingquay.net.EventLoop;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -45,19 +44,6 @@
         this.listener = listener;
     }
 
-    /**
-     * A directory on the loop's clock that looks after its own delays.
-     *
-     * @param loop where it runs.
-     * @param listener told of changes.
-     * @return the directory.
-     */
-    public static ReplicaDirectory on(EventLoop loop, Listener listener) {
-        ReplicaDirectory directory = new ReplicaDirectory(EventLoop::nowMillis, listener);
-        loop.every(LAPSE_MILLIS / 8, directory::settle);
-        return directory;
-    }
-
     /**
      * Whether the list was read whole at least once.
      *
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -30,27 +30,9 @@
     /** How often a request that waits for a model or for room looks again. */
     private static final long LOOK_AGAIN_MILLIS = 30L;
 
-    /** The part of its remaining time that a request may wait for a model that is being loaded. */
-    private static final double MODEL_WAIT_SHARE = 0.4;
-
-    /**
-     * The part of its time that a request may wait here for room. Engines' own queues stay short, so those that come
-     * when there is room are in time; the others are late, which their callers like better than a refusal.
-     */
-    private static final double ROOM_WAIT_SHARE = 0.2;
-
     /** How often a request that waits for room looks again. */
     private static final long LOOK_FOR_ROOM_MILLIS = 60L;
 
-    /** A broken stream that can't go on within this has been given up by its caller, which waits two seconds. */
-    private static final long RESUME_LIMIT_MILLIS = 1_500L;
-
-    /** A stream's silence after which another replica takes over: well above any pause of a sound one. */
-    private static final long SILENCE_MILLIS = 900L;
-
-    private static final long FIRST_EVENT_LEAST_MILLIS = 1_200L;
-    private static final double PATIENCE_OBJECTIVES = 3.0;
-
     /** With less time than this another try can't end in time. */
     private static final long LEAST_TRY_MILLIS = 30L;
 
@@ -74,7 +56,6 @@
     private final String service;
     private final MessageCodec.Ask ask;
     private final Optional<Engine> engine;
-    private final long callerLimitMillis;
     private final long limitMillis;
     private final Set<Target> tried = new HashSet<>();
     private ExchangeState state = ExchangeState.CHART.initial();
@@ -96,7 +77,7 @@
         this.ask = ask;
         this.service = route.service(context.uniform(ask.id()));
         this.engine = context.engine(service);
-        this.callerLimitMillis = request.arrivedMillis() + ask.remainingMillis().orElse(route.timeoutMillis());
+        long callerLimitMillis = request.arrivedMillis() + ask.remainingMillis().orElse(route.timeoutMillis());
         this.limitMillis = Math.min(callerLimitMillis, request.arrivedMillis() + route.timeoutMillis());
         this.stream = new StreamProgress(
                 request.arrivedMillis(), ask.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty()));
@@ -149,21 +130,18 @@
     }
 
     private boolean isSilent(long nowMillis) {
-        long silentMillis = nowMillis - attempt.heardMillis();
-        if (state == ExchangeState.STREAMING) {
-            return silentMillis > SILENCE_MILLIS && attempts < route.maxAttempts();
+        if (attempts >= route.maxAttempts()) {
+            return false;
         }
-        double patience = isStream()
-                ? Math.max(FIRST_EVENT_LEAST_MILLIS, PATIENCE_OBJECTIVES * route.objectiveMillis())
-                : Math.max(
-                        route.objectiveMillis(),
-                        PATIENCE_OBJECTIVES * attempt.target().answerMillis());
-        return silentMillis > patience && attempts < route.maxAttempts();
+        long silentMillis = nowMillis - attempt.heardMillis();
+        return state == ExchangeState.STREAMING
+                ? Patience.isStreamSilent(silentMillis)
+                : Patience.isUnanswered(route, silentMillis, attempt.target().answerMillis());
     }
 
     private void choose() {
         long nowMillis = EventLoop.nowMillis();
-        if (isResuming() && nowMillis - brokenMillis > RESUME_LIMIT_MILLIS) {
+        if (isResuming() && !Patience.mayResume(nowMillis - brokenMillis)) {
             breakOff("it could not go on elsewhere");
             return;
         }
@@ -211,7 +189,7 @@
     private void awaitModel(long readyMillis, long nowMillis) {
         long leftMillis = limitMillis - nowMillis;
         context.modelMissed();
-        if (isResuming() || readyMillis < leftMillis * MODEL_WAIT_SHARE) {
+        if (isResuming() || Patience.mayWaitForModel(readyMillis, leftMillis)) {
             lookAgain();
         } else {
             unplaced("model " + ask.model().get() + " is in no engine", readyMillis);
@@ -220,8 +198,7 @@
 
     private void awaitRoom(long freeMillis, long nowMillis) {
         long waitedMillis = nowMillis - request.arrivedMillis();
-        long allowedMillis = (long) ((limitMillis - request.arrivedMillis()) * ROOM_WAIT_SHARE);
-        if (isResuming() || waitedMillis < allowedMillis) {
+        if (isResuming() || Patience.mayWaitForRoom(waitedMillis, limitMillis - request.arrivedMillis())) {
             lookAgain(LOOK_FOR_ROOM_MILLIS);
         } else {
             unplaced("no room", freeMillis);
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -13,7 +13,7 @@
 import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.net.ServerHandler;
 import io.waxwingquay.transport.generated.EngineNews;
-import io.waxwingquay.transport.generated.ModelDemand;
+import io.waxwingquay.transport.generated.EntryNews;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -63,6 +63,7 @@
     private final Runnable modelMissed;
     private final DemandMeter demand = new DemandMeter();
     private final TargetTable targets;
+    private final NewsWriter newsWriter;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final Set<Exchange> active = new HashSet<>();
     private Optional<Manifest> manifest = Optional.empty();
@@ -98,6 +99,7 @@
                 loop, (target, call) -> peers.askAdapter(target.address(), call.id(), call.model(), call.adapter()));
         this.modelMissed = peers::demandChanged;
         this.targets = new TargetTable(this::pool);
+        this.newsWriter = new NewsWriter(targets, demand);
         loop.execute(() -> loop.every(TICK_MILLIS, this::tick));
     }
 
@@ -200,48 +202,14 @@
     }
 
     /**
-     * What callers ask of each model here.
+     * What the process beside each engine is to be told now.
      *
-     * @return the demand by model.
+     * @param node the name of this entry's VM.
+     * @return the news by the engine's address; none before a configuration is known.
      */
-    public Map<String, ModelDemand> demandNow() {
-        return demand.snapshot(EventLoop.nowMillis());
-    }
-
-    /**
-     * The engines that there are.
-     *
-     * @return the addresses of replicas of services with an engine.
-     */
-    public List<HostPort> engines() {
-        return targets.all().stream()
-                .filter(target -> engine(target.record().service()).isPresent())
-                .map(Target::address)
-                .toList();
-    }
-
-    /**
-     * Adapters that requests sent from here use on one engine.
-     *
-     * @param engine the engine's address.
-     * @return names as {@code model/adapter}.
-     */
-    public List<String> adaptersInUse(HostPort engine) {
-        return targets.at(engine).stream()
-                .flatMap(target -> target.adaptersInUse().keySet().stream())
-                .toList();
-    }
-
-    /**
-     * Models that requests sent from here use on one engine.
-     *
-     * @param engine the engine's address.
-     * @return their names.
-     */
-    public List<String> modelsInUse(HostPort engine) {
-        return targets.at(engine).stream()
-                .flatMap(target -> target.modelsInUse().stream())
-                .toList();
+    public Map<HostPort, EntryNews> news(String node) {
+        return manifest.map(known -> newsWriter.write(node, known, EventLoop.nowMillis()))
+                .orElse(Map.of());
     }
 
     /**
--- /dev/null
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -0,0 +1,56 @@
+package io.waxwingquay.forward;
+
+import io.waxwingquay.manifest.Route;
+
+/** How long a request waits before something else is done with it. Pure: it looks at durations alone. */
+final class Patience {
+
+    /** The part of its remaining time that a request may wait for a model that is being loaded. */
+    private static final double MODEL_WAIT_SHARE = 0.4;
+
+    /**
+     * The part of its time that a request may wait here for room. Engines' own queues stay short, so those that come
+     * when there is room are in time; the others are late, which their callers like better than a refusal.
+     */
+    private static final double ROOM_WAIT_SHARE = 0.2;
+
+    /** A broken stream that can't go on within this has been given up by its caller, which waits two seconds. */
+    private static final long RESUME_LIMIT_MILLIS = 1_500L;
+
+    /** A stream's silence after which another replica takes over: well above any pause of a sound one. */
+    private static final long SILENCE_MILLIS = 900L;
+
+    /** The least wait for a stream's first event, which may have to queue in its engine. */
+    private static final long FIRST_EVENT_LEAST_MILLIS = 1_200L;
+
+    /** An answer that takes this many times what was aimed at, or is usual at its replica, will hardly come. */
+    private static final double USUAL_TIMES = 3.0;
+
+    private Patience() {}
+
+    static boolean mayWaitForModel(long readyMillis, long leftMillis) {
+        return readyMillis < leftMillis * MODEL_WAIT_SHARE;
+    }
+
+    static boolean mayWaitForRoom(long waitedMillis, long allMillis) {
+        return waitedMillis < allMillis * ROOM_WAIT_SHARE;
+    }
+
+    /** Whether a broken stream may still be taken up elsewhere. */
+    static boolean mayResume(long brokenForMillis) {
+        return brokenForMillis <= RESUME_LIMIT_MILLIS;
+    }
+
+    /** Whether a stream that has begun is given up at its replica. */
+    static boolean isStreamSilent(long silentMillis) {
+        return silentMillis > SILENCE_MILLIS;
+    }
+
+    /** Whether a request without any answer yet is given up at its replica. */
+    static boolean isUnanswered(Route route, long silentMillis, double usualMillis) {
+        double patienceMillis = route.kind() == Route.Kind.STREAM
+                ? Math.max(FIRST_EVENT_LEAST_MILLIS, USUAL_TIMES * route.objectiveMillis())
+                : Math.max(route.objectiveMillis(), USUAL_TIMES * usualMillis);
+        return silentMillis > patienceMillis;
+    }
+}
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -6,22 +6,16 @@
 import io.waxwingquay.fleet.WatchedTable;
 import io.waxwingquay.forward.ForwardSettings;
 import io.waxwingquay.forward.Forwarder;
-import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import io.waxwingquay.net.ServerExchange;
-import io.waxwingquay.net.ServerLimits;
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
-import io.waxwingquay.residency.EngineKeeper;
 import io.waxwingquay.transport.generated.AdapterCall;
-import io.waxwingquay.transport.generated.EntryNews;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
@@ -58,7 +52,6 @@
     private final PeerChannel peers;
     private final AdminPages admin;
     private final Departure departure;
-    private long number;
     private boolean tellingSoon;
 
     private HostedEntry(EventLoop loop, HostSettings settings) {
@@ -136,28 +129,8 @@
         }
     }
 
-    /** Each receiver gets what it needs for its own engine, and what all need. */
     private void tell() {
-        List<HostPort> engines = forwarder.engines();
-        List<String> addresses = engines.stream().map(HostPort::toString).toList();
-        EntryNews news = new EntryNews()
-                .setNode(settings.node())
-                .setNumber(++number)
-                .setDemand(forwarder.demandNow())
-                .setEngineAddresses(addresses)
-                .setEngineDigest(EngineKeeper.digest(engine()));
-        engines.forEach(engine -> {
-            news.setAdaptersInUse(forwarder.adaptersInUse(engine));
-            news.setModelsInUse(forwarder.modelsInUse(engine));
-            peers.send(beside(engine), PeerDatagram.entry(news));
-        });
-    }
-
-    private Optional<Engine> engine() {
-        return forwarder.manifest().flatMap(manifest -> manifest.services().values().stream()
-                .map(Manifest.Service::engine)
-                .flatMap(Optional::stream)
-                .findFirst());
+        forwarder.news(settings.node()).forEach((engine, news) -> peers.send(beside(engine), PeerDatagram.entry(news)));
     }
 
     /** Our processes take datagrams at the same port on every VM. */
@@ -215,12 +188,7 @@
 
         private void apply(Manifest manifest) {
             forwarder.manifest(manifest);
-            Manifest.CallerLimits limits = manifest.limits();
-            server.limit(new ServerLimits(
-                    limits.headerBytes(),
-                    limits.bodyBytes(),
-                    limits.headerTimeoutMillis(),
-                    limits.idleTimeoutMillis()));
+            server.limit(manifest.limits());
         }
     }
 }
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -7,7 +7,7 @@
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.residency.EngineKeeper;
-import io.waxwingquay.residency.LoadPace;
+import io.waxwingquay.residency.WeightLoadPace;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -37,7 +37,7 @@
         this.service = settings.service().orElse("");
         PreparedPlatform platform = new PreparedPlatform(loop, settings.store());
         this.manifests = platform.manifests();
-        LoadPace pace = new LoadPace(
+        WeightLoadPace pace = new WeightLoadPace(
                 settings.bounds().loadWindowMillis(), settings.bounds().loadExcess());
         this.keeper = new EngineKeeper(
                 loop, engine, service, platform.engine(engine, settings.node()), new Datagrams(), pace);
--- a/src/main/java/io/waxwingquay/manifest/Engine.java
+++ b/src/main/java/io/waxwingquay/manifest/Engine.java
@@ -21,6 +21,15 @@
         double storeLoadsPerSecond,
         List<Model> models) {
 
+    /**
+     * A number that tells one configuration of an engine from another.
+     *
+     * @return the number, never 0.
+     */
+    public long digest() {
+        return toString().hashCode() | 1L << Integer.SIZE + 8;
+    }
+
     /**
      * Finds a model.
      *
--- a/src/main/java/io/waxwingquay/manifest/Manifest.java
+++ b/src/main/java/io/waxwingquay/manifest/Manifest.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.manifest;
 
+import io.waxwingquay.net.ServerLimits;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,7 +13,7 @@
  * @param services the services by name.
  * @param limits what callers may send.
  */
-public record Manifest(long version, List<Route> routes, Map<String, Service> services, CallerLimits limits) {
+public record Manifest(long version, List<Route> routes, Map<String, Service> services, ServerLimits limits) {
 
     /**
      * The engine that a service's replicas run.
@@ -32,14 +33,4 @@
      * @param engine what its replicas run, empty if they are plain services.
      */
     public record Service(String name, int maxConnections, Optional<Engine> engine) {}
-
-    /**
-     * What callers may send.
-     *
-     * @param headerBytes the longest head of a request.
-     * @param bodyBytes the longest body.
-     * @param headerTimeoutMillis how long a request may take to come in.
-     * @param idleTimeoutMillis how long a connection may stay without a request.
-     */
-    public record CallerLimits(int headerBytes, int bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {}
 }
--- a/src/main/java/io/waxwingquay/net/ServerLimits.java
+++ b/src/main/java/io/waxwingquay/net/ServerLimits.java
@@ -10,6 +10,6 @@
  */
 public record ServerLimits(int headerBytes, int bodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
 
-    /** In force until an operator says otherwise; wide, as a caller within its limits must not be cut. */
+    /** For what an operator does not say; wide, as a caller within its limits must not be cut. */
     public static final ServerLimits DEFAULT = new ServerLimits(32_768, 16 * 1024 * 1024, 60_000L, 120_000L);
 }
--- a/src/main/java/io/waxwingquay/platform/ManifestReader.java
+++ b/src/main/java/io/waxwingquay/platform/ManifestReader.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.manifest.Route;
+import io.waxwingquay.net.ServerLimits;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,10 +15,6 @@
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    /** The limits of a configuration that names none; wide, so that no proper request is refused. */
-    private static final Manifest.CallerLimits DEFAULT_LIMITS =
-            new Manifest.CallerLimits(32_768, 16 * 1024 * 1024, 60_000L, 120_000L);
-
     private ManifestReader() {}
 
     static Optional<Manifest> read(JsonNode node) {
@@ -113,11 +110,11 @@
                         Wire.decimal(node, "adapter_mb", 0.0)));
     }
 
-    private static Manifest.CallerLimits limits(JsonNode node) {
-        return new Manifest.CallerLimits(
-                (int) Wire.whole(node, "max_header_bytes", DEFAULT_LIMITS.headerBytes()),
-                (int) Wire.whole(node, "max_body_bytes", DEFAULT_LIMITS.bodyBytes()),
-                Wire.whole(node, "header_timeout_ms", DEFAULT_LIMITS.headerTimeoutMillis()),
-                Wire.whole(node, "idle_timeout_ms", DEFAULT_LIMITS.idleTimeoutMillis()));
+    private static ServerLimits limits(JsonNode node) {
+        return new ServerLimits(
+                (int) Wire.whole(node, "max_header_bytes", ServerLimits.DEFAULT.headerBytes()),
+                (int) Wire.whole(node, "max_body_bytes", ServerLimits.DEFAULT.bodyBytes()),
+                Wire.whole(node, "header_timeout_ms", ServerLimits.DEFAULT.headerTimeoutMillis()),
+                Wire.whole(node, "idle_timeout_ms", ServerLimits.DEFAULT.idleTimeoutMillis()));
     }
 }
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -48,7 +48,7 @@
     private static final double MILLIS_PER_COST = 100.0;
 
     private final Engine engine;
-    private final LoadPace.Ceiling pace;
+    private final WeightLoadPace.Ceiling pace;
     private final int storeLoads;
     private final List<EngineView> engines;
     private final Map<String, Demand> demand;
@@ -62,7 +62,7 @@
      * @param demand what callers ask of each model.
      * @param pace how many loads from the weight store may begin.
      */
-    public CopyPlan(Engine engine, List<EngineView> engines, Map<String, Demand> demand, LoadPace.Ceiling pace) {
+    public CopyPlan(Engine engine, List<EngineView> engines, Map<String, Demand> demand, WeightLoadPace.Ceiling pace) {
         this.engine = engine;
         this.pace = pace;
         this.storeLoads = engines.stream().mapToInt(EngineView::storeLoads).sum();
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -47,9 +47,9 @@
     private final String service;
     private final EngineControl control;
     private final Sender sender;
-    private final LoadPace pace;
+    private final WeightLoadPace pace;
     private final AdapterShelf shelf = new AdapterShelf();
-    private final Neighbours neighbours = new Neighbours();
+    private final Neighbours neighbours;
     private final OrderBook orders;
     private Optional<Engine> engine = Optional.empty();
     private Optional<EngineReport> report = Optional.empty();
@@ -73,10 +73,16 @@
      * @param pace keeps loads from the weight store below their ceiling.
      */
     public EngineKeeper(
-            EventLoop loop, HostPort address, String service, EngineControl control, Sender sender, LoadPace pace) {
+            EventLoop loop,
+            HostPort address,
+            String service,
+            EngineControl control,
+            Sender sender,
+            WeightLoadPace pace) {
         this.loop = loop;
         this.address = address;
         this.service = service;
+        this.neighbours = new Neighbours(service);
         this.control = control;
         this.sender = sender;
         this.pace = pace;
@@ -118,17 +124,7 @@
      * @return whether the configuration should be read again.
      */
     public boolean isConfigurationOld() {
-        return neighbours.isOtherConfiguration(digest(engine));
-    }
-
-    /**
-     * A number that tells one configuration of an engine from another.
-     *
-     * @param engine the engine.
-     * @return the number; 0 if there is none.
-     */
-    public static long digest(Optional<Engine> engine) {
-        return engine.map(each -> each.toString().hashCode() | 1L << 40).orElse(0L);
+        return neighbours.isOtherConfiguration(engine.map(Engine::digest).orElse(0L));
     }
 
     /**
@@ -362,7 +358,7 @@
             return allowed;
         }
 
-        private LoadPace.Ceiling ceiling() {
+        private WeightLoadPace.Ceiling ceiling() {
             int engines = Math.max(1, neighbours.listedEngines(nowMillis).size());
             return pace.ceiling(engine.get().storeLoadsPerSecond(), engines);
         }
--- a/src/main/java/io/waxwingquay/residency/Neighbours.java
+++ b/src/main/java/io/waxwingquay/residency/Neighbours.java
@@ -19,14 +19,23 @@
     /** A dozen rounds of news; one that was silent for longer is gone or cut off. */
     private static final long HEARD_MILLIS = 3_000L;
 
+    private final String service;
     private final Map<HostPort, Heard<EntryNews>> entries = new HashMap<>();
     private final Map<HostPort, Heard<EngineNews>> engines = new HashMap<>();
 
+    Neighbours(String service) {
+        this.service = service;
+    }
+
     void entry(HostPort sender, EntryNews news, long nowMillis) {
         entries.put(sender, new Heard<>(news, nowMillis));
     }
 
+    /** Takes in news of an engine; one of another service holds other models and has no part in the plan. */
     void engine(EngineNews news, long nowMillis) {
+        if (!service.equals(news.getServiceName())) {
+            return;
+        }
         engines.put(HostPort.of(news.getEngineAddress()), new Heard<>(news, nowMillis));
     }
 
--- a/src/main/java/io/waxwingquay/residency/LoadPace.java
+++ b/src/main/java/io/waxwingquay/residency/WeightLoadPace.java
@@ -8,7 +8,7 @@
  * sliding window; each process takes its part by the number of engines, so that it holds with the platform's store away
  * too, and looks at what the others told besides.
  */
-public final class LoadPace {
+public final class WeightLoadPace {
 
     /** The bounds count a few loads beyond the rate; this one is left to views that differ. */
     private static final double KEPT_BACK = 1.0;
@@ -26,7 +26,7 @@
      * @param windowMillis the window in which loads are counted.
      * @param excess how far over the rate they may go in one window, as a factor.
      */
-    public LoadPace(long windowMillis, double excess) {
+    public WeightLoadPace(long windowMillis, double excess) {
         this.windowMillis = windowMillis;
         this.excess = excess;
     }
--- /dev/null
+++ b/src/test/java/io/waxwingquay/forward/PatienceTest.java
@@ -0,0 +1,48 @@
+package io.waxwingquay.forward;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.manifest.Route;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PatienceTest {
+
+    // Clients give a stream up after two seconds of silence. A stream that hangs must go on elsewhere before that, and
+    // one that only pauses must not be run twice.
+    @Test
+    void silentStreamIsTakenUpElsewhereBeforeItsClientLeaves() {
+        assertFalse(Patience.isStreamSilent(200));
+        assertTrue(Patience.isStreamSilent(1_000));
+        assertTrue(Patience.mayResume(1_000));
+        assertFalse(Patience.mayResume(1_900));
+    }
+
+    @Test
+    void slowReplicaIsGivenItsUsualTime() {
+        Route lookup = route(Route.Kind.SAFE);
+        assertFalse(Patience.isUnanswered(lookup, 900, 400));
+        assertTrue(Patience.isUnanswered(lookup, 1_300, 400));
+        assertTrue(Patience.isUnanswered(lookup, 400, 50));
+    }
+
+    @Test
+    void firstEventMayQueueForAWhile() {
+        assertFalse(Patience.isUnanswered(route(Route.Kind.STREAM), 1_100, 0));
+        assertTrue(Patience.isUnanswered(route(Route.Kind.STREAM), 1_300, 0));
+    }
+
+    // What can't be served is refused while there is time to come back; nothing is held to its deadline.
+    @Test
+    void nothingWaitsForMostOfItsTime() {
+        assertTrue(Patience.mayWaitForRoom(700, 4_000));
+        assertFalse(Patience.mayWaitForRoom(800, 4_000));
+        assertTrue(Patience.mayWaitForModel(2_000, 12_000));
+        assertFalse(Patience.mayWaitForModel(6_400, 12_000));
+    }
+
+    private static Route route(Route.Kind kind) {
+        return new Route("r", "x.test", "/", kind, 4_000, 300, 0, List.of(new Route.Share("s", 1)), 2, true);
+    }
+}
--- a/src/test/java/io/waxwingquay/residency/LoadPaceTest.java
+++ b/src/test/java/io/waxwingquay/residency/WeightLoadPaceTest.java
@@ -10,11 +10,11 @@
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 
-class LoadPaceTest {
+class WeightLoadPaceTest {
 
     @Test
     void forgetsLoadsThatLeftTheWindow() {
-        LoadPace pace = new LoadPace(5_000, 1.1);
+        WeightLoadPace pace = new WeightLoadPace(5_000, 1.1);
         pace.began(0);
         pace.began(3_000);
         assertEquals(2, pace.recent(5_000));
@@ -27,7 +27,7 @@
     void sharesOfAllEnginesStayBelowTheCeiling(
             @ForAll @DoubleRange(min = 0.2, max = 9) double perSecond,
             @ForAll @IntRange(min = 1, max = 60) int engines) {
-        LoadPace.Ceiling ceiling = new LoadPace(5_000, 1.1).ceiling(perSecond, engines);
+        WeightLoadPace.Ceiling ceiling = new WeightLoadPace(5_000, 1.1).ceiling(perSecond, engines);
         double allowed = perSecond * 5 * 1.1 + 3;
         if (engines <= allowed - 1) {
             assertTrue(engines * ceiling.each() <= allowed);
@@ -37,7 +37,7 @@
 
     @Test
     void rareModelsLeaveLoadsToBusyOnes() {
-        LoadPace.Ceiling ceiling = new LoadPace.Ceiling(10, 2);
+        WeightLoadPace.Ceiling ceiling = new WeightLoadPace.Ceiling(10, 2);
         assertTrue(ceiling.allows(0, 6, 40.0));
         assertFalse(ceiling.allows(0, 6, 0.2));
         assertFalse(ceiling.allows(2, 2, 40.0));
