Describe only the command that a role's process runs

Cause: a process that was started again took 0.9 s of processor time until it served, two fifths of it for describing eleven commands with their options to picocli, whose classes are too old for the class archive. Seen in the class loading log.

--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -4,6 +4,10 @@
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
 import io.waxwingquay.standin.StandinCommand;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -22,6 +26,9 @@
         version = "waxwingquay 0.1.0")
 public final class Main implements Runnable {
 
+    /** The commands that run until they are stopped. */
+    private static final Set<String> ROLES = Set.of("entry", "side", "hosted");
+
     @Spec
     private CommandSpec spec;
 
@@ -34,7 +41,23 @@
      */
     public static void main(String[] arguments) {
         Logging.configure(LogFormat.TEXT, LogLevel.WARN);
-        System.exit(commandLine(HttpPlatform::open).execute(arguments));
+        System.exit(commandLine(HttpPlatform::open, arguments).execute(arguments));
+    }
+
+    /**
+     * The command line as far as one call needs it. A process that is started again after a failure is missed until it
+     * answers, and describing commands that it does not run was two fifths of the time until then.
+     *
+     * @param platforms opens clients of the platform.
+     * @param arguments the arguments of the call.
+     * @return the command that the first argument names if it runs a role, else all.
+     */
+    static CommandLine commandLine(PlatformFactory platforms, String[] arguments) {
+        Map<String, Supplier<Object>> commands = commands(platforms);
+        if (arguments.length > 0 && ROLES.contains(arguments[0])) {
+            commands.keySet().retainAll(Set.of(arguments[0]));
+        }
+        return commandLine(commands);
     }
 
     /**
@@ -44,18 +67,28 @@
      * @return the command line.
      */
     static CommandLine commandLine(PlatformFactory platforms) {
-        CommandLine root = new CommandLine(new Main())
-                .addSubcommand(new EntryCommand())
-                .addSubcommand(new SideCommand())
-                .addSubcommand(new HostedCommand())
-                .addSubcommand(new RehearseCommand())
-                .addSubcommand(new BundleCommand(platforms))
-                .addSubcommand(new DumpCommand())
-                .addSubcommand(new DemoCommand())
-                .addSubcommand(new CapacityCommand())
-                .addSubcommand(new BenchCommand())
-                .addSubcommand(new StandinCommand())
-                .addSubcommand(new CompletionCommand());
+        return commandLine(commands(platforms));
+    }
+
+    private static Map<String, Supplier<Object>> commands(PlatformFactory platforms) {
+        Map<String, Supplier<Object>> commands = new LinkedHashMap<>();
+        commands.put("entry", EntryCommand::new);
+        commands.put("side", SideCommand::new);
+        commands.put("hosted", HostedCommand::new);
+        commands.put("rehearse", RehearseCommand::new);
+        commands.put("bundle", () -> new BundleCommand(platforms));
+        commands.put("dump", DumpCommand::new);
+        commands.put("demo", DemoCommand::new);
+        commands.put("capacity", CapacityCommand::new);
+        commands.put("bench", BenchCommand::new);
+        commands.put("standin", StandinCommand::new);
+        commands.put("completion", CompletionCommand::new);
+        return commands;
+    }
+
+    private static CommandLine commandLine(Map<String, Supplier<Object>> commands) {
+        CommandLine root = new CommandLine(new Main());
+        commands.forEach((name, command) -> root.addSubcommand(name, command.get()));
         describeExitCodes(root);
         root.setCaseInsensitiveEnumValuesAllowed(true);
         return root.setExecutionExceptionHandler(Main::tell);
