Let an entry that the store turns away read tables at another entry

Cause: the store may turn some machines away, or go silent for them, and serve the others and the operator (platform_down nodes). An entry there went on by an old configuration, beyond the bound that still holds then, and one that started there refused every caller.

Ruled out: a consensus among entries (the versions are the store's own and only rise), and sending configurations by datagram (they outgrow one).

Change: entries tell the versions that they have with their news, processes beside engines pass on the newest and who has it, and one that stays behind reads the rows there in the store's own form (fleet.CopyReader, platform.TableCopy). An overdue reply of the store no longer goes back behind what is known. Numbers in logs bear no marks between thousands.

--- a/src/main/java/io/waxwingquay/fleet/TableWatch.java
+++ b/src/main/java/io/waxwingquay/fleet/TableWatch.java
@@ -65,6 +65,31 @@
         return reachable;
     }
 
+    /**
+     * The version of the store that is known here.
+     *
+     * @return the version, 0 before the table was read.
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Takes over what another process has read, if it is newer. As that process may have read it while rows were missing
+     * for a moment, it is treated like a reading after a lost history.
+     *
+     * @param page all rows.
+     */
+    public void adopt(WatchedTable.Page<T> page) {
+        if (page.version() <= version) {
+            return;
+        }
+        version = page.version();
+        readWhole = true;
+        listener.onHistoryLost();
+        listener.onAll(page);
+    }
+
     private void read(WatchedTable.Page<T> page, Throwable failure) {
         if (failure != null) {
             failed(failure);
@@ -72,6 +97,11 @@
         }
         answered();
         readWhole = true;
+        if (page.version() < version) {
+            // A reading that lags behind what is known here; the store is asked again when it may have caught up.
+            loop.schedule(FIRST_RETRY_MILLIS, this::start);
+            return;
+        }
         version = page.version();
         listener.onAll(page);
         start();
@@ -83,8 +113,9 @@
             return;
         }
         answered();
+        boolean isOverdue = page.version() < version;
         version = Math.max(version, page.version());
-        if (page.rows().isEmpty()) {
+        if (page.rows().isEmpty() || isOverdue) {
             start();
             return;
         }
--- a/src/main/java/io/waxwingquay/hosted/AdminPages.java
+++ b/src/main/java/io/waxwingquay/hosted/AdminPages.java
@@ -13,6 +13,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -31,6 +33,7 @@
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private Supplier<String> dump = () -> "";
+    private Function<String, Optional<byte[]>> copies = target -> Optional.empty();
 
     AdminPages(EventLoop loop, HostPort address) {
         HttpServer.listen(loop, new InetSocketAddress(address.host(), address.port()), this::answer);
@@ -40,6 +43,11 @@
         dump = newDump;
     }
 
+    /** Sets what answers other processes that read the platform's tables here. */
+    void copies(Function<String, Optional<byte[]>> newCopies) {
+        copies = newCopies;
+    }
+
     ForwardMeters forwardMeters() {
         return new Forwards();
     }
@@ -48,7 +56,10 @@
         switch (caller.request().path()) {
             case "/metrics" -> caller.respond(OK, HttpFields.EMPTY, registry.scrape());
             case "/dump" -> caller.respond(OK, HttpFields.EMPTY, dump.get());
-            default -> caller.respond(NOT_FOUND, HttpFields.EMPTY, "there are /metrics and /dump");
+            default -> copies.apply(caller.request().target())
+                    .ifPresentOrElse(
+                            page -> caller.respond(OK, HttpFields.EMPTY, page),
+                            () -> caller.respond(NOT_FOUND, HttpFields.EMPTY, "there are /metrics and /dump"));
         }
     }
 
--- a/src/main/java/io/waxwingquay/hosted/HostSettings.java
+++ b/src/main/java/io/waxwingquay/hosted/HostSettings.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.hosted;
 
 import io.waxwingquay.common.HostPort;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -16,6 +17,7 @@
  * @param engine the engine beside this process, on VMs that have one.
  * @param service the service that this engine belongs to.
  * @param store the platform's store.
+ * @param seeds IP numbers of a few VMs that may take callers' requests; some may be gone.
  * @param bounds the figures that the deployment holds its processes to.
  */
 public record HostSettings(
@@ -29,6 +31,7 @@
         Optional<HostPort> engine,
         Optional<String> service,
         HostPort store,
+        List<String> seeds,
         Bounds bounds) {
 
     /**
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -1,7 +1,9 @@
 package io.waxwingquay.hosted;
 
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.CopyReader;
 import io.waxwingquay.fleet.ReplicaDirectory;
+import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.fleet.TableWatch;
 import io.waxwingquay.fleet.WatchedTable;
 import io.waxwingquay.forward.ForwardSettings;
@@ -14,8 +16,11 @@
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.transport.generated.AdapterCall;
+import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.PeerDatagram;
+import io.waxwingquay.transport.generated.TableVersions;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
@@ -40,6 +45,14 @@
     /** What engines hold is heard from beside them; the list is for who comes and leaves, in this part of the time allowed. */
     private static final double REPLICA_GATHER_SHARE = 1.0 / 3;
 
+    /** A configuration is told of within its gathering and a datagram's way; one that is not by then was missed. */
+    private static final long CONFIGURATION_PATIENCE_MILLIS = 700L;
+
+    /** The list changes all the time and is gathered longer. */
+    private static final long REPLICA_PATIENCE_MILLIS = 2_000L;
+
+    private static final long COPY_LOOK_MILLIS = 200L;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
@@ -52,6 +65,11 @@
     private final PeerChannel peers;
     private final AdminPages admin;
     private final Departure departure;
+    private final PreparedPlatform platform;
+    private final TableWatch<Manifest> manifestWatch;
+    private final TableWatch<ReplicaRecord> replicaWatch;
+    private final CopyReader<Manifest> manifestCopies;
+    private final CopyReader<ReplicaRecord> replicaCopies;
     private boolean tellingSoon;
 
     private HostedEntry(EventLoop loop, HostSettings settings) {
@@ -77,6 +95,19 @@
                 forwarder::activeCount,
                 forwarder::leaveWithin,
                 settings.bounds().graceMillis());
+        this.platform = new PreparedPlatform(loop, settings.store());
+        this.manifestWatch = new TableWatch<>(
+                loop, "configuration", platform.manifests(), CONFIGURATION_GATHER_MILLIS, new Configurations());
+        this.replicaWatch = new TableWatch<>(loop, "replicas", platform.replicas(), replicaGatherMillis(), replicas);
+        this.manifestCopies = new CopyReader<>(
+                "configuration",
+                CONFIGURATION_PATIENCE_MILLIS,
+                platform::manifestsAt,
+                this::configurationVersion,
+                manifestWatch::adopt);
+        this.replicaCopies = new CopyReader<>(
+                "replicas", REPLICA_PATIENCE_MILLIS, platform::replicasAt, replicaWatch::version, replicaWatch::adopt);
+        admin.copies(platform::copy);
         admin.dump(() -> "active=" + forwarder.activeCount() + " replicas=" + replicas.replicas());
         loop.execute(this::begin);
     }
@@ -99,15 +130,32 @@
     }
 
     private void begin() {
-        PreparedPlatform platform = new PreparedPlatform(loop, settings.store());
-        new TableWatch<>(loop, "configuration", platform.manifests(), CONFIGURATION_GATHER_MILLIS, new Configurations())
-                .start();
-        new TableWatch<>(loop, "replicas", platform.replicas(), replicaGatherMillis(), replicas).start();
+        manifestWatch.start();
+        replicaWatch.start();
+        List<HostPort> seeds = settings.seeds().stream()
+                .filter(host -> !host.equals(settings.host()))
+                .map(this::copiesAt)
+                .toList();
+        manifestCopies.seeds(seeds);
+        replicaCopies.seeds(seeds);
+        loop.every(COPY_LOOK_MILLIS, () -> {
+            manifestCopies.look(EventLoop.nowMillis());
+            replicaCopies.look(EventLoop.nowMillis());
+        });
         loop.every(ReplicaDirectory.LAPSE_MILLIS / 8, replicas::settle);
         loop.every(TELL_MILLIS, this::tell);
         LOG.log(System.Logger.Level.INFO, "hosted: entry started node={0} zone={1}", settings.node(), settings.zone());
     }
 
+    private long configurationVersion() {
+        return forwarder.manifest().map(Manifest::version).orElse(0L);
+    }
+
+    /** Our processes answer for their copies at the same port on every VM. */
+    private HostPort copiesAt(String host) {
+        return new HostPort(host, settings.adminPort());
+    }
+
     private long replicaGatherMillis() {
         return (long) (settings.bounds().drainMillis() * REPLICA_GATHER_SHARE);
     }
@@ -122,6 +170,7 @@
     private void received(HostPort sender, PeerDatagram datagram) {
         if (datagram.isSetEngine()) {
             forwarder.engineNews(datagram.getEngine());
+            tablesTold(datagram.getEngine());
         } else if (datagram.isSetAdapterReply()) {
             forwarder.adapterReply(
                     datagram.getAdapterReply().getId(),
@@ -129,8 +178,19 @@
         }
     }
 
+    private void tablesTold(EngineNews news) {
+        if (news.isSetNewestTables() && news.isSetNewestTablesHost()) {
+            HostPort holder = copiesAt(news.getNewestTablesHost());
+            manifestCopies.told(news.getNewestTables().getConfiguration(), holder);
+            replicaCopies.told(news.getNewestTables().getReplicaList(), holder);
+        }
+    }
+
     private void tell() {
-        forwarder.news(settings.node()).forEach((engine, news) -> peers.send(beside(engine), PeerDatagram.entry(news)));
+        TableVersions tables = new TableVersions(configurationVersion(), replicaWatch.version());
+        forwarder
+                .news(settings.node())
+                .forEach((engine, news) -> peers.send(beside(engine), PeerDatagram.entry(news.setTables(tables))));
     }
 
     /** Our processes take datagrams at the same port on every VM. */
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -9,6 +9,7 @@
 import io.waxwingquay.residency.EngineKeeper;
 import io.waxwingquay.residency.WeightLoadPace;
 import io.waxwingquay.transport.generated.PeerDatagram;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -27,7 +28,8 @@
     private final EventLoop loop;
     private final String service;
     private final EngineKeeper keeper;
-    private WatchedTable<Manifest> manifests;
+    private final PreparedPlatform platform;
+    private final WatchedTable<Manifest> manifests;
     private boolean known;
     private boolean reading;
 
@@ -35,7 +37,7 @@
         this.settings = settings;
         this.loop = loop;
         this.service = settings.service().orElse("");
-        PreparedPlatform platform = new PreparedPlatform(loop, settings.store());
+        this.platform = new PreparedPlatform(loop, settings.store());
         this.manifests = platform.manifests();
         WeightLoadPace pace = new WeightLoadPace(
                 settings.bounds().loadWindowMillis(), settings.bounds().loadExcess());
@@ -81,18 +83,38 @@
         }
         reading = true;
         manifests.readAll().whenComplete((page, failure) -> {
-            reading = false;
-            if (failure != null) {
+            if (failure == null) {
+                reading = false;
+                apply(page);
+            } else {
                 LOG.log(System.Logger.Level.WARNING, "hosted: configuration not read cause={0}", failure.getMessage());
-                return;
+                readCopy();
             }
-            page.rows().forEach(row -> row.value().ifPresent(manifest -> {
-                known = true;
-                keeper.engine(manifest.engine(service));
-            }));
         });
     }
 
+    /** With the store away here, an entry that is heard has what is needed. */
+    private void readCopy() {
+        Optional<HostPort> holder = keeper.configurationHost().map(host -> new HostPort(host, settings.adminPort()));
+        if (holder.isEmpty()) {
+            reading = false;
+            return;
+        }
+        platform.manifestsAt(holder.get()).readAll().whenComplete((page, failure) -> {
+            reading = false;
+            if (failure == null) {
+                apply(page);
+            }
+        });
+    }
+
+    private void apply(WatchedTable.Page<Manifest> page) {
+        page.rows().forEach(row -> row.value().ifPresent(manifest -> {
+            known = true;
+            keeper.engine(manifest.engine(service));
+        }));
+    }
+
     private final class Datagrams implements EngineKeeper.Sender {
 
         private final PeerChannel channel = new PeerChannel(
--- a/src/main/java/io/waxwingquay/observe/Logging.java
+++ b/src/main/java/io/waxwingquay/observe/Logging.java
@@ -12,6 +12,7 @@
 import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.Locale;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,6 +25,9 @@
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX, UTC} %-5level %msg%n";
     private static final String OWN_LOGGERS = "waxwingquay";
 
+    /** Numbers without marks between thousands, so that a field such as {@code took_ms=1531} can be searched and sorted. */
+    private static final Locale PLAIN_NUMBERS = new Locale("en", "US", "POSIX");
+
     private static volatile BoundedOutput output;
 
     private Logging() {}
@@ -58,6 +62,7 @@
     }
 
     static void configure(LoggerContext context, LogFormat format, LogLevel level, OutputStream target) {
+        Locale.setDefault(Locale.Category.FORMAT, PLAIN_NUMBERS);
         context.reset();
         OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
         appender.setContext(context);
--- a/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
+++ b/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.residency.EngineControl;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -19,10 +20,18 @@
     /** Well above a slow answer of the store, so that a slow store is not taken for a lost one. */
     private static final long STORE_TIMEOUT_MILLIS = 1_500L;
 
+    /** Other processes of ours answer from memory; one that does not is asked no longer. */
+    private static final long COPY_TIMEOUT_MILLIS = 600L;
+
+    private static final String CONFIGURATION_TABLE = "op";
     private static final String CONFIGURATION_KEY = "config";
+    private static final String REPLICA_TABLE = "servers";
+    private static final String READ_PATH = "/rows-get?table=";
 
     private final EventLoop loop;
     private final HttpCaller store;
+    private final Map<String, TableCopy> copies =
+            Map.of(CONFIGURATION_TABLE, new TableCopy(), REPLICA_TABLE, new TableCopy());
 
     /**
      * The platform as one process reaches it.
@@ -41,10 +50,25 @@
      * @return the table.
      */
     public WatchedTable<Manifest> manifests() {
+        return manifests(store);
+    }
+
+    /**
+     * The operator's table as another process read it.
+     *
+     * @param peer where that process answers for its copies.
+     * @return the table; it can be read, not followed.
+     */
+    public WatchedTable<Manifest> manifestsAt(HostPort peer) {
+        return manifests(new HttpCaller(loop, peer, COPY_TIMEOUT_MILLIS));
+    }
+
+    private WatchedTable<Manifest> manifests(HttpCaller caller) {
         return new StoreTable<>(
-                store,
-                "op",
-                (key, node) -> key.equals(CONFIGURATION_KEY) ? ManifestReader.read(node) : Optional.empty());
+                caller,
+                CONFIGURATION_TABLE,
+                (key, node) -> key.equals(CONFIGURATION_KEY) ? ManifestReader.read(node) : Optional.empty(),
+                copies.get(CONFIGURATION_TABLE));
     }
 
     /**
@@ -53,7 +77,36 @@
      * @return the table.
      */
     public WatchedTable<ReplicaRecord> replicas() {
-        return new StoreTable<>(store, "servers", ReplicaReader::row);
+        return replicas(store);
+    }
+
+    /**
+     * The list of replicas as another process read it.
+     *
+     * @param peer where that process answers for its copies.
+     * @return the table; it can be read, not followed.
+     */
+    public WatchedTable<ReplicaRecord> replicasAt(HostPort peer) {
+        return replicas(new HttpCaller(loop, peer, COPY_TIMEOUT_MILLIS));
+    }
+
+    private WatchedTable<ReplicaRecord> replicas(HttpCaller caller) {
+        return new StoreTable<>(caller, REPLICA_TABLE, ReplicaReader::row, copies.get(REPLICA_TABLE));
+    }
+
+    /**
+     * Answers another process that reads a table here.
+     *
+     * @param target the path and query that it asks for.
+     * @return the rows as this process read them last; empty if nothing of the kind is known here.
+     */
+    public Optional<byte[]> copy(String target) {
+        if (!target.startsWith(READ_PATH)) {
+            return Optional.empty();
+        }
+        String rest = target.substring(READ_PATH.length());
+        String table = rest.indexOf('&') < 0 ? rest : rest.substring(0, rest.indexOf('&'));
+        return Optional.ofNullable(copies.get(table)).flatMap(TableCopy::page);
     }
 
     /**
--- a/src/main/java/io/waxwingquay/platform/SettingsFile.java
+++ b/src/main/java/io/waxwingquay/platform/SettingsFile.java
@@ -68,9 +68,18 @@
                 address(root, "app", "app"),
                 Wire.text(root, "service"),
                 needed(address(root.path("platform"), "platform.address", "address"), "platform.address"),
+                seeds(),
                 bounds(root.path("bounds")));
     }
 
+    /** The platform lists where a few processes are controlled; here only on which VMs they are. */
+    private List<String> seeds() {
+        return Wire.texts(root, "seeds").stream()
+                .filter(seed -> seed.indexOf(':') > 0)
+                .map(seed -> seed.substring(0, seed.indexOf(':')))
+                .toList();
+    }
+
     private HostSettings.Bounds bounds(JsonNode node) {
         return new HostSettings.Bounds(
                 (long) figure(node, "drain_ms"),
--- a/src/main/java/io/waxwingquay/platform/StoreTable.java
+++ b/src/main/java/io/waxwingquay/platform/StoreTable.java
@@ -28,11 +28,13 @@
     private final HttpCaller store;
     private final String name;
     private final BiFunction<String, JsonNode, Optional<T>> decoder;
+    private final TableCopy copy;
 
-    StoreTable(HttpCaller store, String name, BiFunction<String, JsonNode, Optional<T>> decoder) {
+    StoreTable(HttpCaller store, String name, BiFunction<String, JsonNode, Optional<T>> decoder, TableCopy copy) {
         this.store = store;
         this.name = name;
         this.decoder = decoder;
+        this.copy = copy;
     }
 
     /** {@inheritDoc} */
@@ -50,21 +52,26 @@
                 throw new StoreException.HistoryLost(name);
             }
             JsonNode body = body(reply);
-            return new Page<>(Wire.whole(body, "ver", version), rows(body));
+            List<JsonNode> changes = Wire.list(body, "rows");
+            long newVersion = Wire.whole(body, "ver", version);
+            copy.changed(newVersion, changes);
+            return new Page<>(newVersion, rows(changes));
         });
     }
 
-    private CompletableFuture<Page<T>> readFrom(String from, List<Row<T>> before) {
+    private CompletableFuture<Page<T>> readFrom(String from, List<JsonNode> before) {
         String target =
                 "/rows-get?table=" + name + "&part=&limit=" + PAGE_ROWS + (from.isEmpty() ? "" : "&from=" + from);
         return store.get(target, 0).thenCompose(reply -> {
             JsonNode body = body(reply);
-            before.addAll(rows(body));
+            before.addAll(Wire.list(body, "rows"));
             if (!body.path("has_more").asBoolean(false) || before.isEmpty()) {
-                return CompletableFuture.completedFuture(new Page<>(Wire.whole(body, "ver", 0L), before));
+                long version = Wire.whole(body, "ver", 0L);
+                copy.whole(version, before);
+                return CompletableFuture.completedFuture(new Page<>(version, rows(before)));
             }
             // Keys are in byte order; the next page begins right after the last key.
-            return readFrom(before.get(before.size() - 1).key() + "%00", before);
+            return readFrom(before.get(before.size() - 1).path("key").asText() + "%00", before);
         });
     }
 
@@ -79,8 +86,8 @@
         }
     }
 
-    private List<Row<T>> rows(JsonNode body) {
-        return Wire.list(body, "rows").stream()
+    private List<Row<T>> rows(List<JsonNode> nodes) {
+        return nodes.stream()
                 .filter(row -> Wire.text(row, "key").isPresent())
                 .map(row -> row(row.get("key").textValue(), row))
                 .toList();
--- /dev/null
+++ b/src/main/java/io/waxwingquay/platform/TableCopy.java
@@ -0,0 +1,56 @@
+package io.waxwingquay.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The rows of one table as this process read them last, in the store's own form, so that a process which the store turns
+ * away can read them here in the same way.
+ */
+final class TableCopy {
+
+    private final Map<String, JsonNode> rows = new LinkedHashMap<>();
+    private long version;
+
+    /** All rows were read as of a version; an older reading changes nothing. */
+    void whole(long newVersion, List<JsonNode> newRows) {
+        if (newVersion < version) {
+            return;
+        }
+        rows.clear();
+        changed(newVersion, newRows);
+    }
+
+    /** Rows have changed, or were dropped. */
+    void changed(long newVersion, List<JsonNode> changes) {
+        if (newVersion < version) {
+            return;
+        }
+        version = newVersion;
+        changes.forEach(row -> Wire.text(row, "key").ifPresent(key -> {
+            if (row.path("deleted").asBoolean(false)) {
+                rows.remove(key);
+            } else {
+                rows.put(key, row);
+            }
+        }));
+    }
+
+    /** One page with all rows; empty before the table was read. */
+    Optional<byte[]> page() {
+        if (version == 0) {
+            return Optional.empty();
+        }
+        ObjectNode page = Wire.MAPPER.createObjectNode();
+        ArrayNode list = page.putArray("rows");
+        rows.values().forEach(list::add);
+        page.put("ver", version);
+        page.put("has_more", false);
+        return Optional.of(Wire.write(page));
+    }
+}
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -136,6 +136,16 @@
         return neighbours.isOtherConfiguration(engine.map(Engine::digest).orElse(0L));
     }
 
+    /**
+     * The VM of the entry that has the newest configuration.
+     *
+     * @return its IP number; empty while no entry is heard.
+     */
+    public Optional<String> configurationHost() {
+        return neighbours.newestTables(EventLoop.nowMillis()).map(newest -> newest.getKey()
+                .host());
+    }
+
     /**
      * Takes in a datagram.
      *
@@ -301,6 +311,8 @@
                 .setDraining(now.draining())
                 .setModelsInUse(new ArrayList<>(neighbours.modelsInUse(nowMillis)))
                 .setEntries(neighbours.entryAddresses(nowMillis).size());
+        neighbours.newestTables(nowMillis).ifPresent(newest -> news.setNewestTables(newest.getValue())
+                .setNewestTablesHost(newest.getKey().host()));
         mover.coming().ifPresent(model -> {
             news.setLoadingModel(model);
             news.setLoadingMillis(engine.map(known -> mover.remainingMillis(known, now, nowMillis))
--- a/src/main/java/io/waxwingquay/residency/Neighbours.java
+++ b/src/main/java/io/waxwingquay/residency/Neighbours.java
@@ -4,6 +4,8 @@
 import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.EntryNews;
 import io.waxwingquay.transport.generated.HeldModel;
+import io.waxwingquay.transport.generated.TableVersions;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -65,6 +67,15 @@
         return all;
     }
 
+    /** The entry that has the newest configuration, and of those the newest list of replicas. */
+    Optional<Map.Entry<HostPort, TableVersions>> newestTables(long nowMillis) {
+        return entries.entrySet().stream()
+                .filter(entry -> !entry.getValue().isOld(nowMillis))
+                .filter(entry -> entry.getValue().news.isSetTables())
+                .map(entry -> Map.entry(entry.getKey(), entry.getValue().news.getTables()))
+                .max(Comparator.comparing(Map.Entry::getValue));
+    }
+
     Set<String> adaptersInUse(long nowMillis) {
         return inUse(EntryNews::getAdaptersInUse, nowMillis);
     }
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -252,6 +252,12 @@
   2: list<string> adapters
 }
 
+/** Which versions of the platform's tables an entry has. One that the store turns away can read them there. */
+struct TableVersions {
+  1: i64 configuration,
+  2: i64 replicaList
+}
+
 /**
  * What the process beside an engine tells every entry and the other processes of its service, several times a second
  * and at once after a change. Sent as a datagram; the next one says all of it again.
@@ -272,7 +278,9 @@
   13: i32 storeLoads,
   14: bool draining,
   15: i32 entries,
-  16: list<string> modelsInUse
+  16: list<string> modelsInUse,
+  17: optional TableVersions newestTables,
+  18: optional string newestTablesHost
 }
 
 /** What one entry sees of one model. */
@@ -290,7 +298,8 @@
   4: list<string> adaptersInUse,
   5: list<string> engineAddresses,
   6: i64 engineDigest,
-  7: list<string> modelsInUse
+  7: list<string> modelsInUse,
+  8: optional TableVersions tables
 }
 
 /** An entry needs an adapter on the engine beside the receiver. */
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -148,6 +148,25 @@
         assertEquals(200, world.ready());
     }
 
+    // The store turns one VM away and serves the others. An entry that starts there would refuse every caller, though
+    // the next VM knows all that it needs.
+    @Test
+    void entryThatTheStoreTurnsAwayTakesWhatAnotherEntryKnows() throws Exception {
+        world.startCutOffEntry();
+        Await.until(() -> world.askCutOff("/p/1", "a17").status() == 200);
+    }
+
+    // Later the operator changes a route. The entry that the store turns away hears that there is a newer version, and
+    // must put it in force too, or its callers go by what is no more.
+    @Test
+    void entryThatTheStoreTurnsAwayFollowsANewerConfiguration() throws Exception {
+        world.startCutOffEntry();
+        Await.until(() -> world.askCutOff("/p/1", "a18").status() == 200);
+        world.manifest(2, "/q/");
+        Await.until(() -> world.askCutOff("/q/1", "a19").status() == 200);
+        assertEquals(404, world.askCutOff("/p/1", "a20").status());
+    }
+
     // A request hides another in its body. The replica must see one request, with that body.
     @Test
     void requestInABodyIsNoRequest() throws Exception {
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -36,7 +36,9 @@
     private static final int LOWEST_PORT = 10_000;
     private static final int HIGHEST_PORT = 30_000;
     private static final int PORTS = 7;
-    private static final List<String> HOSTS = List.of("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5");
+    private static final String CUT_OFF_HOST = "127.0.0.6";
+    private static final List<String> HOSTS =
+            List.of("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", CUT_OFF_HOST);
 
     private final EventLoop outside = EventLoop.start("outside");
     private final EventLoop inside = EventLoop.start("inside");
@@ -59,7 +61,7 @@
             try {
                 HostedSide.start(inside, side("127.0.0.2"));
                 HostedSide.start(inside, side("127.0.0.3"));
-                started.complete(HostedEntry.start(inside, entry()));
+                started.complete(HostedEntry.start(inside, entry("127.0.0.1", store.address(), List.of())));
             } catch (RuntimeException failure) {
                 started.completeExceptionally(failure);
             }
@@ -69,13 +71,34 @@
     }
 
     void manifest(long version) {
-        store.put("op", "config", String.format(MANIFEST, version));
+        manifest(version, "/p/");
+    }
+
+    void manifest(long version, String plainPrefix) {
+        store.put("op", "config", String.format(MANIFEST, version).replace("\"/p/\"", '"' + plainPrefix + '"'));
     }
 
     void list(EngineStandin replica, String id, String service, String state) {
         store.put("servers", id, replica.row(service, "z", state));
     }
 
+    /** Starts another entry that the store turns away, and that is told of the first as a seed. */
+    void startCutOffEntry() throws Exception {
+        StoreStandin away = StoreStandin.start(outside, new HostPort(CUT_OFF_HOST, base));
+        away.away(true);
+        HostSettings settings = entry(CUT_OFF_HOST, away.address(), List.of("127.0.0.1"));
+        CompletableFuture<HostedProcess> started = new CompletableFuture<>();
+        inside.execute(() -> started.complete(HostedEntry.start(inside, settings)));
+        Await.value(started);
+    }
+
+    Answer askCutOff(String path, String id) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName(CUT_OFF_HOST), base + 2)) {
+            socket.setSoTimeout(30_000);
+            return exchange(socket, request("POST", path, id, "", "x"));
+        }
+    }
+
     CompletableFuture<Void> leave() {
         return entry.leave();
     }
@@ -119,18 +142,19 @@
         return EngineStandin.start(outside, id, new HostPort(host, base + 1), models, EngineStandin.Behaviour.ECHO);
     }
 
-    private HostSettings entry() {
+    private HostSettings entry(String host, HostPort storeAddress, List<String> seeds) {
         return new HostSettings(
-                "entry",
+                "entry-" + host,
                 "z",
-                "127.0.0.1",
+                host,
                 base + 5,
                 base + 6,
-                Optional.of(new HostPort("127.0.0.1", base + 2)),
-                Optional.of(new HostPort("127.0.0.1", base + 3)),
+                Optional.of(new HostPort(host, base + 2)),
+                Optional.of(new HostPort(host, base + 3)),
                 Optional.empty(),
                 Optional.empty(),
-                store.address(),
+                storeAddress,
+                seeds,
                 bounds());
     }
 
@@ -146,6 +170,7 @@
                 Optional.of(new HostPort(host, base + 1)),
                 Optional.of("engines"),
                 store.address(),
+                List.of(),
                 bounds());
     }
 
--- a/src/test/java/io/waxwingquay/observe/LoggingTest.java
+++ b/src/test/java/io/waxwingquay/observe/LoggingTest.java
@@ -15,6 +15,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.text.MessageFormat;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -38,6 +39,13 @@
         assertTrue(text().matches("\\S+Z INFO  side: serving\\R"), text());
     }
 
+    // Whoever is on call sorts requests by the time that they took. With "took_ms=1,531" they would find none of them.
+    @Test
+    void numbersBearNoMarksBetweenThousands() {
+        Logging.configure(context, LogFormat.TEXT, LogLevel.INFO, written);
+        assertEquals("took_ms=1531204", MessageFormat.format("took_ms={0}", 1_531_204L));
+    }
+
     @Test
     void writesOnAfterItIsConfiguredAgain() {
         // An operator starts a side with log_level = "info" and sees nothing at all: the command line configures
