Bring in what an engine held before a power loss, before demand is known

Cause: after all machines lose power the engines are empty, with the weights on their disks.

Change: a side reads the platform's list once at its start. Rows of earlier lives stay there for seconds; what the engine at its own address held comes first, in the order of copies over all engines. No call is written, one is read for each start.

--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -1,14 +1,17 @@
 package io.waxwingquay.hosted;
 
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.fleet.WatchedTable;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.PreparedPlatform;
+import io.waxwingquay.residency.EarlierModels;
 import io.waxwingquay.residency.EngineKeeper;
 import io.waxwingquay.residency.WeightLoadPace;
 import io.waxwingquay.transport.generated.PeerDatagram;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -69,6 +72,7 @@
     private void begin() {
         keeper.start();
         readConfiguration();
+        platform.replicas().readAll().thenAccept(this::readEarlierModels);
         loop.every(READ_AGAIN_MILLIS, () -> {
             if (!known || keeper.isConfigurationOld()) {
                 readConfiguration();
@@ -77,6 +81,17 @@
         LOG.log(System.Logger.Level.INFO, "hosted: side started node={0} service={1}", settings.node(), service);
     }
 
+    /** Rows of earlier lives stay listed for some seconds. */
+    private void readEarlierModels(WatchedTable.Page<ReplicaRecord> page) {
+        List<ReplicaRecord> records = page.rows().stream()
+                .map(WatchedTable.Row::value)
+                .flatMap(Optional::stream)
+                .toList();
+        EarlierModels earlier = EarlierModels.of(records, settings.engine().orElseThrow());
+        LOG.log(System.Logger.Level.INFO, "hosted: earlier life models={0}", earlier.models());
+        keeper.earlier(earlier);
+    }
+
     private void readConfiguration() {
         if (reading) {
             return;
--- a/src/main/java/io/waxwingquay/manifest/Engine.java
+++ b/src/main/java/io/waxwingquay/manifest/Engine.java
@@ -30,6 +30,27 @@
         return toString().hashCode() | 1L << Integer.SIZE + 8;
     }
 
+    /**
+     * Memory for models, when all places for adapters are taken.
+     *
+     * @return megabytes.
+     */
+    public double modelMegabytes() {
+        double adapter =
+                models.stream().mapToDouble(Model::adapterMegabytes).max().orElse(0.0);
+        return weightsMegabytes - adapter * adapterSlots;
+    }
+
+    /**
+     * What a model takes.
+     *
+     * @param name its name.
+     * @return megabytes; all of the memory if the model is not offered, so that nothing is put beside it.
+     */
+    public double weightsOf(String name) {
+        return model(name).map(Model::weightsMegabytes).orElse(weightsMegabytes);
+    }
+
     /**
      * Finds a model.
      *
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -205,7 +205,7 @@
                 break;
             }
             way.add(held);
-            lacking -= weights(held);
+            lacking -= engine.weightsOf(held);
         }
         boolean worthIt = gain(model.name()) > GAIN_FACTOR * losses(way);
         return lacking <= 0 && worthIt ? Optional.of(way) : Optional.empty();
@@ -220,17 +220,8 @@
     }
 
     private double freeMegabytes(EngineView view) {
-        double adapters = engine.models().stream()
-                        .mapToDouble(Engine.Model::adapterMegabytes)
-                        .max()
-                        .orElse(0.0)
-                * engine.adapterSlots();
-        double held = view.held().stream().mapToDouble(this::weights).sum();
-        return engine.weightsMegabytes() - adapters - held;
-    }
-
-    private double weights(String model) {
-        return engine.model(model).map(Engine.Model::weightsMegabytes).orElse(engine.weightsMegabytes());
+        double held = view.held().stream().mapToDouble(engine::weightsOf).sum();
+        return engine.modelMegabytes() - held;
     }
 
     private int copiesOf(String model) {
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -61,6 +61,7 @@
     private final Neighbours neighbours;
     private final OrderBook orders;
     private Optional<Engine> engine = Optional.empty();
+    private EarlierModels earlier = EarlierModels.none();
     private Optional<EngineReport> report = Optional.empty();
     private Optional<EngineReport> lastReport = Optional.empty();
     private final ModelMover mover = new ModelMover();
@@ -127,6 +128,15 @@
         engine = newer;
     }
 
+    /**
+     * Tells what the engine held before this process started.
+     *
+     * @param models the models.
+     */
+    public void earlier(EarlierModels models) {
+        earlier = models;
+    }
+
     /**
      * Whether entries know another configuration of the engine than this process.
      *
@@ -348,7 +358,7 @@
         @Override
         public Optional<CopyPlan.Step> step(Optional<String> announced) {
             if (isEarly()) {
-                return Optional.empty();
+                return restoring();
             }
             Set<String> held = new HashSet<>(names(now));
             held.addAll(orders.doubtfulLoads());
@@ -366,6 +376,24 @@
             return new CopyPlan(engine.get(), views, neighbours.demand(nowMillis), ceiling()).stepFor(address);
         }
 
+        /** The next model of the engine's earlier life that lies at hand and has room. */
+        private Optional<CopyPlan.Step> restoring() {
+            double heldMegabytes =
+                    now.models().stream().mapToDouble(this::weights).sum();
+            boolean isUnasked = neighbours.demand(nowMillis).isEmpty();
+            return earlier.models().stream()
+                    .filter(model -> isUnasked && now.model(model).isEmpty() && ModelMover.isNear(now, model))
+                    .filter(model -> engine.get().model(model).isPresent())
+                    .filter(model -> heldMegabytes + engine.get().weightsOf(model)
+                            <= engine.get().modelMegabytes())
+                    .findFirst()
+                    .map(model -> new CopyPlan.Step(model, List.of()));
+        }
+
+        private double weights(ReplicaRecord.ResidentModel model) {
+            return engine.get().weightsOf(model.name());
+        }
+
         private boolean isEarly() {
             long sinceMillis = nowMillis - beganMillis;
             boolean heard = neighbours.hasHeardAll(address, nowMillis) || sinceMillis >= HEAR_MILLIS;
