Choose engines by expected loss, and spread what is sent between two news

An engine that lost one answer in twenty counted up to three times as dear as a full one, and all entries sent to the same least busy engine until its next news. After the power loss 41 streams were given up as silent with no retry left, and their callers got a 502.

Tests: TargetChooserTest (two, new), HostedPathTest.slowReplicaIsNotGivenUpWithoutAnother.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -122,7 +122,7 @@
             choose();
             return;
         }
-        if (attempt != null && route.mayRepeat() && isSilent(nowMillis)) {
+        if (attempt != null && route.mayRepeat() && isSilent(nowMillis) && canGoElsewhere(nowMillis)) {
             Attempt silent = attempt;
             silent.cancel();
             failed(silent, true, "silent for " + (nowMillis - silent.heardMillis()) + " ms");
@@ -130,22 +130,27 @@
     }
 
     private boolean isSilent(long nowMillis) {
-        if (attempts >= route.maxAttempts()) {
-            return false;
-        }
         long silentMillis = nowMillis - attempt.heardMillis();
         return state == ExchangeState.STREAMING
                 ? Patience.isStreamSilent(silentMillis)
                 : Patience.isUnanswered(route, silentMillis, attempt.target().answerMillis());
     }
 
-    private void choose() {
-        long nowMillis = EventLoop.nowMillis();
-        if (isResuming() && !Patience.mayResume(nowMillis - brokenMillis)) {
-            breakOff("it could not go on elsewhere");
-            return;
-        }
-        Choice choice = needsModel()
+    /**
+     * Failure: all replicas are slow for a moment, and one that is given up can't be replaced. Symptom: the caller gets a
+     * failure though its answer was under way, so a silent replica is given up only for another one.
+     */
+    private boolean canGoElsewhere(long nowMillis) {
+        return mayTryAgain() && context.budget(service).available() >= 1 && pick(nowMillis) instanceof Choice.Send;
+    }
+
+    private boolean mayTryAgain() {
+        boolean timely = limitMillis - EventLoop.nowMillis() > LEAST_TRY_MILLIS;
+        return !callerGone && timely && attempts < route.maxAttempts();
+    }
+
+    private Choice pick(long nowMillis) {
+        return needsModel()
                 ? context.chooser()
                         .chooseEngine(
                                 context.targets(service),
@@ -155,6 +160,15 @@
                                 ask.adapter(),
                                 nowMillis)
                 : context.chooser().choosePlain(context.targets(service), tried, nowMillis);
+    }
+
+    private void choose() {
+        long nowMillis = EventLoop.nowMillis();
+        if (isResuming() && !Patience.mayResume(nowMillis - brokenMillis)) {
+            breakOff("it could not go on elsewhere");
+            return;
+        }
+        Choice choice = pick(nowMillis);
         if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
@@ -351,8 +365,7 @@
 
     /** Sends it once more if its route, its time and the budget of the service allow that. */
     private boolean tryAgain() {
-        boolean timely = limitMillis - EventLoop.nowMillis() > LEAST_TRY_MILLIS;
-        if (callerGone || !timely || attempts >= route.maxAttempts()) {
+        if (!mayTryAgain()) {
             return false;
         }
         if (!context.budget(service).tryRetry()) {
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -20,6 +20,9 @@
     /** Weight of the newest answer in the smoothed time to answer. */
     private static final double SMOOTHING = 0.15;
 
+    /** How fast it is forgotten that a replica was slow. */
+    private static final double ANSWER_HALF_LIFE_MILLIS = 2_000.0;
+
     /** News older than this is no better than the platform's list. */
     private static final long NEWS_FRESH_MILLIS = 1_500L;
 
@@ -42,6 +45,7 @@
     private int inFlight;
     private int sentSinceNews;
     private double answerMillis;
+    private long answeredAtMillis;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean gone;
@@ -178,6 +182,18 @@
                 .orElse(inFlight);
     }
 
+    /**
+     * Requests in the replica by the time that one sent now is there. All entries hear the same news and send to the same
+     * replica until the next, so what this one has sent since is taken to be sent by each.
+     */
+    int expectedLoad(long nowMillis) {
+        return freshNews(nowMillis)
+                .map(fresh -> Math.max(
+                        inFlight,
+                        fresh.getRunning() + fresh.getWaiting() + sentSinceNews * Math.max(1, fresh.getEntries())))
+                .orElse(inFlight);
+    }
+
     /** The share of late tries that failed, drawn towards none while there are few. */
     double failureShare(long nowMillis) {
         return failures.value(nowMillis) / (tries.value(nowMillis) + 1.0);
@@ -187,6 +203,11 @@
         return answerMillis;
     }
 
+    /** The usual time to an answer, fading while none comes, so that one that was slow is tried again. */
+    double recentAnswerMillis(long nowMillis) {
+        return answerMillis * Math.pow(0.5, (nowMillis - answeredAtMillis) / ANSWER_HALF_LIFE_MILLIS);
+    }
+
     Map<String, Integer> adaptersInUse() {
         return adaptersInUse;
     }
@@ -218,7 +239,8 @@
     }
 
     void succeeded(long tookMillis) {
-        tries.add(1, EventLoop.nowMillis());
+        answeredAtMillis = EventLoop.nowMillis();
+        tries.add(1, answeredAtMillis);
         answerMillis = answerMillis == 0 ? tookMillis : answerMillis + SMOOTHING * (tookMillis - answerMillis);
         pauseMillis = FIRST_PAUSE_MILLIS;
     }
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -17,6 +17,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class TargetChooserTest {
@@ -37,6 +38,33 @@
         assertEquals(free, assertInstanceOf(Choice.Send.class, choice).target());
     }
 
+    // Half the engines lose one answer in twenty. Were they shunned, the others would be full and half of what they
+    // run be late; a stream that breaks off goes on elsewhere.
+    @Test
+    void engineThatFailsNowAndThenIsBetterThanAFullOne() {
+        Target full = target("full", "a", false);
+        full.news(news(full, 10, List.of()), nowMillis);
+        Target failing = target("failing", "a", false);
+        failing.news(news(failing, 1, List.of()), nowMillis);
+        IntStream.range(0, 19).forEach(number -> failing.succeeded(30));
+        failing.failed();
+        Choice choice = choose(List.of(full, failing), Optional.empty());
+        assertEquals(failing, assertInstanceOf(Choice.Send.class, choice).target());
+    }
+
+    // All entries hear the same news. Were each to send all that comes until the next news to the engine that was least
+    // busy, it would be full by then.
+    @Test
+    void requestsBetweenTwoNewsAreSpread() {
+        Target first = target("first", "a", false);
+        first.news(news(first, 1, List.of()).setEntries(5), nowMillis);
+        Target second = target("second", "a", false);
+        second.news(news(second, 3, List.of()).setEntries(5), nowMillis);
+        first.began(Optional.of("m"), Optional.empty());
+        Choice choice = choose(List.of(first, second), Optional.empty());
+        assertEquals(second, assertInstanceOf(Choice.Send.class, choice).target());
+    }
+
     // A replica that is leaving is emptied and taken away. A caller sent there late is cut off, so it gets nothing new,
     // though it is the least busy of all.
     @Test
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -100,6 +100,25 @@
         }
     }
 
+    // The only engine with the model takes longer than usual for a first event. Were the request given up there, its
+    // caller
+    // would get a failure in place of its answer.
+    @Test
+    void slowReplicaIsNotGivenUpWithoutAnother() throws Exception {
+        world.store.remove("servers", "e2");
+        Await.until(() -> {
+            int before = world.engine2.ran().size();
+            for (int number = 0; number < 4; number++) {
+                world.ask("POST", "/s/1", "a21", MODEL, "");
+            }
+            return world.engine2.ran().size() == before;
+        });
+        Behaviour events = Behaviour.stream(2, 0);
+        world.engine1.behaviour((engine, caller) -> world.later(1_500, () -> events.run(engine, caller)));
+        Answer answer = world.ask("POST", "/quick/1", "a22", MODEL, "");
+        assertEquals(events(2), answer.body());
+    }
+
     // Both engines break off. What the caller has is a part, so the end must not look like one.
     @Test
     void streamThatCannotGoOnDoesNotLookComplete() throws Exception {
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -24,6 +24,8 @@
             {"version":%d,"routes":[
             {"name":"s","host":"x.test","prefix":"/s/","kind":"streaming","timeout_ms":20000,"target_latency_ms":9000,
              "priority":0,"service":"engines","max_attempts":2,"resumable":true},
+            {"name":"quick","host":"x.test","prefix":"/quick/","kind":"streaming","timeout_ms":20000,
+             "target_latency_ms":100,"priority":0,"service":"engines","max_attempts":2,"resumable":true},
             {"name":"once","host":"x.test","prefix":"/once/","kind":"unsafe","timeout_ms":20000,
              "target_latency_ms":9000,"priority":1,"service":"plain","max_attempts":2},
             {"name":"p","host":"x.test","prefix":"/p/","kind":"safe","timeout_ms":20000,"target_latency_ms":9000,
@@ -103,6 +105,11 @@
         return entry.leave();
     }
 
+    /** Runs a task on the stand-ins' loop after a while. */
+    void later(long millis, Runnable task) {
+        outside.schedule(millis, task);
+    }
+
     int ready() throws IOException {
         try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), base + 3)) {
             return exchange(socket, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n").status;
