Keep the last copy of a model by the time that its load takes

A first copy also waited up to 3 s for a victim that was in use while others were not.

Change: a last copy is worth a tenth of a request a second for each second of its load; victims that are in use cost what they are waited for; a request that can't get its first event before its caller leaves is told at once when to come back.

Tests: CopyPlanTest.absentModelComesWhereNothingHasToBeWaitedFor (red before), PatienceTest.streamDoesNotWaitLongerThanItsCaller.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -202,8 +202,9 @@
 
     private void awaitModel(long readyMillis, long nowMillis) {
         long leftMillis = limitMillis - nowMillis;
+        long waitedMillis = nowMillis - request.arrivedMillis();
         context.modelMissed();
-        if (isResuming() || Patience.mayWaitForModel(readyMillis, leftMillis)) {
+        if (isResuming() || Patience.mayWaitForModel(route, waitedMillis, readyMillis, leftMillis)) {
             lookAgain();
         } else {
             unplaced("model " + ask.model().get() + " is in no engine", readyMillis);
@@ -212,7 +213,7 @@
 
     private void awaitRoom(long freeMillis, long nowMillis) {
         long waitedMillis = nowMillis - request.arrivedMillis();
-        if (isResuming() || Patience.mayWaitForRoom(waitedMillis, limitMillis - request.arrivedMillis())) {
+        if (isResuming() || Patience.mayWaitForRoom(route, waitedMillis, limitMillis - request.arrivedMillis())) {
             lookAgain(LOOK_FOR_ROOM_MILLIS);
         } else {
             unplaced("no room", freeMillis);
--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -14,6 +14,18 @@
      */
     private static final double ROOM_WAIT_SHARE = 0.2;
 
+    /**
+     * Callers give a stream up, also before its first event, after a silence of this, of so many times its objective or
+     * of so many times the pause that is aimed at, whichever is longest. The platform's protocol says so.
+     */
+    private static final long CALLER_LEAVES_MILLIS = 2_000L;
+
+    private static final long CALLER_LEAVES_OBJECTIVES = 4L;
+    private static final long CALLER_LEAVES_PAUSES = 8L;
+
+    /** What a first event takes once the request has been sent. */
+    private static final long FIRST_EVENT_MILLIS = 200L;
+
     /** A broken stream that can't go on within this has been given up by its caller, which waits two seconds. */
     private static final long RESUME_LIMIT_MILLIS = 1_500L;
 
@@ -28,12 +40,22 @@
 
     private Patience() {}
 
-    static boolean mayWaitForModel(long readyMillis, long leftMillis) {
-        return readyMillis < leftMillis * MODEL_WAIT_SHARE;
+    /** A caller that would leave before its first event is told at once when to come back. */
+    static boolean mayWaitForModel(Route route, long waitedMillis, long readyMillis, long leftMillis) {
+        return readyMillis < leftMillis * MODEL_WAIT_SHARE && waitedMillis + readyMillis < longestWaitMillis(route);
+    }
+
+    static boolean mayWaitForRoom(Route route, long waitedMillis, long allMillis) {
+        return waitedMillis < Math.min(allMillis * ROOM_WAIT_SHARE, longestWaitMillis(route));
     }
 
-    static boolean mayWaitForRoom(long waitedMillis, long allMillis) {
-        return waitedMillis < allMillis * ROOM_WAIT_SHARE;
+    private static long longestWaitMillis(Route route) {
+        if (route.kind() != Route.Kind.STREAM) {
+            return Long.MAX_VALUE;
+        }
+        long byAims = Math.max(
+                CALLER_LEAVES_OBJECTIVES * route.objectiveMillis(), CALLER_LEAVES_PAUSES * route.pauseMillis());
+        return Math.max(CALLER_LEAVES_MILLIS, byAims) - FIRST_EVENT_MILLIS;
     }
 
     /** Whether a broken stream may still be taken up elsewhere. */
--- a/src/main/java/io/waxwingquay/manifest/Route.java
+++ b/src/main/java/io/waxwingquay/manifest/Route.java
@@ -11,6 +11,7 @@
  * @param kind what may be done again.
  * @param timeoutMillis the longest that a caller is kept waiting.
  * @param objectiveMillis the time to an answer, or to a stream's first event, that is aimed at.
+ * @param pauseMillis the longest pause between a stream's events that is aimed at; 0 if none is.
  * @param priority its rank; 0 goes first.
  * @param shares the services with their weights.
  * @param maxAttempts the most replicas that one request is sent to.
@@ -23,6 +24,7 @@
         Kind kind,
         long timeoutMillis,
         long objectiveMillis,
+        long pauseMillis,
         int priority,
         List<Share> shares,
         int maxAttempts,
--- a/src/main/java/io/waxwingquay/platform/ManifestReader.java
+++ b/src/main/java/io/waxwingquay/platform/ManifestReader.java
@@ -46,6 +46,7 @@
                 kind(Wire.text(node, "kind").orElse("")),
                 Wire.whole(node, "timeout_ms", 30_000L),
                 Wire.whole(node, "target_latency_ms", 1_000L),
+                Wire.whole(node, "gap_aim_ms", 0L),
                 (int) Wire.whole(node, "priority", 0L),
                 shares,
                 (int) Wire.whole(node, "max_attempts", 1L),
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -43,6 +43,15 @@
     /** The last copy of a model that nobody asked for lately is still worth this: someone asks every few seconds. */
     private static final double UNASKED_WORTH = 0.12;
 
+    /**
+     * And it is worth this for each second that it takes to load. Demand moves to a model that was silent without a sign,
+     * once in ten seconds on the users' days, and what is asked until it is loaded is lost: some 10 requests for each
+     * second of the load, shared out over a dozen silent models.
+     */
+    private static final double UNASKED_WORTH_PER_LOAD_SECOND = 0.1;
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     /**
      * What demand of long ago makes a last copy worth at the most: that of a model that is asked for seldom but
      * steadily. A model that was busy and fell silent is worth no more than those.
@@ -56,8 +65,12 @@
 
     private static final double BUSY_COST = 30.0;
     private static final double LOSS_COST = 20.0;
-    /** A model in use is waited for, seconds at the worst. */
-    private static final double WAIT_COST = 15.0;
+
+    /**
+     * A model in use is waited for, up to three seconds and more, by {@link #MILLIS_PER_COST}. Meanwhile callers of the
+     * model that comes find no copy, or too few.
+     */
+    private static final double WAIT_COST = 40.0;
 
     private static final double MILLIS_PER_COST = 100.0;
 
@@ -148,12 +161,19 @@
         Demand asked = demandFor(model);
         if (number == 1) {
             double remembered = Math.min(asked.slowPerSecond(), MOST_REMEMBERED_WORTH);
-            return Math.max(Math.max(asked.perSecond(), remembered), UNASKED_WORTH);
+            return Math.max(Math.max(asked.perSecond(), remembered), unaskedWorth(model));
         }
         double relieved = lateShare(asked.atOnce() / (number - 1)) - lateShare(asked.atOnce() / number);
         return asked.perSecond() * (relieved + (number == 2 ? SECOND_SHARE : FURTHER_SHARE));
     }
 
+    private double unaskedWorth(String model) {
+        double loadSeconds = engine.model(model)
+                .map(known -> known.storeLoadMillis() / MILLIS_PER_SECOND)
+                .orElse(0.0);
+        return Math.max(UNASKED_WORTH, UNASKED_WORTH_PER_LOAD_SECOND * loadSeconds);
+    }
+
     /** The share of requests that an engine does not serve in time, by how many it would have to run at once. */
     private double lateShare(double atOnce) {
         double taken = atOnce / engine.slots();
@@ -190,17 +210,17 @@
             // What nobody asks for takes free room only: at a start no demand is known, and what stands stands well.
             return Optional.empty();
         }
-        return makeWay(view, model, lacking)
-                .map(way -> new Candidate(view, way, cost + LOSS_COST * losses(way) + waitCost(view, way)));
+        return makeWay(view, model, lacking).map(way -> new Candidate(view, way, cost + costOf(view, way)));
     }
 
     private Optional<List<String>> makeWay(EngineView view, Engine.Model model, double lackingMegabytes) {
         List<String> way = new ArrayList<>();
         double lacking = lackingMegabytes;
-        List<String> byLoss = view.held().stream()
-                .sorted(Comparator.comparingDouble(this::loss).thenComparing(held -> held))
+        List<String> byCost = view.held().stream()
+                .sorted(Comparator.comparingDouble((String held) -> costOf(view, List.of(held)))
+                        .thenComparing(held -> held))
                 .toList();
-        for (String held : byLoss) {
+        for (String held : byCost) {
             if (lacking <= 0) {
                 break;
             }
@@ -211,8 +231,9 @@
         return lacking <= 0 && worthIt ? Optional.of(way) : Optional.empty();
     }
 
-    private static double waitCost(EngineView view, List<String> way) {
-        return way.stream().anyMatch(view.inUse()::contains) ? WAIT_COST : 0;
+    private double costOf(EngineView view, List<String> way) {
+        boolean isWaitedFor = way.stream().anyMatch(view.inUse()::contains);
+        return LOSS_COST * losses(way) + (isWaitedFor ? WAIT_COST : 0);
     }
 
     private double losses(List<String> models) {
--- a/src/test/java/io/waxwingquay/forward/PatienceTest.java
+++ b/src/test/java/io/waxwingquay/forward/PatienceTest.java
@@ -36,13 +36,26 @@
     // What can't be served is refused while there is time to come back; nothing is held to its deadline.
     @Test
     void nothingWaitsForMostOfItsTime() {
-        assertTrue(Patience.mayWaitForRoom(700, 4_000));
-        assertFalse(Patience.mayWaitForRoom(800, 4_000));
-        assertTrue(Patience.mayWaitForModel(2_000, 12_000));
-        assertFalse(Patience.mayWaitForModel(6_400, 12_000));
+        Route patient = route(Route.Kind.SAFE);
+        assertTrue(Patience.mayWaitForRoom(patient, 700, 4_000));
+        assertFalse(Patience.mayWaitForRoom(patient, 800, 4_000));
+        assertTrue(Patience.mayWaitForModel(patient, 0, 2_000, 12_000));
+        assertFalse(Patience.mayWaitForModel(patient, 0, 6_400, 12_000));
+    }
+
+    // A stream's caller leaves after two seconds without an event. A model that takes longer to come is no reason to
+    // keep
+    // it here: it is told when to come back, and finds the model then.
+    @Test
+    void streamDoesNotWaitLongerThanItsCaller() {
+        Route stream = route(Route.Kind.STREAM);
+        assertTrue(Patience.mayWaitForModel(stream, 0, 1_300, 12_000));
+        assertFalse(Patience.mayWaitForModel(stream, 0, 2_000, 12_000));
+        assertFalse(Patience.mayWaitForModel(stream, 900, 1_300, 12_000));
+        assertFalse(Patience.mayWaitForRoom(stream, 1_900, 12_000));
     }
 
     private static Route route(Route.Kind kind) {
-        return new Route("r", "x.test", "/", kind, 4_000, 300, 0, List.of(new Route.Share("s", 1)), 2, true);
+        return new Route("r", "x.test", "/", kind, 4_000, 300, 150, 0, List.of(new Route.Share("s", 1)), 2, true);
     }
 }
--- a/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
+++ b/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
@@ -114,6 +114,21 @@
                 .forEach(step -> assertFalse(step.makesWay().contains("busy"), step.toString()));
     }
 
+    // Demand moves to a model that no engine holds. One engine could drop a model that is in the middle of long
+    // answers,
+    // and would have to wait for them for seconds; another could drop one that nobody uses at the moment.
+    @Test
+    void absentModelComesWhereNothingHasToBeWaitedFor() {
+        Set<String> waitedFor = Set.of("busy", "more", "rare");
+        CopyPlan.EngineView used =
+                new CopyPlan.EngineView(FIRST, waitedFor, Optional.empty(), Set.of(), waitedFor, 0, 3);
+        Map<String, CopyPlan.Demand> asked =
+                Map.of("other", demand(5, 5), "idle", demand(1, 1), "rare", demand(1, 1), "busy", demand(90, 90));
+        CopyPlan plan = new CopyPlan(ENGINE, List.of(used, view(SECOND, "busy", "idle", "rare")), asked, OPEN);
+        assertTrue(plan.stepFor(FIRST).isEmpty());
+        assertEquals("other", plan.stepFor(SECOND).orElseThrow().model());
+    }
+
     @Test
     void engineThatLoadedMuchLeavesTheNextLoadToAnother() {
         CopyPlan.EngineView spent =
