Refuse what waits here before a stopped entry exits

Ruled out: a request whose replica was still at work (it had not been sent), and the excuse of the last sixth of the grace time.

Change: from 2.6 s after SIGTERM what waits for a model, an adapter or room is refused with when to come back, also what comes to wait later; at the exit itself what has no answer yet gets one that promises nothing, in place of a closed connection.

Test: HostedPathTest.leavingEntryRefusesWhatStillWaits, red before.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -129,6 +129,26 @@
         }
     }
 
+    /** The process is about to exit: what waits here is refused while its caller can go elsewhere. */
+    void leave() {
+        if (state == ExchangeState.CHOOSING || state == ExchangeState.AWAITING) {
+            giveUp("this process is about to exit");
+        }
+    }
+
+    /** The process exits now: an answer that promises nothing is better than a connection that ends without a word. */
+    void exit() {
+        if (attempt != null && !stream.began()) {
+            Attempt unfinished = attempt;
+            unfinished.cancel();
+            release(unfinished);
+            mayHaveRun = true;
+        }
+        if (state != ExchangeState.DONE && !stream.began()) {
+            giveUp("this process exits");
+        }
+    }
+
     private boolean isSilent(long nowMillis) {
         long silentMillis = nowMillis - attempt.heardMillis();
         return state == ExchangeState.STREAMING
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -141,12 +141,18 @@
     }
 
     /**
-     * From now on refuses what may not end in time: streams, and near the end everything.
+     * From now on refuses what may not end in time: what waits here, streams, and near the end everything.
      *
      * @param millis how long until this process exits.
      */
     public void leaveWithin(long millis) {
         exitMillis = EventLoop.nowMillis() + millis;
+        new ArrayList<>(active).forEach(Exchange::leave);
+    }
+
+    /** Gives what is still under way its final answer, as far as none has begun; the process exits after it. */
+    public void exit() {
+        new ArrayList<>(active).forEach(Exchange::exit);
     }
 
     /** {@inheritDoc} */
@@ -338,6 +344,10 @@
     private void tick() {
         long nowMillis = EventLoop.nowMillis();
         new ArrayList<>(active).forEach(exchange -> tick(exchange, nowMillis));
+        if (exitMillis != Long.MAX_VALUE) {
+            // A request that was turned away by its replica since then would wait here too.
+            new ArrayList<>(active).forEach(Exchange::leave);
+        }
     }
 
     /** A fault in one request must not keep the time limits of the others from being looked at. */
--- a/src/main/java/io/waxwingquay/hosted/Departure.java
+++ b/src/main/java/io/waxwingquay/hosted/Departure.java
@@ -24,22 +24,33 @@
     /** Left of the grace time for the exit itself. */
     private static final long EXIT_MILLIS = 500L;
 
+    /** Time for the last answers to leave. */
+    private static final long LAST_ANSWERS_MILLIS = 60L;
+
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
 
     private final EventLoop loop;
     private final HttpServer server;
     private final IntSupplier active;
     private final LongConsumer refuser;
+    private final Runnable last;
     private final long graceMillis;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private volatile boolean underWay;
     private long beganMillis;
 
-    Departure(EventLoop loop, HttpServer server, IntSupplier active, LongConsumer refuser, long graceMillis) {
+    Departure(
+            EventLoop loop,
+            HttpServer server,
+            IntSupplier active,
+            LongConsumer refuser,
+            Runnable last,
+            long graceMillis) {
         this.loop = loop;
         this.server = server;
         this.active = active;
         this.refuser = refuser;
+        this.last = last;
         this.graceMillis = graceMillis;
     }
 
@@ -66,7 +77,8 @@
         boolean late = EventLoop.nowMillis() - beganMillis > graceMillis - EXIT_MILLIS;
         if (late || active.getAsInt() == 0 && server.connectionCount() == 0) {
             LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", active.getAsInt());
-            done.complete(null);
+            last.run();
+            loop.schedule(LAST_ANSWERS_MILLIS, () -> done.complete(null));
         } else {
             loop.schedule(LOOK_MILLIS, this::look);
         }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -94,6 +94,7 @@
                 server,
                 forwarder::activeCount,
                 forwarder::leaveWithin,
+                forwarder::exit,
                 settings.bounds().graceMillis());
         this.platform = new PreparedPlatform(loop, settings.store());
         this.manifestWatch = new TableWatch<>(
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -7,6 +7,8 @@
 import io.waxwingquay.hosted.HostedWorld.Answer;
 import io.waxwingquay.standin.prepared.EngineStandin.Behaviour;
 import io.waxwingquay.testing.Await;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -232,6 +234,23 @@
         Await.value(gone);
     }
 
+    // A request waits for a model that does not come, and the process is told to stop. Were it kept until the exit, its
+    // connection would end without a word; refused in time it goes elsewhere.
+    @Test
+    void leavingEntryRefusesWhatStillWaits() throws Exception {
+        CompletableFuture<Answer> waiting = CompletableFuture.supplyAsync(() -> {
+            try {
+                return world.ask("POST", "/s/1", "a23", "Model: nowhere\r\n", "");
+            } catch (IOException failure) {
+                throw new UncheckedIOException(failure);
+            }
+        });
+        Await.until(() -> world.dump().contains("active=1"));
+        Await.value(world.leave());
+        assertTrue(world.dump().contains("active=0"), "it left with a request that waits");
+        assertEquals(503, Await.value(waiting).status());
+    }
+
     private void plain(Behaviour behaviour) {
         world.plain1.behaviour(behaviour);
         world.plain2.behaviour(behaviour);
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -116,6 +116,12 @@
         }
     }
 
+    String dump() throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), base + 6)) {
+            return exchange(socket, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n").body();
+        }
+    }
+
     Answer ask(String method, String path, String id, String more, String body) throws IOException {
         try (Socket socket = connect()) {
             return exchange(socket, request(method, path, id, more, body));
