Part what had grown: the planner of an engine, a caller's answers, messages to engines

What one process knows for the plan is now EnginePlanner, the answers that a caller gets are CallerAnswers, and what an entry tells the processes beside engines is EngineMessages.

--- a/src/main/java/io/waxwingquay/fleet/EngineReport.java
+++ b/src/main/java/io/waxwingquay/fleet/EngineReport.java
@@ -44,6 +44,15 @@
         return models.stream().filter(model -> model.name().equals(name)).findFirst();
     }
 
+    /**
+     * The models that it holds.
+     *
+     * @return their names.
+     */
+    public List<String> modelNames() {
+        return models.stream().map(ReplicaRecord.ResidentModel::name).toList();
+    }
+
     /**
      * How many adapter places are taken.
      *
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -4,10 +4,8 @@
 import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.EventLoop;
-import io.waxwingquay.net.MessageHead;
 import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.net.ServerRequest;
-import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -22,9 +20,6 @@
  */
 final class Exchange {
 
-    private static final int BAD_GATEWAY = 502;
-    private static final int UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
     private static final int SERVER_ERROR = 500;
 
     /** How often a request that waits for a model or for room looks again. */
@@ -46,11 +41,9 @@
 
     private static final int LOWEST_RANK = 9;
 
-    /** A caller that takes nothing would let its answer grow here until the process is killed for its memory. */
-    private static final long MOST_UNSENT_BYTES = 1_048_576L;
-
     private final ForwardContext context;
     private final ServerExchange caller;
+    private final CallerAnswers answers;
     private final ServerRequest request;
     private final Route route;
     private final String service;
@@ -72,6 +65,7 @@
     Exchange(ForwardContext context, ServerExchange caller, Route route, MessageCodec.Ask ask) {
         this.context = context;
         this.caller = caller;
+        this.answers = new CallerAnswers(caller, context);
         this.request = caller.request();
         this.route = route;
         this.ask = ask;
@@ -139,9 +133,7 @@
     /** The process exits now: an answer that promises nothing is better than a connection that ends without a word. */
     void exit() {
         if (attempt != null && !stream.began()) {
-            Attempt unfinished = attempt;
-            unfinished.cancel();
-            release(unfinished);
+            cancelAttempt();
             mayHaveRun = true;
         }
         if (state != ExchangeState.DONE && !stream.began()) {
@@ -306,8 +298,7 @@
             breakOff("a resumed stream was answered " + from.status());
             return;
         }
-        caller.respond(from.status(), MessageHead.endToEnd(from.fields()), body);
-        end(from.status(), "answered by " + from.target().id());
+        end(answers.whole(from, body), "answered by " + from.target().id());
     }
 
     /** A whole event has come. */
@@ -318,11 +309,10 @@
         if (!stream.began()) {
             move(ExchangeState.Event.BEGIN);
             from.target().succeeded(EventLoop.nowMillis() - from.sentMillis());
-            caller.begin(from.status(), MessageHead.endToEnd(from.fields()));
+            answers.begin(from);
         }
         stream.passed(id, EventLoop.nowMillis());
-        caller.write(ByteBuffer.wrap(bytes));
-        if (caller.unsentBytes() > MOST_UNSENT_BYTES) {
+        if (!answers.event(bytes)) {
             from.cancel();
             release(from);
             breakOff("its caller takes nothing");
@@ -333,13 +323,10 @@
     void streamEnded(Attempt from, byte[] rest) {
         release(from);
         if (!stream.began()) {
-            caller.respond(from.status(), MessageHead.endToEnd(from.fields()), rest);
-            end(from.status(), "answered by " + from.target().id() + " without an event");
+            end(answers.whole(from, rest), "answered by " + from.target().id() + " without an event");
             return;
         }
-        caller.write(ByteBuffer.wrap(rest));
-        caller.finish();
-        end(from.status(), "streamed by " + from.target().id());
+        end(answers.streamEnd(from, rest), "streamed by " + from.target().id());
     }
 
     /** There is no whole answer. */
@@ -419,36 +406,27 @@
         if (stream.began()) {
             breakOff(why);
         } else if (mayHaveRun) {
-            caller.respond(BAD_GATEWAY, HttpFields.EMPTY, "the replica gave no answer");
-            end(BAD_GATEWAY, why);
+            end(answers.failed(), why);
         } else {
             refuse(why, FORWARD_AGAIN_MILLIS);
         }
     }
 
     private void refuse(String why, long comeBackMillis) {
-        long jittered = context.jitter(comeBackMillis);
-        caller.respond(UNAVAILABLE, codec().refusal(Optional.of(jittered)), "it has not run: " + why);
-        end(UNAVAILABLE, why);
+        end(answers.refused(why, comeBackMillis), why);
     }
 
     private void breakOff(String why) {
-        caller.abort();
-        end(0, why);
+        end(answers.cut(), why);
     }
 
     private void timeUp() {
         boolean wasSent = attempt != null || mayHaveRun;
-        if (attempt != null) {
-            Attempt late = attempt;
-            late.cancel();
-            release(late);
-        }
+        cancelAttempt();
         if (stream.began()) {
             breakOff("its time is over");
         } else if (wasSent) {
-            caller.respond(GATEWAY_TIMEOUT, HttpFields.EMPTY, "no answer in time");
-            end(GATEWAY_TIMEOUT, "its time is over");
+            end(answers.late(), "its time is over");
         } else {
             refuse("its time is over", FORWARD_AGAIN_MILLIS);
         }
@@ -464,12 +442,16 @@
         if (attempt != null && route.kind() == Route.Kind.UNSAFE) {
             return;
         }
+        cancelAttempt();
+        end(0, "the caller left");
+    }
+
+    private void cancelAttempt() {
         if (attempt != null) {
             Attempt running = attempt;
             running.cancel();
             release(running);
         }
-        end(0, "the caller left");
     }
 
     private void release(Attempt of) {
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -86,7 +86,7 @@
             ForwardSettings settings,
             MessageCodec codec,
             ForwardMeters meters,
-            Peers peers,
+            EngineMessages peers,
             RandomGenerator random) {
         this.loop = loop;
         this.settings = settings;
@@ -386,21 +386,4 @@
                 .orElse(record.slots());
         return (int) Math.max(1, atReplica * CONNECTION_SHARE / entries);
     }
-
-    /** Tells other processes what this one needs of them. */
-    public interface Peers {
-
-        /**
-         * Asks for an adapter.
-         *
-         * @param engine the engine that is to hold it.
-         * @param id the call's id.
-         * @param model the model.
-         * @param adapter the adapter.
-         */
-        void askAdapter(HostPort engine, long id, String model, String adapter);
-
-        /** The demand has changed so that the processes beside engines should know at once. */
-        void demandChanged();
-    }
 }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.fleet.TableWatch;
 import io.waxwingquay.fleet.WatchedTable;
+import io.waxwingquay.forward.EngineMessages;
 import io.waxwingquay.forward.ForwardSettings;
 import io.waxwingquay.forward.Forwarder;
 import io.waxwingquay.manifest.Manifest;
@@ -211,7 +212,7 @@
                 ASSUMED_ENTRIES);
     }
 
-    private final class Telling implements Forwarder.Peers {
+    private final class Telling implements EngineMessages {
 
         /** {@inheritDoc} */
         @Override
--- a/src/main/java/io/waxwingquay/residency/EngineKeeper.java
+++ b/src/main/java/io/waxwingquay/residency/EngineKeeper.java
@@ -2,7 +2,6 @@
 
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.EngineReport;
-import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.transport.generated.AdapterCall;
@@ -16,7 +15,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Looks after one engine: asks it for its state, tells the others, and gives it orders, one after the other.
@@ -39,18 +37,6 @@
     /** How often the engine's state is logged. */
     private static final long STATE_MILLIS = 2_000L;
 
-    /**
-     * Before this process has heard the others, it would take their models for missing. It waits for all that are
-     * listed, but for no longer than this, as some of them may be gone.
-     */
-    private static final long HEAR_MILLIS = 1_500L;
-
-    /**
-     * An empty engine waits this long for the first requests. Those of a few tenths of a second show what is busy; without
-     * them it would load what nobody asks for first.
-     */
-    private static final long DEMAND_MILLIS = 3_000L;
-
     private final EventLoop loop;
     private final HostPort address;
     private final String service;
@@ -61,11 +47,10 @@
     private final Neighbours neighbours;
     private final OrderBook orders;
     private Optional<Engine> engine = Optional.empty();
-    private EarlierModels earlier = EarlierModels.none();
     private Optional<EngineReport> report = Optional.empty();
     private Optional<EngineReport> lastReport = Optional.empty();
     private final ModelMover mover = new ModelMover();
-    private long beganMillis;
+    private final EnginePlanner planner;
     private boolean asking;
     private boolean lookSoon;
     private long number;
@@ -97,11 +82,12 @@
         this.sender = sender;
         this.pace = pace;
         this.orders = new OrderBook(control, EventLoop::nowMillis);
+        this.planner = new EnginePlanner(address, neighbours, orders, pace);
     }
 
     /** Begins; called on the loop. */
     public void start() {
-        beganMillis = EventLoop.nowMillis();
+        planner.begin(EventLoop.nowMillis());
         loop.every(LOOK_MILLIS, this::look);
         loop.every(STATE_MILLIS, this::logState);
         look();
@@ -116,7 +102,7 @@
                 now.waiting(),
                 now.kvUsedTokens(),
                 now.ordering(),
-                names(now)));
+                now.modelNames()));
     }
 
     /**
@@ -134,7 +120,7 @@
      * @param models the models.
      */
     public void earlier(EarlierModels models) {
-        earlier = models;
+        planner.earlier(models);
     }
 
     /**
@@ -202,7 +188,7 @@
                     System.Logger.Level.INFO,
                     "residency: engine begins orders={0} models={1}",
                     newer.ordersTaken(),
-                    names(newer));
+                    newer.modelNames());
             mover.lost();
         }
         report = Optional.of(newer);
@@ -258,7 +244,7 @@
     private Optional<EngineControl.Order> modelOrder(EngineReport now, long nowMillis) {
         Optional<String> before = mover.coming();
         Optional<EngineControl.Order> order =
-                mover.next(now, new Plans(now, nowMillis), neighbours.modelsInUse(nowMillis), nowMillis);
+                mover.next(now, planner.at(engine.get(), now, nowMillis), neighbours.modelsInUse(nowMillis), nowMillis);
         if (!before.equals(mover.coming())) {
             tell(true);
         }
@@ -339,87 +325,6 @@
                 .toList();
     }
 
-    private static List<String> names(EngineReport now) {
-        return now.models().stream().map(ReplicaRecord.ResidentModel::name).collect(Collectors.toList());
-    }
-
-    /** The plan over what this process knows at one moment. */
-    private final class Plans implements ModelMover.Planner {
-
-        private final EngineReport now;
-        private final long nowMillis;
-
-        private Plans(EngineReport now, long nowMillis) {
-            this.now = now;
-            this.nowMillis = nowMillis;
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public Optional<CopyPlan.Step> step(Optional<String> announced) {
-            if (isEarly()) {
-                return restoring();
-            }
-            Set<String> held = new HashSet<>(names(now));
-            held.addAll(orders.doubtfulLoads());
-            Set<String> near = new HashSet<>(now.onDisk());
-            near.addAll(now.inHostMemory());
-            List<CopyPlan.EngineView> views = new ArrayList<>(neighbours.others(address, announced, nowMillis));
-            views.add(new CopyPlan.EngineView(
-                    address,
-                    held,
-                    Optional.empty(),
-                    near,
-                    neighbours.modelsInUse(nowMillis),
-                    pace.recent(nowMillis),
-                    now.running() + now.waiting()));
-            return new CopyPlan(engine.get(), views, neighbours.demand(nowMillis), ceiling()).stepFor(address);
-        }
-
-        /** The next model of the engine's earlier life that lies at hand and has room. */
-        private Optional<CopyPlan.Step> restoring() {
-            double heldMegabytes =
-                    now.models().stream().mapToDouble(this::weights).sum();
-            boolean isUnasked = neighbours.demand(nowMillis).isEmpty();
-            return earlier.models().stream()
-                    .filter(model -> isUnasked && now.model(model).isEmpty() && ModelMover.isNear(now, model))
-                    .filter(model -> engine.get().model(model).isPresent())
-                    .filter(model -> heldMegabytes + engine.get().weightsOf(model)
-                            <= engine.get().modelMegabytes())
-                    .findFirst()
-                    .map(model -> new CopyPlan.Step(model, List.of()));
-        }
-
-        private double weights(ReplicaRecord.ResidentModel model) {
-            return engine.get().weightsOf(model.name());
-        }
-
-        private boolean isEarly() {
-            long sinceMillis = nowMillis - beganMillis;
-            boolean heard = neighbours.hasHeardAll(address, nowMillis) || sinceMillis >= HEAR_MILLIS;
-            boolean blind = now.models().isEmpty()
-                    && sinceMillis < DEMAND_MILLIS
-                    && neighbours.demand(nowMillis).isEmpty();
-            return !heard || blind || neighbours.entryAddresses(nowMillis).isEmpty();
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public boolean mayLoadFromStore() {
-            int everywhere = pace.recent(nowMillis) + neighbours.othersStoreLoads(address, nowMillis);
-            boolean allowed = ceiling().allows(pace.recent(nowMillis), everywhere, Double.MAX_VALUE);
-            if (allowed) {
-                pace.began(nowMillis);
-            }
-            return allowed;
-        }
-
-        private WeightLoadPace.Ceiling ceiling() {
-            int engines = Math.max(1, neighbours.listedEngines(nowMillis).size());
-            return pace.ceiling(engine.get().storeLoadsPerSecond(), engines);
-        }
-    }
-
     /** Sends datagrams. */
     public interface Sender {
 
