Keep the figures of crowded engines in one place

The plan of copies and the choice of an engine weigh by the same share of late requests, which stood in both.

--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.fleet.Crowding;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.transport.generated.EngineNews;
 import java.util.Collection;
@@ -29,15 +30,10 @@
     /** How much dearer a busy engine is: at full batch each token takes about this longer over a short answer. */
     private static final double FULL_BATCH_MILLIS = 60.0;
 
-    /**
-     * What a late answer costs against a millisecond of a timely one, and what a failed one does. An engine up to a fifth
-     * full serves in time, at a full batch half is late; see the same figures in the plan of copies.
-     */
+    /** What a late answer costs against a millisecond of a timely one, and what a failed one does. */
     private static final double LATE_MILLIS = 400.0;
 
     private static final double FAILED_MILLIS = 600.0;
-    private static final double EASY_SHARE = 0.2;
-    private static final double LATE_SHARE_WHEN_FULL = 0.5;
 
     /** The part of an engine's time to a first event that counts; most of it is the prompts' own. */
     private static final double SLOWNESS_SHARE = 0.5;
@@ -146,11 +142,10 @@
     private double engineMillis(Target target, Engine engine, String model, Optional<String> adapter, long nowMillis) {
         double busy = target.expectedLoad(nowMillis) / (double) engine.slots();
         double over = Math.max(0, busy - 1) * STREAM_MILLIS;
-        double lateShare = LATE_SHARE_WHEN_FULL * Math.max(0, busy - EASY_SHARE) / (1 - EASY_SHARE);
         double slow = Math.min(MOST_SLOWNESS_MILLIS, SLOWNESS_SHARE * target.recentAnswerMillis(nowMillis));
         double base = FULL_BATCH_MILLIS * busy
                 + over
-                + LATE_MILLIS * lateShare
+                + LATE_MILLIS * Crowding.lateShare(busy)
                 + FAILED_MILLIS * target.failureShare(nowMillis)
                 + slow;
         double adapterMillis = adapter.map(name -> adapterMillis(target, engine, model, name, nowMillis))
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.residency;
 
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.Crowding;
 import io.waxwingquay.manifest.Engine;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -24,14 +25,6 @@
  */
 public final class CopyPlan {
 
-    /**
-     * The part of its places up to which an engine serves all in time, and the share served late when all are taken.
-     * Read off the log of a day of tqa-furnace: 2 in 100 late at 15 requests of 64, 15 at 25, 45 at 55.
-     */
-    private static final double EASY_SHARE = 0.2;
-
-    private static final double LATE_SHARE_WHEN_FULL = 0.5;
-
     /** What a second copy is worth besides: engines fail now and then, and seconds are lost then; and a further one. */
     private static final double SECOND_SHARE = 0.02;
 
@@ -44,9 +37,9 @@
     private static final double UNASKED_WORTH = 0.12;
 
     /**
-     * And it is worth this for each second that it takes to load. Demand moves to a model that was silent without a sign,
-     * once in ten seconds on the users' days, and what is asked until it is loaded is lost: some 10 requests for each
-     * second of the load, shared out over a dozen silent models.
+     * And it is worth this for each second that it takes to load. An estimate: demand moves to a model that was silent
+     * without a sign, once in ten seconds on the users' days, and what is asked until it is loaded is lost, some 10
+     * requests for each second of the load, shared out over a dozen silent models.
      */
     private static final double UNASKED_WORTH_PER_LOAD_SECOND = 0.1;
 
@@ -177,13 +170,10 @@
     /** The share of requests that an engine does not serve in time, by how many it would have to run at once. */
     private double lateShare(double atOnce) {
         double taken = atOnce / engine.slots();
-        if (taken <= EASY_SHARE) {
-            return 0;
-        }
         if (taken > 1) {
-            return 1 - (1 - LATE_SHARE_WHEN_FULL) / taken;
+            return 1 - (1 - Crowding.LATE_SHARE_WHEN_FULL) / taken;
         }
-        return LATE_SHARE_WHEN_FULL * (taken - EASY_SHARE) / (1 - EASY_SHARE);
+        return Crowding.lateShare(taken);
     }
 
     private PriorityQueue<Gain> gains() {
