Tell at an entry's exit which requests had no answer yet

Callers of a stopped entry saw connections that ended without a word. Its log could not tell what was cut: a request leaves its one line when it ends, and one that the exit cuts never does, so that only the absence of a line spoke.

What a departure sees of the requests becomes one interface, OpenRequests, in place of three functions that were passed one by one. No decision changes.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -31,7 +31,7 @@
 /**
  * Takes callers' requests to replicas. All of it runs on the loop.
  */
-public final class Forwarder implements ServerHandler, ForwardContext {
+public final class Forwarder implements ServerHandler, ForwardContext, OpenRequests {
 
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
@@ -140,17 +140,15 @@
         return manifest;
     }
 
-    /**
-     * From now on refuses what may not end in time: what waits here, streams, and near the end everything.
-     *
-     * @param millis how long until this process exits.
-     */
+    /** {@inheritDoc} */
+    @Override
     public void leaveWithin(long millis) {
         exitMillis = EventLoop.nowMillis() + millis;
         new ArrayList<>(active).forEach(Exchange::leave);
     }
 
-    /** Gives what is still under way its final answer, as far as none has begun; the process exits after it. */
+    /** {@inheritDoc} */
+    @Override
     public void exit() {
         new ArrayList<>(active).forEach(Exchange::exit);
     }
@@ -218,15 +216,18 @@
                 .orElse(Map.of());
     }
 
-    /**
-     * How many requests are under way.
-     *
-     * @return requests without a final answer.
-     */
+    /** {@inheritDoc} */
+    @Override
     public int activeCount() {
         return active.size();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public List<String> activeIds() {
+        return active.stream().map(exchange -> exchange.ask().id()).toList();
+    }
+
     /** {@inheritDoc} */
     @Override
     public MessageCodec codec() {
--- a/src/main/java/io/waxwingquay/hosted/Departure.java
+++ b/src/main/java/io/waxwingquay/hosted/Departure.java
@@ -1,10 +1,9 @@
 package io.waxwingquay.hosted;
 
+import io.waxwingquay.forward.OpenRequests;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.IntSupplier;
-import java.util.function.LongConsumer;
 
 /**
  * How an entry leaves without cutting a request.
@@ -31,26 +30,16 @@
 
     private final EventLoop loop;
     private final HttpServer server;
-    private final IntSupplier active;
-    private final LongConsumer refuser;
-    private final Runnable last;
+    private final OpenRequests requests;
     private final long graceMillis;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private volatile boolean underWay;
     private long beganMillis;
 
-    Departure(
-            EventLoop loop,
-            HttpServer server,
-            IntSupplier active,
-            LongConsumer refuser,
-            Runnable last,
-            long graceMillis) {
+    Departure(EventLoop loop, HttpServer server, OpenRequests requests, long graceMillis) {
         this.loop = loop;
         this.server = server;
-        this.active = active;
-        this.refuser = refuser;
-        this.last = last;
+        this.requests = requests;
         this.graceMillis = graceMillis;
     }
 
@@ -62,10 +51,10 @@
         underWay = true;
         loop.execute(() -> {
             beganMillis = EventLoop.nowMillis();
-            LOG.log(System.Logger.Level.INFO, "hosted: leaving active={0}", active.getAsInt());
+            LOG.log(System.Logger.Level.INFO, "hosted: leaving active={0}", requests.activeCount());
             server.leave();
             loop.schedule(UNNOTICED_MILLIS, () -> {
-                refuser.accept(graceMillis - UNNOTICED_MILLIS - EXIT_MILLIS);
+                requests.leaveWithin(graceMillis - UNNOTICED_MILLIS - EXIT_MILLIS);
                 look();
             });
         });
@@ -75,12 +64,18 @@
     private void look() {
         server.closeIdle();
         boolean late = EventLoop.nowMillis() - beganMillis > graceMillis - EXIT_MILLIS;
-        if (late || active.getAsInt() == 0 && server.connectionCount() == 0) {
-            LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", active.getAsInt());
-            last.run();
-            loop.schedule(LAST_ANSWERS_MILLIS, () -> done.complete(null));
+        if (late || requests.activeCount() == 0 && server.connectionCount() == 0) {
+            LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", requests.activeCount());
+            requests.exit();
+            loop.schedule(LAST_ANSWERS_MILLIS, this::end);
         } else {
             loop.schedule(LOOK_MILLIS, this::look);
         }
     }
+
+    /** A request that the exit cuts ends without a line of its own, so that its id is told here. */
+    private void end() {
+        LOG.log(System.Logger.Level.INFO, "hosted: exits unanswered={0}", requests.activeIds());
+        done.complete(null);
+    }
 }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -90,13 +90,8 @@
         HostPort readiness = settings.readiness().orElseThrow();
         this.server = HttpServer.listen(loop, socket(callers), forwarder);
         HttpServer.listen(loop, socket(readiness), this::readiness);
-        this.departure = new Departure(
-                loop,
-                server,
-                forwarder::activeCount,
-                forwarder::leaveWithin,
-                forwarder::exit,
-                settings.bounds().graceMillis());
+        this.departure =
+                new Departure(loop, server, forwarder, settings.bounds().graceMillis());
         this.platform = new PreparedPlatform(loop, settings.store());
         this.manifestWatch = new TableWatch<>(
                 loop, "configuration", platform.manifests(), CONFIGURATION_GATHER_MILLIS, new Configurations());
