End admission with the look that decides an entry's exit

Callers of an entry that was told to stop saw calls that may not be repeated end with a closed connection and no answer, after they had run.

Cause: the look that found neither a request nor a connection decided the exit, and the process was gone some 90 ms later, 60 of them for the last answers to leave. In between it took requests as before and passed them on, and its exit cut them. That needs callers who still come: all entries were leaving, so that the platform sent to all of them.

Ruled out: the estimate of what ends before the exit (it came 5.85 s after the signal, well inside the grace time of 8 s), and the closing of idle connections (both calls had been passed on and ran).

Change: the look that decides also ends admission, in the same turn of the loop. All that comes afterwards is refused at once with when to come back, and has not run. It holds for any length of the exit: nothing can be under way once nothing is and nothing is taken.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -70,6 +70,7 @@
     private RouteTable routes = RouteTable.of(List.of());
     private int entries;
     private long exitMillis = Long.MAX_VALUE;
+    private boolean admitting = true;
 
     /**
      * A forwarder without a configuration yet.
@@ -149,13 +150,19 @@
 
     /** {@inheritDoc} */
     @Override
-    public void exit() {
+    public void endAdmission() {
+        admitting = false;
         new ArrayList<>(active).forEach(Exchange::exit);
     }
 
     /** {@inheritDoc} */
     @Override
     public void handle(ServerExchange caller) {
+        if (!admitting) {
+            // The exit follows without another look at what is under way, and would cut whatever is taken now.
+            refuse(caller, "this process exits");
+            return;
+        }
         if (manifest.isEmpty()) {
             refuse(caller, "no configuration is known here yet");
             return;
--- a/src/main/java/io/waxwingquay/forward/OpenRequests.java
+++ b/src/main/java/io/waxwingquay/forward/OpenRequests.java
@@ -28,6 +28,9 @@
      */
     void leaveWithin(long millis);
 
-    /** Gives what is still under way its final answer, as far as none has begun; the process exits after it. */
-    void exit();
+    /**
+     * Gives what is still under way its final answer, as far as none has begun, and refuses all that comes from now on.
+     * The process exits after it.
+     */
+    void endAdmission();
 }
--- a/src/main/java/io/waxwingquay/hosted/Departure.java
+++ b/src/main/java/io/waxwingquay/hosted/Departure.java
@@ -12,6 +12,10 @@
  * are refused, and requests on kept connections are cut. So it is not ready from the first moment, but takes requests
  * until the platform has looked twice and sends nobody any more, each answer ending its connection; then idle ones are
  * closed, what could not end in time is refused, and it exits when no request is under way, or just before it would be killed.
+ *
+ * <p>Failure: while all entries leave, the platform sends callers to them all the same, and a request comes between the look
+ * that finds nothing under way and the exit. Symptom: it is passed on, and cut. So that look also ends admission: nothing
+ * can be under way afterwards, however long the exit itself takes.
  */
 final class Departure {
 
@@ -66,7 +70,7 @@
         boolean late = EventLoop.nowMillis() - beganMillis > graceMillis - EXIT_MILLIS;
         if (late || requests.activeCount() == 0 && server.connectionCount() == 0) {
             LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", requests.activeCount());
-            requests.exit();
+            requests.endAdmission();
             loop.schedule(LAST_ANSWERS_MILLIS, this::end);
         } else {
             loop.schedule(LOOK_MILLIS, this::look);
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -252,9 +252,10 @@
     }
 
     // All entries are told to stop within seconds, so that callers still reach one that leaves. It finds nothing under
-    // way, decides to go, and is gone some 60 ms later. A payment that came in between was passed on, ran, and its
-    // connection ended without a word: "hosted: left active=0" at 16.906, a request that came after it and ended at
-    // 16.941 all the same, and none of the two that the exit cut.
+    // way, decides to go, and is gone some 60 ms later. Payments that came in between were passed on, ran, and their
+    // connections ended without a word, as nothing refused them between the decision and the exit. The entry's log:
+    // "hosted: left active=0" at 16.906, a request that came after it and was answered at 16.941, the process gone at
+    // about 16.98, and no line of the two that were cut.
     @Test
     void leavingEntryAnswersAllThatItPassesOn() throws Exception {
         plain((engine, caller) -> world.later(20, () -> Behaviour.ECHO.run(engine, caller)));
