Show that a connection is closed as idle while its answer still leaves

What the caller sees: the first part of a long answer, then the end of the connection. Why: a connection counts as idle from the moment at which its answer was made, not from that at which it had left.

--- /dev/null
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -0,0 +1,110 @@
+package io.waxwingquay.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.testing.Await;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ServerConnectionTest {
+
+    private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
+
+    /** More than the kernel takes from a process for a peer that reads nothing. */
+    private static final int LONG_BYTES = 32 * 1024 * 1024;
+
+    private final CompletableFuture<Void> answered = new CompletableFuture<>();
+    private final CompletableFuture<ServerConnection> accepted = new CompletableFuture<>();
+    private EventLoop loop;
+    private HttpServer server;
+    private int port;
+
+    @BeforeEach
+    void start() throws Exception {
+        loop = EventLoop.start("test");
+        server = HttpServer.listen(loop, ANY_PORT, this::answer);
+        port = loop.listen(ANY_PORT, endPoint -> {
+            ServerConnection connection = new ServerConnection(endPoint, loop, server);
+            accepted.complete(connection);
+            return connection;
+        });
+    }
+
+    @AfterEach
+    void stop() {
+        loop.close();
+    }
+
+    // A caller takes a long answer slowly. It was given before the process was told to stop, and is still leaving when
+    // the
+    // connections without a request are closed: the caller got the first part of its answer and then nothing. A
+    // connection
+    // is idle only when its last answer has left.
+    @Test
+    void connectionIsNotIdleWhileItsAnswerLeaves() throws Exception {
+        try (Socket socket = askForLong()) {
+            onLoop(server::closeIdle);
+            assertEquals(LONG_BYTES, bodyBytes(socket));
+        }
+    }
+
+    // As before, but the operator's limit for idle connections passes while the answer leaves: the time counted from
+    // the
+    // answer's making, though its caller takes it all the while.
+    @Test
+    void answerThatLeavesSlowlyOutlivesTheLimitOfIdleConnections() throws Exception {
+        try (Socket socket = askForLong()) {
+            ServerConnection connection = Await.value(accepted);
+            long laterMillis = EventLoop.nowMillis() + 2 * ServerLimits.DEFAULT.idleTimeoutMillis();
+            onLoop(() -> connection.sweep(laterMillis));
+            assertEquals(LONG_BYTES, bodyBytes(socket));
+        }
+    }
+
+    private Socket askForLong() throws Exception {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(30_000);
+        write(socket, "GET /long HTTP/1.1\r\nHost: x.test\r\n\r\n");
+        Await.value(answered);
+        return socket;
+    }
+
+    private void answer(ServerExchange caller) {
+        byte[] body = new byte[caller.request().path().equals("/long") ? LONG_BYTES : 2];
+        caller.respond(200, HttpFields.EMPTY, body);
+        answered.complete(null);
+    }
+
+    private void onLoop(Runnable task) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        loop.execute(() -> {
+            task.run();
+            done.complete(null);
+        });
+        Await.value(done);
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    private static long bodyBytes(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) in.read());
+        }
+        assertTrue(head.indexOf(" 200 ") > 0, head.toString());
+        return in.readNBytes(LONG_BYTES).length;
+    }
+}
