Show that a payment is sent for a caller who has left

What the caller sees: nothing, it has left. Order: the payment comes, a connection to a replica is being opened, the caller leaves, the connection stands, the payment is sent and run. Why: a request that may run once was left to end whether or not any of it had left.

--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -223,6 +223,26 @@
         Await.value(left);
     }
 
+    // A caller sends a payment and leaves before a connection to a replica stands. The payment was not sent yet, but it
+    // went out once the connection stood, and a replica ran it for nobody. What has left may have run and is left to
+    // end;
+    // what has not is not sent any more.
+    @Test
+    void paymentThatHasNotLeftIsNotSentForACallerWhoLeft() throws Exception {
+        world.standingStill(() -> {
+            try (Socket socket = world.connect()) {
+                String request = HostedWorld.request("POST", "/once/1", "a24", "", "pay");
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        });
+        for (int number = 0; number < 4; number++) {
+            assertEquals(
+                    200,
+                    world.ask("POST", "/once/1", "a25-" + number, "", "pay").status());
+        }
+        assertEquals(List.of(), runs().stream().filter("a24"::equals).toList());
+    }
+
     // The process is told to stop. It is not ready from then on, answers what still comes, and goes when all is done.
     @Test
     void leavingEntryAnswersWhatStillComes() throws Exception {
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 
 /** An entry and a side process on loopback, with stand-ins of the store, of two engines and of two plain replicas. */
 final class HostedWorld implements AutoCloseable {
@@ -105,6 +106,22 @@
         return entry.leave();
     }
 
+    /** Does something while the entry and the sides stand still. */
+    void standingStill(Action action) throws Exception {
+        CompletableFuture<Void> stands = new CompletableFuture<>();
+        CountDownLatch over = new CountDownLatch(1);
+        inside.execute(() -> {
+            stands.complete(null);
+            Await.quietly(over);
+        });
+        Await.value(stands);
+        try {
+            action.run();
+        } finally {
+            over.countDown();
+        }
+    }
+
     /** Runs a task on the stand-ins' loop after a while. */
     void later(long millis, Runnable task) {
         outside.schedule(millis, task);
@@ -277,4 +294,11 @@
             return line.toString();
         }
     }
+
+    /** What a test does. */
+    @FunctionalInterface
+    interface Action {
+
+        void run() throws Exception;
+    }
 }
