Count a connection as idle only when its last answer has left

Cause: ServerConnection.isIdle and its look at the limit of idle connections went by the exchange, which ends when the answer is made. What the caller had not taken yet waited in LoopConnection and was dropped by the close. Ruled out: answers that end their connection; those were kept until they had left (closeWhenSent). Streams; their exchange lasts until the end. Change: a connection that still writes is not idle, and its idle time begins when the last byte has left. One whose caller takes nothing for the limit of idle connections is closed, or its answer would stay here for ever. Conclusion: whoever closes idle connections (the limit, a leaving process) cuts no answer.

--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -11,6 +11,7 @@
 import java.util.Queue;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.IdleTimeout;
 import org.eclipse.jetty.util.Callback;
 
 /**
@@ -153,6 +154,11 @@
         return unsentBytes;
     }
 
+    /** How long the peer has taken nothing of a write that is under way. */
+    final long untakenMillis() {
+        return ((IdleTimeout) getEndPoint()).getIdleFor();
+    }
+
     /** Whether a write is still under way. */
     final boolean isWriting() {
         return writing;
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -69,6 +69,9 @@
 
     @Override
     void onDrained() {
+        if (!began) {
+            sinceMillis = EventLoop.nowMillis();
+        }
         if (closing) {
             getEndPoint().close();
         }
@@ -85,8 +88,15 @@
         return server.isLeaving();
     }
 
+    /**
+     * Whether it can be closed without cutting anything.
+     *
+     * <p>Failure: a caller takes its answer slowly, and the connection counts as idle from the moment at which the answer
+     * was made. Symptom: at the limit of idle connections, or when the process leaves, the caller gets a part of its
+     * answer. What this process still holds of it is known exactly, so that is looked at too.
+     */
     boolean isIdle() {
-        return exchange == null && !began;
+        return exchange == null && !began && !isWriting();
     }
 
     /** The exchange is complete; the next request may have come already. */
@@ -112,10 +122,21 @@
         if (exchange != null || closing) {
             return;
         }
+        if (isWriting()) {
+            // A caller that takes nothing any more would keep its answer here for ever.
+            closeIf(untakenMillis() > server.limits().idleTimeoutMillis());
+            return;
+        }
         long elapsedMillis = nowMillis - sinceMillis;
         if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
             refuse(REQUEST_TIMEOUT, "the request did not come in whole");
-        } else if (!began && elapsedMillis > server.limits().idleTimeoutMillis()) {
+        } else {
+            closeIf(!began && elapsedMillis > server.limits().idleTimeoutMillis());
+        }
+    }
+
+    private void closeIf(boolean due) {
+        if (due) {
             close();
         }
     }
