Give up a request that has not left when its caller leaves

Cause: Exchange.callerGone left each attempt of a request that may run once to its end. While its connection was being opened, up to a second, nothing of it had left; it was sent when the connection stood, and elsewhere when that failed. Ruled out: repeatable requests and streams (given up at once), requests that wait for a model, room or adapter (they have no attempt). Change: ClientCall tells whether the request was handed to a connection; one that was not is cancelled, and a send that failed before a byte left is not made again for a caller who has left. Before: HostedPathTest.paymentThatHasNotLeftIsNotSentForACallerWhoLeft red, the replica ran "a24". After: green, 20 of 20 of HostedPathTest. Conclusion: what begins after its caller has left is only what had left before.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Whether the replica may have got some of it. */
+    boolean mayHaveLeft() {
+        return call != null && call.mayHaveLeft();
+    }
+
     /** Gives it up; closing the connection ends the replica's work. */
     void cancel() {
         if (!over) {
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -348,7 +348,7 @@
             }
             return;
         }
-        boolean unsentAgain = !sent && connectFailures <= MOST_CONNECT_FAILURES;
+        boolean unsentAgain = !sent && !callerGone && connectFailures <= MOST_CONNECT_FAILURES;
         if (unsentAgain) {
             retry();
         } else if (!(sent && route.mayRepeat()) || !tryAgain()) {
@@ -435,11 +435,12 @@
     /**
      * Failure: a caller leaves while a replica works for it. Symptom: replicas are busy with answers that nobody takes,
      * and those who wait get theirs late. Closing the connection ends the work; one that may not be run twice is left to
-     * end, as its caller will ask what became of it.
+     * end, as its caller will ask what became of it. Of one that still waits for its connection nothing has left, so it
+     * is given up too, and not sent elsewhere.
      */
     private void callerGone() {
         callerGone = true;
-        if (attempt != null && route.kind() == Route.Kind.UNSAFE) {
+        if (attempt != null && attempt.mayHaveLeft() && route.kind() == Route.Kind.UNSAFE) {
             return;
         }
         cancelAttempt();
--- a/src/main/java/io/waxwingquay/net/ClientPool.java
+++ b/src/main/java/io/waxwingquay/net/ClientPool.java
@@ -61,13 +61,12 @@
      * @return the call, to give it up.
      */
     public ClientCall send(ClientRequest request, ClientListener listener) {
+        Opening opening = new Opening(request, listener);
         Optional<ClientConnection> ready = takeIdle(request.mayRepeat());
         if (ready.isPresent()) {
-            ClientConnection connection = ready.get();
-            connection.send(request, listener);
-            return () -> connection.cancel(listener);
+            opening.sendOver(ready.get());
+            return opening;
         }
-        Opening opening = new Opening(request, listener);
         if (all.size() + connecting >= limit) {
             loop.execute(() -> opening.fail("all " + limit + " connections are taken"));
             return opening;
@@ -109,8 +108,7 @@
             idle.push(connection);
             return;
         }
-        first.connection = connection;
-        connection.send(first.request, first.listener);
+        first.sendOver(connection);
     }
 
     void idle(ClientConnection connection) {
@@ -139,7 +137,7 @@
         return Optional.empty();
     }
 
-    /** A request that waits for its connection. */
+    /** A request and, once there is one, its connection. */
     private final class Opening implements ClientCall {
 
         private final ClientRequest request;
@@ -152,6 +150,17 @@
             this.listener = listener;
         }
 
+        private void sendOver(ClientConnection over) {
+            connection = over;
+            over.send(request, listener);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayHaveLeft() {
+            return connection != null;
+        }
+
         /** {@inheritDoc} */
         @Override
         public void cancel() {
