Show a payment sent into an ended connection, and a connection kept for a closed pool

Red: ClientPoolTest.requestThatMayNotRepeatIsNotSentOverAConnectionThatHasEnded, "failed sent=true" in place of an answer; ClientPoolTest.connectionThatComesAfterTheCloseIsClosed, no end of the connection within 30 s.

What the caller sees: a failure of which it can't tell whether its payment ran. Order: the replica closes an idle connection, the loop is at another task, the payment is handed over before the end was read. Why: a connection was taken for open as of the last look of the selector.

What a replica sees: a connection that nobody uses. Order: a connection is being opened, its request is given up, the replica goes and the pool is closed, the connection stands. Why: a new connection without a request went to the idle ones whatever had become of the pool.

--- a/src/test/java/io/waxwingquay/net/ClientPoolTest.java
+++ b/src/test/java/io/waxwingquay/net/ClientPoolTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -114,6 +115,56 @@
         }
     }
 
+    // A replica closes an idle connection just as a payment is handed to it: the end lies unread in the kernel, as the
+    // loop is at something else. The payment was sent into it, failed as one that may have run, and its caller could
+    // not send it again. Whether a connection has ended is looked at when the request is there.
+    @Test
+    void requestThatMayNotRepeatIsNotSentOverAConnectionThatHasEnded() throws Exception {
+        CompletableFuture<String> first = ask();
+        Socket socket = server.accept();
+        reply(socket, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok");
+        assertEquals("end 200 ok", Await.value(first));
+        CompletableFuture<String> second = new CompletableFuture<>();
+        loop.execute(() -> {
+            Await.closing(socket);
+            pool.send(request(false), new Noted(second));
+        });
+        CompletableFuture<Void> served = CompletableFuture.runAsync(() -> Await.closing(() -> {
+            try (Socket fresh = server.accept()) {
+                reply(fresh, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        }));
+        assertEquals("end 200 ok", Await.value(second));
+        Await.value(served);
+    }
+
+    // A replica goes while a connection to it is being opened, and the request that it was for has been given up. The
+    // connection came into a closed pool and stayed: the replica had one taken that nobody would use.
+    @Test
+    void connectionThatComesAfterTheCloseIsClosed() throws Exception {
+        loop.execute(() -> {
+            pool.send(request(true), new Noted(new CompletableFuture<>())).cancel();
+            pool.close();
+        });
+        try (Socket socket = server.accept()) {
+            CompletableFuture<Integer> end = CompletableFuture.supplyAsync(() -> read(socket));
+            assertEquals(-1, Await.value(end));
+        }
+    }
+
+    private static int read(Socket socket) {
+        try {
+            return socket.getInputStream().read();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private static ClientRequest request(boolean mayRepeat) {
+        HttpFields fields = HttpFields.build().put("Host", "x.test");
+        return new ClientRequest("GET", "/", fields, new byte[0], mayRepeat);
+    }
+
     private CompletableFuture<String> ask() {
         CompletableFuture<String> answer = new CompletableFuture<>();
         HttpFields fields = HttpFields.build().put("Host", "x.test");
