Show an answer that is reset away by its own close

Red: ServerConnectionTest.answerToARequestThatWasNotReadWholeEndsInOrder, "Broken pipe" at the caller. Green already, and to stay so: ServerConnectionTest.connectionIsClosedThoughItsCallerDoesNotClose.

What the caller sees: a broken connection in place of the answer. Order: the answer that ends the connection is written, the connection is closed, bytes of the caller lie unread in the kernel or are on their way. Why: a close with unread bytes is a reset, and a reset drops what the caller has not read.

--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -70,6 +70,44 @@
         }
     }
 
+    // A caller sends a body that is too long, and is told so before it has sent all. The connection was closed with
+    // bytes
+    // unread, which makes the kernel reset it: the answer is lost on its way, and the caller sees a broken connection.
+    // The
+    // way out is closed first, and what still comes is dropped until the caller closes.
+    @Test
+    void answerToARequestThatWasNotReadWholeEndsInOrder() throws Exception {
+        onLoop(() -> server.limit(new ServerLimits(32_768, 10, 60_000, 120_000)));
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            write(socket, "POST / HTTP/1.1\r\nHost: x.test\r\nContent-Length: 1000000\r\n\r\n");
+            write(socket, "x".repeat(1_000_000));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 413 "), answer);
+        }
+        Await.until(() -> connections() == 0);
+    }
+
+    // The caller of the answer that ends its connection never closes its own side. The connection must not stay for
+    // that.
+    @Test
+    void connectionIsClosedThoughItsCallerDoesNotClose() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            write(socket, "GET / HTTP/1.1\r\nHost: x.test\r\nConnection: close\r\n\r\n");
+            Await.value(answered);
+            ServerConnection connection = Await.value(accepted);
+            long laterMillis = EventLoop.nowMillis() + 2_000;
+            onLoop(() -> connection.sweep(laterMillis));
+            assertEquals(0, connections());
+        }
+    }
+
+    private int connections() throws Exception {
+        CompletableFuture<Integer> count = new CompletableFuture<>();
+        loop.execute(() -> count.complete(server.connectionCount()));
+        return Await.value(count);
+    }
+
     private Socket askForLong() throws Exception {
         Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout(30_000);
