Close a connection that comes into a closed pool

Cause: ClientPool.opened put a connection whose request had been given up among the idle ones without a look at the limit, which a closed pool has at none. Ruled out: a connection whose request still waits; it is sent, and the connection closed with its answer. Change: it goes the way of every connection that becomes idle, which looks at the limit. Before: ClientPoolTest.connectionThatComesAfterTheCloseIsClosed red, open after 30 s. Conclusion: no connection outlives the pool of a replica that went, but for its own request.

--- a/src/main/java/io/waxwingquay/net/ClientPool.java
+++ b/src/main/java/io/waxwingquay/net/ClientPool.java
@@ -105,7 +105,7 @@
             first = openings.poll();
         }
         if (first == null) {
-            idle.push(connection);
+            idle(connection);
             return;
         }
         first.sendOver(connection);
