Close the way out first, so that no close resets an answer away

Cause: ServerConnection closed its connection as soon as the last answer had been handed to the kernel. With bytes of the caller unread that close is a reset. Ruled out: answers still kept here (closeWhenSent waited for them); connections that are closed without an answer, where nothing can be lost. Change: the way out is closed, what still comes is dropped, and the connection ends with its caller's close or after a second, at the next look. Such a connection counts as open for a process that leaves. Before: ServerConnectionTest.answerToARequestThatWasNotReadWholeEndsInOrder red, "Broken pipe". After: 4 of 4 of ServerConnectionTest, 20 of 20 of HostedPathTest. Conclusion: an answer that ends its connection arrives, whatever its caller still sends.

--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -19,6 +19,9 @@
     /** A caller that sends on while its request waits is read no further beyond this. */
     private static final int MAX_AHEAD_BYTES = 65_536;
 
+    /** How long a caller has to close after its last answer; its bytes are dropped meanwhile. */
+    private static final long LINGER_MILLIS = 1_000L;
+
     private static final int OUTPUT_SLACK_BYTES = 512;
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int BAD_REQUEST = 400;
@@ -49,6 +52,9 @@
 
     @Override
     void onInput(ByteBuffer bytes) {
+        if (closing) {
+            return;
+        }
         if (exchange != null) {
             keepAhead(bytes);
             return;
@@ -73,7 +79,7 @@
             sinceMillis = EventLoop.nowMillis();
         }
         if (closing) {
-            getEndPoint().close();
+            endOutput();
         }
     }
 
@@ -119,7 +125,7 @@
 
     /** Looks at the time: a request that does not come in, or a connection that no one uses. */
     void sweep(long nowMillis) {
-        if (exchange != null || closing) {
+        if (exchange != null) {
             return;
         }
         if (isWriting()) {
@@ -128,7 +134,9 @@
             return;
         }
         long elapsedMillis = nowMillis - sinceMillis;
-        if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
+        if (closing) {
+            closeIf(elapsedMillis > LINGER_MILLIS);
+        } else if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
             refuse(REQUEST_TIMEOUT, "the request did not come in whole");
         } else {
             closeIf(!began && elapsedMillis > server.limits().idleTimeoutMillis());
@@ -198,10 +206,23 @@
     private void closeWhenSent() {
         closing = true;
         if (!isWriting()) {
-            getEndPoint().close();
+            endOutput();
         }
     }
 
+    /**
+     * Closes the way out, and leaves the rest to the caller's close or to {@link #sweep}.
+     *
+     * <p>Failure: a connection is closed while bytes of its caller are unread or on their way: the rest of a body that was
+     * refused, or a request that crosses the close. Symptom: the kernel resets it, and the caller loses the answer that
+     * was sent before. With the way in still open there is nothing to reset for.
+     */
+    private void endOutput() {
+        sinceMillis = EventLoop.nowMillis();
+        getEndPoint().shutdownOutput();
+        awaitInput();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void startRequest(String newMethod, String uri, HttpVersion newVersion) {
