Show that a side exits while the end of an answer may still be lost

Red: SideNodeTest.drainStaysForAnEndThatHasToBeToldAgain, the drain was over at once.

What the caller sees: that it is unknown whether its call ran, though it ran whole. Order: the entry polls the end, the answer to the poll is written by the side and is still in its socket or on a connection that has gone silent, the side finds every answer fetched and exits, the entry asks again and reaches nobody. Why: an answer counted as fetched when the reply to the poll was put together.

--- a/src/test/java/io/waxwingquay/side/SideNodeTest.java
+++ b/src/test/java/io/waxwingquay/side/SideNodeTest.java
@@ -170,6 +170,26 @@
         }
     }
 
+    // An entry polls the end of an answer and the side leaves. The end is still in the side's socket, or its connection
+    // has
+    // gone silent, and the side exits at once: the entry asks again, reaches nobody, and tells its caller that it is
+    // unknown
+    // whether the call ran. The side stays until an entry that lost the end would have asked again.
+    @Test
+    void drainStaysForAnEndThatHasToBeToldAgain() {
+        try (SideBench bench = new SideBench().start(1L).settle()) {
+            submit(bench, modelCall("r", "a"));
+            bench.engine.streams.get(0).tokens(0L, "whole");
+            bench.engine.streams.get(0).finish(1L);
+            assertEquals("whole", text(bench.poll("r", 0L)));
+            CompletableFuture<Void> drained = bench.node.drain(60_000L);
+            assertFalse(drained.isDone());
+            assertEquals("whole", text(bench.poll("r", 0L)));
+            bench.clock.advance(2_000L);
+            await(drained);
+        }
+    }
+
     @Test
     void refusesAtTheDoorWhatCannotRunHere() {
         try (SideBench bench = new SideBench().start(1L)) {
