Show that a side opens after it has begun to leave

Red: SideProcessTest.sideThatLeavesDoesNotOpen, the side was ready. SideProcess.adopted is visible to its package for that.

What the caller sees: a call that may have run. Order: a side without a bundle is told to stop, finds nothing under way and closes its parts one after the other, a bundle is adopted meanwhile, the side opens, takes a call and hands it to its target, the server closes. Why: "no node, so nothing to wait for" was decided once and carried out later, with the way to a node still open.

--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -240,7 +240,7 @@
         return counts;
     }
 
-    private void adopted(Bundle bundle) {
+    void adopted(Bundle bundle) {
         Optional<Service> service = bundle.service(settings.service());
         if (service.isEmpty()) {
             LOG.log(
