Open no side that has begun to leave

Cause: SideProcess.drain went by whether there was a node, and closed its parts on another thread; SideProcess.open, called by whichever thread adopts a bundle, knew nothing of it. Ruled out: a drain after the node was set (SideNode.drain closes its gate, which covers what is under way); a bundle after all parts have closed (nobody adopts any more). Change: open and drain take the same lock, and open does nothing once the side leaves. Conclusion: either the drain finds the node or there will be none.

--- a/src/main/java/io/waxwingquay/process/SideProcess.java
+++ b/src/main/java/io/waxwingquay/process/SideProcess.java
@@ -256,7 +256,15 @@
         }
     }
 
-    private void open(Service service) {
+    /**
+     * Failure: a bundle comes while a side that was told to stop before it had one closes its parts. Symptom: it takes
+     * requests, and the close cuts them. Both take the same lock, so either the drain finds what was opened or nothing
+     * opens any more.
+     */
+    private synchronized void open(Service service) {
+        if (draining.isPresent()) {
+            return;
+        }
         LentPermits permits = permits();
         held.set(Optional.of(permits));
         every(settings.permitLeaseMillis() / RENEWALS_A_LEASE, permits::renew);
