Stay for the end of an answer that may have to be told again

Cause: Attempt counted as fetched when the reply to the poll of its end was put together. SideNode.awaitFetched, which looks every 20 ms, let the drain end at that moment; the parts were closed with the reply perhaps still in a socket, and a reply lost on a silent connection could not be asked for again. Ruled out: answers that nobody polls (counted as given up after 10 s, as before); queued work (refused, and its refusal is polled like an end). Change: an end counts as fetched 1.5 s after the last poll that was told of it. An entry gives a poll up after 750 ms and a submission after 1 s, and asks again 20 ms later at most. drainCutsNothing moves its clock past that time, as the drain now lasts until then; what it asserts is unchanged. Conclusion: a drain lasts 1.5 s longer after the last answer, and cuts none. Open: a refusal at the door of a side that leaves is not remembered, so one that is lost with the exit is told as unknown.

--- a/src/main/java/io/waxwingquay/side/Admission.java
+++ b/src/main/java/io/waxwingquay/side/Admission.java
@@ -77,7 +77,7 @@
                 .or(() -> enqueue(attempt));
         denial.ifPresent(found -> {
             refuse(attempt, found);
-            attempt.noteTold();
+            attempt.noteTold(context.clock().monotonicMillis());
         });
         if (denial.isEmpty()) {
             attempt.ended().thenAccept(Admission::logEnd);
--- a/src/main/java/io/waxwingquay/side/Attempt.java
+++ b/src/main/java/io/waxwingquay/side/Attempt.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -30,7 +31,7 @@
     private List<CompletableFuture<Void>> waiters = new ArrayList<>();
     private long lastPolledMillis;
     private long endedMillis;
-    private boolean polledToEnd;
+    private OptionalLong endToldMillis = OptionalLong.empty();
 
     Attempt(Submission submission, long nowMillis) {
         this.submission = submission;
@@ -166,12 +167,14 @@
     }
 
     /** Notes that its entry was told of the refusal in the answer to its submission. */
-    synchronized void noteTold() {
-        polledToEnd = true;
+    synchronized void noteTold(long nowMillis) {
+        endToldMillis = OptionalLong.of(nowMillis);
     }
 
-    synchronized boolean isFetched() {
-        return polledToEnd || state == RequestState.CANCELLED;
+    /** Whether its end was told, and has not been asked for again for a time. */
+    synchronized boolean isFetched(long quietMillis, long nowMillis) {
+        boolean told = endToldMillis.isPresent() && nowMillis - endToldMillis.getAsLong() > quietMillis;
+        return told || state == RequestState.CANCELLED;
     }
 
     synchronized boolean isEndedSince(long limitMillis, long nowMillis) {
@@ -192,7 +195,9 @@
         if (state == RequestState.DONE) {
             answer.setTotalUnits(buffer.units());
         }
-        polledToEnd |= state.hasEnded();
+        if (state.hasEnded()) {
+            endToldMillis = OptionalLong.of(lastPolledMillis);
+        }
         failure.ifPresent(answer::setFailure);
         statusCode.ifPresent(answer::setStatusCode);
         contentType.ifPresent(answer::setContentType);
--- a/src/main/java/io/waxwingquay/side/SideNode.java
+++ b/src/main/java/io/waxwingquay/side/SideNode.java
@@ -31,6 +31,9 @@
     private static final System.Logger LOG = System.getLogger("waxwingquay.side");
     private static final long DRAIN_CHECK_MILLIS = 20L;
 
+    /** An entry that lost an answer asks again after 1 s at most (its longest time-out of a call) and its first pause. */
+    private static final long ASK_AGAIN_MILLIS = 1_500L;
+
     private final SideParts parts;
 
     SideNode(SideParts parts, PeerProtocol peer) {
@@ -195,13 +198,15 @@
 
     /**
      * An answer that has ended here may not have reached its entry yet. Going away now would cut it off, so
-     * the side stays until each answer was polled to its end or its entry has gone.
+     * the side stays until each answer was polled to its end or its entry has gone. The reply to that poll is still to be
+     * sent then, and may be lost; so it stays for as long as an entry that did not get it takes to ask again.
      */
     private void awaitFetched(CompletableFuture<Void> drained) {
         long nowMillis = parts.context().clock().monotonicMillis();
         long goneMillis = parts.context().limits().unpolledLimitMillis();
         boolean fetched = parts.book().all().stream()
-                .allMatch(attempt -> attempt.isFetched() || attempt.isEndedSince(goneMillis, nowMillis));
+                .allMatch(attempt ->
+                        attempt.isFetched(ASK_AGAIN_MILLIS, nowMillis) || attempt.isEndedSince(goneMillis, nowMillis));
         if (fetched) {
             drained.complete(null);
         } else if (!drained.isDone()) {
--- a/src/test/java/io/waxwingquay/side/SideNodeTest.java
+++ b/src/test/java/io/waxwingquay/side/SideNodeTest.java
@@ -165,6 +165,7 @@
             bench.engine.streams.get(0).finish(1L);
             assertFalse(drained.isDone());
             assertEquals("whole", text(bench.poll("running", 0L)));
+            bench.clock.advance(2_000L);
             await(drained);
             assertEquals(SideState.GONE, bench.node.state());
         }
