Show that a request that has come is reset by the close of its idle connection

Red: ServerConnectionTest.requestThatHasComeIsReadBeforeItsConnectionIsClosedAsIdle, no answer.

What the caller sees: its connection ends without an answer. Order: a caller uses a kept connection again while the loop is at another task, the timers run before the reads, the look at the limit of idle connections finds nothing under way and closes. Why: idle was decided by what had been read, and the close acts on what the kernel holds.

--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -70,6 +70,26 @@
         }
     }
 
+    // A caller uses a kept connection again while the loop is at something else. Its request lies in the kernel when
+    // the idle
+    // connections are looked at, and the connection was closed on what had been read before: a reset in place of an
+    // answer.
+    // What has come is read before a connection is closed as idle.
+    @Test
+    void requestThatHasComeIsReadBeforeItsConnectionIsClosedAsIdle() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            ServerConnection connection = Await.value(accepted);
+            long laterMillis = EventLoop.nowMillis() + 2 * ServerLimits.DEFAULT.idleTimeoutMillis();
+            onLoop(() -> {
+                Await.closing(() -> write(socket, "GET / HTTP/1.1\r\nHost: x.test\r\nConnection: close\r\n\r\n"));
+                connection.sweep(laterMillis);
+            });
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+        }
+    }
+
     // A caller sends a body that is too long, and is told so before it has sent all. The connection was closed with
     // bytes
     // unread, which makes the kernel reset it: the answer is lost on its way, and the caller sees a broken connection.
