Read what has come before a connection is closed as idle

The loop runs its timers before its reads, so a request could lie in the kernel, and a close with unread bytes is a reset. Ruled out: a connection with a part of a request (counted as begun); one whose answer still leaves (the mend before). Change: the connection is read first, and closed if it is still idle. Conclusion: what is left is a request on its way.

--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -138,11 +138,17 @@
             closeIf(elapsedMillis > LINGER_MILLIS);
         } else if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
             refuse(REQUEST_TIMEOUT, "the request did not come in whole");
-        } else {
-            closeIf(!began && elapsedMillis > server.limits().idleTimeoutMillis());
+        } else if (isIdleTooLong(nowMillis)) {
+            // The request may have come while the loop was at something else; a close would reset it away unread.
+            onFillable();
+            closeIf(isIdleTooLong(nowMillis));
         }
     }
 
+    private boolean isIdleTooLong(long nowMillis) {
+        return isIdle() && nowMillis - sinceMillis > server.limits().idleTimeoutMillis();
+    }
+
     private void closeIf(boolean due) {
         if (due) {
             close();
