--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -19,6 +19,9 @@
     /** A caller that sends on while its request waits is read no further beyond this. */
     private static final int MAX_AHEAD_BYTES = 65_536;
 
+    /** How long a caller has to close after its last answer; its bytes are dropped meanwhile. */
+    private static final long LINGER_MILLIS = 1_000L;
+
     private static final int OUTPUT_SLACK_BYTES = 512;
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int BAD_REQUEST = 400;
@@ -49,6 +52,9 @@
 
     @Override
     void onInput(ByteBuffer bytes) {
+        if (closing) {
+            return;
+        }
         if (exchange != null) {
             keepAhead(bytes);
             return;
@@ -69,8 +75,11 @@
 
     @Override
     void onDrained() {
+        if (!began) {
+            sinceMillis = EventLoop.nowMillis();
+        }
         if (closing) {
-            getEndPoint().close();
+            endOutput();
         }
     }
 
@@ -85,8 +94,15 @@
         return server.isLeaving();
     }
 
+    /**
+     * Whether it can be closed without cutting anything.
+     *
+     * <p>Failure: a caller takes its answer slowly, and the connection counts as idle from the moment at which the answer
+     * was made. Symptom: at the limit of idle connections, or when the process leaves, the caller gets a part of its
+     * answer. What this process still holds of it is known exactly, so that is looked at too.
+     */
     boolean isIdle() {
-        return exchange == null && !began;
+        return exchange == null && !began && !isWriting();
     }
 
     /** The exchange is complete; the next request may have come already. */
@@ -109,13 +125,32 @@
 
     /** Looks at the time: a request that does not come in, or a connection that no one uses. */
     void sweep(long nowMillis) {
-        if (exchange != null || closing) {
+        if (exchange != null) {
+            return;
+        }
+        if (isWriting()) {
+            // A caller that takes nothing any more would keep its answer here for ever.
+            closeIf(untakenMillis() > server.limits().idleTimeoutMillis());
             return;
         }
         long elapsedMillis = nowMillis - sinceMillis;
-        if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
+        if (closing) {
+            closeIf(elapsedMillis > LINGER_MILLIS);
+        } else if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
             refuse(REQUEST_TIMEOUT, "the request did not come in whole");
-        } else if (!began && elapsedMillis > server.limits().idleTimeoutMillis()) {
+        } else if (isIdleTooLong(nowMillis)) {
+            // The request may have come while the loop was at something else; a close would reset it away unread.
+            onFillable();
+            closeIf(isIdleTooLong(nowMillis));
+        }
+    }
+
+    private boolean isIdleTooLong(long nowMillis) {
+        return isIdle() && nowMillis - sinceMillis > server.limits().idleTimeoutMillis();
+    }
+
+    private void closeIf(boolean due) {
+        if (due) {
             close();
         }
     }
@@ -177,10 +212,23 @@
     private void closeWhenSent() {
         closing = true;
         if (!isWriting()) {
-            getEndPoint().close();
+            endOutput();
         }
     }
 
+    /**
+     * Closes the way out, and leaves the rest to the caller's close or to {@link #sweep}.
+     *
+     * <p>Failure: a connection is closed while bytes of its caller are unread or on their way: the rest of a body that was
+     * refused, or a request that crosses the close. Symptom: the kernel resets it, and the caller loses the answer that
+     * was sent before. With the way in still open there is nothing to reset for.
+     */
+    private void endOutput() {
+        sinceMillis = EventLoop.nowMillis();
+        getEndPoint().shutdownOutput();
+        awaitInput();
+    }
+
     /** {@inheritDoc} */
     @Override
     public void startRequest(String newMethod, String uri, HttpVersion newVersion) {
