Show that a leaving process resets a request that has come

What the caller sees: its connection ends without an answer. It uses a kept connection again while the loop is at another task; the look of a leaving process, which closes idle connections every 50 ms, finds nothing read and closes, and a close with unread bytes is a reset.

--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -90,6 +90,21 @@
         }
     }
 
+    // The same when the process leaves: it closes what is idle every 50 ms, and a request that had come was reset away.
+    @Test
+    void requestThatHasComeIsReadBeforeItsConnectionIsClosedByALeavingProcess() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            Await.value(accepted);
+            onLoop(() -> {
+                Await.closing(() -> write(socket, "GET / HTTP/1.1\r\nHost: x.test\r\nConnection: close\r\n\r\n"));
+                server.closeIdle();
+            });
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+        }
+    }
+
     // A caller sends a body that is too long, and is told so before it has sent all. The connection was closed with
     // bytes
     // unread, which makes the kernel reset it: the answer is lost on its way, and the caller sees a broken connection.
