Read what has come before a leaving process closes a connection

Callers who used a kept connection again lost their request without an answer: a leaving process closes what is idle every 50 ms, decided by what had been read, and a close with unread bytes is a reset.

What the kernel holds is read first, in the one place that closes idle connections now, for the limit of idle connections as for a departure. Ruled out: connections that linger after their last answer; they count as begun and are not closed as idle.

--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -57,7 +57,7 @@
 
     /** Closes connections without a request. */
     public void closeIdle() {
-        new ArrayList<>(connections).stream().filter(ServerConnection::isIdle).forEach(ServerConnection::close);
+        new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
     }
 
     /**
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -101,7 +101,7 @@
      * was made. Symptom: at the limit of idle connections, or when the process leaves, the caller gets a part of its
      * answer. What this process still holds of it is known exactly, so that is looked at too.
      */
-    boolean isIdle() {
+    private boolean isIdle() {
         return exchange == null && !began && !isWriting();
     }
 
@@ -138,15 +138,23 @@
             closeIf(elapsedMillis > LINGER_MILLIS);
         } else if (began && elapsedMillis > server.limits().headerTimeoutMillis()) {
             refuse(REQUEST_TIMEOUT, "the request did not come in whole");
-        } else if (isIdleTooLong(nowMillis)) {
-            // The request may have come while the loop was at something else; a close would reset it away unread.
-            onFillable();
-            closeIf(isIdleTooLong(nowMillis));
+        } else if (elapsedMillis > server.limits().idleTimeoutMillis()) {
+            closeIfIdle();
         }
     }
 
-    private boolean isIdleTooLong(long nowMillis) {
-        return isIdle() && nowMillis - sinceMillis > server.limits().idleTimeoutMillis();
+    /**
+     * Closes it if there is no request, not even an unread one.
+     *
+     * <p>Failure: a request has come while the loop was at something else, and the connection is closed by what was read
+     * before. Symptom: a close with unread bytes is a reset, and the caller gets no answer. What the kernel holds is read
+     * first; a request still on its way can't be known here, and has not run.
+     */
+    void closeIfIdle() {
+        if (isIdle()) {
+            onFillable();
+            closeIf(isIdle());
+        }
     }
 
     private void closeIf(boolean due) {
