Show what becomes of requests at an engine that stands still

An engine that stands still with its VM works on for callers who have left, as nothing can tell it so until it wakes. Two things lead there. A stream that may not go on elsewhere is held at it until its time limit, though its caller leaves after two seconds without an event. And once its news are old, the engine counts as holding only what this entry sent: the least busy of all, so that it gets more.

The engine's stand-in can stand still now.

--- a/src/main/java/io/waxwingquay/standin/prepared/EngineStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/EngineStandin.java
@@ -36,6 +36,7 @@
     private final Map<String, Set<String>> models = new TreeMap<>();
     private final List<String> ran = new CopyOnWriteArrayList<>();
     private volatile Behaviour behaviour;
+    private volatile boolean frozen;
     private long ordersTaken;
 
     private EngineStandin(String id, HostPort address, List<String> models, Behaviour behaviour) {
@@ -71,6 +72,16 @@
         behaviour = newBehaviour;
     }
 
+    /**
+     * Stands still, as with its machine: it takes connections and bytes, and answers nothing, not even what it holds.
+     * What it is asked meanwhile stays without an answer.
+     *
+     * @param standsStill whether it does.
+     */
+    public void freeze(boolean standsStill) {
+        frozen = standsStill;
+    }
+
     /**
      * The requests that it began to run.
      *
@@ -101,6 +112,9 @@
     }
 
     private void answer(ServerExchange caller) {
+        if (frozen) {
+            return;
+        }
         switch (caller.request().path()) {
             case "/report" -> caller.respond(OK, HttpFields.EMPTY, report());
             case "/order" -> order(caller);
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -76,6 +76,28 @@
         assertInstanceOf(Choice.Nowhere.class, chooser.choosePlain(List.of(leaving), Set.of(), nowMillis));
     }
 
+    // An engine's machine stands still, and so does the process beside it that tells how busy the engine is. What was
+    // told
+    // last makes it the least busy of all, and nothing that is sent there is answered.
+    @Test
+    void sendsNothingToAnEngineThatIsSilentWhileAnotherIsHeard() {
+        Target silent = target("silent", "a", false);
+        silent.news(news(silent, 0, List.of()), nowMillis - 1_200);
+        Target heard = target("heard", "b", false);
+        heard.news(news(heard, 9, List.of()), nowMillis - 100);
+        Choice choice = choose(List.of(silent, heard), Optional.empty());
+        assertEquals(heard, assertInstanceOf(Choice.Send.class, choice).target());
+    }
+
+    // Nothing was heard of any engine for a while, as with the ways between our processes cut. They may all be well.
+    @Test
+    void sendsToASilentEngineWhenNoneIsHeard() {
+        Target silent = target("silent", "a", false);
+        silent.news(news(silent, 0, List.of()), nowMillis - 1_200);
+        Choice choice = choose(List.of(silent), Optional.empty());
+        assertEquals(silent, assertInstanceOf(Choice.Send.class, choice).target());
+    }
+
     @Test
     void hasAnAdapterLoadedWhereItCanBeSoonest() {
         Target full = target("full", "a", false);
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -272,6 +272,18 @@
         assertEquals(List.of(), cut);
     }
 
+    // Both engines' machines stand still while they hold a stream that may not be run twice. Its caller leaves after
+    // two
+    // seconds without an event, and an engine that stands still can't be told: it works on for nobody when it wakes.
+    // The
+    // caller is answered before it leaves, with a status that promises nothing.
+    @Test
+    void requestAtAFrozenEngineIsGivenUpBeforeItsCallerLeaves() throws Exception {
+        world.engine1.freeze(true);
+        world.engine2.freeze(true);
+        assertEquals(502, world.ask("POST", "/live/1", "a25", MODEL, "").status());
+    }
+
     private boolean isAnswered(String id) {
         try {
             return world.ask("POST", "/brief/1", id, "", "pay").status() != 0;
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -26,6 +26,8 @@
              "priority":0,"service":"engines","max_attempts":2,"resumable":true},
             {"name":"quick","host":"x.test","prefix":"/quick/","kind":"streaming","timeout_ms":20000,
              "target_latency_ms":100,"priority":0,"service":"engines","max_attempts":2,"resumable":true},
+            {"name":"live","host":"x.test","prefix":"/live/","kind":"streaming","timeout_ms":20000,
+             "target_latency_ms":100,"priority":0,"service":"engines","max_attempts":2},
             {"name":"once","host":"x.test","prefix":"/once/","kind":"unsafe","timeout_ms":20000,
              "target_latency_ms":9000,"priority":1,"service":"plain","max_attempts":2},
             {"name":"brief","host":"x.test","prefix":"/brief/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":100,
