Send nothing to an engine that is silent while another is heard

When an engine's machine stands still, the process beside it does too, and its news grow old. From then on the engine counted as holding only what this entry had sent: the least busy of all, so that callers were sent to it for as long as it stood still.

An engine that told of itself before and has neither told nor answered anything for a second is left out while another one with the model is heard. Its own answers count as well as the news, so that the end of the process beside it does not shut it out while it works. If none is heard the ways between our processes may be cut, and all are used as before.

TargetChooserTest.sendsNothingToAnEngineThatIsSilentWhileAnotherIsHeard: red before, green after; a second test holds the case that none is heard.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -81,7 +81,7 @@
     public void onHead(int newStatus, HttpFields newFields) {
         status = newStatus;
         fields = newFields;
-        heardMillis = EventLoop.nowMillis();
+        heard();
         reply = exchange.codec().reply(status, fields);
         if (!reply.id().isEmpty() && !reply.id().equals(exchange.ask().id())) {
             // The answer of another request, late or doubled; nothing on this connection can be told apart any more.
@@ -97,7 +97,7 @@
         if (over) {
             return;
         }
-        heardMillis = EventLoop.nowMillis();
+        heard();
         if (streams) {
             cutter.take(bytes);
             return;
@@ -134,6 +134,11 @@
         }
     }
 
+    private void heard() {
+        heardMillis = EventLoop.nowMillis();
+        target.heard(heardMillis);
+    }
+
     private void event(byte[] bytes, OptionalLong id) {
         if (!over) {
             exchange.event(this, bytes, id);
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -26,6 +26,12 @@
     /** News older than this is no better than the platform's list. */
     private static final long NEWS_FRESH_MILLIS = 1_500L;
 
+    /**
+     * An engine that is not heard for this long stands still or is cut off: five rounds of news, and far more than the
+     * pause between two events.
+     */
+    private static final long SILENT_MILLIS = 1_000L;
+
     /** Pause after the first failed connect; doubled up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 300L;
 
@@ -42,6 +48,7 @@
     private ReplicaRecord record;
     private EngineNews news;
     private long newsAtMillis = Long.MIN_VALUE / 2;
+    private long heardMillis = Long.MIN_VALUE / 2;
     private int inFlight;
     private int sentSinceNews;
     private double answerMillis;
@@ -122,6 +129,22 @@
         sentSinceNews = 0;
     }
 
+    /** Bytes of an answer have come from it. */
+    void heard(long nowMillis) {
+        heardMillis = nowMillis;
+    }
+
+    /**
+     * Whether an engine that told of itself before does so no more, nor answers anything.
+     *
+     * <p>Failure: a VM stands still, and with it the engine and the process beside it. Symptom: what it was sent is answered
+     * when it wakes, seconds later, and what its callers gave up meanwhile is run all the same. Only the process that tells of
+     * it being gone is not enough: the engine's own answers count too.
+     */
+    boolean isSilent(long nowMillis) {
+        return news != null && nowMillis - Math.max(newsAtMillis, heardMillis) > SILENT_MILLIS;
+    }
+
     Optional<EngineNews> freshNews(long nowMillis) {
         return nowMillis - newsAtMillis <= NEWS_FRESH_MILLIS ? Optional.of(news) : Optional.empty();
     }
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -114,7 +114,7 @@
         if (holding.isEmpty()) {
             return new Choice.ModelAbsent(readyMillis(targets, engine, model, nowMillis));
         }
-        List<Target> open = holding.stream()
+        List<Target> open = heardOf(holding, nowMillis).stream()
                 .filter(target -> !tried.contains(target))
                 .filter(target -> !target.isPaused(nowMillis) && target.pool().hasRoom())
                 .toList();
@@ -133,6 +133,13 @@
         return present ? new Choice.Send(best) : new Choice.LoadAdapter(best);
     }
 
+    /** Leaves out engines that are silent, unless all are: then the ways between our processes may be cut. */
+    private static List<Target> heardOf(List<Target> engines, long nowMillis) {
+        List<Target> heard =
+                engines.stream().filter(target -> !target.isSilent(nowMillis)).toList();
+        return heard.isEmpty() ? engines : heard;
+    }
+
     private double plainMillis(Target target, long nowMillis) {
         double answer = target.answerMillis() == 0 ? UNKNOWN_ANSWER_MILLIS : target.answerMillis();
         double busy = (target.inFlight() + 1.0) / Math.max(1, target.record().slots());
