Answer callers of a frozen engine before they leave

Work went on at an engine for callers who had left: its VM stood still, so that no close reached it until it woke. Where nothing else could take the request over, the entry held it until its time limit, or until the caller left.

A stream's caller leaves after a silence that the platform's protocol gives. Just before that, a request at an engine that is silent itself is answered with a status that promises nothing, or its stream is broken off. Those whose engine wakes in time lose the last 200 ms of their caller's patience and no more; at an engine that is heard nothing changes.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -120,9 +120,26 @@
             Attempt silent = attempt;
             silent.cancel();
             failed(silent, true, "silent for " + (nowMillis - silent.heardMillis()) + " ms");
+            return;
+        }
+        if (attempt != null
+                && attempt.target().isSilent(nowMillis)
+                && Patience.isCallerLeaving(route, stream.callerSilentMillis(nowMillis))) {
+            giveUpSilent();
         }
     }
 
+    /**
+     * Failure: an engine that stands still can't be told that a caller has left. Symptom: it runs the request for nobody when
+     * it wakes. So the request is answered while its caller is there; one whose engine wakes in time is not given up, as its
+     * caller would have left by the same time.
+     */
+    private void giveUpSilent() {
+        cancelAttempt();
+        mayHaveRun = true;
+        giveUp("its engine stands still");
+    }
+
     /** The process is about to exit: what waits here is refused while its caller can go elsewhere. */
     void leave() {
         if (state == ExchangeState.CHOOSING || state == ExchangeState.AWAITING) {
--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -23,7 +23,7 @@
     private static final long CALLER_LEAVES_OBJECTIVES = 4L;
     private static final long CALLER_LEAVES_PAUSES = 8L;
 
-    /** What a first event takes once the request has been sent. */
+    /** What a first event takes once the request has been sent; also the time in which an answer reaches a caller. */
     private static final long FIRST_EVENT_MILLIS = 200L;
 
     /** A broken stream that can't go on within this has been given up by its caller, which waits two seconds. */
@@ -58,6 +58,11 @@
         return Math.max(CALLER_LEAVES_MILLIS, byAims) - FIRST_EVENT_MILLIS;
     }
 
+    /** Whether a stream's caller, that has had nothing new for so long, is about to leave. */
+    static boolean isCallerLeaving(Route route, long silentMillis) {
+        return route.kind() == Route.Kind.STREAM && silentMillis > longestWaitMillis(route);
+    }
+
     /** Whether a broken stream may still be taken up elsewhere. */
     static boolean mayResume(long brokenForMillis) {
         return brokenForMillis <= RESUME_LIMIT_MILLIS;
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -44,6 +44,11 @@
         heardMillis = nowMillis;
     }
 
+    /** How long the caller has had nothing new: since the last event, or since its request came. */
+    long callerSilentMillis(long nowMillis) {
+        return nowMillis - (began ? heardMillis : arrivedMillis);
+    }
+
     /** How long the caller waited for the first event. */
     long firstEventMillis() {
         return firstEventMillis;
--- a/src/test/java/io/waxwingquay/forward/PatienceTest.java
+++ b/src/test/java/io/waxwingquay/forward/PatienceTest.java
@@ -55,6 +55,14 @@
         assertFalse(Patience.mayWaitForRoom(stream, 1_900, 12_000));
     }
 
+    // A stream's caller leaves after two seconds of silence; just before that it can still be told.
+    @Test
+    void callerOfASilentStreamIsKnownToLeave() {
+        assertFalse(Patience.isCallerLeaving(route(Route.Kind.STREAM), 1_700));
+        assertTrue(Patience.isCallerLeaving(route(Route.Kind.STREAM), 1_900));
+        assertFalse(Patience.isCallerLeaving(route(Route.Kind.SAFE), 1_900));
+    }
+
     private static Route route(Route.Kind kind) {
         return new Route("r", "x.test", "/", kind, 4_000, 300, 150, 0, List.of(new Route.Share("s", 1)), 2, true);
     }
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -279,6 +279,8 @@
     // caller is answered before it leaves, with a status that promises nothing.
     @Test
     void requestAtAFrozenEngineIsGivenUpBeforeItsCallerLeaves() throws Exception {
+        Await.until(
+                () -> world.ask("POST", "/s/1", "a26", "Model: m/a1\r\n", "").status() == 200);
         world.engine1.freeze(true);
         world.engine2.freeze(true);
         assertEquals(502, world.ask("POST", "/live/1", "a25", MODEL, "").status());
