Show requests that are held, untried, for an engine that stands still

Where the only engine with a model stands still, all requests for the model go to it, or wait without an end for an adapter that the process beside it would have to bring in: asked five times, taken for absent, asked again. They were never sent, and their callers left.

--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -98,6 +98,17 @@
         assertEquals(silent, assertInstanceOf(Choice.Send.class, choice).target());
     }
 
+    // The only engine with the model stands still. One request may find out that it does not; all that were sent after
+    // it
+    // would be held until their callers leave.
+    @Test
+    void sendsOneRequestAtATimeToASilentEngine() {
+        Target silent = target("silent", "a", false);
+        silent.news(news(silent, 0, List.of()), nowMillis - 1_200);
+        silent.began(Optional.of("m"), Optional.empty());
+        assertInstanceOf(Choice.Full.class, choose(List.of(silent), Optional.empty()));
+    }
+
     @Test
     void hasAnAdapterLoadedWhereItCanBeSoonest() {
         Target full = target("full", "a", false);
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -306,6 +306,19 @@
         assertEquals(502, world.ask("POST", "/live/1", "a25", MODEL, "").status());
     }
 
+    // The engines stand still, and so do the processes beside them that are asked for an adapter. The request was never
+    // sent, and held until its time limit; it has not run, and its caller is told so while it can still come back.
+    @Test
+    void requestWhoseAdapterDoesNotComeIsRefused() throws Exception {
+        Await.until(
+                () -> world.ask("POST", "/s/1", "a27", "Model: m/a1\r\n", "").status() == 200);
+        world.engine1.freeze(true);
+        world.engine2.freeze(true);
+        Answer answer = world.ask("POST", "/live/1", "a28", "Model: m/a2\r\n", "");
+        assertEquals(503, answer.status());
+        assertTrue(answer.body().contains("adapter a2 does not come"), answer.body());
+    }
+
     private boolean isAnswered(String id) {
         try {
             return world.ask("POST", "/brief/1", id, "", "pay").status() != 0;
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -37,7 +37,7 @@
              "priority":1,"service":"plain","max_attempts":2}],
             "services":[{"name":"plain","max_conns":50},{"name":"engines","max_conns":50,"engine":{"slots":8,
              "kv_tokens":10000,"weights_mb":200,"adapter_slots":2,"loads_per_s":1,
-             "models":[{"name":"m","weights_mb":100,"load_s":1,"adapters":1,"adapter_mb":1}]}}]}
+             "models":[{"name":"m","weights_mb":100,"load_s":1,"adapters":2,"adapter_mb":1}]}}]}
             """;
 
     private static final int LOWEST_PORT = 10_000;
