Send one request at a time to an engine that is silent

Where the only engine with a model stood still, every request for the model was sent to it, and its callers left after two seconds without an event. One is enough to find out that it does not stand still, as its answer counts as a sign of it; the others wait for room as long as that may still end in service, and are told when to come back.

TargetChooserTest.sendsOneRequestAtATimeToASilentEngine: red before, green after.

--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -133,11 +133,16 @@
         return present ? new Choice.Send(best) : new Choice.LoadAdapter(best);
     }
 
-    /** Leaves out engines that are silent, unless all are: then the ways between our processes may be cut. */
+    /**
+     * Leaves out engines that are silent, unless all are: then the ways between our processes may be cut. Each of these takes
+     * one request at a time, whose answer shows that it is well; more would be held there until their callers leave.
+     */
     private static List<Target> heardOf(List<Target> engines, long nowMillis) {
         List<Target> heard =
                 engines.stream().filter(target -> !target.isSilent(nowMillis)).toList();
-        return heard.isEmpty() ? engines : heard;
+        return heard.isEmpty()
+                ? engines.stream().filter(target -> target.inFlight() == 0).toList()
+                : heard;
     }
 
     private double plainMillis(Target target, long nowMillis) {
