--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -223,6 +223,18 @@
                 .orElse(Map.of());
     }
 
+    /**
+     * How many engines have told of themselves lately.
+     *
+     * @return engines with fresh news.
+     */
+    public int heardCount() {
+        long nowMillis = EventLoop.nowMillis();
+        return (int) targets.all().stream()
+                .filter(target -> target.freshNews(nowMillis).isPresent())
+                .count();
+    }
+
     /** {@inheritDoc} */
     @Override
     public int activeCount() {
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -105,7 +105,8 @@
         this.replicaCopies = new CopyReader<>(
                 "replicas", REPLICA_PATIENCE_MILLIS, platform::replicasAt, replicaWatch::version, replicaWatch::adopt);
         admin.copies(platform::copy);
-        admin.dump(() -> "active=" + forwarder.activeCount() + " replicas=" + replicas.replicas());
+        admin.dump(() -> "active=" + forwarder.activeCount() + " engines_heard=" + forwarder.heardCount() + " replicas="
+                + replicas.replicas());
         loop.execute(this::begin);
     }
 
