Refuse a request whose adapter does not come

A request whose adapter was asked of a process that stands still waited without an end: five askings without an answer counted as "absent", and it was asked again. It was sent nowhere and its caller left. The wait ends now when a wait for room would: then its caller is told that it has not run and when to come back.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -201,7 +201,7 @@
         if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
-            awaitAdapter(load.target());
+            awaitAdapter(load.target(), nowMillis);
         } else if (choice instanceof Choice.ModelAbsent absent) {
             awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
@@ -215,7 +215,16 @@
         return state == ExchangeState.RESUMING;
     }
 
-    private void awaitAdapter(Target target) {
+    /**
+     * Failure: the process that is asked for the adapter stands still with its engine, and is asked again and again. Symptom:
+     * the request is held until its caller leaves, and was sent nowhere. The wait ends when service could come of it no more.
+     */
+    private void awaitAdapter(Target target, long nowMillis) {
+        long waitedMillis = nowMillis - request.arrivedMillis();
+        if (!isResuming() && !Patience.mayWaitForRoom(route, waitedMillis, limitMillis - request.arrivedMillis())) {
+            unplaced("adapter " + ask.adapter().get() + " does not come", FORWARD_AGAIN_MILLIS);
+            return;
+        }
         move(ExchangeState.Event.AWAIT);
         context.adapters().need(target, ask.model().get(), ask.adapter().get(), present -> {
             if (state == ExchangeState.AWAITING || isResuming()) {
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -294,15 +294,11 @@
 
     // Both engines' machines stand still while they hold a stream that may not be run twice. Its caller leaves after
     // two
-    // seconds without an event, and an engine that stands still can't be told: it works on for nobody when it wakes.
-    // The
-    // caller is answered before it leaves, with a status that promises nothing.
+    // seconds without an event, and an engine that stands still can't be told: it works on for nobody when it wakes. So
+    // the caller is answered before it leaves, with a status that promises nothing.
     @Test
     void requestAtAFrozenEngineIsGivenUpBeforeItsCallerLeaves() throws Exception {
-        Await.until(
-                () -> world.ask("POST", "/s/1", "a26", "Model: m/a1\r\n", "").status() == 200);
-        world.engine1.freeze(true);
-        world.engine2.freeze(true);
+        standStill();
         assertEquals(502, world.ask("POST", "/live/1", "a25", MODEL, "").status());
     }
 
@@ -310,15 +306,19 @@
     // sent, and held until its time limit; it has not run, and its caller is told so while it can still come back.
     @Test
     void requestWhoseAdapterDoesNotComeIsRefused() throws Exception {
-        Await.until(
-                () -> world.ask("POST", "/s/1", "a27", "Model: m/a1\r\n", "").status() == 200);
-        world.engine1.freeze(true);
-        world.engine2.freeze(true);
+        standStill();
         Answer answer = world.ask("POST", "/live/1", "a28", "Model: m/a2\r\n", "");
         assertEquals(503, answer.status());
         assertTrue(answer.body().contains("adapter a2 does not come"), answer.body());
     }
 
+    /** Both engines stand still, after each has been heard. */
+    private void standStill() throws Exception {
+        Await.until(() -> world.dump().contains("engines_heard=2"));
+        world.engine1.freeze(true);
+        world.engine2.freeze(true);
+    }
+
     private boolean isAnswered(String id) {
         try {
             return world.ask("POST", "/brief/1", id, "", "pay").status() != 0;
