Show that a caller who sends far ahead loses the answer under way

Red: ServerConnectionTest.callerWhoSendsFarAheadGetsEveryAnswer, 0 of 101 answers.

What the caller sees: its connection ends without an answer, though its request was passed on. Order: a request is at a replica, its caller sends more than 64 KB of further requests on the same connection, the connection is closed. Why: the bound on what is kept ahead closed the connection in place of reading no further.

--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -24,6 +24,7 @@
 
     private final CompletableFuture<Void> answered = new CompletableFuture<>();
     private final CompletableFuture<ServerConnection> accepted = new CompletableFuture<>();
+    private final CompletableFuture<ServerExchange> held = new CompletableFuture<>();
     private EventLoop loop;
     private HttpServer server;
     private int port;
@@ -90,6 +91,32 @@
         }
     }
 
+    // A caller sends on while its first request is at a replica, more than is kept here. The connection was closed for
+    // that:
+    // the request had been passed on, and its caller got no answer. Nothing more is read until there is room.
+    @Test
+    void callerWhoSendsFarAheadGetsEveryAnswer() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            String padding = "X-Padding: " + "x".repeat(3_000) + "\r\n";
+            StringBuilder all = new StringBuilder("GET /held HTTP/1.1\r\nHost: x.test\r\n\r\n");
+            for (int number = 0; number < 99; number++) {
+                all.append("GET / HTTP/1.1\r\nHost: x.test\r\n").append(padding).append("\r\n");
+            }
+            all.append("GET / HTTP/1.1\r\nHost: x.test\r\nConnection: close\r\n\r\n");
+            CompletableFuture<Void> written =
+                    CompletableFuture.runAsync(() -> Await.closing(() -> write(socket, all.toString())));
+            ServerExchange first = Await.value(held);
+            for (int round = 0; round < 20; round++) {
+                onLoop(() -> {});
+            }
+            onLoop(() -> first.respond(200, HttpFields.EMPTY, new byte[2]));
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertEquals(101, answers.split("HTTP/1.1 200 ", -1).length - 1);
+            Await.value(written);
+        }
+    }
+
     // A caller sends a body that is too long, and is told so before it has sent all. The connection was closed with
     // bytes
     // unread, which makes the kernel reset it: the answer is lost on its way, and the caller sees a broken connection.
@@ -137,6 +164,10 @@
     }
 
     private void answer(ServerExchange caller) {
+        if (caller.request().path().equals("/held")) {
+            held.complete(caller);
+            return;
+        }
         byte[] body = new byte[caller.request().path().equals("/long") ? LONG_BYTES : 2];
         caller.respond(200, HttpFields.EMPTY, body);
         answered.complete(null);
