Read no further where a caller sends far ahead, and keep its connection

Cause: ServerConnection.keepAhead closed the connection beyond 64 KB, while a request of the same caller could be at a replica. The comment of the bound said "is read no further". Ruled out: a bound of its own on the body of a request (refused with 413, before it is passed on). Change: the connection is not read while a request is under way and the bound is reached, and again when it is answered. The bound may be passed by one read, 64 KB. While nothing is read, the caller's leaving is not seen either, so what it asked for runs to its end; only callers that send so far ahead bring that on themselves. Before: ServerConnectionTest.callerWhoSendsFarAheadGetsEveryAnswer red, 0 of 101 answers. After: ServerConnectionTest 6 of 6, ClientPoolTest 8 of 8, HostedPathTest 20 of 20. Conclusion: what waits behind a request no longer ends it.

--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -78,7 +78,7 @@
     @Override
     public void onFillable() {
         ByteBuffer buffer = loop.input();
-        while (!ended && getEndPoint().isOpen()) {
+        while (!ended && getEndPoint().isOpen() && takesInput()) {
             buffer.clear();
             int count;
             try {
@@ -100,6 +100,11 @@
         }
     }
 
+    /** Whether more may be read now; if not, {@link #awaitInput} is to be called when it may. */
+    boolean takesInput() {
+        return true;
+    }
+
     /**
      * Takes in bytes, all of them before it returns.
      *
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -50,6 +50,16 @@
         server.opened(this);
     }
 
+    /**
+     * Failure: a caller sends on without end while its request waits. Symptom: what is kept grows until the process is
+     * killed for its memory, or the connection is closed and the request under way with it. What is not read waits in the
+     * kernel, which stops the caller.
+     */
+    @Override
+    boolean takesInput() {
+        return exchange == null || ahead.size() < MAX_AHEAD_BYTES;
+    }
+
     @Override
     void onInput(ByteBuffer bytes) {
         if (closing) {
@@ -183,10 +193,6 @@
     }
 
     private void keepAhead(ByteBuffer bytes) {
-        if (ahead.size() + bytes.remaining() > MAX_AHEAD_BYTES) {
-            close();
-            return;
-        }
         byte[] kept = BufferUtil.toArray(bytes);
         bytes.position(bytes.limit());
         ahead.write(kept, 0, kept.length);
