Sort what an engine holds once for a plan, not for each model

A plan asks for each model and engine what would make way, and sorted what the engine holds each time by costs that stay the same until a step is given out. The same plans: CopyPlanTest as before. What is left grows with steps x engines: a plan over 2,400 engines can't be made in each process ten times a second.

--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -73,6 +73,10 @@
     private final List<EngineView> engines;
     private final Map<String, Demand> demand;
     private final Map<HostPort, Double> freeMegabytes = new HashMap<>();
+
+    /** What each engine holds, what is least missed first; weighed for each model, and the same until a step is given. */
+    private final Map<HostPort, List<String>> byCost = new HashMap<>();
+
     private final Map<String, Integer> copies = new HashMap<>();
     private final Map<HostPort, Step> steps = new HashMap<>();
 
@@ -140,6 +144,7 @@
 
     private void assign(Engine.Model model, Candidate candidate) {
         steps.put(candidate.view.address(), new Step(model.name(), candidate.makesWay));
+        byCost.clear();
         copies.merge(model.name(), 1, Integer::sum);
         candidate.makesWay.forEach(leaving -> copies.merge(leaving, -1, Integer::sum));
     }
@@ -209,11 +214,7 @@
     private Optional<List<String>> makeWay(EngineView view, Engine.Model model, double lackingMegabytes) {
         List<String> way = new ArrayList<>();
         double lacking = lackingMegabytes;
-        List<String> byCost = view.held().stream()
-                .sorted(Comparator.comparingDouble((String held) -> costOf(view, List.of(held)))
-                        .thenComparing(held -> held))
-                .toList();
-        for (String held : byCost) {
+        for (String held : byCost.computeIfAbsent(view.address(), key -> sortedByCost(view))) {
             if (lacking <= 0) {
                 break;
             }
@@ -224,6 +225,15 @@
         return lacking <= 0 && worthIt ? Optional.of(way) : Optional.empty();
     }
 
+    private List<String> sortedByCost(EngineView view) {
+        record Costed(String model, double cost) {}
+        return view.held().stream()
+                .map(held -> new Costed(held, costOf(view, List.of(held))))
+                .sorted(Comparator.comparingDouble(Costed::cost).thenComparing(Costed::model))
+                .map(Costed::model)
+                .toList();
+    }
+
     private double costOf(EngineView view, List<String> way) {
         boolean isWaitedFor = way.stream().anyMatch(view.inUse()::contains);
         return LOSS_COST * losses(way) + (isWaitedFor ? WAIT_COST : 0);
