--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -72,6 +72,11 @@
     private final int storeLoads;
     private final List<EngineView> engines;
     private final Map<String, Demand> demand;
+    private final Map<HostPort, Double> freeMegabytes = new HashMap<>();
+
+    /** What each engine holds, what is least missed first; weighed for each model, and the same until a step is given. */
+    private final Map<HostPort, List<String>> byCost = new HashMap<>();
+
     private final Map<String, Integer> copies = new HashMap<>();
     private final Map<HostPort, Step> steps = new HashMap<>();
 
@@ -92,6 +97,8 @@
                 .toList();
         this.demand = demand;
         this.engines.forEach(view -> {
+            double held = view.held().stream().mapToDouble(engine::weightsOf).sum();
+            freeMegabytes.put(view.address(), engine.modelMegabytes() - held);
             Set<String> all = new HashSet<>(view.held());
             view.loading().ifPresent(all::add);
             all.forEach(model -> copies.merge(model, 1, Integer::sum));
@@ -137,6 +144,7 @@
 
     private void assign(Engine.Model model, Candidate candidate) {
         steps.put(candidate.view.address(), new Step(model.name(), candidate.makesWay));
+        byCost.clear();
         copies.merge(model.name(), 1, Integer::sum);
         candidate.makesWay.forEach(leaving -> copies.merge(leaving, -1, Integer::sum));
     }
@@ -184,6 +192,11 @@
     }
 
     private Optional<Candidate> candidate(EngineView view, Engine.Model model) {
+        double lacking = model.weightsMegabytes() - freeMegabytes.get(view.address());
+        if (lacking > 0 && demandFor(model.name()).perSecond() < LEAST_GAIN) {
+            // What nobody asks for takes free room only: at a start no demand is known, and what stands stands well.
+            return Optional.empty();
+        }
         boolean isNear = view.near().contains(model.name());
         if (!isNear && !pace.allows(view.storeLoads(), storeLoads, gain(model.name()))) {
             return Optional.empty();
@@ -192,25 +205,16 @@
         double cost = loadMillis / MILLIS_PER_COST
                 + BUSY_COST * view.load() / Math.max(1, engine.slots())
                 + spread(view.address(), model.name());
-        double lacking = model.weightsMegabytes() - freeMegabytes(view);
         if (lacking <= 0) {
             return Optional.of(new Candidate(view, List.of(), cost));
         }
-        if (demandFor(model.name()).perSecond() < LEAST_GAIN) {
-            // What nobody asks for takes free room only: at a start no demand is known, and what stands stands well.
-            return Optional.empty();
-        }
         return makeWay(view, model, lacking).map(way -> new Candidate(view, way, cost + costOf(view, way)));
     }
 
     private Optional<List<String>> makeWay(EngineView view, Engine.Model model, double lackingMegabytes) {
         List<String> way = new ArrayList<>();
         double lacking = lackingMegabytes;
-        List<String> byCost = view.held().stream()
-                .sorted(Comparator.comparingDouble((String held) -> costOf(view, List.of(held)))
-                        .thenComparing(held -> held))
-                .toList();
-        for (String held : byCost) {
+        for (String held : byCost.computeIfAbsent(view.address(), key -> sortedByCost(view))) {
             if (lacking <= 0) {
                 break;
             }
@@ -221,6 +225,15 @@
         return lacking <= 0 && worthIt ? Optional.of(way) : Optional.empty();
     }
 
+    private List<String> sortedByCost(EngineView view) {
+        record Costed(String model, double cost) {}
+        return view.held().stream()
+                .map(held -> new Costed(held, costOf(view, List.of(held))))
+                .sorted(Comparator.comparingDouble(Costed::cost).thenComparing(Costed::model))
+                .map(Costed::model)
+                .toList();
+    }
+
     private double costOf(EngineView view, List<String> way) {
         boolean isWaitedFor = way.stream().anyMatch(view.inUse()::contains);
         return LOSS_COST * losses(way) + (isWaitedFor ? WAIT_COST : 0);
@@ -230,11 +243,6 @@
         return models.stream().mapToDouble(this::loss).sum();
     }
 
-    private double freeMegabytes(EngineView view) {
-        double held = view.held().stream().mapToDouble(engine::weightsOf).sum();
-        return engine.modelMegabytes() - held;
-    }
-
     private int copiesOf(String model) {
         return copies.getOrDefault(model, 0);
     }
