Show that a request that crashes replicas reaches one after the other

Each attempt is judged by itself: max_attempts bounds its sends, and the next attempt of its caller, here or at another entry, begins anew. Seen with the stand-ins: seven asks crash far more than two replicas, and an entry that starts later knows of none.

--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.hosted.HostedWorld.Answer;
+import io.waxwingquay.net.ServerExchange;
+import io.waxwingquay.standin.prepared.EngineStandin;
 import io.waxwingquay.standin.prepared.EngineStandin.Behaviour;
 import io.waxwingquay.testing.Await;
 import java.io.IOException;
@@ -12,8 +14,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +27,7 @@
 class HostedPathTest {
 
     private static final String MODEL = "Model: m\r\n";
+    private static final String POISON = "poison";
     private static final Behaviour SHED =
             (engine, caller) -> caller.respond(503, HttpFields.build().put("Not-Executed", "1"), "full");
     private static final Behaviour FAIL =
@@ -272,6 +278,59 @@
         assertEquals(List.of(), cut);
     }
 
+    // A request ends each replica that begins to run it, and its caller sends it again and again, each time as a new
+    // attempt. Were each attempt judged by itself, the deployment would lose a replica for each send. Two replicas end;
+    // from then on it is turned away before it reaches one, with a status that promises that this attempt did not run.
+    // The others, who ran beside it, are answered.
+    @Test
+    void requestThatCrashesReplicasReachesTwoOfThem() throws Exception {
+        Crashes crashes = new Crashes();
+        plain(crashes);
+        List<CompletableFuture<Answer>> bystanders = new ArrayList<>();
+        for (int number = 0; number < 6; number++) {
+            bystanders.add(askAside("/p/1", "b25-" + number, "innocent " + number));
+        }
+        Await.until(() -> runs().size() == 6);
+        for (int number = 0; number < 6; number++) {
+            world.ask("POST", "/p/1", "a25-" + number, "", POISON);
+        }
+        Answer last = world.ask("POST", "/p/1", "a25-6", "", POISON);
+        assertEquals(2, crashes.count.get());
+        assertEquals(503, last.status());
+        assertTrue(last.head().contains("Retry-After: "), last.head());
+        for (CompletableFuture<Answer> bystander : bystanders) {
+            assertEquals(200, Await.value(bystander).status());
+        }
+    }
+
+    // The same request comes through an entry that started after the crashes and that the store turns away. It knows
+    // nothing of them but what the processes beside engines tell it; that has to be enough, or each entry would cost
+    // two replicas more.
+    @Test
+    void entryThatStartsLaterRefusesWhatHasCrashedReplicas() throws Exception {
+        Crashes crashes = new Crashes();
+        plain(crashes);
+        world.ask("POST", "/p/1", "a26-0", "", POISON);
+        assertEquals(2, crashes.count.get());
+        world.startCutOffEntry();
+        Await.until(() -> world.dumpCutOff().contains("suspects=1"));
+        Await.until(() -> world.askCutOff("/p/1", "a26-1", "innocent").status() == 200);
+        assertEquals(503, world.askCutOff("/p/1", "a26-2", POISON).status());
+        assertEquals(2, crashes.count.get());
+    }
+
+    private CompletableFuture<Answer> askAside(String path, String id, String body) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return world.ask("POST", path, id, "", body);
+                    } catch (IOException failure) {
+                        throw new UncheckedIOException(failure);
+                    }
+                },
+                task -> new Thread(task).start());
+    }
+
     private boolean isAnswered(String id) {
         try {
             return world.ask("POST", "/brief/1", id, "", "pay").status() != 0;
@@ -302,4 +361,42 @@
         }
         return all.toString();
     }
+
+    /**
+     * A replica that ends, with all that it runs, when it begins to run one request; it is back at once. Others wait for
+     * their answers until the first crash, and then take a moment each.
+     */
+    private final class Crashes implements Behaviour {
+
+        private static final long ANSWER_MILLIS = 20L;
+
+        private final AtomicInteger count = new AtomicInteger();
+        private final Map<EngineStandin, List<ServerExchange>> running = new HashMap<>();
+
+        @Override
+        public void run(EngineStandin engine, ServerExchange caller) {
+            List<ServerExchange> here = running.computeIfAbsent(engine, each -> new ArrayList<>());
+            if (new String(caller.request().body(), StandardCharsets.UTF_8).equals(POISON)) {
+                here.forEach(ServerExchange::abort);
+                here.clear();
+                caller.abort();
+                if (count.incrementAndGet() == 1) {
+                    running.forEach((other, callers) -> callers.forEach(each -> answerSoon(other, each)));
+                }
+                return;
+            }
+            here.add(caller);
+            if (count.get() > 0) {
+                answerSoon(engine, caller);
+            }
+        }
+
+        private void answerSoon(EngineStandin engine, ServerExchange caller) {
+            world.later(ANSWER_MILLIS, () -> {
+                if (running.get(engine).remove(caller)) {
+                    Behaviour.ECHO.run(engine, caller);
+                }
+            });
+        }
+    }
 }
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -97,12 +97,20 @@
     }
 
     Answer askCutOff(String path, String id) throws IOException {
+        return askCutOff(path, id, "x");
+    }
+
+    Answer askCutOff(String path, String id, String body) throws IOException {
         try (Socket socket = new Socket(InetAddress.getByName(CUT_OFF_HOST), base + 2)) {
             socket.setSoTimeout(30_000);
-            return exchange(socket, request("POST", path, id, "", "x"));
+            return exchange(socket, request("POST", path, id, "", body));
         }
     }
 
+    String dumpCutOff() throws IOException {
+        return dump(CUT_OFF_HOST);
+    }
+
     CompletableFuture<Void> leave() {
         return entry.leave();
     }
@@ -124,7 +132,11 @@
     }
 
     String dump() throws IOException {
-        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), base + 6)) {
+        return dump("127.0.0.1");
+    }
+
+    private String dump(String host) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName(host), base + 6)) {
             return exchange(socket, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n").body();
         }
     }
