Let suspects travel in datagrams, and let a good answer take crashes back

The hosted path has nothing that tells its processes of a request that crashes replicas. The product's table of suspects fits but for two things: its records expire by wall clock, which differs between these processes, and a request that two crashes name stays refused whoever answered it, which would refuse a page that many callers ask for and that was under way at two crashes it did not cause.

SuspectTable gets a second factory, trustingAnswers, where an answer takes back the crashes known before it; the product's own rule and its tests stay as they were. Crashes taken back are a set that only grows, so merges still agree in any order. Fingerprint takes any list of parts; that of a model request is unchanged.

Ruled out: a second table of counts and ages (counts can't be merged twice), and turns in place of draws (they fall into step with who gets which datagram).

--- a/src/main/java/io/waxwingquay/suspect/Fingerprint.java
+++ b/src/main/java/io/waxwingquay/suspect/Fingerprint.java
@@ -2,10 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
- * Names a model request by its content, so that a resend through another entry has the same name.
+ * Names a request by its content, so that a resend through another entry has the same name.
  */
 public final class Fingerprint {
 
@@ -20,17 +21,22 @@
      * @return a 64-bit hash; equal requests have equal fingerprints in every process.
      */
     public static long of(String model, String adapter, String prompt) {
-        byte[] modelBytes = bytesOf(model);
-        byte[] adapterBytes = bytesOf(adapter == null ? "" : adapter);
-        byte[] promptBytes = bytesOf(prompt);
-        // Lengths go in, so that no two different triples are the same bytes.
-        ByteBuffer all = ByteBuffer.allocate(
-                        2 * Integer.BYTES + modelBytes.length + adapterBytes.length + promptBytes.length)
-                .putInt(modelBytes.length)
-                .putInt(adapterBytes.length)
-                .put(modelBytes)
-                .put(adapterBytes)
-                .put(promptBytes);
+        return of(List.of(bytesOf(model), bytesOf(adapter == null ? "" : adapter), bytesOf(prompt)));
+    }
+
+    /**
+     * The fingerprint of a request that is told apart by some parts.
+     *
+     * @param parts its parts, always in the same order; at least one.
+     * @return a 64-bit hash; equal parts have equal fingerprints in every process.
+     */
+    public static long of(List<byte[]> parts) {
+        // Lengths go in, so that no two different lists are the same bytes.
+        List<byte[]> measured = parts.subList(0, parts.size() - 1);
+        int size = parts.stream().mapToInt(part -> part.length).sum();
+        ByteBuffer all = ByteBuffer.allocate(measured.size() * Integer.BYTES + size);
+        measured.forEach(part -> all.putInt(part.length));
+        parts.forEach(all::put);
         return MurmurHash3.hash128x64(all.array())[0];
     }
 
--- a/src/main/java/io/waxwingquay/suspect/SuspectTable.java
+++ b/src/main/java/io/waxwingquay/suspect/SuspectTable.java
@@ -2,7 +2,6 @@
 
 import io.waxwingquay.common.Clock;
 import io.waxwingquay.transport.generated.SuspectRecord;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,14 +10,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 
 /**
  * The suspects that this process knows, bounded in number.
  *
  * <p>A record only grows: crash names are united, the later expiry stays, and cleared stays cleared. So any order
- * and any repetition of merges gives the same table. Cleared counts only beside a single crash name; a request that
- * two crashes name stays refused until its record expires, whoever cleared it. When the table is full it drops
- * single-crash records first, as losing a quarantine costs targets.
+ * and any repetition of merges gives the same table. When the table is full it drops single-crash records first, as
+ * losing a quarantine costs targets. What a good answer counts for is up to the factory that the table comes from.
  */
 public final class SuspectTable implements SuspectBook {
 
@@ -28,19 +27,49 @@
     private final Clock clock;
     private final long retentionMillis;
     private final int maxRecords;
+    private final Function<Entry, Standing> rule;
     private final Map<Long, Entry> entries = new HashMap<>();
 
     /**
-     * An empty table.
+     * An empty table where cleared counts only beside a single crash name: a request that two crashes name stays refused
+     * until its record expires, whoever cleared it.
      *
      * @param clock the time; expiry is by wall clock, as other processes read it.
      * @param retentionMillis how long after its last crash a record stays.
      * @param maxRecords the most records kept.
      */
     public SuspectTable(Clock clock, long retentionMillis, int maxRecords) {
+        this(clock, retentionMillis, maxRecords, Entry::lastingStanding);
+    }
+
+    private SuspectTable(Clock clock, long retentionMillis, int maxRecords, Function<Entry, Standing> rule) {
         this.clock = clock;
         this.retentionMillis = retentionMillis;
         this.maxRecords = maxRecords;
+        this.rule = rule;
+    }
+
+    /**
+     * An empty table where a good answer takes back all crashes known before it, two or more also. For requests that many
+     * callers send alike: those that run in many places are there at many crashes that they did not cause, and one that
+     * ends each target that begins it never gets a good answer.
+     *
+     * @param clock the time.
+     * @param retentionMillis how long after its last crash a record stays.
+     * @param maxRecords the most records kept.
+     * @return the table.
+     */
+    public static SuspectTable trustingAnswers(Clock clock, long retentionMillis, int maxRecords) {
+        return new SuspectTable(clock, retentionMillis, maxRecords, Entry::openStanding);
+    }
+
+    /**
+     * Whether nothing is recorded, so that a look at a request can be saved.
+     *
+     * @return whether there is no record.
+     */
+    public synchronized boolean isEmpty() {
+        return entries.isEmpty();
     }
 
     /** {@inheritDoc} */
@@ -48,14 +77,14 @@
     public synchronized Standing standing(long fingerprint) {
         return Optional.ofNullable(entries.get(fingerprint))
                 .filter(entry -> entry.expiresAtEpochMillis > clock.epochMillis())
-                .map(Entry::standing)
+                .map(rule)
                 .orElse(Standing.CLEAR);
     }
 
     /** {@inheritDoc} */
     @Override
     public synchronized List<SuspectRecord> recordCrash(String crashId, Collection<Long> fingerprints) {
-        Entry crash = new Entry(Set.of(crashId), clock.epochMillis() + retentionMillis, false);
+        Entry crash = new Entry(Set.of(crashId), Set.of(), clock.epochMillis() + retentionMillis, false);
         List<SuspectRecord> changed = fingerprints.stream()
                 .distinct()
                 .map(fingerprint -> join(fingerprint, crash).toRecord(fingerprint))
@@ -70,6 +99,16 @@
         entries.computeIfPresent(fingerprint, (key, entry) -> entry.cleared());
     }
 
+    /**
+     * Records that what was taken for a crash was none.
+     *
+     * @param crashId its name.
+     * @param fingerprint a request that it was recorded for.
+     */
+    public synchronized void absolve(String crashId, long fingerprint) {
+        entries.computeIfPresent(fingerprint, (key, entry) -> entry.absolved(crashId));
+    }
+
     /** {@inheritDoc} */
     @Override
     public synchronized void merge(List<SuspectRecord> records) {
@@ -104,46 +143,68 @@
         }
         long nowMillis = clock.epochMillis();
         entries.values().removeIf(entry -> entry.expiresAtEpochMillis <= nowMillis);
-        List<Map.Entry<Long, Entry>> byWorth = new ArrayList<>(entries.entrySet());
-        byWorth.sort(Comparator.comparing(
-                        (Map.Entry<Long, Entry> entry) -> entry.getValue().standing())
-                .thenComparing(entry -> entry.getValue().expiresAtEpochMillis));
-        byWorth.stream()
+        entries.entrySet().stream()
+                .map(entry ->
+                        new Worth(entry.getKey(), rule.apply(entry.getValue()), entry.getValue().expiresAtEpochMillis))
+                .sorted(Comparator.comparing(Worth::standing).thenComparing(Worth::expiresAtEpochMillis))
                 .limit(Math.max(0, entries.size() - maxRecords))
-                .map(Map.Entry::getKey)
                 .toList()
-                .forEach(entries::remove);
+                .forEach(worth -> entries.remove(worth.fingerprint));
     }
 
-    private record Entry(Set<String> crashIds, long expiresAtEpochMillis, boolean isCleared) {
+    private record Worth(long fingerprint, Standing standing, long expiresAtEpochMillis) {}
+
+    private record Entry(Set<String> crashIds, Set<String> absolvedIds, long expiresAtEpochMillis, boolean isCleared) {
 
         static Entry of(SuspectRecord record, long latestEpochMillis) {
             long expiry = Math.min(record.getExpiresAtEpochMillis(), latestEpochMillis);
-            return new Entry(bounded(record.getCrashIds()), expiry, record.isCleared());
+            Set<String> absolved = record.isSetAbsolvedIds() ? record.getAbsolvedIds() : Set.of();
+            return new Entry(bounded(record.getCrashIds()), bounded(absolved), expiry, record.isCleared());
         }
 
         Entry join(Entry other) {
-            Set<String> united = new TreeSet<>(crashIds);
-            united.addAll(other.crashIds);
             return new Entry(
-                    bounded(united),
+                    united(crashIds, other.crashIds),
+                    united(absolvedIds, other.absolvedIds),
                     Math.max(expiresAtEpochMillis, other.expiresAtEpochMillis),
                     isCleared || other.isCleared);
         }
 
         Entry cleared() {
-            return new Entry(crashIds, expiresAtEpochMillis, true);
+            return new Entry(crashIds, united(absolvedIds, crashIds), expiresAtEpochMillis, true);
+        }
+
+        Entry absolved(String crashId) {
+            return new Entry(crashIds, united(absolvedIds, Set.of(crashId)), expiresAtEpochMillis, isCleared);
         }
 
-        Standing standing() {
+        Standing lastingStanding() {
             if (crashIds.size() >= QUARANTINE_CRASHES) {
                 return Standing.QUARANTINED;
             }
             return crashIds.isEmpty() || isCleared ? Standing.CLEAR : Standing.SUSPECT;
         }
 
+        Standing openStanding() {
+            long open = crashIds.stream()
+                    .filter(crashId -> !absolvedIds.contains(crashId))
+                    .count();
+            if (open >= QUARANTINE_CRASHES) {
+                return Standing.QUARANTINED;
+            }
+            return open == 0 ? Standing.CLEAR : Standing.SUSPECT;
+        }
+
         SuspectRecord toRecord(long fingerprint) {
-            return new SuspectRecord(fingerprint, new TreeSet<>(crashIds), expiresAtEpochMillis, isCleared);
+            SuspectRecord record =
+                    new SuspectRecord(fingerprint, new TreeSet<>(crashIds), expiresAtEpochMillis, isCleared);
+            return absolvedIds.isEmpty() ? record : record.setAbsolvedIds(new TreeSet<>(absolvedIds));
+        }
+
+        private static Set<String> united(Set<String> some, Set<String> more) {
+            Set<String> all = new TreeSet<>(some);
+            all.addAll(more);
+            return bounded(all);
         }
 
         // The smallest names are kept, so that processes that saw them in another order agree.
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -168,12 +168,16 @@
   12: list<ItemRecord> items
 }
 
-/** A request fingerprint that ran on targets that crashed. crashIds names each crash once. */
+/**
+ * A request fingerprint that ran on targets that crashed. crashIds names each crash once; absolvedIds are those that
+ * were known when it was answered well, or that were none.
+ */
 struct SuspectRecord {
   1: i64 fingerprint,
   2: set<string> crashIds,
   3: i64 expiresAtEpochMillis,
-  4: bool cleared
+  4: bool cleared,
+  5: optional set<string> absolvedIds
 }
 
 /** bucketHashes summarise all side records by hash of the side's name; a difference asks for that bucket. */
@@ -258,6 +262,17 @@
   2: i64 replicaList
 }
 
+/**
+ * A request whose sends ended with broken connections, as told between processes whose wall clocks may differ: how long
+ * the record stays is a duration. Each crash has a name of 64 bits; absolved are those that count no more.
+ */
+struct SuspectNews {
+  1: i64 fingerprint,
+  2: set<i64> crashes,
+  3: set<i64> absolved,
+  4: i64 remainingMillis
+}
+
 /**
  * What the process beside an engine tells every entry and the other processes of its service, several times a second
  * and at once after a change. Sent as a datagram; the next one says all of it again.
@@ -280,7 +295,8 @@
   15: i32 entries,
   16: list<string> modelsInUse,
   17: optional TableVersions newestTables,
-  18: optional string newestTablesHost
+  18: optional string newestTablesHost,
+  19: optional list<SuspectNews> suspects
 }
 
 /** What one entry sees of one model. */
@@ -299,7 +315,8 @@
   5: list<string> engineAddresses,
   6: i64 engineDigest,
   7: list<string> modelsInUse,
-  8: optional TableVersions tables
+  8: optional TableVersions tables,
+  9: optional list<SuspectNews> suspects
 }
 
 /** An entry needs an adapter on the engine beside the receiver. */
--- /dev/null
+++ b/src/test/java/io/waxwingquay/suspect/SharedSuspectsTest.java
@@ -0,0 +1,211 @@
+package io.waxwingquay.suspect;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.suspect.SuspectBook.Standing;
+import io.waxwingquay.transport.generated.EntryNews;
+import io.waxwingquay.transport.generated.SuspectNews;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.junit.jupiter.api.Test;
+
+class SharedSuspectsTest {
+
+    private static final long POISON = 7;
+    private static final long RETENTION_MILLIS = 600_000;
+
+    private long nowMillis = 1_000;
+    private final Random random = new Random(11);
+    private final SharedSuspects entry1 = suspects();
+    private final SharedSuspects entry2 = suspects();
+    private final SharedSuspects side = suspects();
+
+    // A request ends one replica through each of two entries. Neither has seen two crashes; only together they know,
+    // and
+    // a third entry that has seen none has to know too.
+    @Test
+    void crashesSeenAtTwoEntriesCountTogether() {
+        entry1.crashed("a", POISON);
+        entry2.crashed("b", POISON);
+        assertEquals(Standing.SUSPECT, entry1.standing(POISON));
+        side.take(entry1.page());
+        side.take(entry2.page());
+        SharedSuspects entry3 = suspects();
+        List.of(entry1, entry2, entry3).forEach(entry -> entry.take(side.page()));
+        List.of(entry1, entry2, entry3).forEach(entry -> assertEquals(Standing.QUARANTINED, entry.standing(POISON)));
+    }
+
+    // Two entries lose requests that look alike to the same crash. It is one crash, and condemns nothing.
+    @Test
+    void oneCrashSeenAtTwoEntriesIsOneCrash() {
+        entry1.crashed("a", POISON);
+        entry2.crashed("a", POISON);
+        entry1.take(entry2.page());
+        assertEquals(Standing.SUSPECT, entry1.standing(POISON));
+    }
+
+    @Test
+    void goodAnswerTakesBackWhatWasKnownBeforeIt() {
+        entry1.crashed("a", POISON);
+        entry1.answered(POISON);
+        assertEquals(Standing.CLEAR, entry1.standing(POISON));
+        entry1.crashed("b", POISON);
+        assertEquals(Standing.SUSPECT, entry1.standing(POISON));
+    }
+
+    // Many callers send requests that are alike, and two of them are at crashes that another request caused. Those that
+    // ran elsewhere are answered. Were the others refused all the same, a busy page would be gone for ten minutes.
+    @Test
+    void goodAnswerFreesARefusedOneEverywhere() {
+        entry1.crashed("a", POISON);
+        entry1.crashed("b", POISON);
+        entry2.take(entry1.page());
+        assertEquals(Standing.QUARANTINED, entry2.standing(POISON));
+        entry1.answered(POISON);
+        entry2.take(entry1.page());
+        assertEquals(Standing.CLEAR, entry2.standing(POISON));
+    }
+
+    @Test
+    void crashThatWasNoneCountsNoMore() {
+        entry1.crashed("a", POISON);
+        entry1.crashed("b", POISON);
+        entry1.survived("a", POISON);
+        assertEquals(Standing.SUSPECT, entry1.standing(POISON));
+    }
+
+    // Datagrams come doubled, late and in any order; what is known in the end is the same.
+    @Test
+    void orderAndRepetitionOfDatagramsDoNotMatter() {
+        List<List<SuspectNews>> sent = new ArrayList<>();
+        entry1.crashed("a", POISON);
+        sent.add(entry1.page());
+        entry1.answered(POISON);
+        sent.add(entry1.page());
+        entry1.crashed("b", POISON);
+        sent.add(entry1.page());
+        for (int round = 0; round < 20; round++) {
+            SharedSuspects other = suspects();
+            for (int number = 0; number < 8; number++) {
+                other.take(sent.get(random.nextInt(sent.size())));
+            }
+            sent.forEach(other::take);
+            assertEquals(Standing.SUSPECT, other.standing(POISON));
+        }
+    }
+
+    @Test
+    void lostDatagramsAreMadeUpForByLaterOnes() {
+        entry1.crashed("a", POISON);
+        entry1.crashed("b", POISON);
+        entry1.page();
+        entry1.page();
+        side.take(entry1.page());
+        assertEquals(Standing.QUARANTINED, side.standing(POISON));
+    }
+
+    // An entry starts anew while it is the only one that saw the crashes. The processes beside engines know still.
+    @Test
+    void restartedEntryLearnsFromTheOthers() {
+        entry1.crashed("a", POISON);
+        entry1.crashed("b", POISON);
+        side.take(entry1.page());
+        SharedSuspects restarted = suspects();
+        restarted.take(side.page());
+        assertEquals(Standing.QUARANTINED, restarted.standing(POISON));
+    }
+
+    // Two processes tell each other of a suspect over and over, each datagram 400 ms under way. A record does not age
+    // on
+    // its way; if each telling made it younger, an innocent one would never go free.
+    @Test
+    void suspectThatIsToldToAndFroGoesFree() {
+        entry1.crashed("a", POISON);
+        entry1.crashed("b", POISON);
+        long endMillis = nowMillis + RETENTION_MILLIS;
+        while (nowMillis < endMillis) {
+            List<SuspectNews> there = entry1.page();
+            List<SuspectNews> back = side.page();
+            nowMillis += 400;
+            side.take(there);
+            entry1.take(back);
+        }
+        assertEquals(Standing.CLEAR, entry1.standing(POISON));
+        assertEquals(Standing.CLEAR, side.standing(POISON));
+        assertEquals(List.of(), side.page());
+        assertTrue(side.isEmpty());
+    }
+
+    @Test
+    void tellingAnOldRecordDoesNotKeepItLonger() {
+        entry1.crashed("a", POISON);
+        nowMillis += RETENTION_MILLIS - 5_000;
+        side.take(entry1.page());
+        nowMillis += 5_000;
+        assertEquals(Standing.CLEAR, side.standing(POISON));
+    }
+
+    // A busy replica goes and takes hundreds of requests with it, and one of them is what ended it. Each datagram takes
+    // a
+    // few; the one that counts has to be among them soon.
+    @Test
+    void eachOfManySuspectsIsToldWithinSomeDatagrams() {
+        for (long fingerprint = 0; fingerprint < 100; fingerprint++) {
+            entry1.crashed("a", fingerprint);
+        }
+        for (int number = 0; number < 100; number++) {
+            side.take(entry1.page());
+        }
+        long heard = side.count();
+        assertTrue(heard >= 99, "heard of " + heard);
+    }
+
+    @Test
+    void refusedOnesAreToldBesideManySuspects() {
+        for (long fingerprint = 100; fingerprint < 400; fingerprint++) {
+            entry1.crashed("a", fingerprint);
+        }
+        entry1.crashed("a", POISON);
+        entry1.crashed("b", POISON);
+        side.take(entry1.page());
+        assertEquals(Standing.QUARANTINED, side.standing(POISON));
+    }
+
+    @Test
+    void memoryAndDatagramsAreBounded() throws Exception {
+        for (long fingerprint = 0; fingerprint < 3_000; fingerprint++) {
+            entry1.crashed("a", random.nextLong());
+            long busy = random.nextLong();
+            entry1.crashed("a", busy);
+            entry1.crashed("b", busy);
+        }
+        assertTrue(entry1.count() <= 512, "records " + entry1.count());
+        assertTrue(entry1.page().size() <= 16, "told " + entry1.page().size());
+        byte[] encoded = new TSerializer(new TCompactProtocol.Factory())
+                .serialize(new EntryNews().setNode("n").setNumber(1).setSuspects(entry1.page()));
+        assertTrue(encoded.length < 700, "bytes " + encoded.length);
+    }
+
+    @Test
+    void datagramThatTellsTooMuchOrNothingIsTakenInPart() {
+        side.take(null);
+        List<SuspectNews> many = new ArrayList<>();
+        for (long fingerprint = 0; fingerprint < 5_000; fingerprint++) {
+            many.add(new SuspectNews(fingerprint, Set.of(1L, 2L), Set.of(), Long.MAX_VALUE));
+        }
+        side.take(many);
+        assertTrue(side.count() <= 64, "records " + side.count());
+        side.take(List.of(new SuspectNews().setFingerprint(POISON)));
+        nowMillis += RETENTION_MILLIS;
+        assertEquals(0, side.count());
+    }
+
+    private SharedSuspects suspects() {
+        return new SharedSuspects(() -> nowMillis, random);
+    }
+}
--- a/src/test/java/io/waxwingquay/suspect/SuspectTableTest.java
+++ b/src/test/java/io/waxwingquay/suspect/SuspectTableTest.java
@@ -13,6 +13,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -27,6 +29,17 @@
     private static final long POISON = 7;
 
     private long nowMillis = 1_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long monotonicMillis() {
+            return nowMillis;
+        }
+
+        @Override
+        public long epochMillis() {
+            return nowMillis;
+        }
+    };
     private final SuspectTable table = table(100);
 
     @Test
@@ -87,6 +100,53 @@
         assertEquals(new HashSet<>(once.snapshot()), new HashSet<>(repeated.snapshot()));
     }
 
+    @Property(tries = 200, seed = "20261203")
+    void mergesOfAbsolvedCrashesInAnyOrderAgree(
+            @ForAll("absolvedRecords") List<SuspectRecord> records, @ForAll long seed) {
+        SuspectTable once = SuspectTable.trustingAnswers(clock, RETENTION_MILLIS, 100);
+        once.merge(records);
+        List<SuspectRecord> shuffled = new ArrayList<>(records);
+        shuffled.addAll(records);
+        Collections.shuffle(shuffled, new Random(seed));
+        SuspectTable repeated = SuspectTable.trustingAnswers(clock, RETENTION_MILLIS, 100);
+        shuffled.forEach(record -> repeated.merge(List.of(record)));
+        assertEquals(new HashSet<>(once.snapshot()), new HashSet<>(repeated.snapshot()));
+        LongStream.rangeClosed(1, 3).forEach(each -> assertEquals(once.standing(each), repeated.standing(each)));
+    }
+
+    // A page that many callers ask for was under way at two crashes that it did not cause, and is then answered. Where
+    // good answers are trusted it is free, and two crashes after that are needed to refuse it again.
+    @Test
+    void whereAnswersAreTrustedOneTakesBackTheCrashesBeforeIt() {
+        SuspectTable trusting = SuspectTable.trustingAnswers(clock, RETENTION_MILLIS, 100);
+        trusting.recordCrash("crash-1", List.of(POISON));
+        trusting.recordCrash("crash-2", List.of(POISON));
+        assertEquals(Standing.QUARANTINED, trusting.standing(POISON));
+        trusting.clear(POISON);
+        assertEquals(Standing.CLEAR, trusting.standing(POISON));
+        trusting.recordCrash("crash-3", List.of(POISON));
+        assertEquals(Standing.SUSPECT, trusting.standing(POISON));
+        trusting.recordCrash("crash-4", List.of(POISON));
+        assertEquals(Standing.QUARANTINED, trusting.standing(POISON));
+    }
+
+    @Test
+    void crashThatWasNoneIsTakenBackAlone() {
+        SuspectTable trusting = SuspectTable.trustingAnswers(clock, RETENTION_MILLIS, 100);
+        trusting.recordCrash("crash-1", List.of(POISON));
+        trusting.recordCrash("crash-2", List.of(POISON));
+        trusting.absolve("crash-1", POISON);
+        assertEquals(Standing.SUSPECT, trusting.standing(POISON));
+    }
+
+    @Provide
+    Arbitrary<List<SuspectRecord>> absolvedRecords() {
+        Arbitrary<Set<String>> absolved = Arbitraries.of("a", "b", "c").set().map(TreeSet::new);
+        return records().flatMap(some -> absolved.list().ofSize(some.size()).map(sets -> IntStream.range(0, some.size())
+                .mapToObj(at -> some.get(at).deepCopy().setAbsolvedIds(sets.get(at)))
+                .toList()));
+    }
+
     @Provide
     Arbitrary<List<SuspectRecord>> records() {
         Arbitrary<Set<String>> crashIds =
@@ -102,19 +162,6 @@
     }
 
     private SuspectTable table(int maxRecords) {
-        return new SuspectTable(
-                new Clock() {
-                    @Override
-                    public long monotonicMillis() {
-                        return nowMillis;
-                    }
-
-                    @Override
-                    public long epochMillis() {
-                        return nowMillis;
-                    }
-                },
-                RETENTION_MILLIS,
-                maxRecords);
+        return new SuspectTable(clock, RETENTION_MILLIS, maxRecords);
     }
 }
