Refuse a request that has crashed two replicas, at every entry

Only max_attempts bounded the sends of a request that ends each replica that begins to run it, anew for each attempt of its caller and at each entry.

A send whose connection breaks before any of an answer counts by request (method, target, Host, Model, Prompt-Prefix, body) and life of the replica. With two the request is refused with 503 and when to come back, or with 502 where this attempt may have run. An answer, or a stream's first event, takes the counts back; so does an answer that the replica gives to what it had before the break and more than 100 ms after it, as it lives then. A suspect goes where this entry has no other one under way, and waits up to 240 ms for such a place: bystanders of the first crash would else be sent on together with what caused it, and be refused with it. Suspects go with the news of entries and of the processes beside engines, at once after a break; neither the store nor NewsWriter, Neighbours and EngineKeeper have a part in it.

Not covered: copies under way at once, sites without engines, crashes that leave the connection open.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -15,6 +15,7 @@
     private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
     private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
 
     private final Exchange exchange;
     private final Target target;
@@ -27,6 +28,8 @@
     private MessageCodec.Reply reply;
     private boolean streams;
     private boolean over;
+    private boolean bodyBegan;
+    private boolean ranWell;
     private long heardMillis = sentMillis;
 
     Attempt(Exchange exchange, Target target) {
@@ -98,6 +101,7 @@
             return;
         }
         heardMillis = EventLoop.nowMillis();
+        bodyBegan = true;
         if (streams) {
             cutter.take(bytes);
             return;
@@ -118,6 +122,9 @@
             return;
         }
         over = true;
+        if (status < SERVER_ERROR && !reply.didNotRun()) {
+            ranWell();
+        }
         if (streams) {
             exchange.streamEnded(this, cutter.rest());
         } else {
@@ -130,16 +137,27 @@
     public void onFailure(boolean sent, String why) {
         if (!over) {
             over = true;
+            if (sent && !bodyBegan) {
+                exchange.suspicion().broke(target);
+            }
             exchange.failed(this, sent, why);
         }
     }
 
     private void event(byte[] bytes, OptionalLong id) {
         if (!over) {
+            ranWell();
             exchange.event(this, bytes, id);
         }
     }
 
+    private void ranWell() {
+        if (!ranWell) {
+            ranWell = true;
+            exchange.suspicion().answered(target, sentMillis);
+        }
+    }
+
     private void breakOff(String why) {
         cancel();
         exchange.failed(this, true, why);
--- a/src/main/java/io/waxwingquay/forward/Choice.java
+++ b/src/main/java/io/waxwingquay/forward/Choice.java
@@ -31,6 +31,9 @@
      */
     record Full(long freeMillis) implements Choice {}
 
+    /** It may be what ends replicas, and those that could run it run another such one. */
+    record Apart() implements Choice {}
+
     /** No replica can be reached that could run it. */
     record Nowhere() implements Choice {}
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -50,6 +50,7 @@
     private final MessageCodec.Ask ask;
     private final Optional<Engine> engine;
     private final long limitMillis;
+    private final Suspicion suspicion;
     private final Set<Target> tried = new HashSet<>();
     private ExchangeState state = ExchangeState.CHART.initial();
     private Attempt attempt;
@@ -62,13 +63,14 @@
     private long brokenMillis;
     private String lastFailure = "";
 
-    Exchange(ForwardContext context, ServerExchange caller, Route route, MessageCodec.Ask ask) {
+    Exchange(ForwardContext context, ServerExchange caller, Route route, MessageCodec.Ask ask, Suspicion suspicion) {
         this.context = context;
         this.caller = caller;
         this.answers = new CallerAnswers(caller, context);
         this.request = caller.request();
         this.route = route;
         this.ask = ask;
+        this.suspicion = suspicion;
         this.service = route.service(context.uniform(ask.id()));
         this.engine = context.engine(service);
         long callerLimitMillis = request.arrivedMillis() + ask.remainingMillis().orElse(route.timeoutMillis());
@@ -85,6 +87,10 @@
         return ask;
     }
 
+    Suspicion suspicion() {
+        return suspicion;
+    }
+
     boolean isStream() {
         return route.kind() == Route.Kind.STREAM;
     }
@@ -153,7 +159,9 @@
      * failure though its answer was under way, so a silent replica is given up only for another one.
      */
     private boolean canGoElsewhere(long nowMillis) {
-        return mayTryAgain() && context.budget(service).available() >= 1 && pick(nowMillis) instanceof Choice.Send;
+        return mayTryAgain()
+                && context.budget(service).available() >= 1
+                && pick(tried, nowMillis) instanceof Choice.Send;
     }
 
     private boolean mayTryAgain() {
@@ -161,17 +169,17 @@
         return !callerGone && timely && attempts < route.maxAttempts();
     }
 
-    private Choice pick(long nowMillis) {
+    private Choice pick(Set<Target> without, long nowMillis) {
         return needsModel()
                 ? context.chooser()
                         .chooseEngine(
                                 context.targets(service),
-                                tried,
+                                without,
                                 engine.get(),
                                 ask.model().get(),
                                 ask.adapter(),
                                 nowMillis)
-                : context.chooser().choosePlain(context.targets(service), tried, nowMillis);
+                : context.chooser().choosePlain(context.targets(service), without, nowMillis);
     }
 
     private void choose() {
@@ -180,7 +188,11 @@
             breakOff("it could not go on elsewhere");
             return;
         }
-        Choice choice = pick(nowMillis);
+        if (suspicion.isRefused()) {
+            unplaced(suspicion.why(), Suspicion.COME_BACK_MILLIS);
+            return;
+        }
+        Choice choice = suspicion.choose(tried, without -> pick(without, nowMillis));
         if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
@@ -189,6 +201,8 @@
             awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
             awaitRoom(full.freeMillis(), nowMillis);
+        } else if (choice instanceof Choice.Apart) {
+            lookAgain();
         } else {
             unplaced("no replica can be reached", FORWARD_AGAIN_MILLIS);
         }
@@ -253,6 +267,7 @@
         }
         attempts++;
         tried.add(target);
+        suspicion.sent(target);
         long leftMillis = Math.max(1, limitMillis - EventLoop.nowMillis());
         MessageCodec.Order order = new MessageCodec.Order(
                 target.id(),
@@ -458,6 +473,7 @@
         if (attempt == of) {
             attempt = null;
         }
+        suspicion.ended();
         of.target().ended(ask.model(), ask.adapter());
         ask.model().ifPresent(model -> context.demand().ended(model, EventLoop.nowMillis() - of.sentMillis()));
     }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -57,6 +57,7 @@
     private final ForwardSettings settings;
     private final MessageCodec codec;
     private final RandomGenerator random;
+    private final Suspects suspects;
     private final TargetChooser chooser;
     private final AdapterDesk adapters;
     private final ForwardMeters meters;
@@ -80,6 +81,7 @@
      * @param codec reads and writes header fields.
      * @param meters counts what becomes of requests.
      * @param peers tells the processes beside engines.
+     * @param suspects requests whose replicas went.
      * @param random the source of noise.
      */
     public Forwarder(
@@ -88,11 +90,13 @@
             MessageCodec codec,
             ForwardMeters meters,
             EngineMessages peers,
+            Suspects suspects,
             RandomGenerator random) {
         this.loop = loop;
         this.settings = settings;
         this.codec = codec;
         this.meters = meters;
+        this.suspects = suspects;
         this.random = random;
         this.entries = settings.assumedEntries();
         this.chooser = new TargetChooser(settings.zone(), random);
@@ -184,7 +188,7 @@
             refuse(caller, "this process is about to exit");
             return;
         }
-        Exchange exchange = new Exchange(this, caller, route.get(), ask);
+        Exchange exchange = new Exchange(this, caller, route.get(), ask, suspects.of(codec, caller.request()));
         active.add(exchange);
         exchange.start();
     }
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import java.util.List;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -34,6 +35,14 @@
      */
     Reply reply(int status, HttpFields fields);
 
+    /**
+     * What tells a caller's request from others, whenever it comes again.
+     *
+     * @param fields the fields of the caller's request.
+     * @return values, always as many; empty text for a field that is not there.
+     */
+    List<String> identity(HttpFields fields);
+
     /**
      * The fields of a refusal.
      *
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -9,6 +9,7 @@
 import io.waxwingquay.forward.EngineMessages;
 import io.waxwingquay.forward.ForwardSettings;
 import io.waxwingquay.forward.Forwarder;
+import io.waxwingquay.forward.Suspects;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
@@ -16,9 +17,11 @@
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
+import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.PeerDatagram;
+import io.waxwingquay.transport.generated.SuspectNews;
 import io.waxwingquay.transport.generated.TableVersions;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -63,6 +66,7 @@
     private final HttpServer server;
     private final Forwarder forwarder;
     private final ReplicaDirectory replicas;
+    private final SharedSuspects suspects;
     private final PeerChannel peers;
     private final AdminPages admin;
     private final Departure departure;
@@ -78,13 +82,17 @@
         this.loop = loop;
         this.admin = new AdminPages(loop, new HostPort(settings.host(), settings.adminPort()));
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::received);
+        RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
+        this.suspects = new SharedSuspects(EventLoop::nowMillis, random);
+        Telling telling = new Telling();
         this.forwarder = new Forwarder(
                 loop,
                 forwardSettings(settings),
                 new HeaderCodec(),
                 admin.forwardMeters(),
-                new Telling(),
-                RandomGenerator.of("L64X128MixRandom"));
+                telling,
+                new Suspects(suspects, EventLoop::nowMillis, telling::demandChanged),
+                random);
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicas());
         HostPort callers = settings.callers().orElseThrow();
         HostPort readiness = settings.readiness().orElseThrow();
@@ -105,7 +113,8 @@
         this.replicaCopies = new CopyReader<>(
                 "replicas", REPLICA_PATIENCE_MILLIS, platform::replicasAt, replicaWatch::version, replicaWatch::adopt);
         admin.copies(platform::copy);
-        admin.dump(() -> "active=" + forwarder.activeCount() + " replicas=" + replicas.replicas());
+        admin.dump(() -> "active=" + forwarder.activeCount() + " replicas=" + replicas.replicas() + " suspects="
+                + suspects.count());
         loop.execute(this::begin);
     }
 
@@ -167,6 +176,7 @@
     private void received(HostPort sender, PeerDatagram datagram) {
         if (datagram.isSetEngine()) {
             forwarder.engineNews(datagram.getEngine());
+            suspects.take(datagram.getEngine().getSuspects());
             tablesTold(datagram.getEngine());
         } else if (datagram.isSetAdapterReply()) {
             forwarder.adapterReply(
@@ -185,9 +195,12 @@
 
     private void tell() {
         TableVersions tables = new TableVersions(configurationVersion(), replicaWatch.version());
+        List<SuspectNews> page = suspects.page();
         forwarder
                 .news(settings.node())
-                .forEach((engine, news) -> peers.send(beside(engine), PeerDatagram.entry(news.setTables(tables))));
+                .forEach((engine, news) -> peers.send(
+                        beside(engine),
+                        PeerDatagram.entry(news.setTables(tables).setSuspects(page.isEmpty() ? null : page))));
     }
 
     /** Our processes take datagrams at the same port on every VM. */
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -9,12 +9,15 @@
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.residency.EarlierModels;
 import io.waxwingquay.residency.EngineKeeper;
+import io.waxwingquay.residency.SuspectRelay;
 import io.waxwingquay.residency.WeightLoadPace;
+import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 
 /**
  * The process beside an engine. It alone gives orders to it, for all the engine's life, so that there is nothing to
@@ -132,10 +135,15 @@
 
     private final class Datagrams implements EngineKeeper.Sender {
 
-        private final PeerChannel channel = new PeerChannel(
-                loop,
-                new HostPort(settings.host(), settings.peerPort()),
-                (sender, datagram) -> keeper.received(sender, datagram));
+        private final SuspectRelay suspects =
+                new SuspectRelay(new SharedSuspects(EventLoop::nowMillis, RandomGenerator.of("L64X128MixRandom")));
+        private final PeerChannel channel =
+                new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::received);
+
+        private void received(HostPort sender, PeerDatagram datagram) {
+            suspects.heard(datagram);
+            keeper.received(sender, datagram);
+        }
 
         /** {@inheritDoc} */
         @Override
@@ -146,6 +154,7 @@
         /** {@inheritDoc} */
         @Override
         public void send(Set<HostPort> targets, PeerDatagram datagram) {
+            suspects.tell(datagram);
             byte[] encoded = channel.encode(datagram);
             targets.forEach(target -> channel.send(target, encoded));
         }
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -51,6 +51,9 @@
             "Kv-From",
             "Kv-Fetch");
 
+    /** Those that a client sends alike with each attempt at one request. */
+    private static final List<String> IDENTITY = List.of("Host", MODEL, PROMPT_PREFIX);
+
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
     private static final int TOO_MANY = 429;
@@ -101,6 +104,14 @@
                 id, notExecuted || misdirected, misdirected, full, Optional.ofNullable(fields.get(REPLICA_ID)));
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public List<String> identity(HttpFields fields) {
+        return IDENTITY.stream()
+                .map(name -> Optional.ofNullable(fields.get(name)).orElse(""))
+                .toList();
+    }
+
     /** {@inheritDoc} */
     @Override
     public HttpFields refusal(Optional<Long> comeBackMillis) {
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -319,6 +320,31 @@
         assertEquals(2, crashes.count.get());
     }
 
+    // The same for a stream that no engine has given an event of.
+    @Test
+    void streamThatCrashesEnginesReachesTwoOfThem() throws Exception {
+        world.engine1.behaviour(CUT);
+        world.engine2.behaviour(CUT);
+        assertEquals(502, world.ask("POST", "/s/1", "a27-0", MODEL, "").status());
+        Answer refused = world.ask("POST", "/s/1", "a27-1", MODEL, "");
+        assertEquals(503, refused.status());
+        assertEquals(2, world.engine1.ran().size() + world.engine2.ran().size());
+    }
+
+    // Two replicas break off in the middle of their answers and are sound again. They did not go when they began to run
+    // the request, as a part of an answer had come; were it refused, its caller would wait ten minutes for nothing.
+    @Test
+    void requestWhoseAnswersBrokeOffIsNotRefused() throws Exception {
+        plain((engine, caller) -> {
+            caller.begin(200, HttpFields.build(engine.fields(caller)).put("Content-Type", "text/plain"));
+            caller.write(ByteBuffer.wrap("a part".getBytes(StandardCharsets.UTF_8)));
+            world.later(20, caller::abort);
+        });
+        assertEquals(502, world.ask("POST", "/p/1", "a28-0", "", "look").status());
+        plain(Behaviour.ECHO);
+        assertEquals(200, world.ask("POST", "/p/1", "a28-1", "", "look").status());
+    }
+
     private CompletableFuture<Answer> askAside(String path, String id, String body) {
         return CompletableFuture.supplyAsync(
                 () -> {
