Count a stand-in's crash before its connections break

One of eight runs of entryThatStartsLaterRefusesWhatHasCrashedReplicas saw one crash where there were two: the stand-in broke the connection first and counted after, and the caller's answer came in between. The stand-in counts first now.

--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -403,10 +403,11 @@
         public void run(EngineStandin engine, ServerExchange caller) {
             List<ServerExchange> here = running.computeIfAbsent(engine, each -> new ArrayList<>());
             if (new String(caller.request().body(), StandardCharsets.UTF_8).equals(POISON)) {
+                boolean isFirst = count.incrementAndGet() == 1;
                 here.forEach(ServerExchange::abort);
                 here.clear();
                 caller.abort();
-                if (count.incrementAndGet() == 1) {
+                if (isFirst) {
                     running.forEach((other, callers) -> callers.forEach(each -> answerSoon(other, each)));
                 }
                 return;
