--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -69,6 +69,11 @@
         }
     }
 
+    /** Whether the replica may have got some of it. */
+    boolean mayHaveLeft() {
+        return call != null && call.mayHaveLeft();
+    }
+
     /** Gives it up; closing the connection ends the replica's work. */
     void cancel() {
         if (!over) {
@@ -84,7 +89,7 @@
     public void onHead(int newStatus, HttpFields newFields) {
         status = newStatus;
         fields = newFields;
-        heardMillis = EventLoop.nowMillis();
+        heard();
         reply = exchange.codec().reply(status, fields);
         if (!reply.id().isEmpty() && !reply.id().equals(exchange.ask().id())) {
             // The answer of another request, late or doubled; nothing on this connection can be told apart any more.
@@ -100,7 +105,7 @@
         if (over) {
             return;
         }
-        heardMillis = EventLoop.nowMillis();
+        heard();
         bodyBegan = true;
         if (streams) {
             cutter.take(bytes);
@@ -144,6 +149,11 @@
         }
     }
 
+    private void heard() {
+        heardMillis = EventLoop.nowMillis();
+        target.heard(heardMillis);
+    }
+
     private void event(byte[] bytes, OptionalLong id) {
         if (!over) {
             ranWell();
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -230,6 +230,26 @@
         Await.value(left);
     }
 
+    // A caller sends a payment and leaves before a connection to a replica stands. The payment was not sent yet, but it
+    // went out once the connection stood, and a replica ran it for nobody. What has left may have run and is left to
+    // end;
+    // what has not is not sent any more.
+    @Test
+    void paymentThatHasNotLeftIsNotSentForACallerWhoLeft() throws Exception {
+        world.standingStill(() -> {
+            try (Socket socket = world.connect()) {
+                String request = HostedWorld.request("POST", "/once/1", "a24", "", "pay");
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        });
+        for (int number = 0; number < 4; number++) {
+            assertEquals(
+                    200,
+                    world.ask("POST", "/once/1", "a25-" + number, "", "pay").status());
+        }
+        assertEquals(List.of(), runs().stream().filter("a24"::equals).toList());
+    }
+
     // The process is told to stop. It is not ready from then on, answers what still comes, and goes when all is done.
     @Test
     void leavingEntryAnswersWhatStillComes() throws Exception {
@@ -279,6 +299,20 @@
         assertEquals(List.of(), cut);
     }
 
+    // Both engines' machines stand still while they hold a stream that may not be run twice. Its caller leaves after
+    // two
+    // seconds without an event, and an engine that stands still can't be told: it works on for nobody when it wakes.
+    // The
+    // caller is answered before it leaves, with a status that promises nothing.
+    @Test
+    void requestAtAFrozenEngineIsGivenUpBeforeItsCallerLeaves() throws Exception {
+        Await.until(
+                () -> world.ask("POST", "/s/1", "a26", "Model: m/a1\r\n", "").status() == 200);
+        world.engine1.freeze(true);
+        world.engine2.freeze(true);
+        assertEquals(502, world.ask("POST", "/live/1", "a25", MODEL, "").status());
+    }
+
     // A request ends each replica that begins to run it, and its caller sends it again and again, each time as a new
     // attempt. Were each attempt judged by itself, the deployment would lose a replica for each send. Two replicas end;
     // from then on it is turned away before it reaches one, with a status that promises that this attempt did not run.
