Part what a request asks for from how it fares

What stays the same for all tries of a request (route, model, time, how it is sent and how long it may wait) is RequestTerms now; Exchange keeps states and outcomes. No decision changes.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -1,16 +1,13 @@
 package io.waxwingquay.forward;
 
-import io.waxwingquay.manifest.Engine;
+import io.waxwingquay.admission.RetryBudget;
 import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
-import io.waxwingquay.net.ServerRequest;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.eclipse.jetty.http.HttpFields;
 
 /**
  * One request of a caller, from its arrival to its final answer.
@@ -36,20 +33,12 @@
     /** When to come back if nothing better is known: most replicas that went are replaced or found again by then. */
     private static final long FORWARD_AGAIN_MILLIS = 400L;
 
-    /** Of two requests of the same rank the one with an objective above this can wait. */
-    private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
-
-    private static final int LOWEST_RANK = 9;
-
     private final ForwardContext context;
     private final ServerExchange caller;
     private final CallerAnswers answers;
-    private final ServerRequest request;
+    private final RequestTerms terms;
     private final Route route;
-    private final String service;
     private final MessageCodec.Ask ask;
-    private final Optional<Engine> engine;
-    private final long limitMillis;
     private final Suspicion suspicion;
     private final Set<Target> tried = new HashSet<>();
     private ExchangeState state = ExchangeState.CHART.initial();
@@ -67,16 +56,12 @@
         this.context = context;
         this.caller = caller;
         this.answers = new CallerAnswers(caller, context);
-        this.request = caller.request();
+        this.terms = RequestTerms.of(context, caller.request(), route, ask);
         this.route = route;
         this.ask = ask;
         this.suspicion = suspicion;
-        this.service = route.service(context.uniform(ask.id()));
-        this.engine = context.engine(service);
-        long callerLimitMillis = request.arrivedMillis() + ask.remainingMillis().orElse(route.timeoutMillis());
-        this.limitMillis = Math.min(callerLimitMillis, request.arrivedMillis() + route.timeoutMillis());
         this.stream = new StreamProgress(
-                request.arrivedMillis(), ask.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty()));
+                terms.arrivedMillis(), ask.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty()));
     }
 
     MessageCodec codec() {
@@ -92,12 +77,11 @@
     }
 
     boolean isStream() {
-        return route.kind() == Route.Kind.STREAM;
+        return terms.isStream();
     }
 
-    /** Whether it needs a model of an engine; else any replica of its service will do. */
     boolean needsModel() {
-        return engine.isPresent() && ask.model().isPresent();
+        return terms.needsModel();
     }
 
     void start() {
@@ -113,7 +97,7 @@
         if (state == ExchangeState.DONE) {
             return;
         }
-        if (nowMillis >= limitMillis) {
+        if (terms.leftMillis(nowMillis) <= 0) {
             timeUp();
             return;
         }
@@ -176,27 +160,16 @@
      * failure though its answer was under way, so a silent replica is given up only for another one.
      */
     private boolean canGoElsewhere(long nowMillis) {
-        return mayTryAgain()
-                && context.budget(service).available() >= 1
-                && pick(tried, nowMillis) instanceof Choice.Send;
+        return mayTryAgain() && budget().available() >= 1 && terms.choose(tried, nowMillis) instanceof Choice.Send;
     }
 
-    private boolean mayTryAgain() {
-        boolean timely = limitMillis - EventLoop.nowMillis() > LEAST_TRY_MILLIS;
-        return !callerGone && timely && attempts < route.maxAttempts();
+    private RetryBudget budget() {
+        return context.budget(terms.service());
     }
 
-    private Choice pick(Set<Target> without, long nowMillis) {
-        return needsModel()
-                ? context.chooser()
-                        .chooseEngine(
-                                context.targets(service),
-                                without,
-                                engine.get(),
-                                ask.model().get(),
-                                ask.adapter(),
-                                nowMillis)
-                : context.chooser().choosePlain(context.targets(service), without, nowMillis);
+    private boolean mayTryAgain() {
+        boolean timely = terms.leftMillis(EventLoop.nowMillis()) > LEAST_TRY_MILLIS;
+        return !callerGone && timely && attempts < route.maxAttempts();
     }
 
     private void choose() {
@@ -209,7 +182,7 @@
             unplaced(suspicion.why(), Suspicion.COME_BACK_MILLIS);
             return;
         }
-        Choice choice = suspicion.choose(tried, without -> pick(without, nowMillis));
+        Choice choice = suspicion.choose(tried, without -> terms.choose(without, nowMillis));
         if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
@@ -234,8 +207,7 @@
      * the request is held until its caller leaves, and was sent nowhere. The wait ends when service could come of it no more.
      */
     private void awaitAdapter(Target target, long nowMillis) {
-        long waitedMillis = nowMillis - request.arrivedMillis();
-        if (!isResuming() && !Patience.mayWaitForRoom(route, waitedMillis, limitMillis - request.arrivedMillis())) {
+        if (!isResuming() && !terms.mayWaitForRoom(nowMillis)) {
             unplaced("adapter " + ask.adapter().get() + " does not come", FORWARD_AGAIN_MILLIS);
             return;
         }
@@ -253,10 +225,8 @@
     }
 
     private void awaitModel(long readyMillis, long nowMillis) {
-        long leftMillis = limitMillis - nowMillis;
-        long waitedMillis = nowMillis - request.arrivedMillis();
         context.modelMissed();
-        if (isResuming() || Patience.mayWaitForModel(route, waitedMillis, readyMillis, leftMillis)) {
+        if (isResuming() || terms.mayWaitForModel(readyMillis, nowMillis)) {
             lookAgain();
         } else {
             unplaced("model " + ask.model().get() + " is in no engine", readyMillis);
@@ -264,8 +234,7 @@
     }
 
     private void awaitRoom(long freeMillis, long nowMillis) {
-        long waitedMillis = nowMillis - request.arrivedMillis();
-        if (isResuming() || Patience.mayWaitForRoom(route, waitedMillis, limitMillis - request.arrivedMillis())) {
+        if (isResuming() || terms.mayWaitForRoom(nowMillis)) {
             lookAgain(LOOK_FOR_ROOM_MILLIS);
         } else {
             unplaced("no room", freeMillis);
@@ -289,33 +258,17 @@
         }
         move(ExchangeState.Event.SEND);
         if (attempts == 0) {
-            context.budget(service).noteFirstTry();
+            budget().noteFirstTry();
         }
         attempts++;
         tried.add(target);
         suspicion.sent(target);
-        long leftMillis = Math.max(1, limitMillis - EventLoop.nowMillis());
-        MessageCodec.Order order = new MessageCodec.Order(
-                target.id(),
-                leftMillis,
-                engine.map(each -> rank()),
-                stream.lastEventId().stream().boxed().findFirst());
-        HttpFields fields = codec().toReplica(request.fields(), order);
         Attempt next = new Attempt(this, target);
         attempt = next;
         target.began(ask.model(), ask.adapter());
         ask.model().ifPresent(context.demand()::began);
-        next.call(target.pool()
-                .send(
-                        new ClientRequest(
-                                request.method(), request.target(), fields, request.body(), route.mayRepeat()),
-                        next));
-    }
-
-    /** An operator's rank first; within it, what must come sooner. */
-    private int rank() {
-        int relaxed = route.objectiveMillis() > RELAXED_OBJECTIVE_MILLIS ? 1 : 0;
-        return Math.min(LOWEST_RANK, 2 * route.priority() + relaxed);
+        ClientRequest request = terms.forReplica(target, stream.lastEventId(), EventLoop.nowMillis());
+        next.call(target.pool().send(request, next));
     }
 
     /** A whole answer has come, of any status. */
@@ -417,7 +370,7 @@
         if (!mayTryAgain()) {
             return false;
         }
-        if (!context.budget(service).tryRetry()) {
+        if (!budget().tryRetry()) {
             lastFailure = lastFailure + ", no retry left in the budget";
             return false;
         }
@@ -512,6 +465,7 @@
     private void end(int status, String why) {
         move(ExchangeState.Event.END);
         lookAgainMillis = Long.MAX_VALUE;
-        context.ended(this, new Outcome(ask, route, service, status, attempts, why, request.arrivedMillis(), stream));
+        context.ended(
+                this, new Outcome(ask, route, terms.service(), status, attempts, why, terms.arrivedMillis(), stream));
     }
 }
