Keep a connection that was used at the limit of idle connections

A request that was read at the very look that was to close its connection got its answer, which promised that the connection goes on; then it was closed, and the caller's next request lost. A connection that brought anything at that look is kept. Comments of new tests are wrapped anew, which the formatter had broken.

--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -42,6 +42,7 @@
     private boolean resetDue;
     private long sinceMillis = EventLoop.nowMillis();
     private boolean began;
+    private long inputs;
 
     ServerConnection(EndPoint endPoint, EventLoop loop, HttpServer server) {
         super(endPoint, loop);
@@ -62,6 +63,7 @@
 
     @Override
     void onInput(ByteBuffer bytes) {
+        inputs++;
         if (closing) {
             return;
         }
@@ -158,12 +160,13 @@
      *
      * <p>Failure: a request has come while the loop was at something else, and the connection is closed by what was read
      * before. Symptom: a close with unread bytes is a reset, and the caller gets no answer. What the kernel holds is read
-     * first; a request still on its way can't be known here, and has not run.
+     * first, and a connection that was used by it is kept; a request still on its way can't be known, and has not run.
      */
     void closeIfIdle() {
         if (isIdle()) {
+            long inputsBefore = inputs;
             onFillable();
-            closeIf(isIdle());
+            closeIf(isIdle() && inputs == inputsBefore);
         }
     }
 
--- a/src/test/java/io/waxwingquay/forward/PatienceTest.java
+++ b/src/test/java/io/waxwingquay/forward/PatienceTest.java
@@ -9,8 +9,8 @@
 
 class PatienceTest {
 
-    // Clients give a stream up after two seconds of silence. A stream that hangs must go on elsewhere before that, and
-    // one that only pauses must not be run twice.
+    // Clients give a stream up after two seconds of silence. A stream that hangs must go on elsewhere before that,
+    // and one that only pauses must not be run twice.
     @Test
     void silentStreamIsTakenUpElsewhereBeforeItsClientLeaves() {
         assertFalse(Patience.isStreamSilent(200));
@@ -43,9 +43,8 @@
         assertFalse(Patience.mayWaitForModel(patient, 0, 6_400, 12_000));
     }
 
-    // A stream's caller leaves after two seconds without an event. A model that takes longer to come is no reason to
-    // keep
-    // it here: it is told when to come back, and finds the model then.
+    // A stream's caller leaves after two seconds without an event. A model that takes longer to come is no reason
+    // to keep it here: it is told when to come back, and finds the model then.
     @Test
     void streamDoesNotWaitLongerThanItsCaller() {
         Route stream = route(Route.Kind.STREAM);
--- a/src/test/java/io/waxwingquay/forward/SuspectsTest.java
+++ b/src/test/java/io/waxwingquay/forward/SuspectsTest.java
@@ -32,8 +32,8 @@
         of("/x", fields, "body").broke(target("b"));
     }
 
-    // A caller sends its request again: another attempt, less time left, and for a stream the last event that it has.
-    // What is asked for is the same.
+    // A caller sends its request again: another attempt, less time left, and for a stream the last event that it
+    // has. What is asked for is the same.
     @Test
     void anotherAttemptIsTheSameRequest() {
         HttpFields fields = fields("h", "m", "p:1")
--- a/src/test/java/io/waxwingquay/forward/SuspicionTest.java
+++ b/src/test/java/io/waxwingquay/forward/SuspicionTest.java
@@ -57,8 +57,8 @@
         assertFalse(of(INNOCENT).isRefused());
     }
 
-    // A stream's answer has begun when its replica goes, and goes on elsewhere, where that replica goes too. A request
-    // that ends replicas as it begins to run would never have got an event.
+    // A stream's answer has begun when its replica goes, and goes on elsewhere, where that replica goes too. A
+    // request that ends replicas as it begins to run would never have got an event.
     @Test
     void oneWhoseAnswerHasBegunIsNoSuspect() {
         Suspicion stream = of(INNOCENT);
@@ -125,8 +125,7 @@
     }
 
     // The answer of what was sent after the break may come from the replica's next life, and one that is read right
-    // after
-    // it may have left before the crash. Neither shows that the replica lived on.
+    // after it may have left before the crash. Neither shows that the replica lived on.
     @Test
     void laterSendsAndAnswersOfTheSameInstantDisproveNothing() {
         long sentMillis = nowMillis;
@@ -141,9 +140,8 @@
     }
 
     // Forty requests run at each of five replicas when one of them begins to end replicas, and its caller sends it
-    // again
-    // whenever it fails. Whatever the order in which the others are sent on, two replicas go, and nobody else is
-    // refused.
+    // again whenever it fails. Whatever the order in which the others are sent on, two replicas go, and nobody else
+    // is refused.
     @Test
     void oneAmongManyIsFoundWithTwoReplicasAndNoneBesideItIsRefused() {
         Random random = new Random(17);
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -52,8 +52,8 @@
         assertEquals(failing, assertInstanceOf(Choice.Send.class, choice).target());
     }
 
-    // All entries hear the same news. Were each to send all that comes until the next news to the engine that was least
-    // busy, it would be full by then.
+    // All entries hear the same news. Were each to send all that comes until the next news to the engine that was
+    // least busy, it would be full by then.
     @Test
     void requestsBetweenTwoNewsAreSpread() {
         Target first = target("first", "a", false);
@@ -65,8 +65,8 @@
         assertEquals(second, assertInstanceOf(Choice.Send.class, choice).target());
     }
 
-    // A replica that is leaving is emptied and taken away. A caller sent there late is cut off, so it gets nothing new,
-    // though it is the least busy of all.
+    // A replica that is leaving is emptied and taken away. A caller sent there late is cut off, so it gets nothing
+    // new, though it is the least busy of all.
     @Test
     void sendsNothingToAReplicaThatLeaves() {
         Target leaving = target("leaving", "a", true);
@@ -76,9 +76,8 @@
         assertInstanceOf(Choice.Nowhere.class, chooser.choosePlain(List.of(leaving), Set.of(), nowMillis));
     }
 
-    // An engine's machine stands still, and so does the process beside it that tells how busy the engine is. What was
-    // told
-    // last makes it the least busy of all, and nothing that is sent there is answered.
+    // An engine's machine stands still, and so does the process beside it that tells how busy the engine is. What
+    // was told last makes it the least busy of all, and nothing that is sent there is answered.
     @Test
     void sendsNothingToAnEngineThatIsSilentWhileAnotherIsHeard() {
         Target silent = target("silent", "a", false);
@@ -98,9 +97,8 @@
         assertEquals(silent, assertInstanceOf(Choice.Send.class, choice).target());
     }
 
-    // The only engine with the model stands still. One request may find out that it does not; all that were sent after
-    // it
-    // would be held until their callers leave.
+    // The only engine with the model stands still. One request may find out that it does not; all that were sent
+    // after it would be held until their callers leave.
     @Test
     void sendsOneRequestAtATimeToASilentEngine() {
         Target silent = target("silent", "a", false);
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -55,8 +55,8 @@
         assertTrue(answer.head().contains("Server-Seal: seal-of-p"));
     }
 
-    // A replica runs a payment and its answer is lost. Were it sent to the other replica, the family would pay twice;
-    // the caller gets a status that promises nothing.
+    // A replica runs a payment and its answer is lost. Were it sent to the other replica, the family would pay
+    // twice; the caller gets a status that promises nothing.
     @Test
     void nonIdempotentRequestWhoseAnswerIsLostRunsOnce() throws Exception {
         plain(CUT);
@@ -109,9 +109,8 @@
         }
     }
 
-    // The only engine with the model takes longer than usual for a first event. Were the request given up there, its
-    // caller
-    // would get a failure in place of its answer.
+    // The only engine with the model takes longer than usual for a first event. Were the request given up there,
+    // its caller would get a failure in place of its answer.
     @Test
     void slowReplicaIsNotGivenUpWithoutAnother() throws Exception {
         world.store.remove("servers", "e2");
@@ -176,16 +175,16 @@
         assertEquals(200, world.ready());
     }
 
-    // The store turns one VM away and serves the others. An entry that starts there would refuse every caller, though
-    // the next VM knows all that it needs.
+    // The store turns one VM away and serves the others. An entry that starts there would refuse every caller,
+    // though the next VM knows all that it needs.
     @Test
     void entryThatTheStoreTurnsAwayTakesWhatAnotherEntryKnows() throws Exception {
         world.startCutOffEntry();
         Await.until(() -> world.askCutOff("/p/1", "a17").status() == 200);
     }
 
-    // Later the operator changes a route. The entry that the store turns away hears that there is a newer version, and
-    // must put it in force too, or its callers go by what is no more.
+    // Later the operator changes a route. The entry that the store turns away hears that there is a newer version,
+    // and must put it in force too, or its callers go by what is no more.
     @Test
     void entryThatTheStoreTurnsAwayFollowsANewerConfiguration() throws Exception {
         world.startCutOffEntry();
@@ -230,10 +229,9 @@
         Await.value(left);
     }
 
-    // A caller sends a payment and leaves before a connection to a replica stands. The payment was not sent yet, but it
-    // went out once the connection stood, and a replica ran it for nobody. What has left may have run and is left to
-    // end;
-    // what has not is not sent any more.
+    // A caller sends a payment and leaves before a connection to a replica stands. The payment was not sent yet,
+    // but it went out once the connection stood, and a replica ran it for nobody. What has left may have run and is
+    // left to end; what has not is not sent any more.
     @Test
     void paymentThatHasNotLeftIsNotSentForACallerWhoLeft() throws Exception {
         world.standingStill(() -> {
@@ -261,8 +259,8 @@
         Await.value(gone);
     }
 
-    // A request waits for a model that does not come, and the process is told to stop. Were it kept until the exit, its
-    // connection would end without a word; refused in time it goes elsewhere.
+    // A request waits for a model that does not come, and the process is told to stop. Were it kept until the exit,
+    // its connection would end without a word; refused in time it goes elsewhere.
     @Test
     void leavingEntryRefusesWhatStillWaits() throws Exception {
         CompletableFuture<Answer> waiting = CompletableFuture.supplyAsync(() -> {
@@ -278,11 +276,11 @@
         assertEquals(503, Await.value(waiting).status());
     }
 
-    // All entries are told to stop within seconds, so that callers still reach one that leaves. It finds nothing under
-    // way, decides to go, and is gone some 60 ms later. Payments that came in between were passed on, ran, and their
-    // connections ended without a word, as nothing refused them between the decision and the exit. The entry's log:
-    // "hosted: left active=0" at 16.906, a request that came after it and was answered at 16.941, the process gone at
-    // about 16.98, and no line of the two that were cut.
+    // All entries are told to stop within seconds, so that callers still reach one that leaves. It finds nothing
+    // under way, decides to go, and is gone some 60 ms later. Payments that came in between were passed on, ran,
+    // and their connections ended without a word, as nothing refused them between the decision and the exit. The
+    // entry's log: "hosted: left active=0" at 16.906, a request that came after it and was answered at 16.941, the
+    // process gone at about 16.98, and no line of the two that were cut.
     @Test
     void leavingEntryAnswersAllThatItPassesOn() throws Exception {
         plain((engine, caller) -> world.later(20, () -> Behaviour.ECHO.run(engine, caller)));
@@ -299,18 +297,18 @@
         assertEquals(List.of(), cut);
     }
 
-    // Both engines' machines stand still while they hold a stream that may not be run twice. Its caller leaves after
-    // two
-    // seconds without an event, and an engine that stands still can't be told: it works on for nobody when it wakes. So
-    // the caller is answered before it leaves, with a status that promises nothing.
+    // Both engines' machines stand still while they hold a stream that may not be run twice. Its caller leaves
+    // after two seconds without an event, and an engine that stands still can't be told: it works on for nobody
+    // when it wakes. So the caller is answered before it leaves, with a status that promises nothing.
     @Test
     void requestAtAFrozenEngineIsGivenUpBeforeItsCallerLeaves() throws Exception {
         standStill();
         assertEquals(502, world.ask("POST", "/live/1", "a25", MODEL, "").status());
     }
 
-    // The engines stand still, and so do the processes beside them that are asked for an adapter. The request was never
-    // sent, and held until its time limit; it has not run, and its caller is told so while it can still come back.
+    // The engines stand still, and so do the processes beside them that are asked for an adapter. The request was
+    // never sent, and held until its time limit; it has not run, and its caller is told so while it can still come
+    // back.
     @Test
     void requestWhoseAdapterDoesNotComeIsRefused() throws Exception {
         standStill();
@@ -326,10 +324,10 @@
         world.engine2.freeze(true);
     }
 
-    // A request ends each replica that begins to run it, and its caller sends it again and again, each time as a new
-    // attempt. Were each attempt judged by itself, the deployment would lose a replica for each send. Two replicas end;
-    // from then on it is turned away before it reaches one, with a status that promises that this attempt did not run.
-    // The others, who ran beside it, are answered.
+    // A request ends each replica that begins to run it, and its caller sends it again and again, each time as a
+    // new attempt. Were each attempt judged by itself, the deployment would lose a replica for each send. Two
+    // replicas end; from then on it is turned away before it reaches one, with a status that promises that this
+    // attempt did not run. The others, who ran beside it, are answered.
     @Test
     void requestThatCrashesReplicasReachesTwoOfThem() throws Exception {
         Crashes crashes = new Crashes();
@@ -351,9 +349,9 @@
         }
     }
 
-    // The same request comes through an entry that started after the crashes and that the store turns away. It knows
-    // nothing of them but what the processes beside engines tell it; that has to be enough, or each entry would cost
-    // two replicas more.
+    // The same request comes through an entry that started after the crashes and that the store turns away. It
+    // knows nothing of them but what the processes beside engines tell it; that has to be enough, or each entry
+    // would cost two replicas more.
     @Test
     void entryThatStartsLaterRefusesWhatHasCrashedReplicas() throws Exception {
         Crashes crashes = new Crashes();
@@ -378,8 +376,9 @@
         assertEquals(2, world.engine1.ran().size() + world.engine2.ran().size());
     }
 
-    // Two replicas break off in the middle of their answers and are sound again. They did not go when they began to run
-    // the request, as a part of an answer had come; were it refused, its caller would wait ten minutes for nothing.
+    // Two replicas break off in the middle of their answers and are sound again. They did not go when they began to
+    // run the request, as a part of an answer had come; were it refused, its caller would wait ten minutes for
+    // nothing.
     @Test
     void requestWhoseAnswersBrokeOffIsNotRefused() throws Exception {
         plain((engine, caller) -> {
--- a/src/test/java/io/waxwingquay/manifest/EngineTest.java
+++ b/src/test/java/io/waxwingquay/manifest/EngineTest.java
@@ -17,8 +17,8 @@
     private final Engine engine = new Engine(8, 1_000, 200, 2, 1, models);
 
     // A process beside an engine weighs each model against each engine ten times a second. With 102 models and 39
-    // engines
-    // each question went through all models: 0.2 s of processor time a second in each process, with nothing to serve.
+    // engines each question went through all models: 0.2 s of processor time a second in each process, with nothing
+    // to serve.
     @Test
     void noQuestionGoesThroughAllModels() {
         long before = models.read;
--- a/src/test/java/io/waxwingquay/net/ClientPoolTest.java
+++ b/src/test/java/io/waxwingquay/net/ClientPoolTest.java
@@ -52,8 +52,8 @@
         assertEquals("end 200 all of it", Await.value(answer));
     }
 
-    // A replica breaks off an answer that has no length, by a reset. Taken for an orderly end, the caller would get a
-    // part that looks whole: a booking confirmed by half a body.
+    // A replica breaks off an answer that has no length, by a reset. Taken for an orderly end, the caller would get
+    // a part that looks whole: a booking confirmed by half a body.
     @Test
     void resetDoesNotEndAnAnswerWithoutALength() throws Exception {
         CompletableFuture<String> answer = ask();
@@ -80,8 +80,8 @@
         assertEquals("failed sent=false", Await.value(ask()));
     }
 
-    // A second answer follows the first on the same connection. Left there it would be taken for the answer to the next
-    // request; so that connection is not used again.
+    // A second answer follows the first on the same connection. Left there it would be taken for the answer to the
+    // next request; so that connection is not used again.
     @Test
     void connectionWithSurplusBytesIsNotUsedAgain() throws Exception {
         CompletableFuture<String> first = ask();
@@ -97,9 +97,9 @@
         }
     }
 
-    // An engine's machine stands still with a request in its buffers; the caller leaves and the request is given up. An
-    // orderly close would be read after the request, seconds later, and the engine would begin work for nobody. A reset
-    // takes what was not read yet with it.
+    // An engine's machine stands still with a request in its buffers; the caller leaves and the request is given
+    // up. An orderly close would be read after the request, seconds later, and the engine would begin work for
+    // nobody. A reset takes what was not read yet with it.
     @Test
     void requestThatIsGivenUpIsTakenBackByAReset() throws Exception {
         CompletableFuture<ClientCall> call = new CompletableFuture<>();
@@ -115,9 +115,9 @@
         }
     }
 
-    // A replica closes an idle connection just as a payment is handed to it: the end lies unread in the kernel, as the
-    // loop is at something else. The payment was sent into it, failed as one that may have run, and its caller could
-    // not send it again. Whether a connection has ended is looked at when the request is there.
+    // A replica closes an idle connection just as a payment is handed to it: the end lies unread in the kernel, as
+    // the loop is at something else. The payment was sent into it, failed as one that may have run, and its caller
+    // could not send it again. Whether a connection has ended is looked at when the request is there.
     @Test
     void requestThatMayNotRepeatIsNotSentOverAConnectionThatHasEnded() throws Exception {
         CompletableFuture<String> first = ask();
@@ -138,8 +138,8 @@
         Await.value(served);
     }
 
-    // A replica goes while a connection to it is being opened, and the request that it was for has been given up. The
-    // connection came into a closed pool and stayed: the replica had one taken that nobody would use.
+    // A replica goes while a connection to it is being opened, and the request that it was for has been given up.
+    // The connection came into a closed pool and stayed: the replica had one taken that nobody would use.
     @Test
     void connectionThatComesAfterTheCloseIsClosed() throws Exception {
         loop.execute(() -> {
--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -45,11 +45,9 @@
         loop.close();
     }
 
-    // A caller takes a long answer slowly. It was given before the process was told to stop, and is still leaving when
-    // the
-    // connections without a request are closed: the caller got the first part of its answer and then nothing. A
-    // connection
-    // is idle only when its last answer has left.
+    // A caller takes a long answer slowly. It was given before the process was told to stop, and is still leaving
+    // when the connections without a request are closed: the caller got the first part of its answer and then
+    // nothing. A connection is idle only when its last answer has left.
     @Test
     void connectionIsNotIdleWhileItsAnswerLeaves() throws Exception {
         try (Socket socket = askForLong()) {
@@ -58,9 +56,8 @@
         }
     }
 
-    // As before, but the operator's limit for idle connections passes while the answer leaves: the time counted from
-    // the
-    // answer's making, though its caller takes it all the while.
+    // As before, but the operator's limit for idle connections passes while the answer leaves: the time counted
+    // from the answer's making, though its caller takes it all the while.
     @Test
     void answerThatLeavesSlowlyOutlivesTheLimitOfIdleConnections() throws Exception {
         try (Socket socket = askForLong()) {
@@ -71,11 +68,9 @@
         }
     }
 
-    // A caller uses a kept connection again while the loop is at something else. Its request lies in the kernel when
-    // the idle
-    // connections are looked at, and the connection was closed on what had been read before: a reset in place of an
-    // answer.
-    // What has come is read before a connection is closed as idle.
+    // A caller uses a kept connection again while the loop is at something else. Its request lies in the kernel
+    // when the idle connections are looked at, and the connection was closed on what had been read before: a reset
+    // in place of an answer. What has come is read before a connection is closed as idle.
     @Test
     void requestThatHasComeIsReadBeforeItsConnectionIsClosedAsIdle() throws Exception {
         try (Socket socket = new Socket("127.0.0.1", port)) {
@@ -91,6 +86,24 @@
         }
     }
 
+    // The same, and the answer says nothing of a close: the connection has just been used, and its caller goes on with
+    // it.
+    @Test
+    void connectionIsKeptWhenItsRequestIsReadAtTheLimitOfIdleConnections() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            ServerConnection connection = Await.value(accepted);
+            long laterMillis = EventLoop.nowMillis() + 2 * ServerLimits.DEFAULT.idleTimeoutMillis();
+            onLoop(() -> {
+                Await.closing(() -> write(socket, "GET / HTTP/1.1\r\nHost: x.test\r\n\r\n"));
+                connection.sweep(laterMillis);
+            });
+            write(socket, "GET / HTTP/1.1\r\nHost: x.test\r\nConnection: close\r\n\r\n");
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertEquals(2, answers.split("HTTP/1.1 200 ", -1).length - 1);
+        }
+    }
+
     // The same when the process leaves: it closes what is idle every 50 ms, and a request that had come was reset away.
     @Test
     void requestThatHasComeIsReadBeforeItsConnectionIsClosedByALeavingProcess() throws Exception {
@@ -106,9 +119,9 @@
         }
     }
 
-    // A caller sends on while its first request is at a replica, more than is kept here. The connection was closed for
-    // that:
-    // the request had been passed on, and its caller got no answer. Nothing more is read until there is room.
+    // A caller sends on while its first request is at a replica, more than is kept here. The connection was closed
+    // for that: the request had been passed on, and its caller got no answer. Nothing more is read until there is
+    // room.
     @Test
     void callerWhoSendsFarAheadGetsEveryAnswer() throws Exception {
         try (Socket socket = new Socket("127.0.0.1", port)) {
@@ -133,10 +146,8 @@
     }
 
     // A caller sends a body that is too long, and is told so before it has sent all. The connection was closed with
-    // bytes
-    // unread, which makes the kernel reset it: the answer is lost on its way, and the caller sees a broken connection.
-    // The
-    // way out is closed first, and what still comes is dropped until the caller closes.
+    // bytes unread, which makes the kernel reset it: the answer is lost on its way, and the caller sees a broken
+    // connection. The way out is closed first, and what still comes is dropped until the caller closes.
     @Test
     void answerToARequestThatWasNotReadWholeEndsInOrder() throws Exception {
         onLoop(() -> server.limit(new ServerLimits(32_768, 10, 60_000, 120_000)));
--- a/src/test/java/io/waxwingquay/process/SideProcessTest.java
+++ b/src/test/java/io/waxwingquay/process/SideProcessTest.java
@@ -20,11 +20,9 @@
 
     private static final HostPort NOBODY = new HostPort("127.0.0.1", 9);
 
-    // A side is told to stop before it has a bundle. Nothing is under way, so it closes its parts one after the other;
-    // the
-    // bundle comes meanwhile, the side opens and takes requests, and the close cuts them. A side that has begun to
-    // leave
-    // opens no more.
+    // A side is told to stop before it has a bundle. Nothing is under way, so it closes its parts one after the
+    // other; the bundle comes meanwhile, the side opens and takes requests, and the close cuts them. A side that
+    // has begun to leave opens no more.
     @Test
     void sideThatLeavesDoesNotOpen() throws Exception {
         Bundle bundle = bundle();
--- a/src/test/java/io/waxwingquay/side/SideNodeTest.java
+++ b/src/test/java/io/waxwingquay/side/SideNodeTest.java
@@ -99,9 +99,9 @@
         }
     }
 
-    // The caller sends the same request again and takes one target down after the other. The engine restarts
-    // while two requests run; both are recorded and pushed to every other side of the service before they fail:
-    // what a side is known to hold lags, so one that shows another model may have loaded this one by now.
+    // The caller sends the same request again and takes one target down after the other. The engine restarts while
+    // two requests run; both are recorded and pushed to every other side of the service before they fail: what a
+    // side is known to hold lags, so one that shows another model may have loaded this one by now.
     @Test
     void namesSuspectsAndPushesThemBeforeAnAttemptFailsInACrash() {
         try (SideBench bench = new SideBench().start(1L).settle()) {
@@ -145,9 +145,9 @@
         }
     }
 
-    // The caller sees its answer cut off, or is told that a call did not run which did, when a VM is replaced.
-    // One answer streams and one call waits as the side leaves: the first ends and is fetched, the second is
-    // refused truthfully, and only then is the drain over.
+    // The caller sees its answer cut off, or is told that a call did not run which did, when a VM is replaced. One
+    // answer streams and one call waits as the side leaves: the first ends and is fetched, the second is refused
+    // truthfully, and only then is the drain over.
     @Test
     void drainCutsNothing() {
         try (SideBench bench = new SideBench()) {
@@ -171,11 +171,10 @@
         }
     }
 
-    // An entry polls the end of an answer and the side leaves. The end is still in the side's socket, or its connection
-    // has
-    // gone silent, and the side exits at once: the entry asks again, reaches nobody, and tells its caller that it is
-    // unknown
-    // whether the call ran. The side stays until an entry that lost the end would have asked again.
+    // An entry polls the end of an answer and the side leaves. The end is still in the side's socket, or its
+    // connection has gone silent, and the side exits at once: the entry asks again, reaches nobody, and tells its
+    // caller that it is unknown whether the call ran. The side stays until an entry that lost the end would have
+    // asked again.
     @Test
     void drainStaysForAnEndThatHasToBeToldAgain() {
         try (SideBench bench = new SideBench().start(1L).settle()) {
@@ -244,8 +243,8 @@
         }
     }
 
-    // The caller pays twice. The entry heard nothing, withdrew the attempt at this side and would now make a
-    // new one; the first submission arrives late. Before, between and after, the service is called once.
+    // The caller pays twice. The entry heard nothing, withdrew the attempt at this side and would now make a new
+    // one; the first submission arrives late. Before, between and after, the service is called once.
     @Test
     void neverRunsAWithdrawnOrRepeatedOrForeignAttempt() {
         List<PlainService.Call> calls = new ArrayList<>();
--- a/src/test/java/io/waxwingquay/suspect/SharedSuspectsTest.java
+++ b/src/test/java/io/waxwingquay/suspect/SharedSuspectsTest.java
@@ -25,9 +25,8 @@
     private final SharedSuspects entry2 = suspects();
     private final SharedSuspects side = suspects();
 
-    // A request ends one replica through each of two entries. Neither has seen two crashes; only together they know,
-    // and
-    // a third entry that has seen none has to know too.
+    // A request ends one replica through each of two entries. Neither has seen two crashes; only together they
+    // know, and a third entry that has seen none has to know too.
     @Test
     void crashesSeenAtTwoEntriesCountTogether() {
         entry1.crashed("a", POISON);
@@ -58,8 +57,9 @@
         assertEquals(Standing.SUSPECT, entry1.standing(POISON));
     }
 
-    // Many callers send requests that are alike, and two of them are at crashes that another request caused. Those that
-    // ran elsewhere are answered. Were the others refused all the same, a busy page would be gone for ten minutes.
+    // Many callers send requests that are alike, and two of them are at crashes that another request caused. Those
+    // that ran elsewhere are answered. Were the others refused all the same, a busy page would be gone for ten
+    // minutes.
     @Test
     void goodAnswerFreesARefusedOneEverywhere() {
         entry1.crashed("a", POISON);
@@ -120,9 +120,8 @@
         assertEquals(Standing.QUARANTINED, restarted.standing(POISON));
     }
 
-    // Two processes tell each other of a suspect over and over, each datagram 400 ms under way. A record does not age
-    // on
-    // its way; if each telling made it younger, an innocent one would never go free.
+    // Two processes tell each other of a suspect over and over, each datagram 400 ms under way. A record does not
+    // age on its way; if each telling made it younger, an innocent one would never go free.
     @Test
     void suspectThatIsToldToAndFroGoesFree() {
         entry1.crashed("a", POISON);
@@ -150,9 +149,8 @@
         assertEquals(Standing.CLEAR, side.standing(POISON));
     }
 
-    // A busy replica goes and takes hundreds of requests with it, and one of them is what ended it. Each datagram takes
-    // a
-    // few; the one that counts has to be among them soon.
+    // A busy replica goes and takes hundreds of requests with it, and one of them is what ended it. Each datagram
+    // takes a few; the one that counts has to be among them soon.
     @Test
     void eachOfManySuspectsIsToldWithinSomeDatagrams() {
         for (long fingerprint = 0; fingerprint < 100; fingerprint++) {
--- a/src/test/java/io/waxwingquay/suspect/SuspectTableTest.java
+++ b/src/test/java/io/waxwingquay/suspect/SuspectTableTest.java
@@ -114,8 +114,8 @@
         LongStream.rangeClosed(1, 3).forEach(each -> assertEquals(once.standing(each), repeated.standing(each)));
     }
 
-    // A page that many callers ask for was under way at two crashes that it did not cause, and is then answered. Where
-    // good answers are trusted it is free, and two crashes after that are needed to refuse it again.
+    // A page that many callers ask for was under way at two crashes that it did not cause, and is then answered.
+    // Where good answers are trusted it is free, and two crashes after that are needed to refuse it again.
     @Test
     void whereAnswersAreTrustedOneTakesBackTheCrashesBeforeIt() {
         SuspectTable trusting = SuspectTable.trustingAnswers(clock, RETENTION_MILLIS, 100);
