Leave engines that no entry lists out of the plan of copies

All five entries had dropped it by 10.46 s; the side beside it told of its models until its engine was gone at 13.70 s, and what it had told counted for three seconds more. At 14.95 s another side let its copy of the second busy model go for one that is asked for seldom. Its load was ordered again at 25.95 s; from 19 to 26 s, 160 requests found no room, 55 of them for that model.

What settled it: the plan over the view of that moment, in a trial of its own. With the engine that is gone it takes the busy model's copy, as it did; without, that of a rare model or nothing, for 20 to 30 requests a second and 35 at once (34 were, by the log). With 25 at once it takes the busy one either way, with 45 at most it depends on the rest. Where the gone engine has room free, the plan even gives it the load that others need, and the model comes nowhere.

Ruled out: entries that still listed it (their lines, all five), and the ceiling of loads.

Change: sides leave out what none of the entries that they hear lists.

--- a/src/main/java/io/waxwingquay/residency/Neighbours.java
+++ b/src/main/java/io/waxwingquay/residency/Neighbours.java
@@ -92,13 +92,21 @@
     }
 
     /**
-     * The other engines. Where two processes have announced the same model, the one that comes first in order brings it
+     * The other engines that get requests.
+     *
+     * <p>Failure: an engine is taken off the platform's list and runs on, as does the process beside it. Symptom: copies
+     * that no request can reach count, and others make way for what is asked for seldom. Entries send only to what they
+     * list, so what none of them lists has no part; while no entry is heard, nothing is known of the list.
+     *
+     * <p>Where two processes have announced the same model, the one that comes first in order brings it
      * in; for that one the other's announcement does not count.
      */
     List<CopyPlan.EngineView> others(HostPort own, Optional<String> announced, long nowMillis) {
         engines.values().removeIf(heard -> heard.isOld(nowMillis));
+        Set<HostPort> listed = listedEngines(nowMillis);
         return engines.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(own))
+                .filter(entry -> listed.isEmpty() || listed.contains(entry.getKey()))
                 .filter(entry -> !entry.getValue().news.isDraining())
                 .map(entry -> view(entry.getKey(), entry.getValue().news))
                 .map(view -> isAfter(view, own, announced) ? view.withoutLoading() : view)
