--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -37,7 +37,7 @@
              "priority":1,"service":"plain","max_attempts":2}],
             "services":[{"name":"plain","max_conns":50},{"name":"engines","max_conns":50,"engine":{"slots":8,
              "kv_tokens":10000,"weights_mb":200,"adapter_slots":2,"loads_per_s":1,
-             "models":[{"name":"m","weights_mb":100,"load_s":1,"adapters":1,"adapter_mb":1}]}}]}
+             "models":[{"name":"m","weights_mb":100,"load_s":1,"adapters":2,"adapter_mb":1}]}}]}
             """;
 
     private static final int LOWEST_PORT = 10_000;
@@ -100,12 +100,20 @@
     }
 
     Answer askCutOff(String path, String id) throws IOException {
+        return askCutOff(path, id, "x");
+    }
+
+    Answer askCutOff(String path, String id, String body) throws IOException {
         try (Socket socket = new Socket(InetAddress.getByName(CUT_OFF_HOST), base + 2)) {
             socket.setSoTimeout(30_000);
-            return exchange(socket, request("POST", path, id, "", "x"));
+            return exchange(socket, request("POST", path, id, "", body));
         }
     }
 
+    String dumpCutOff() throws IOException {
+        return dump(CUT_OFF_HOST);
+    }
+
     CompletableFuture<Void> leave() {
         return entry.leave();
     }
@@ -143,7 +151,11 @@
     }
 
     String dump() throws IOException {
-        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), base + 6)) {
+        return dump("127.0.0.1");
+    }
+
+    private String dump(String host) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName(host), base + 6)) {
             return exchange(socket, "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n").body();
         }
     }
