Bring in news by change, in rounds that take the longer the more there are

Engines with requests from an entry are told of to it as their load changes, others in rounds, so that silence of the latter counts only after two rounds. News of suspects go out with what can't wait for the next round.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -61,7 +61,7 @@
     private final TargetChooser chooser;
     private final AdapterDesk adapters;
     private final ForwardMeters meters;
-    private final Runnable modelMissed;
+    private final Runnable changed;
     private final DemandMeter demand = new DemandMeter();
     private final TargetTable targets;
     private final NewsWriter newsWriter;
@@ -102,9 +102,9 @@
         this.chooser = new TargetChooser(settings.zone(), random);
         this.adapters = new AdapterDesk(
                 loop, (target, call) -> peers.askAdapter(target.address(), call.id(), call.model(), call.adapter()));
-        this.modelMissed = peers::demandChanged;
+        this.changed = peers::demandChanged;
         this.targets = new TargetTable(this::pool);
-        this.newsWriter = new NewsWriter(targets, demand);
+        this.newsWriter = new NewsWriter(targets, demand, EventLoop.nowMillis());
         loop.execute(() -> loop.every(TICK_MILLIS, this::tick));
     }
 
@@ -118,6 +118,7 @@
             return;
         }
         manifest = Optional.of(newer);
+        tellSoon();
         routes = RouteTable.of(newer.routes());
         targets.all().forEach(target -> target.pool().limit(connections(target.record())));
         LOG.log(
@@ -200,7 +201,10 @@
      */
     public void engineNews(EngineNews news) {
         long nowMillis = EventLoop.nowMillis();
-        targets.livingAt(HostPort.of(news.getEngineAddress())).ifPresent(target -> target.news(news, nowMillis));
+        targets.livingAt(HostPort.of(news.getEngineAddress())).ifPresent(target -> {
+            target.tellers(entries + targets.sizeOf(target.record().service()));
+            target.news(news, nowMillis);
+        });
         if (news.getEntries() > 0) {
             entries(news.getEntries());
         }
@@ -309,7 +313,7 @@
     /** {@inheritDoc} */
     @Override
     public void modelMissed() {
-        modelMissed.run();
+        tellSoon();
     }
 
     /** {@inheritDoc} */
@@ -352,6 +356,11 @@
     }
 
     private void refuse(ServerExchange caller, String why) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "forward: refused id={0} why={1}",
+                codec.read(caller.request().fields()).id(),
+                why);
         HttpFields fields = codec.refusal(Optional.of(jitter(ELSEWHERE_MILLIS)));
         caller.respond(UNAVAILABLE, fields, "it has not run: " + why);
     }
@@ -386,6 +395,12 @@
         }
     }
 
+    /** The processes beside engines should know soon of what has changed here. */
+    public void tellSoon() {
+        newsWriter.hasten();
+        changed.run();
+    }
+
     private void entries(int count) {
         if (count != entries) {
             entries = count;
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -84,14 +84,13 @@
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::received);
         RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
         this.suspects = new SharedSuspects(EventLoop::nowMillis, random);
-        Telling telling = new Telling();
         this.forwarder = new Forwarder(
                 loop,
                 forwardSettings(settings),
                 new HeaderCodec(),
                 admin.forwardMeters(),
-                telling,
-                new Suspects(suspects, EventLoop::nowMillis, telling::demandChanged),
+                new Telling(),
+                new Suspects(suspects, EventLoop::nowMillis, this::suspectsChanged),
                 random);
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicas());
         HostPort callers = settings.callers().orElseThrow();
@@ -153,6 +152,10 @@
         LOG.log(System.Logger.Level.INFO, "hosted: entry started node={0} zone={1}", settings.node(), settings.zone());
     }
 
+    private void suspectsChanged() {
+        forwarder.tellSoon();
+    }
+
     private long configurationVersion() {
         return forwarder.manifest().map(Manifest::version).orElse(0L);
     }
