End the wait at the store before its return must have been noticed

Cause: an entry follows its tables by calls that the store holds for 8 s, given up 1.5 s later. A store that falls silent and comes back never answers those that it held, and the call after a failure waited in full again while the store was still silent. Up to nine seconds after the return, entries went by an old configuration and an old list. All were caught at once, so that no other entry had a newer copy to read. Open: after the return a row that is missing counts as doubtful for 2.3 s from when the store was regained here, not from its return.

--- a/src/main/java/io/waxwingquay/fleet/TableWatch.java
+++ b/src/main/java/io/waxwingquay/fleet/TableWatch.java
@@ -11,8 +11,20 @@
  */
 public final class TableWatch<T> {
 
-    /** How long the store waits for a change. Longer means fewer priced calls, shorter finds a dead connection sooner. */
-    private static final long WAIT_MILLIS = 8_000L;
+    /**
+     * How long the store waits for a change. Longer means fewer priced calls.
+     *
+     * <p>Failure: the store falls silent and comes back, and never answers the calls that it held. Symptom: until such a
+     * call is given up here, all go by a configuration and a list that are no longer in force. With this wait it is given
+     * up within four seconds, and a change that comes three seconds after the return is still followed within its two.
+     */
+    private static final long WAIT_MILLIS = 2_500L;
+
+    /**
+     * After a failure the store is asked without a wait until it answers: a call that waits can't tell a store that is
+     * still silent from one without a change, and would be caught as well.
+     */
+    private static final long NO_WAIT_MILLIS = 0L;
 
     /** First and longest pause after a failed call; the longest is well below the two seconds that entries need. */
     private static final long FIRST_RETRY_MILLIS = 100L;
@@ -50,7 +62,8 @@
     /** Begins; called on the loop. */
     public void start() {
         if (readWhole) {
-            table.changesAfter(version, WAIT_MILLIS).whenComplete(this::changed);
+            table.changesAfter(version, reachable ? WAIT_MILLIS : NO_WAIT_MILLIS)
+                    .whenComplete(this::changed);
         } else {
             table.readAll().whenComplete(this::read);
         }
