--- a/src/main/java/io/waxwingquay/net/ClientPool.java
+++ b/src/main/java/io/waxwingquay/net/ClientPool.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashSet;
-import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -61,13 +61,12 @@
      * @return the call, to give it up.
      */
     public ClientCall send(ClientRequest request, ClientListener listener) {
+        Opening opening = new Opening(request, listener);
         Optional<ClientConnection> ready = takeIdle(request.mayRepeat());
         if (ready.isPresent()) {
-            ClientConnection connection = ready.get();
-            connection.send(request, listener);
-            return () -> connection.cancel(listener);
+            opening.sendOver(ready.get());
+            return opening;
         }
-        Opening opening = new Opening(request, listener);
         if (all.size() + connecting >= limit) {
             loop.execute(() -> opening.fail("all " + limit + " connections are taken"));
             return opening;
@@ -106,11 +105,10 @@
             first = openings.poll();
         }
         if (first == null) {
-            idle.push(connection);
+            idle(connection);
             return;
         }
-        first.connection = connection;
-        connection.send(first.request, first.listener);
+        first.sendOver(connection);
     }
 
     void idle(ClientConnection connection) {
@@ -129,17 +127,16 @@
 
     private Optional<ClientConnection> takeIdle(boolean mayRepeat) {
         long nowMillis = EventLoop.nowMillis();
-        for (Iterator<ClientConnection> each = idle.iterator(); each.hasNext(); ) {
-            ClientConnection connection = each.next();
-            if (connection.isUsable(mayRepeat, nowMillis)) {
-                each.remove();
+        for (ClientConnection connection : List.copyOf(idle)) {
+            if (connection.isUsable(mayRepeat, nowMillis) && (mayRepeat || connection.isAlive())) {
+                idle.remove(connection);
                 return Optional.of(connection);
             }
         }
         return Optional.empty();
     }
 
-    /** A request that waits for its connection. */
+    /** A request and, once there is one, its connection. */
     private final class Opening implements ClientCall {
 
         private final ClientRequest request;
@@ -152,6 +149,17 @@
             this.listener = listener;
         }
 
+        private void sendOver(ClientConnection over) {
+            connection = over;
+            over.send(request, listener);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public boolean mayHaveLeft() {
+            return connection != null;
+        }
+
         /** {@inheritDoc} */
         @Override
         public void cancel() {
