--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -120,9 +120,26 @@
             Attempt silent = attempt;
             silent.cancel();
             failed(silent, true, "silent for " + (nowMillis - silent.heardMillis()) + " ms");
+            return;
+        }
+        if (attempt != null
+                && attempt.target().isSilent(nowMillis)
+                && Patience.isCallerLeaving(route, stream.callerSilentMillis(nowMillis))) {
+            giveUpSilent();
         }
     }
 
+    /**
+     * Failure: an engine that stands still can't be told that a caller has left. Symptom: it runs the request for nobody when
+     * it wakes. So the request is answered while its caller is there; one whose engine wakes in time is not given up, as its
+     * caller would have left by the same time.
+     */
+    private void giveUpSilent() {
+        cancelAttempt();
+        mayHaveRun = true;
+        giveUp("its engine stands still");
+    }
+
     /** The process is about to exit: what waits here is refused while its caller can go elsewhere. */
     void leave() {
         if (state == ExchangeState.CHOOSING || state == ExchangeState.AWAITING) {
@@ -348,7 +365,7 @@
             }
             return;
         }
-        boolean unsentAgain = !sent && connectFailures <= MOST_CONNECT_FAILURES;
+        boolean unsentAgain = !sent && !callerGone && connectFailures <= MOST_CONNECT_FAILURES;
         if (unsentAgain) {
             retry();
         } else if (!(sent && route.mayRepeat()) || !tryAgain()) {
@@ -435,11 +452,12 @@
     /**
      * Failure: a caller leaves while a replica works for it. Symptom: replicas are busy with answers that nobody takes,
      * and those who wait get theirs late. Closing the connection ends the work; one that may not be run twice is left to
-     * end, as its caller will ask what became of it.
+     * end, as its caller will ask what became of it. Of one that still waits for its connection nothing has left, so it
+     * is given up too, and not sent elsewhere.
      */
     private void callerGone() {
         callerGone = true;
-        if (attempt != null && route.kind() == Route.Kind.UNSAFE) {
+        if (attempt != null && attempt.mayHaveLeft() && route.kind() == Route.Kind.UNSAFE) {
             return;
         }
         cancelAttempt();
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 
 /** An entry and a side process on loopback, with stand-ins of the store, of two engines and of two plain replicas. */
 final class HostedWorld implements AutoCloseable {
@@ -26,6 +27,8 @@
              "priority":0,"service":"engines","max_attempts":2,"resumable":true},
             {"name":"quick","host":"x.test","prefix":"/quick/","kind":"streaming","timeout_ms":20000,
              "target_latency_ms":100,"priority":0,"service":"engines","max_attempts":2,"resumable":true},
+            {"name":"live","host":"x.test","prefix":"/live/","kind":"streaming","timeout_ms":20000,
+             "target_latency_ms":100,"priority":0,"service":"engines","max_attempts":2},
             {"name":"once","host":"x.test","prefix":"/once/","kind":"unsafe","timeout_ms":20000,
              "target_latency_ms":9000,"priority":1,"service":"plain","max_attempts":2},
             {"name":"brief","host":"x.test","prefix":"/brief/","kind":"unsafe","timeout_ms":4000,"target_latency_ms":100,
@@ -112,6 +115,22 @@
         return entry.leave().thenRunAsync(inside::close);
     }
 
+    /** Does something while the entry and the sides stand still. */
+    void standingStill(Action action) throws Exception {
+        CompletableFuture<Void> stands = new CompletableFuture<>();
+        CountDownLatch over = new CountDownLatch(1);
+        inside.execute(() -> {
+            stands.complete(null);
+            Await.quietly(over);
+        });
+        Await.value(stands);
+        try {
+            action.run();
+        } finally {
+            over.countDown();
+        }
+    }
+
     /** Runs a task on the stand-ins' loop after a while. */
     void later(long millis, Runnable task) {
         outside.schedule(millis, task);
@@ -284,4 +303,11 @@
             return line.toString();
         }
     }
+
+    /** What a test does. */
+    @FunctionalInterface
+    interface Action {
+
+        void run() throws Exception;
+    }
 }
