Show that a drain which is over at once takes the operator's answer with it

The same was seen once in OperatorKeysTest, beside load: "header parser received no bytes" on POST /shutdown.

The drain was started on its own thread before the answer was written; a process with nothing under way closes its admin port at once.

--- a/src/test/java/io/waxwingquay/observe/AdminServerTest.java
+++ b/src/test/java/io/waxwingquay/observe/AdminServerTest.java
@@ -25,6 +25,9 @@
 
 class AdminServerTest {
 
+    /** The close and the answer are on two threads; in one of a few the close comes first. */
+    private static final int CLOSING_SERVERS = 40;
+
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final HttpClient client = new HttpClient();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -52,6 +55,26 @@
         registry.close();
     }
 
+    // An operator asks an idle process to drain. It has nothing to wait for and closes at once, while the operator's
+    // answer
+    // was still being written: a connection that ends without an answer, of which nobody can tell whether it drains.
+    @Test
+    void operatorIsAnsweredThoughTheDrainIsOverAtOnce() throws Exception {
+        for (int number = 0; number < CLOSING_SERVERS; number++) {
+            CompletableFuture<AdminServer> started = new CompletableFuture<>();
+            try (AdminServer closing = AdminServer.builder(registry, new StateDump())
+                    .drain(() -> started.join().close())
+                    .start()) {
+                started.complete(closing);
+                assertEquals(202, post(closing.port()));
+            }
+        }
+    }
+
+    private int post(int port) throws Exception {
+        return client.POST("http://127.0.0.1:" + port + "/shutdown").send().getStatus();
+    }
+
     @Test
     void showsMetersInThePrometheusFormat() throws Exception {
         AtomicLong nowMillis = new AtomicLong(1_000);
