Begin an operator's drain when the answer to it has left

An operator who asked an idle process to drain got no answer: the drain ran on its own thread and closed the admin port while the answer was being written. It begins when the answer has left, or its connection has failed.

--- a/src/main/java/io/waxwingquay/observe/AdminHandler.java
+++ b/src/main/java/io/waxwingquay/observe/AdminHandler.java
@@ -41,7 +41,8 @@
         Answer answer = answer(Request.getPathInContext(request), request.getMethod());
         response.setStatus(answer.status());
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, answer.contentType());
-        Content.Sink.write(response, true, answer.body(), callback);
+        Callback whenSent = answer.startsDrain() ? Callback.from(callback, this::startDrain) : callback;
+        Content.Sink.write(response, true, answer.body(), whenSent);
         return true;
     }
 
@@ -52,7 +53,7 @@
         }
         return switch (path) {
             case "/metrics" -> Answer.text(HttpStatus.OK_200, registry.scrape());
-            case "/dump" -> new Answer(HttpStatus.OK_200, JSON, dump.toJson());
+            case "/dump" -> new Answer(HttpStatus.OK_200, JSON, dump.toJson(), false);
             case "/healthz" -> Answer.text(HttpStatus.OK_200, "alive\n");
             case "/readyz" -> readiness();
             case "/shutdown" -> shutdown();
@@ -67,17 +68,28 @@
     }
 
     private Answer shutdown() {
+        return Answer.text(HttpStatus.ACCEPTED_202, "draining\n").startingDrain();
+    }
+
+    /**
+     * Failure: a process with nothing under way drains and closes while the operator's answer is being written. Symptom: the
+     * connection ends without an answer. So the drain begins when the answer has left, or its connection has failed.
+     */
+    private void startDrain() {
         if (draining.compareAndSet(false, true)) {
             LOG.log(System.Logger.Level.INFO, "observe: an operator asked for a drain.");
             new Thread(drain, "drain").start();
         }
-        return Answer.text(HttpStatus.ACCEPTED_202, "draining\n");
     }
 
-    private record Answer(int status, String contentType, String body) {
+    private record Answer(int status, String contentType, String body, boolean startsDrain) {
 
         static Answer text(int status, String body) {
-            return new Answer(status, TEXT, body);
+            return new Answer(status, TEXT, body, false);
+        }
+
+        Answer startingDrain() {
+            return new Answer(status, contentType, body, true);
         }
     }
 }
