Show a departure put off by signals and stalls, and an answer lost to a stall

Found by a review of the departure that knew nothing of the work on it.

HostedPathTest.leavingEntryAnswersAllThatItPassesOn asks status 200 of each call that ran now, where any status was enough, and has a bound. A new test holds that a call without an answer at the end of the grace time gets 502; it is green, and nothing held it before.

--- /dev/null
+++ b/src/test/java/io/waxwingquay/hosted/DepartureTest.java
@@ -0,0 +1,98 @@
+package io.waxwingquay.hosted;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.forward.OpenRequests;
+import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.net.HttpServer;
+import io.waxwingquay.testing.Await;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DepartureTest {
+
+    private static final long GRACE_MILLIS = 8_000L;
+
+    /** Left of the grace time for the exit itself. */
+    private static final long EXIT_MILLIS = 500L;
+
+    private final Requests requests = new Requests();
+    private EventLoop loop;
+    private Departure departure;
+
+    @BeforeEach
+    void start() {
+        loop = EventLoop.start("test");
+        HttpServer server = HttpServer.listen(loop, new InetSocketAddress("127.0.0.1", 0), caller -> {});
+        departure = new Departure(loop, server, requests, GRACE_MILLIS);
+    }
+
+    @AfterEach
+    void stop() {
+        loop.close();
+    }
+
+    // A process is told to stop twice. The second signal began the departure anew, so that the exit came seconds after
+    // the
+    // platform had killed the process, and all that was under way was cut without a word.
+    @Test
+    void secondSignalDoesNotPutTheExitOff() throws Exception {
+        CompletableFuture<Void> first = departure.begin();
+        CompletableFuture<Void> second = departure.begin();
+        Await.value(first);
+        Await.value(second);
+        assertEquals(1, requests.exitsMillis.size());
+    }
+
+    // The loop stands still when the signal comes. The grace time was counted from when the loop got round to it, so
+    // that
+    // requests were taken that the platform's kill would cut.
+    @Test
+    void graceTimeIsCountedFromTheSignal() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> Await.quietly(over));
+        long signalMillis = EventLoop.nowMillis();
+        CompletableFuture<Void> done = departure.begin();
+        Await.until(() -> EventLoop.nowMillis() - signalMillis >= 400);
+        over.countDown();
+        Await.value(done);
+        assertTrue(
+                requests.exitsMillis.get(0) <= signalMillis + GRACE_MILLIS - EXIT_MILLIS,
+                requests.exitsMillis.get(0) - signalMillis + " ms after the signal");
+    }
+
+    /** No request is open. */
+    private static final class Requests implements OpenRequests {
+
+        private final List<Long> exitsMillis = new CopyOnWriteArrayList<>();
+
+        /** {@inheritDoc} */
+        @Override
+        public int activeCount() {
+            return 0;
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public List<String> activeIds() {
+            return List.of();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void leaveWithin(long millis) {
+            exitsMillis.add(EventLoop.nowMillis() + millis);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void endAdmission() {}
+    }
+}
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.hosted.HostedWorld.Answer;
+import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.standin.prepared.EngineStandin;
 import io.waxwingquay.standin.prepared.EngineStandin.Behaviour;
@@ -27,6 +28,9 @@
 
 class HostedPathTest {
 
+    /** More than one caller can ask in the grace time. */
+    private static final int MOST_ASKS = 10_000;
+
     private static final String MODEL = "Model: m\r\n";
     private static final String POISON = "poison";
     private static final Behaviour SHED =
@@ -276,17 +280,20 @@
         assertEquals(503, Await.value(waiting).status());
     }
 
-    // All entries are told to stop within seconds, so that callers still reach one that leaves. It finds nothing
-    // under way, decides to go, and is gone some 60 ms later. Payments that came in between were passed on, ran,
-    // and their connections ended without a word, as nothing refused them between the decision and the exit. The
-    // entry's log: "hosted: left active=0" at 16.906, a request that came after it and was answered at 16.941, the
-    // process gone at about 16.98, and no line of the two that were cut.
+    // All entries are told to stop within seconds, so that callers still reach one that leaves. It finds nothing under
+    // way,
+    // decides to go, and is gone some 60 ms later. Payments that came in between were passed on, ran, and their
+    // connections
+    // ended without a word: the log said "hosted: left active=0", told of a request that came after it and was
+    // answered, and
+    // had no line of those that were cut.
     @Test
     void leavingEntryAnswersAllThatItPassesOn() throws Exception {
         plain((engine, caller) -> world.later(20, () -> Behaviour.ECHO.run(engine, caller)));
         CompletableFuture<Void> gone = world.exit();
         List<String> answered = new ArrayList<>();
         for (int number = 0; !gone.isDone(); number++) {
+            assertTrue(number < MOST_ASKS, "the entry does not leave");
             String id = "a24-" + number;
             if (isAnswered(id)) {
                 answered.add(id);
@@ -317,6 +324,49 @@
         assertTrue(answer.body().contains("adapter a2 does not come"), answer.body());
     }
 
+    // A call that may not be repeated is still at its replica when the grace time ends. It may have run; its caller
+    // gets a
+    // status that promises nothing, not a connection that ends without a word.
+    @Test
+    void requestWithoutAnAnswerAtTheExitIsToldThatItMayHaveRun() throws Exception {
+        plain((engine, caller) -> {});
+        CompletableFuture<Answer> asked = CompletableFuture.supplyAsync(() -> {
+            try {
+                return world.ask("POST", "/once/1", "a30", "", "pay");
+            } catch (IOException failure) {
+                throw new UncheckedIOException(failure);
+            }
+        });
+        Await.until(() -> runs().contains("a30"));
+        CompletableFuture<Void> gone = world.exit();
+        assertEquals(502, Await.value(asked).status());
+        Await.value(gone);
+    }
+
+    // An engine answers while the entry stands still. When it wakes, the entry looked at the time before it read what
+    // had
+    // come: the engine had been silent for too long, and its answer was thrown away.
+    @Test
+    void answerThatCameWhileTheEntryStoodStillIsPassedOn() throws Exception {
+        Await.until(() -> world.dump().contains("engines_heard=2"));
+        Behaviour soon = (engine, caller) ->
+                world.later(300, () -> Behaviour.stream(2, 0).run(engine, caller));
+        world.engine1.behaviour(soon);
+        world.engine2.behaviour(soon);
+        CompletableFuture<Answer> asked = CompletableFuture.supplyAsync(() -> {
+            try {
+                return world.ask("POST", "/live/1", "a31", MODEL, "");
+            } catch (IOException failure) {
+                throw new UncheckedIOException(failure);
+            }
+        });
+        Await.until(
+                () -> world.engine1.ran().contains("a31") || world.engine2.ran().contains("a31"));
+        long stoodMillis = EventLoop.nowMillis();
+        world.standingStill(() -> Await.until(() -> EventLoop.nowMillis() - stoodMillis >= 2_200));
+        assertEquals(200, Await.value(asked).status());
+    }
+
     /** Both engines stand still, after each has been heard. */
     private void standStill() throws Exception {
         Await.until(() -> world.dump().contains("engines_heard=2"));
@@ -405,7 +455,7 @@
 
     private boolean isAnswered(String id) {
         try {
-            return world.ask("POST", "/brief/1", id, "", "pay").status() != 0;
+            return world.ask("POST", "/brief/1", id, "", "pay").status() == 200;
         } catch (IOException gone) {
             return false;
         }
