Count the grace time from the first signal

A process that is told to stop twice began its departure anew, and one whose loop stood still at the signal counted its grace time from when the loop got round to it: its exit came after the platform had killed it, and whatever was under way was cut without a word.

The first signal alone begins the departure, and the end is worked out from its time, also for what requests are told of the time left. At the end, what has come is read once more before what has no answer is given up: after a stall answers lie unread.

DepartureTest: both tests red before, green after; HostedPathTest.leaving* green.

--- a/src/main/java/io/waxwingquay/hosted/Departure.java
+++ b/src/main/java/io/waxwingquay/hosted/Departure.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * How an entry leaves without cutting a request.
@@ -11,11 +12,12 @@
  * <p>Failure: an entry that is told to stop stops listening at once. Symptom: callers whom the platform still sends here
  * are refused, and requests on kept connections are cut. So it is not ready from the first moment, but takes requests
  * until the platform has looked twice and sends nobody any more, each answer ending its connection; then idle ones are
- * closed, what could not end in time is refused, and it exits when no request is under way, or just before it would be killed.
+ * closed, what could not end in time is refused, and it exits when no request is under way and no connection
+ * is open, or just before it would be killed.
  *
  * <p>Failure: while all entries leave, the platform sends callers to them all the same, and a request comes between the look
  * that finds nothing under way and the exit. Symptom: it is passed on, and cut. So that look also ends admission: nothing
- * can be under way afterwards, however long the exit itself takes.
+ * can come under way afterwards, however long the exit itself takes.
  */
 final class Departure {
 
@@ -37,8 +39,7 @@
     private final OpenRequests requests;
     private final long graceMillis;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
-    private volatile boolean underWay;
-    private long beganMillis;
+    private final AtomicBoolean underWay = new AtomicBoolean();
 
     Departure(EventLoop loop, HttpServer server, OpenRequests requests, long graceMillis) {
         this.loop = loop;
@@ -48,35 +49,45 @@
     }
 
     boolean isUnderWay() {
-        return underWay;
+        return underWay.get();
     }
 
+    /** Begins to leave; a second signal changes nothing, as the grace time goes on from the first. */
     CompletableFuture<Void> begin() {
-        underWay = true;
-        loop.execute(() -> {
-            beganMillis = EventLoop.nowMillis();
-            LOG.log(System.Logger.Level.INFO, "hosted: leaving active={0}", requests.activeCount());
-            server.leave();
-            loop.schedule(UNNOTICED_MILLIS, () -> {
-                requests.leaveWithin(graceMillis - UNNOTICED_MILLIS - EXIT_MILLIS);
-                look();
-            });
-        });
+        if (underWay.compareAndSet(false, true)) {
+            long lastMillis = EventLoop.nowMillis() + graceMillis - EXIT_MILLIS;
+            loop.execute(() -> leave(lastMillis));
+        }
         return done;
     }
 
-    private void look() {
+    private void leave(long lastMillis) {
+        LOG.log(System.Logger.Level.INFO, "hosted: leaving active={0}", requests.activeCount());
+        server.leave();
+        loop.schedule(UNNOTICED_MILLIS, () -> {
+            requests.leaveWithin(lastMillis - EventLoop.nowMillis());
+            look(lastMillis);
+        });
+    }
+
+    private void look(long lastMillis) {
         server.closeIdle();
-        boolean late = EventLoop.nowMillis() - beganMillis > graceMillis - EXIT_MILLIS;
-        if (late || requests.activeCount() == 0 && server.connectionCount() == 0) {
-            LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", requests.activeCount());
-            requests.endAdmission();
-            loop.schedule(LAST_ANSWERS_MILLIS, this::end);
+        if (requests.activeCount() == 0 && server.connectionCount() == 0) {
+            exitSoon();
+        } else if (EventLoop.nowMillis() > lastMillis) {
+            // After a stall answers lie unread; they are read before this is run.
+            loop.schedule(0, this::exitSoon);
         } else {
-            loop.schedule(LOOK_MILLIS, this::look);
+            loop.schedule(LOOK_MILLIS, () -> look(lastMillis));
         }
     }
 
+    private void exitSoon() {
+        LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", requests.activeCount());
+        requests.endAdmission();
+        loop.schedule(LAST_ANSWERS_MILLIS, this::end);
+    }
+
     /** A request that the exit cuts ends without a line of its own, so that its id is told here. */
     private void end() {
         LOG.log(System.Logger.Level.INFO, "hosted: exits unanswered={0}", requests.activeIds());
