Read what has come before requests are given up after a stall

An entry that stood still for seconds gave up requests whose answers lay unread in the kernel, and their callers got a failure: timers run before reads, and the time had passed. A look at the requests that is itself late by more than 200 ms is passed over; the next one follows 15 ms later, after the reads.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -39,6 +39,9 @@
     /** How exactly time limits are kept. */
     private static final long TICK_MILLIS = 15L;
 
+    /** A look that comes so late follows a stall of this process. */
+    private static final long STALL_MILLIS = 200L;
+
     /** A caller refused by this process alone may come back soon: it reaches another entry. */
     private static final long ELSEWHERE_MILLIS = 200L;
 
@@ -71,6 +74,7 @@
     private RouteTable routes = RouteTable.of(List.of());
     private int entries;
     private long exitMillis = Long.MAX_VALUE;
+    private long tickedMillis = EventLoop.nowMillis();
     private boolean admitting = true;
 
     /**
@@ -374,8 +378,17 @@
         return route.kind() == Route.Kind.STREAM || leftMillis < PLAIN_OBJECTIVES * route.objectiveMillis();
     }
 
+    /**
+     * Failure: this process stands still, and looks at the time before it reads what has come meanwhile. Symptom: requests
+     * whose answers lie unread are given up. What has come is read before the next look, so one that is late is passed over.
+     */
     private void tick() {
         long nowMillis = EventLoop.nowMillis();
+        boolean isLate = nowMillis - tickedMillis > STALL_MILLIS;
+        tickedMillis = nowMillis;
+        if (isLate) {
+            return;
+        }
         new ArrayList<>(active).forEach(exchange -> tick(exchange, nowMillis));
         if (exitMillis != Long.MAX_VALUE) {
             // A request that was turned away by its replica since then would wait here too.
