Count an engine's silence from its first request on

In a large deployment an engine without requests from an entry is told of every few seconds. The moment it was sent its first request the shorter bound of a busy one applied to news of before, and it counted as silent: nothing more was sent there until it answered.

Silence of a busy engine counts from its first request at the earliest, unless it was silent before. TargetChooserTest.engineIsNotSilentForItsFirstRequest: red before, green after.

--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -57,6 +57,7 @@
     private EngineNews news;
     private long newsAtMillis = Long.MIN_VALUE / 2;
     private long heardMillis = Long.MIN_VALUE / 2;
+    private long busySinceMillis = Long.MIN_VALUE / 2;
     private long freshMillis = LEAST_FRESH_MILLIS;
     private long silentMillis = SILENT_MILLIS;
     private int inFlight;
@@ -155,11 +156,16 @@
      * <p>Failure: a VM stands still, and with it the engine and the process beside it. Symptom: what it was sent is answered
      * when it wakes, seconds later, and what its callers gave up meanwhile is run all the same. Only the process that tells of
      * it being gone is not enough: the engine's own answers count too. Of an engine without a request from here little is told,
-     * so that its silence says less.
+     * so that its silence says less, and counts from its first request on.
      */
     boolean isSilent(long nowMillis) {
-        long limitMillis = inFlight > 0 ? SILENT_MILLIS : silentMillis;
-        return news != null && nowMillis - Math.max(newsAtMillis, heardMillis) > limitMillis;
+        if (news == null) {
+            return false;
+        }
+        long heardAtMillis = Math.max(newsAtMillis, heardMillis);
+        return inFlight > 0
+                ? nowMillis - Math.max(heardAtMillis, busySinceMillis) > SILENT_MILLIS
+                : nowMillis - heardAtMillis > silentMillis;
     }
 
     /** What the process beside the engine told, while it counts. */
@@ -288,6 +294,10 @@
     }
 
     void began(Optional<String> model, Optional<String> adapter) {
+        long nowMillis = EventLoop.nowMillis();
+        if (inFlight == 0 && !isSilent(nowMillis)) {
+            busySinceMillis = nowMillis;
+        }
         inFlight++;
         sentSinceNews++;
         model.ifPresent(name -> modelsInUse.merge(name, 1, Integer::sum));
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -1,7 +1,9 @@
 package io.waxwingquay.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
@@ -107,6 +109,19 @@
         assertInstanceOf(Choice.Full.class, choose(List.of(silent), Optional.empty()));
     }
 
+    // In a large deployment an engine without requests from here is heard every few seconds. The first request that is
+    // sent
+    // to it is no reason to call it silent; nothing could have been heard of that yet.
+    @Test
+    void engineIsNotSilentForItsFirstRequest() {
+        Target idle = target("idle", "a", false);
+        idle.tellers(70);
+        idle.news(news(idle, 0, List.of()), EventLoop.nowMillis() - 1_200);
+        idle.began(Optional.of("m"), Optional.empty());
+        assertFalse(idle.isSilent(EventLoop.nowMillis()));
+        assertTrue(idle.isSilent(EventLoop.nowMillis() + 1_200));
+    }
+
     @Test
     void hasAnAdapterLoadedWhereItCanBeSoonest() {
         Target full = target("full", "a", false);
