Tell a caller that its request has not run when nothing of it has left

At the end of the grace time, and at an engine that stands still, a request whose connection was still being opened was answered as one that may have run, so that its caller could not ask again. Whether any of it has left is known, and decides.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -125,11 +125,16 @@
      * caller would have left by the same time.
      */
     private void giveUpSilent() {
-        cancelAttempt();
-        mayHaveRun = true;
+        takeBack();
         giveUp("its engine stands still");
     }
 
+    /** Ends what is under way; one of which nothing has left is known not to have run. */
+    private void takeBack() {
+        mayHaveRun |= attempt != null && attempt.mayHaveLeft();
+        cancelAttempt();
+    }
+
     /** The process is about to exit: what waits here is refused while its caller can go elsewhere. */
     void leave() {
         if (state == ExchangeState.CHOOSING || state == ExchangeState.AWAITING) {
@@ -139,11 +144,8 @@
 
     /** The process exits now: an answer that promises nothing is better than a connection that ends without a word. */
     void exit() {
-        if (attempt != null && !stream.began()) {
-            cancelAttempt();
-            mayHaveRun = true;
-        }
         if (state != ExchangeState.DONE && !stream.began()) {
+            takeBack();
             giveUp("this process exits");
         }
     }
