--- a/src/main/java/io/waxwingquay/hosted/HostedProcess.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedProcess.java
@@ -8,7 +8,7 @@
 public interface HostedProcess {
 
     /**
-     * Begins to leave: takes no new work, ends what is under way.
+     * Begins to leave: takes less and less new work, ends what is under way.
      *
      * @return completes when the process may exit.
      */
