Do not send streams to engines that may stand still when their callers are about to leave

Cause: a stream that had waited 1.7 s of its caller's 2.0 s was sent with 0.29 s left to an engine that had just frozen. Change: a stream is not sent if its first event usually takes longer there than its caller still waits; it is refused, which is true, as it has not run. And just before its caller leaves it is given up at any engine that has not been heard since it was sent, or for two tellings of its load. Tests fail without the change by not compiling: PatienceTest.streamIsNotSentWhenItsCallerLeavesBeforeItBegins, TargetTest.engineUnheardSinceARequestWasSentIsInDoubt, .engineUnheardForTwoTellingsIsInDoubt.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -113,20 +113,20 @@
             return;
         }
         if (attempt != null
-                && attempt.target().isSilent(nowMillis)
+                && attempt.target().isInDoubt(attempt.sentMillis(), nowMillis)
                 && Patience.isCallerLeaving(route, stream.callerSilentMillis(nowMillis))) {
-            giveUpSilent();
+            giveUpInDoubt();
         }
     }
 
     /**
      * Failure: an engine that stands still can't be told that a caller has left. Symptom: it runs the request for nobody when
-     * it wakes. So the request is answered while its caller is there; one whose engine wakes in time is not given up, as its
-     * caller would have left by the same time.
+     * it wakes. So the request is answered while its caller is there. An engine that is sound but was not heard lately loses
+     * only the little time until the caller would have left.
      */
-    private void giveUpSilent() {
+    private void giveUpInDoubt() {
         takeBack();
-        giveUp("its engine stands still");
+        giveUp("its engine may stand still");
     }
 
     /** Ends what is under way; one of which nothing has left is known not to have run. */
@@ -185,7 +185,10 @@
             return;
         }
         Choice choice = suspicion.choose(tried, without -> terms.choose(without, nowMillis));
-        if (choice instanceof Choice.Send send) {
+        if (choice instanceof Choice.Send send
+                && !terms.mayBegin(send.target(), stream.callerSilentMillis(nowMillis), nowMillis)) {
+            unplaced("its caller would leave before its answer begins", FORWARD_AGAIN_MILLIS);
+        } else if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
             awaitAdapter(load.target(), nowMillis);
--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -58,6 +58,16 @@
         return Math.max(CALLER_LEAVES_MILLIS, byAims) - FIRST_EVENT_MILLIS;
     }
 
+    /**
+     * Whether a request's caller is still there when its answer begins.
+     *
+     * @param silentMillis how long the caller has had nothing new.
+     * @param usualMillis what a first event usually takes at the replica; 0 if it is not known.
+     */
+    static boolean mayBegin(Route route, long silentMillis, double usualMillis) {
+        return silentMillis + usualMillis <= longestWaitMillis(route);
+    }
+
     /** Whether a stream's caller, that has had nothing new for so long, is about to leave. */
     static boolean isCallerLeaving(Route route, long silentMillis) {
         return route.kind() == Route.Kind.STREAM && silentMillis > longestWaitMillis(route);
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -79,6 +79,11 @@
         return Patience.mayWaitForRoom(route, waitedMillis(nowMillis), limitMillis - request.arrivedMillis());
     }
 
+    /** Whether its caller is still there when a replica begins to answer, if it has had nothing new for so long. */
+    boolean mayBegin(Target target, long silentMillis, long nowMillis) {
+        return Patience.mayBegin(route, silentMillis, target.recentAnswerMillis(nowMillis));
+    }
+
     /** Chooses a replica for it, other than those named. */
     Choice choose(Set<Target> without, long nowMillis) {
         TargetChooser chooser = context.chooser();
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -40,6 +40,9 @@
     /** Against the round in which news comes; one without requests from here is heard in rounds alone. */
     private static final double SILENT_ROUNDS = 2.0;
 
+    /** Two tellings of the load of an engine with requests from here; one that missed them may stand still. */
+    private static final long DOUBT_MILLIS = 400L;
+
     /** Pause after the first failed connect; doubled up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 300L;
 
@@ -168,6 +171,18 @@
                 : nowMillis - heardAtMillis > silentMillis;
     }
 
+    /**
+     * Whether an engine that told of itself before may stand still, though it has not been unheard for long enough to be
+     * taken for silent: neither it nor the process beside it was heard since a request was sent there, or lately.
+     *
+     * @param sentMillis when the request was sent.
+     * @param nowMillis the steady time.
+     */
+    boolean isInDoubt(long sentMillis, long nowMillis) {
+        long heardAtMillis = Math.max(newsAtMillis, heardMillis);
+        return news != null && (heardAtMillis < sentMillis || nowMillis - heardAtMillis > DOUBT_MILLIS);
+    }
+
     /** What the process beside the engine told, while it counts. */
     Optional<EngineNews> freshNews(long nowMillis) {
         return nowMillis - newsAtMillis <= freshMillis ? Optional.of(news) : Optional.empty();
--- a/src/test/java/io/waxwingquay/forward/PatienceTest.java
+++ b/src/test/java/io/waxwingquay/forward/PatienceTest.java
@@ -54,6 +54,15 @@
         assertFalse(Patience.mayWaitForRoom(stream, 1_900, 12_000));
     }
 
+    // A stream that waited for room is sent when its caller is about to leave, and the engine works for nobody.
+    @Test
+    void streamIsNotSentWhenItsCallerLeavesBeforeItBegins() {
+        Route stream = route(Route.Kind.STREAM);
+        assertTrue(Patience.mayBegin(stream, 1_300, 400));
+        assertFalse(Patience.mayBegin(stream, 1_700, 400));
+        assertTrue(Patience.mayBegin(route(Route.Kind.SAFE), 1_700, 400));
+    }
+
     // A stream's caller leaves after two seconds of silence; just before that it can still be told.
     @Test
     void callerOfASilentStreamIsKnownToLeave() {
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -44,6 +44,30 @@
         assertEquals(8, target.load(100));
     }
 
+    // An engine stands still just before a stream is sent to it. Its caller leaves before the engine counts as silent,
+    // and the engine runs the request for nobody when it wakes.
+    @Test
+    void engineUnheardSinceARequestWasSentIsInDoubt() {
+        target.news(whole(3), 17_300);
+        assertTrue(target.isInDoubt(17_412, 17_600));
+        target.heard(17_500);
+        assertFalse(target.isInDoubt(17_412, 17_600));
+    }
+
+    // The same, but the engine stands still while a stream waits in it that was sent long before.
+    @Test
+    void engineUnheardForTwoTellingsIsInDoubt() {
+        target.news(whole(3), 17_300);
+        assertFalse(target.isInDoubt(16_000, 17_600));
+        assertTrue(target.isInDoubt(16_000, 17_800));
+    }
+
+    // Nothing is known of an engine that was never heard, so its silence says nothing.
+    @Test
+    void engineNeverHeardIsNotInDoubt() {
+        assertFalse(target.isInDoubt(16_000, 17_800));
+    }
+
     // Datagrams overtake each other. Were the earlier one taken in after the later one, requests would go by an old
     // load.
     @Test
