Count a load that may have begun before a process beside an engine started again

Each process keeps the count of its own loads, and forgets it when it ends; with one load for each of 13 engines and window, those begun just before the end came on top. Change: a process that isn't part of the system's first start counts one load as begun at its start. Its engine brings in nothing from the store for one window; what lies on its host is not held back. Test: WeightLoadPaceTest.processesThatStartAgainStayBelowTheCeiling.

--- a/src/main/java/io/waxwingquay/hosted/HostSettings.java
+++ b/src/main/java/io/waxwingquay/hosted/HostSettings.java
@@ -17,6 +17,7 @@
  * @param engine the engine beside this process, on VMs that have one.
  * @param service the service that this engine belongs to.
  * @param store the platform's store.
+ * @param firstStart whether the whole system starts for the first time, so that no process did anything before.
  * @param seeds IP numbers of a few VMs that may take callers' requests; some may be gone.
  * @param bounds the figures that the deployment holds its processes to.
  */
@@ -31,6 +32,7 @@
         Optional<HostPort> engine,
         Optional<String> service,
         HostPort store,
+        boolean firstStart,
         List<String> seeds,
         Bounds bounds) {
 
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -47,6 +47,9 @@
         this.manifests = platform.manifests();
         WeightLoadPace pace = new WeightLoadPace(
                 settings.bounds().loadWindowMillis(), settings.bounds().loadExcess());
+        if (!settings.firstStart()) {
+            pace.startedAgain(EventLoop.nowMillis());
+        }
         this.keeper = new EngineKeeper(
                 loop, engine, service, platform.engine(engine, settings.node()), new Datagrams(), pace);
         loop.execute(this::begin);
--- a/src/main/java/io/waxwingquay/platform/SettingsFile.java
+++ b/src/main/java/io/waxwingquay/platform/SettingsFile.java
@@ -68,6 +68,7 @@
                 address(root, "app", "app"),
                 Wire.text(root, "service"),
                 needed(address(root.path("platform"), "platform.address", "address"), "platform.address"),
+                root.path("bootstrap").asBoolean(false),
                 seeds(),
                 bounds(root.path("bounds")));
     }
--- a/src/main/java/io/waxwingquay/residency/WeightLoadPace.java
+++ b/src/main/java/io/waxwingquay/residency/WeightLoadPace.java
@@ -43,6 +43,18 @@
         return new Ceiling(all, Math.max(1, (int) Math.floor(all / Math.max(1, engines))));
     }
 
+    /**
+     * Counts the load that an earlier process here may just have begun.
+     *
+     * <p>Failure: all processes start again, and none knows what was begun before. Symptom: within one window engines load
+     * their parts twice, which is over the ceiling.
+     *
+     * @param nowMillis the steady time of the start.
+     */
+    public void startedAgain(long nowMillis) {
+        began(nowMillis);
+    }
+
     /**
      * Notes a load.
      *
--- a/src/main/java/io/waxwingquay/standin/prepared/Rehearsal.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/Rehearsal.java
@@ -131,6 +131,7 @@
                 engine,
                 Optional.of("engines"),
                 store.address(),
+                true,
                 List.of(),
                 bounds);
     }
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -205,6 +205,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 storeAddress,
+                true,
                 seeds,
                 bounds());
     }
@@ -221,6 +222,7 @@
                 Optional.of(new HostPort(host, base + 1)),
                 Optional.of("engines"),
                 store.address(),
+                true,
                 List.of(),
                 bounds());
     }
--- a/src/test/java/io/waxwingquay/residency/WeightLoadPaceTest.java
+++ b/src/test/java/io/waxwingquay/residency/WeightLoadPaceTest.java
@@ -35,6 +35,18 @@
         assertTrue(ceiling.all() < allowed);
     }
 
+    // All processes beside engines are killed just after each engine began a load, and start again within the window.
+    // None remembers, so each begins another one, and all together are over the ceiling.
+    @Test
+    void processesThatStartAgainStayBelowTheCeiling() {
+        int engines = 13;
+        WeightLoadPace.Ceiling ceiling = new WeightLoadPace(5_000, 1.1).ceiling(2.1, engines);
+        WeightLoadPace again = new WeightLoadPace(5_000, 1.1);
+        again.startedAgain(1_000);
+        assertFalse(ceiling.allows(again.recent(1_100), engines, Double.MAX_VALUE));
+        assertTrue(ceiling.allows(again.recent(6_001), 0, Double.MAX_VALUE));
+    }
+
     @Test
     void rareModelsLeaveLoadsToBusyOnes() {
         WeightLoadPace.Ceiling ceiling = new WeightLoadPace.Ceiling(10, 2);
