Add a command that tells from entries' logs why requests were late or lost

`explain LOG...` reads the lines that entries write when a request ends and counts, by route and by window of time, what became of them: model or adapter absent, no room, caller left, time over, replica failed or lost, late by the wait in the entry, by the wait in the engine or by a pause. Tables, JSON (--json) and a plot (--plot, by JFreeChart). The line lacked three inputs for it, which it now has: waited_ms, objective_ms and pause_objective_ms.

--- a/src/main/java/io/waxwingquay/command/Main.java
+++ b/src/main/java/io/waxwingquay/command/Main.java
@@ -78,6 +78,7 @@
         commands.put("rehearse", RehearseCommand::new);
         commands.put("bundle", () -> new BundleCommand(platforms));
         commands.put("dump", DumpCommand::new);
+        commands.put("explain", ExplainCommand::new);
         commands.put("demo", DemoCommand::new);
         commands.put("capacity", CapacityCommand::new);
         commands.put("bench", BenchCommand::new);
--- /dev/null
+++ b/src/main/java/io/waxwingquay/explain/EndedRequest.java
@@ -0,0 +1,105 @@
+package io.waxwingquay.explain;
+
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * How one request ended, as an entry logged it.
+ *
+ * @param arrivedMillis when it came to its entry, in Unix time.
+ * @param route the name of its route.
+ * @param model the model and adapter asked for; empty text for a plain service.
+ * @param status the status that its caller got; 0 if it got no whole answer.
+ * @param waitedMillis how long it waited in the entry before it was sent to a replica.
+ * @param firstMillis how long its caller waited for the first event, or for a plain answer as a whole.
+ * @param pauseMillis the longest pause between two events.
+ * @param objectiveMillis the time aimed at for the first event; 0 if the route has none.
+ * @param pauseObjectiveMillis the pause aimed at; 0 if the route has none.
+ * @param why what decided it.
+ */
+public record EndedRequest(
+        long arrivedMillis,
+        String route,
+        String model,
+        int status,
+        long waitedMillis,
+        long firstMillis,
+        long pauseMillis,
+        long objectiveMillis,
+        long pauseObjectiveMillis,
+        String why) {
+
+    static final int CALLER_ERROR = 400;
+    static final int SERVER_ERROR = 500;
+    private static final int REFUSED = 503;
+    private static final int SUCCESS = 200;
+    private static final int REDIRECT = 300;
+
+    private static final Pattern LINE = Pattern.compile("(?<at>\\d{4}-\\d\\d-\\d\\dT[\\d:.]+Z) .*forward: ended id=\\S*"
+            + " route=(?<route>\\S+) service=\\S+ model=(?<model>\\S*) status=(?<status>\\d+) sent=\\d+"
+            + " took_ms=(?<took>\\d+) first_ms=(?<first>\\d+) pause_ms=(?<pause>\\d+) waited_ms=(?<waited>\\d+)"
+            + " objective_ms=(?<objective>\\d+) pause_objective_ms=(?<pauseObjective>\\d+) why=(?<why>.*)");
+
+    /**
+     * Reads a log line.
+     *
+     * @param line the line, with anything before its time.
+     * @return the request; empty if the line tells of something else.
+     */
+    public static Optional<EndedRequest> parse(String line) {
+        Matcher matcher = LINE.matcher(line);
+        if (!matcher.find()) {
+            return Optional.empty();
+        }
+        long firstMillis = number(matcher, "first");
+        long tookMillis = number(matcher, "took");
+        return instantMillis(matcher.group("at"))
+                .map(endedMillis -> new EndedRequest(
+                        endedMillis - tookMillis,
+                        matcher.group("route"),
+                        matcher.group("model"),
+                        (int) number(matcher, "status"),
+                        number(matcher, "waited"),
+                        firstMillis > 0 ? firstMillis : tookMillis,
+                        number(matcher, "pause"),
+                        number(matcher, "objective"),
+                        number(matcher, "pauseObjective"),
+                        matcher.group("why")));
+    }
+
+    private static long number(Matcher matcher, String group) {
+        return Long.parseLong(matcher.group(group));
+    }
+
+    private static Optional<Long> instantMillis(String text) {
+        try {
+            return Optional.of(Instant.parse(text).toEpochMilli());
+        } catch (DateTimeParseException notATime) {
+            // A line that was cut or mixed with another one tells nothing.
+            return Optional.empty();
+        }
+    }
+
+    boolean isSuccess() {
+        return status >= SUCCESS && status < REDIRECT;
+    }
+
+    boolean isRefused() {
+        return status == REFUSED && !why.startsWith("answered by");
+    }
+
+    boolean isFirstLate() {
+        return isSuccess() && objectiveMillis > 0 && firstMillis > objectiveMillis;
+    }
+
+    boolean isPauseLate() {
+        return isSuccess() && pauseObjectiveMillis > 0 && pauseMillis > pauseObjectiveMillis;
+    }
+
+    boolean isWaitedMostlyInEntry() {
+        return 2 * waitedMillis >= firstMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/explain/LossReport.java
@@ -0,0 +1,133 @@
+package io.waxwingquay.explain;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.data.category.DefaultCategoryDataset;
+
+/**
+ * How many requests were lost or late for which reason, by route and by the time at which they came.
+ */
+public final class LossReport {
+
+    private static final int WIDTH = 1_100;
+    private static final int HEIGHT = 600;
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final int LABEL_WIDTH = 22;
+    private static final int NUMBER_WIDTH = 8;
+
+    private final Map<String, Map<Loss, Long>> byRoute;
+    private final Map<String, Map<Loss, Long>> byWindow;
+    private final List<Loss> seen;
+
+    private LossReport(Map<String, Map<Loss, Long>> byRoute, Map<String, Map<Loss, Long>> byWindow) {
+        this.byRoute = byRoute;
+        this.byWindow = byWindow;
+        this.seen = Stream.of(Loss.values())
+                .filter(loss -> byRoute.values().stream().anyMatch(counts -> counts.containsKey(loss)))
+                .toList();
+    }
+
+    /**
+     * Counts requests.
+     *
+     * @param requests the requests.
+     * @param windowMillis the length of the windows of time that they are sorted into.
+     * @return the counts.
+     */
+    public static LossReport of(Collection<EndedRequest> requests, long windowMillis) {
+        long beginMillis =
+                requests.stream().mapToLong(EndedRequest::arrivedMillis).min().orElse(0);
+        return new LossReport(
+                count(requests, EndedRequest::route),
+                count(requests, request -> window(request.arrivedMillis() - beginMillis, windowMillis)));
+    }
+
+    private static Map<String, Map<Loss, Long>> count(
+            Collection<EndedRequest> requests, Function<EndedRequest, String> key) {
+        return requests.stream()
+                .collect(Collectors.groupingBy(
+                        key,
+                        TreeMap::new,
+                        Collectors.groupingBy(Loss::of, () -> new EnumMap<>(Loss.class), Collectors.counting())));
+    }
+
+    /** Padded, so that the order of the texts is that of the times. */
+    private static String window(long sinceMillis, long windowMillis) {
+        return String.format("%8.1f", sinceMillis / windowMillis * windowMillis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * The counts as two tables, one line a route and one line a window.
+     *
+     * @return the text.
+     */
+    public String table() {
+        return table("route", byRoute) + System.lineSeparator() + table("seconds", byWindow);
+    }
+
+    private String table(String title, Map<String, Map<Loss, Long>> counts) {
+        StringBuilder text = new StringBuilder(cell(title, LABEL_WIDTH));
+        seen.forEach(loss -> text.append(cell(loss.label(), width(loss))));
+        counts.forEach((key, byLoss) -> {
+            text.append(System.lineSeparator()).append(cell(key, LABEL_WIDTH));
+            seen.forEach(loss -> text.append(cell(Long.toString(byLoss.getOrDefault(loss, 0L)), width(loss))));
+        });
+        return text.append(System.lineSeparator()).toString();
+    }
+
+    private static int width(Loss loss) {
+        return Math.max(NUMBER_WIDTH, loss.label().length() + 2);
+    }
+
+    private static String cell(String text, int width) {
+        return String.format("%" + width + "s", text);
+    }
+
+    /**
+     * The counts as JSON: an object for routes and one for windows, each with an object of counts by reason.
+     *
+     * @return the text.
+     */
+    public String json() {
+        ObjectNode root = new JsonMapper().createObjectNode();
+        fill(root.putObject("by_route"), byRoute);
+        fill(root.putObject("by_second"), byWindow);
+        return root.toPrettyString();
+    }
+
+    private static void fill(ObjectNode into, Map<String, Map<Loss, Long>> counts) {
+        counts.forEach((key, byLoss) -> {
+            ObjectNode row = into.putObject(key.strip());
+            byLoss.forEach((loss, count) -> row.put(loss.label(), count));
+        });
+    }
+
+    /**
+     * Draws the counts by window as stacked bars.
+     *
+     * @param file where the PNG is written.
+     * @throws IOException if it can't be written.
+     */
+    public void plot(Path file) throws IOException {
+        DefaultCategoryDataset bars = new DefaultCategoryDataset();
+        seen.forEach(loss -> byWindow.forEach(
+                (window, byLoss) -> bars.addValue(byLoss.getOrDefault(loss, 0L), loss.label(), window.strip())));
+        ChartUtils.saveChartAsPNG(
+                file.toFile(),
+                ChartFactory.createStackedBarChart("What became of requests", "seconds", "requests", bars),
+                WIDTH,
+                HEIGHT);
+    }
+}
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -269,6 +269,7 @@
         tried.add(target);
         suspicion.sent(target);
         Attempt next = new Attempt(this, target);
+        stream.sent(next.sentMillis());
         attempt = next;
         target.began(ask.model(), ask.adapter());
         ask.model().ifPresent(context.demand()::began);
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -346,7 +346,8 @@
         meters.ended(outcome.status(), tookMillis);
         LOG.log(
                 System.Logger.Level.INFO,
-                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} first_ms={7} pause_ms={8} why={9}",
+                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} first_ms={7} pause_ms={8}"
+                        + " waited_ms={9} objective_ms={10} pause_objective_ms={11} why={12}",
                 outcome.ask().id(),
                 outcome.route().name(),
                 outcome.service(),
@@ -357,6 +358,9 @@
                 tookMillis,
                 outcome.stream().firstEventMillis(),
                 outcome.stream().longestPauseMillis(),
+                outcome.stream().waitedMillis(EventLoop.nowMillis()),
+                outcome.route().objectiveMillis(),
+                outcome.route().pauseMillis(),
                 outcome.why());
     }
 
--- a/src/main/java/io/waxwingquay/forward/Outcome.java
+++ b/src/main/java/io/waxwingquay/forward/Outcome.java
@@ -12,7 +12,7 @@
  * @param attempts how often it was sent.
  * @param why what decided it.
  * @param arrivedMillis when it came, by the steady clock.
- * @param stream how its stream came along.
+ * @param stream how it came along, and its stream.
  */
 record Outcome(
         MessageCodec.Ask ask,
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -11,12 +11,24 @@
     private long firstEventMillis;
     private long heardMillis;
     private long longestPauseMillis;
+    private OptionalLong firstSentMillis = OptionalLong.empty();
 
     StreamProgress(long arrivedMillis, OptionalLong lastEventId) {
         this.arrivedMillis = arrivedMillis;
         this.lastEventId = lastEventId;
     }
 
+    void sent(long nowMillis) {
+        if (firstSentMillis.isEmpty()) {
+            firstSentMillis = OptionalLong.of(nowMillis);
+        }
+    }
+
+    /** How long the request waited here before it was sent first; if it was not sent, since it came. */
+    long waitedMillis(long nowMillis) {
+        return firstSentMillis.orElse(nowMillis) - arrivedMillis;
+    }
+
     boolean began() {
         return began;
     }
--- /dev/null
+++ b/src/test/java/io/waxwingquay/explain/LossTest.java
@@ -0,0 +1,50 @@
+package io.waxwingquay.explain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LossTest {
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "503 | 0 | 0 | 0 | model m is in no engine | MODEL_ABSENT",
+                "503 | 900 | 0 | 0 | adapter a1 does not come | ADAPTER_ABSENT",
+                "503 | 4 | 0 | 0 | no room | NO_ROOM",
+                "503 | 4 | 0 | 0 | no replica can be reached | REFUSED_OTHERWISE",
+                "0 | 400 | 0 | 0 | the caller left | CALLER_LEFT",
+                "504 | 0 | 0 | 0 | its time is over | TIME_OVER",
+                "500 | 0 | 0 | 0 | answered by e1 | REPLICA_FAILED",
+                "0 | 0 | 90 | 10 | the answer ended early | REPLICA_LOST",
+                "502 | 0 | 0 | 0 | Connection reset | REPLICA_LOST",
+                "404 | 0 | 0 | 0 | answered by e1 | CALLER_ERROR",
+                "200 | 400 | 600 | 300 | streamed by e1 | LATE_WAITED_HERE",
+                "200 | 100 | 600 | 300 | streamed by e1 | LATE_WAITED_IN_ENGINE",
+                "200 | 0 | 90 | 300 | streamed by e1 | LATE_BY_PAUSE",
+                "200 | 0 | 90 | 30 | streamed by e1 | NONE"
+            })
+    void namesWhatBecameOfARequest(
+            int status, long waitedMillis, long firstMillis, long pauseMillis, String why, Loss expected) {
+        EndedRequest request =
+                new EndedRequest(0, "r", "m", status, waitedMillis, firstMillis, pauseMillis, 500, 250, why);
+        assertEquals(expected, Loss.of(request));
+    }
+
+    @Test
+    void readsALineOfAnEntry() {
+        EndedRequest request = EndedRequest.parse(
+                        "  1.5 front-1 2026-08-28T10:41:26.058Z INFO  forward: ended id=d4 route=r-1"
+                                + " service=s model=m/a1 status=200 sent=1 took_ms=2058 first_ms=90 pause_ms=30 waited_ms=7"
+                                + " objective_ms=500 pause_objective_ms=250 why=streamed by e1")
+                .orElseThrow();
+        assertEquals("m/a1", request.model());
+        assertEquals(7, request.waitedMillis());
+        assertEquals(90, request.firstMillis());
+        assertTrue(EndedRequest.parse("INFO  residency: state running=0").isEmpty());
+    }
+}
