Let requests wait in entries, not in engines, and refuse at once what finds no place in time

Load: a model is asked for more than its few copies can run, for seconds, as when demand moves. What it could not run waited in it where nobody can tell whether it runs; callers of streams left after 2 s without an event (379 of 6,000, "last try: deadline") and were lost, and what waited in entries did so in no order for up to 1.8 s before it was refused. Change: an engine is sent what it has places and token memory for, by what all entries are taken to send. The others wait at the entry, least slack first, and only if a place is expected, by the length of answers seen for the model, the copies there and those that come, while the caller is still there to see its answer begin. The rest is refused at once, with that time to come back. What is waited for now counts what answers lately took to begin. Tests: CrowdedModelTest replays the load in simulated time; WaitingLinesTest; TargetChooserTest.

--- a/src/main/java/io/waxwingquay/forward/Choice.java
+++ b/src/main/java/io/waxwingquay/forward/Choice.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.forward;
 
+import java.util.OptionalLong;
+
 /** What is to be done next with a request. */
 interface Choice {
 
@@ -27,9 +29,19 @@
     /**
      * Replicas that could run it have no room.
      *
-     * @param freeMillis how long until there is expected to be room.
+     * @param freeMillis how long until there is expected to be room for one more.
+     * @param placeMillis how long from one place that comes free to the next; 0 if nothing is known of that.
+     * @param copyMillis how long until another replica is expected to hold its model.
+     * @param answerMillis what an answer to a request that has found room usually takes to begin.
      */
-    record Full(long freeMillis) implements Choice {}
+    record Full(long freeMillis, double placeMillis, OptionalLong copyMillis, long answerMillis) implements Choice {
+
+        /** How long until there is room for a request that so many others are served before. */
+        long waitMillis(int ahead) {
+            long placedMillis = freeMillis + Math.round(ahead * placeMillis);
+            return Math.min(placedMillis, copyMillis.orElse(Long.MAX_VALUE));
+        }
+    }
 
     /** It may be what ends replicas, and those that could run it run another such one. */
     record Apart() implements Choice {}
--- a/src/main/java/io/waxwingquay/forward/DemandMeter.java
+++ b/src/main/java/io/waxwingquay/forward/DemandMeter.java
@@ -3,6 +3,7 @@
 import io.waxwingquay.transport.generated.ModelDemand;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** What callers ask of each model at this entry. */
 final class DemandMeter {
@@ -49,6 +50,13 @@
         demand.durationMillis += SMOOTHING * (tookMillis - demand.durationMillis);
     }
 
+    /** What requests for a model usually take once they have been sent. */
+    double durationMillis(String model) {
+        return Optional.ofNullable(byModel.get(model))
+                .map(known -> known.durationMillis)
+                .orElse(FIRST_DURATION_MILLIS);
+    }
+
     Map<String, ModelDemand> snapshot(long nowMillis) {
         Map<String, ModelDemand> all = new HashMap<>();
         byModel.entrySet().removeIf(entry -> entry.getValue().isOver(nowMillis));
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -19,11 +19,11 @@
 
     private static final int SERVER_ERROR = 500;
 
-    /** How often a request that waits for a model or for room looks again. */
+    /** How often a request that waits for a model looks again. */
     private static final long LOOK_AGAIN_MILLIS = 30L;
 
-    /** How often a request that waits for room looks again. */
-    private static final long LOOK_FOR_ROOM_MILLIS = 60L;
+    /** A request that waits for room looks again at each look at the time. */
+    private static final long LOOK_FOR_ROOM_MILLIS = 0L;
 
     /** With less time than this another try can't end in time. */
     private static final long LEAST_TRY_MILLIS = 30L;
@@ -40,6 +40,7 @@
     private final Route route;
     private final MessageCodec.Ask ask;
     private final Suspicion suspicion;
+    private final Turn turn;
     private final Set<Target> tried = new HashSet<>();
     private ExchangeState state = ExchangeState.CHART.initial();
     private Attempt attempt;
@@ -57,6 +58,7 @@
         this.caller = caller;
         this.answers = new CallerAnswers(caller, context);
         this.terms = RequestTerms.of(context, caller.request(), route, ask);
+        this.turn = new Turn(context, terms);
         this.route = route;
         this.ask = ask;
         this.suspicion = suspicion;
@@ -84,6 +86,11 @@
         return terms.needsModel();
     }
 
+    /** Which of those that wait is looked at first: the lowest. */
+    long slackMillis(long nowMillis) {
+        return turn.slackMillis(nowMillis);
+    }
+
     void start() {
         caller.onGone(this::callerGone);
         if (needsModel()) {
@@ -102,8 +109,10 @@
             return;
         }
         if (nowMillis >= lookAgainMillis) {
-            lookAgainMillis = Long.MAX_VALUE;
-            choose();
+            if (!turn.isToBePassedOver(nowMillis)) {
+                lookAgainMillis = Long.MAX_VALUE;
+                choose();
+            }
             return;
         }
         if (attempt != null && route.mayRepeat() && isSilent(nowMillis) && canGoElsewhere(nowMillis)) {
@@ -195,7 +204,7 @@
         } else if (choice instanceof Choice.ModelAbsent absent) {
             awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
-            awaitRoom(full.freeMillis(), nowMillis);
+            awaitRoom(full, nowMillis);
         } else if (choice instanceof Choice.Apart) {
             lookAgain();
         } else {
@@ -238,11 +247,11 @@
         }
     }
 
-    private void awaitRoom(long freeMillis, long nowMillis) {
-        if (isResuming() || terms.mayWaitForRoom(nowMillis)) {
+    private void awaitRoom(Choice.Full full, long nowMillis) {
+        if (turn.await(full, nowMillis) || isResuming()) {
             lookAgain(LOOK_FOR_ROOM_MILLIS);
         } else {
-            unplaced("no room", freeMillis);
+            unplaced("no room", turn.expectedMillis(full));
         }
     }
 
@@ -258,6 +267,7 @@
     }
 
     private void send(Target target) {
+        turn.end();
         if (state == ExchangeState.AWAITING) {
             move(ExchangeState.Event.RETRY);
         }
@@ -271,7 +281,7 @@
         Attempt next = new Attempt(this, target);
         stream.sent(next.sentMillis());
         attempt = next;
-        target.began(ask.model(), ask.adapter());
+        target.began(ask.model(), ask.adapter(), EngineNeed.tokens(ask));
         ask.model().ifPresent(context.demand()::began);
         ClientRequest request = terms.forReplica(target, stream.lastEventId(), EventLoop.nowMillis());
         next.call(target.pool().send(request, next));
@@ -469,6 +479,7 @@
     }
 
     private void end(int status, String why) {
+        turn.end();
         move(ExchangeState.Event.END);
         lookAgainMillis = Long.MAX_VALUE;
         context.ended(
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -16,6 +16,11 @@
 
     DemandMeter demand();
 
+    WaitingLines lines();
+
+    /** How many entries there are, this one among them. */
+    int entryCount();
+
     Collection<Target> targets(String service);
 
     Optional<Engine> engine(String service);
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -18,6 +18,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -66,6 +67,7 @@
     private final ForwardMeters meters;
     private final Runnable changed;
     private final DemandMeter demand = new DemandMeter();
+    private final WaitingLines lines = new WaitingLines();
     private final TargetTable targets;
     private final NewsWriter newsWriter;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -284,6 +286,18 @@
         return demand;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public WaitingLines lines() {
+        return lines;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public int entryCount() {
+        return Math.max(1, entries);
+    }
+
     /** {@inheritDoc} */
     @Override
     public Collection<Target> targets(String service) {
@@ -395,7 +409,10 @@
         if (passedOver) {
             return;
         }
-        new ArrayList<>(active).forEach(exchange -> tick(exchange, nowMillis));
+        active.stream()
+                .sorted(Comparator.comparingLong(exchange -> exchange.slackMillis(nowMillis)))
+                .toList()
+                .forEach(exchange -> tick(exchange, nowMillis));
         if (exitMillis != Long.MAX_VALUE) {
             // A request that was turned away by its replica since then would wait here too.
             new ArrayList<>(active).forEach(Exchange::leave);
--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -14,6 +14,9 @@
      */
     private static final double ROOM_WAIT_SHARE = 0.2;
 
+    /** Places come free unevenly; one that is expected later than this allows for would often come too late. */
+    private static final double UNEVEN_FACTOR = 1.3;
+
     /**
      * Callers give a stream up, also before its first event, after a silence of this, of so many times its objective or
      * of so many times the pause that is aimed at, whichever is longest. The platform's protocol says so.
@@ -49,6 +52,19 @@
         return waitedMillis < Math.min(allMillis * ROOM_WAIT_SHARE, longestWaitMillis(route));
     }
 
+    /**
+     * Whether a request that finds no room joins those that wait for it.
+     *
+     * @param waitedMillis how long it has waited.
+     * @param placeMillis how long until its place is expected.
+     * @param answerMillis what an answer usually takes to begin from then on.
+     * @param allMillis all of its time.
+     */
+    static boolean mayJoinLine(Route route, long waitedMillis, long placeMillis, long answerMillis, long allMillis) {
+        long expectedMillis = Math.round(UNEVEN_FACTOR * placeMillis) + answerMillis;
+        return mayWaitForRoom(route, waitedMillis + expectedMillis, allMillis);
+    }
+
     private static long longestWaitMillis(Route route) {
         if (route.kind() != Route.Kind.STREAM) {
             return Long.MAX_VALUE;
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -76,7 +76,23 @@
     }
 
     boolean mayWaitForRoom(long nowMillis) {
-        return Patience.mayWaitForRoom(route, waitedMillis(nowMillis), limitMillis - request.arrivedMillis());
+        return mayJoinLine(0, 0, nowMillis);
+    }
+
+    boolean mayJoinLine(long placeMillis, long answerMillis, long nowMillis) {
+        long allMillis = limitMillis - request.arrivedMillis();
+        return Patience.mayJoinLine(route, waitedMillis(nowMillis), placeMillis, answerMillis, allMillis);
+    }
+
+    /** Which of those that wait comes first: the least slack to the objective, and after these what is late already. */
+    long slackMillis(long nowMillis) {
+        long left = route.objectiveMillis() - waitedMillis(nowMillis);
+        return left >= 0 ? left : Long.MAX_VALUE / 2 + left;
+    }
+
+    /** What those that wait for the same places have in common. */
+    String line() {
+        return service + '/' + ask.model().orElse("");
     }
 
     /** Whether its caller is still there when a replica begins to answer, if it has had nothing new for so long. */
@@ -92,8 +108,7 @@
                         context.targets(service),
                         without,
                         engine.get(),
-                        ask.model().get(),
-                        ask.adapter(),
+                        EngineNeed.of(ask, context.demand()),
                         nowMillis)
                 : chooser.choosePlain(context.targets(service), without, nowMillis);
     }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -65,6 +65,7 @@
     private long silentMillis = SILENT_MILLIS;
     private int inFlight;
     private int sentSinceNews;
+    private long tokensSinceNews;
     private double answerMillis;
     private long answeredAtMillis;
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -146,6 +147,7 @@
         news = newer;
         newsAtMillis = nowMillis;
         sentSinceNews = 0;
+        tokensSinceNews = 0;
     }
 
     /** Bytes of an answer have come from it. */
@@ -263,6 +265,18 @@
                 .orElse(inFlight);
     }
 
+    /**
+     * Whether a request fits into the engine's memory beside those that run. One that does not makes another be put back
+     * and read anew, or waits in the engine where nobody can tell whether it runs.
+     */
+    boolean hasMemoryFor(long tokens, long nowMillis) {
+        return freshNews(nowMillis)
+                .filter(fresh -> fresh.getKvTotalTokens() > 0)
+                .map(fresh -> fresh.getKvUsedTokens() + tokensSinceNews * Math.max(1, fresh.getEntries()) + tokens
+                        <= fresh.getKvTotalTokens())
+                .orElse(true);
+    }
+
     /** The share of late tries that failed, drawn towards none while there are few. */
     double failureShare(long nowMillis) {
         return failures.value(nowMillis) / (tries.value(nowMillis) + 1.0);
@@ -308,7 +322,8 @@
                 .orElse(0L);
     }
 
-    void began(Optional<String> model, Optional<String> adapter) {
+    void began(Optional<String> model, Optional<String> adapter, long tokens) {
+        tokensSinceNews += tokens;
         long nowMillis = EventLoop.nowMillis();
         if (inFlight == 0 && !isSilent(nowMillis)) {
             busySinceMillis = nowMillis;
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -49,12 +49,6 @@
     /** Draws entries to the same replica for an adapter that none holds yet. */
     private static final double AFFINITY_MILLIS = 15.0;
 
-    /** How much of a full batch may wait in an engine before it counts as full: about a fifth of one answer's time. */
-    private static final double QUEUE_SHARE = 0.25;
-
-    /** A mean stream's time in an engine, from which the wait for a place is reckoned. */
-    private static final double STREAM_MILLIS = 1_200.0;
-
     /** How long a load is expected to take when no replica tells of one under way. */
     private static final long LEAST_LOAD_MILLIS = 700L;
 
@@ -86,7 +80,9 @@
                 .toList();
         return cheapest(open, target -> plainMillis(target, nowMillis))
                 .<Choice>map(Choice.Send::new)
-                .orElseGet(() -> there.isEmpty() ? new Choice.Nowhere() : new Choice.Full(FULL_RETRY_MILLIS));
+                .orElseGet(() -> there.isEmpty()
+                        ? new Choice.Nowhere()
+                        : new Choice.Full(FULL_RETRY_MILLIS, 0, OptionalLong.empty(), 0));
     }
 
     /**
@@ -95,17 +91,12 @@
      * @param targets the service's replicas.
      * @param tried those that this request was sent to already.
      * @param engine what they are.
-     * @param model the model asked for.
-     * @param adapter the adapter asked for.
+     * @param need what the request needs of one.
      * @param nowMillis the steady time.
      */
-    Choice chooseEngine(
-            Collection<Target> targets,
-            Set<Target> tried,
-            Engine engine,
-            String model,
-            Optional<String> adapter,
-            long nowMillis) {
+    Choice chooseEngine(Collection<Target> targets, Set<Target> tried, Engine engine, EngineNeed need, long nowMillis) {
+        String model = need.model();
+        Optional<String> adapter = need.adapter();
         List<Target> holding = targets.stream()
                 .filter(Target::takesWork)
                 .filter(target -> target.holds(model, nowMillis))
@@ -118,14 +109,15 @@
                 .filter(target -> !target.isPaused(nowMillis) && target.pool().hasRoom())
                 .toList();
         List<Target> roomy = open.stream()
-                .filter(target -> target.load(nowMillis) < engine.slots() * (1 + QUEUE_SHARE))
+                .filter(target -> target.expectedLoad(nowMillis) < engine.slots())
+                .filter(target -> target.hasMemoryFor(need.tokens(), nowMillis))
                 .toList();
         if (roomy.isEmpty()) {
             return holding.stream().allMatch(tried::contains)
                     ? new Choice.Nowhere()
-                    : new Choice.Full(freeMillis(holding, engine, nowMillis));
+                    : full(holding, engine, need, loadUnderWay(targets, model, nowMillis), nowMillis);
         }
-        Target best = cheapest(roomy, target -> engineMillis(target, engine, model, adapter, nowMillis))
+        Target best = cheapest(roomy, target -> engineMillis(target, engine, need, nowMillis))
                 .orElseThrow();
         boolean present =
                 adapter.map(name -> best.holdsAdapter(model, name, nowMillis)).orElse(true);
@@ -150,16 +142,15 @@
         return answer * (1 + busy) * (1 + FAILURE_FACTOR * target.failureShare(nowMillis)) + zoneMillis(target);
     }
 
-    private double engineMillis(Target target, Engine engine, String model, Optional<String> adapter, long nowMillis) {
+    private double engineMillis(Target target, Engine engine, EngineNeed need, long nowMillis) {
         double busy = target.expectedLoad(nowMillis) / (double) engine.slots();
-        double over = Math.max(0, busy - 1) * STREAM_MILLIS;
         double slow = Math.min(MOST_SLOWNESS_MILLIS, SLOWNESS_SHARE * target.recentAnswerMillis(nowMillis));
         double base = FULL_BATCH_MILLIS * busy
-                + over
                 + LATE_MILLIS * Crowding.lateShare(busy)
                 + FAILED_MILLIS * target.failureShare(nowMillis)
                 + slow;
-        double adapterMillis = adapter.map(name -> adapterMillis(target, engine, model, name, nowMillis))
+        double adapterMillis = need.adapter()
+                .map(name -> adapterMillis(target, engine, need.model(), name, nowMillis))
                 .orElse(0.0);
         return base + adapterMillis + zoneMillis(target);
     }
@@ -194,12 +185,7 @@
     }
 
     private static long readyMillis(Collection<Target> targets, Engine engine, String model, long nowMillis) {
-        OptionalLong underWay = targets.stream()
-                .filter(target -> target.freshNews(nowMillis)
-                        .filter(news -> model.equals(news.getLoadingModel()))
-                        .isPresent())
-                .mapToLong(target -> target.loadingMillis(nowMillis))
-                .min();
+        OptionalLong underWay = loadUnderWay(targets, model, nowMillis);
         if (underWay.isPresent()) {
             return underWay.getAsLong();
         }
@@ -213,13 +199,34 @@
                 + LEAST_LOAD_MILLIS;
     }
 
-    private static long freeMillis(List<Target> holding, Engine engine, long nowMillis) {
+    /** How long until the first of the replicas that load a model has it. */
+    private static OptionalLong loadUnderWay(Collection<Target> targets, String model, long nowMillis) {
+        return targets.stream()
+                .filter(target -> target.freshNews(nowMillis)
+                        .filter(news -> model.equals(news.getLoadingModel()))
+                        .isPresent())
+                .mapToLong(target -> target.loadingMillis(nowMillis))
+                .min();
+    }
+
+    /** Engines that run all they can have a place free each time a stream ends. */
+    private static Choice.Full full(
+            List<Target> holding, Engine engine, EngineNeed need, OptionalLong copyMillis, long nowMillis) {
         int least = holding.stream()
-                .mapToInt(target -> target.load(nowMillis))
+                .mapToInt(target -> target.expectedLoad(nowMillis))
                 .min()
                 .orElse(0);
+        double placeMillis = need.durationMillis() / (engine.slots() * holding.size());
         double ahead = Math.max(1, least - engine.slots() + 1);
-        return Math.round(ahead * STREAM_MILLIS / engine.slots()) + FULL_RETRY_MILLIS;
+        double firstEventMillis = holding.stream()
+                .mapToDouble(target -> target.recentAnswerMillis(nowMillis))
+                .min()
+                .orElse(0);
+        return new Choice.Full(
+                Math.round(ahead * placeMillis) + FULL_RETRY_MILLIS,
+                placeMillis,
+                copyMillis,
+                Math.round(firstEventMillis));
     }
 
     /** A number from 0 up to 1 that a pair always gets. */
