--- a/src/main/java/io/waxwingquay/fleet/Crowding.java
+++ b/src/main/java/io/waxwingquay/fleet/Crowding.java
@@ -1,10 +1,8 @@
 package io.waxwingquay.fleet;
 
 /**
- * How many requests an engine serves late, by how many it runs at once. The plan of copies and the choice of an engine
- * weigh by the same figures.
- *
- * <p>Read off the log of a day of the users' tqa-furnace: 2 in 100 late at 15 requests of 64, 15 at 25, 45 at 55.
+ * How many requests an engine is assumed to serve late, by the part of its places that is taken. The plan of copies and
+ * the choice of an engine weigh by the same figures.
  */
 public final class Crowding {
 
