Look at late urgent requests before relaxed ones that wait

Of those that waited for the same places what was late came last, so that a route with an objective of 5 s had places before one with 300 ms whose requests were late. Change: what is late stands as if it had 1 s left. Test: PatienceTest.lateUrgentRequestComesBeforeARelaxedOne.

--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -14,6 +14,9 @@
      */
     private static final double ROOM_WAIT_SHARE = 0.2;
 
+    /** Where what is late already stands among those that wait: as if it had this left. */
+    private static final long LATE_SLACK_MILLIS = 1_000L;
+
     /** Places come free unevenly; one that is expected later than this allows for would often come too late. */
     private static final double UNEVEN_FACTOR = 1.3;
 
@@ -65,6 +68,15 @@
         return mayWaitForRoom(route, waitedMillis + expectedMillis, allMillis);
     }
 
+    /**
+     * Which of those that wait comes first: the least. What is late already comes after those that can still be in time
+     * soon, and before those that can wait for long, so that no urgent route fares worse than a relaxed one.
+     */
+    static long slackMillis(Route route, long waitedMillis) {
+        long leftMillis = route.objectiveMillis() - waitedMillis;
+        return leftMillis >= 0 ? leftMillis : LATE_SLACK_MILLIS;
+    }
+
     private static long longestWaitMillis(Route route) {
         if (route.kind() != Route.Kind.STREAM) {
             return Long.MAX_VALUE;
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -84,10 +84,8 @@
         return Patience.mayJoinLine(route, waitedMillis(nowMillis), placeMillis, answerMillis, allMillis);
     }
 
-    /** Which of those that wait comes first: the least slack to the objective, and after these what is late already. */
     long slackMillis(long nowMillis) {
-        long left = route.objectiveMillis() - waitedMillis(nowMillis);
-        return left >= 0 ? left : Long.MAX_VALUE / 2 + left;
+        return Patience.slackMillis(route, waitedMillis(nowMillis));
     }
 
     /** What those that wait for the same places have in common. */
--- a/src/test/java/io/waxwingquay/forward/PatienceTest.java
+++ b/src/test/java/io/waxwingquay/forward/PatienceTest.java
@@ -63,6 +63,29 @@
         assertTrue(Patience.mayBegin(route(Route.Kind.SAFE), 1_700, 400));
     }
 
+    // A crowded model is asked for by an urgent and by a relaxed route. Were the urgent requests that are late served
+    // last,
+    // the relaxed route would be served more often than the urgent one.
+    @Test
+    void lateUrgentRequestComesBeforeARelaxedOne() {
+        Route urgent = route(Route.Kind.STREAM);
+        Route relaxed = new Route(
+                "r",
+                "x.test",
+                "/",
+                Route.Kind.STREAM,
+                20_000,
+                5_000,
+                150,
+                0,
+                List.of(new Route.Share("s", 1)),
+                2,
+                true);
+        assertTrue(Patience.slackMillis(urgent, 200) < Patience.slackMillis(urgent, 400));
+        assertTrue(Patience.slackMillis(urgent, 400) < Patience.slackMillis(relaxed, 400));
+        assertTrue(Patience.slackMillis(relaxed, 4_900) < Patience.slackMillis(urgent, 400));
+    }
+
     // A stream's caller leaves after two seconds of silence; just before that it can still be told.
     @Test
     void callerOfASilentStreamIsKnownToLeave() {
