Count no answer's beginning in the wait for room, and call queues queues

Requests that could be served, if late, were refused, and many of them once more. Change: the wait for room alone decides; a request is still not sent when its caller would leave before its answer begins. Names only, in the same files: WaitingLines, Turn, line and place become WaitQueues, QueuedRequest, queue and room.

--- a/src/main/java/io/waxwingquay/forward/Choice.java
+++ b/src/main/java/io/waxwingquay/forward/Choice.java
@@ -32,9 +32,8 @@
      * @param freeMillis how long until there is expected to be room for one more.
      * @param placeMillis how long from one place that comes free to the next; 0 if nothing is known of that.
      * @param copyMillis how long until another replica is expected to hold its model.
-     * @param answerMillis what an answer to a request that has found room usually takes to begin.
      */
-    record Full(long freeMillis, double placeMillis, OptionalLong copyMillis, long answerMillis) implements Choice {
+    record Full(long freeMillis, double placeMillis, OptionalLong copyMillis) implements Choice {
 
         /** How long until there is room for a request that so many others are served before. */
         long waitMillis(int ahead) {
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -40,7 +40,7 @@
     private final Route route;
     private final MessageCodec.Ask ask;
     private final Suspicion suspicion;
-    private final Turn turn;
+    private final QueuedRequest queued;
     private final Set<Target> tried = new HashSet<>();
     private ExchangeState state = ExchangeState.CHART.initial();
     private Attempt attempt;
@@ -58,7 +58,7 @@
         this.caller = caller;
         this.answers = new CallerAnswers(caller, context);
         this.terms = RequestTerms.of(context, caller.request(), route, ask);
-        this.turn = new Turn(context, terms);
+        this.queued = new QueuedRequest(context, terms);
         this.route = route;
         this.ask = ask;
         this.suspicion = suspicion;
@@ -88,7 +88,7 @@
 
     /** Which of those that wait is looked at first: the lowest. */
     long slackMillis(long nowMillis) {
-        return turn.slackMillis(nowMillis);
+        return queued.slackMillis(nowMillis);
     }
 
     void start() {
@@ -109,7 +109,7 @@
             return;
         }
         if (nowMillis >= lookAgainMillis) {
-            if (!turn.isToBePassedOver(nowMillis)) {
+            if (!queued.canSkipLook(nowMillis)) {
                 lookAgainMillis = Long.MAX_VALUE;
                 choose();
             }
@@ -248,10 +248,10 @@
     }
 
     private void awaitRoom(Choice.Full full, long nowMillis) {
-        if (turn.await(full, nowMillis) || isResuming()) {
+        if (queued.await(full, nowMillis) || isResuming()) {
             lookAgain(LOOK_FOR_ROOM_MILLIS);
         } else {
-            unplaced("no room", turn.expectedMillis(full));
+            unplaced("no room", queued.expectedMillis(full));
         }
     }
 
@@ -267,7 +267,7 @@
     }
 
     private void send(Target target) {
-        turn.end();
+        queued.end();
         if (state == ExchangeState.AWAITING) {
             move(ExchangeState.Event.RETRY);
         }
@@ -479,7 +479,7 @@
     }
 
     private void end(int status, String why) {
-        turn.end();
+        queued.end();
         move(ExchangeState.Event.END);
         lookAgainMillis = Long.MAX_VALUE;
         context.ended(
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -16,7 +16,7 @@
 
     DemandMeter demand();
 
-    WaitingLines lines();
+    WaitQueues queues();
 
     /** How many entries there are, this one among them. */
     int entryCount();
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -67,7 +67,7 @@
     private final ForwardMeters meters;
     private final Runnable changed;
     private final DemandMeter demand = new DemandMeter();
-    private final WaitingLines lines = new WaitingLines();
+    private final WaitQueues queues = new WaitQueues();
     private final TargetTable targets;
     private final NewsWriter newsWriter;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
@@ -288,8 +288,8 @@
 
     /** {@inheritDoc} */
     @Override
-    public WaitingLines lines() {
-        return lines;
+    public WaitQueues queues() {
+        return queues;
     }
 
     /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -56,16 +56,14 @@
     }
 
     /**
-     * Whether a request that finds no room joins those that wait for it.
+     * Whether a request that finds no room is queued for it.
      *
      * @param waitedMillis how long it has waited.
      * @param placeMillis how long until its place is expected.
-     * @param answerMillis what an answer usually takes to begin from then on.
      * @param allMillis all of its time.
      */
-    static boolean mayJoinLine(Route route, long waitedMillis, long placeMillis, long answerMillis, long allMillis) {
-        long expectedMillis = Math.round(UNEVEN_FACTOR * placeMillis) + answerMillis;
-        return mayWaitForRoom(route, waitedMillis + expectedMillis, allMillis);
+    static boolean mayEnqueue(Route route, long waitedMillis, long placeMillis, long allMillis) {
+        return mayWaitForRoom(route, waitedMillis + Math.round(UNEVEN_FACTOR * placeMillis), allMillis);
     }
 
     /**
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -76,12 +76,12 @@
     }
 
     boolean mayWaitForRoom(long nowMillis) {
-        return mayJoinLine(0, 0, nowMillis);
+        return mayEnqueue(0, nowMillis);
     }
 
-    boolean mayJoinLine(long placeMillis, long answerMillis, long nowMillis) {
+    boolean mayEnqueue(long placeMillis, long nowMillis) {
         long allMillis = limitMillis - request.arrivedMillis();
-        return Patience.mayJoinLine(route, waitedMillis(nowMillis), placeMillis, answerMillis, allMillis);
+        return Patience.mayEnqueue(route, waitedMillis(nowMillis), placeMillis, allMillis);
     }
 
     long slackMillis(long nowMillis) {
@@ -89,7 +89,7 @@
     }
 
     /** What those that wait for the same places have in common. */
-    String line() {
+    String queueKey() {
         return service + '/' + ask.model().orElse("");
     }
 
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -82,7 +82,7 @@
                 .<Choice>map(Choice.Send::new)
                 .orElseGet(() -> there.isEmpty()
                         ? new Choice.Nowhere()
-                        : new Choice.Full(FULL_RETRY_MILLIS, 0, OptionalLong.empty(), 0));
+                        : new Choice.Full(FULL_RETRY_MILLIS, 0, OptionalLong.empty()));
     }
 
     /**
@@ -218,15 +218,7 @@
                 .orElse(0);
         double placeMillis = need.durationMillis() / (engine.slots() * holding.size());
         double ahead = Math.max(1, least - engine.slots() + 1);
-        double firstEventMillis = holding.stream()
-                .mapToDouble(target -> target.recentAnswerMillis(nowMillis))
-                .min()
-                .orElse(0);
-        return new Choice.Full(
-                Math.round(ahead * placeMillis) + FULL_RETRY_MILLIS,
-                placeMillis,
-                copyMillis,
-                Math.round(firstEventMillis));
+        return new Choice.Full(Math.round(ahead * placeMillis) + FULL_RETRY_MILLIS, placeMillis, copyMillis);
     }
 
     /** A number from 0 up to 1 that a pair always gets. */
--- a/src/test/java/io/waxwingquay/forward/CrowdedModelTest.java
+++ b/src/test/java/io/waxwingquay/forward/CrowdedModelTest.java
@@ -39,7 +39,7 @@
 
     private final TargetChooser chooser = new TargetChooser("z", new Random(1));
     private final List<SimulatedEngine> engines = List.of(new SimulatedEngine("e1"), new SimulatedEngine("e2"));
-    private final List<Waiting> line = new ArrayList<>();
+    private final List<Waiting> queue = new ArrayList<>();
     private int served;
     private int servedTooLate;
     private int refusedAtOnce;
@@ -48,7 +48,7 @@
     // Requests wait in a queue that they can't get out of in time: callers leave without an answer, and get none of the
     // places that come free, as those go to requests whose callers are about to leave as well.
     @Test
-    void whatFindsNoPlaceInTimeIsRefusedAtOnceAndNoPlaceIsLost() {
+    void whatFindsNoRoomInTimeIsRefusedAtOnceAndNoPlaceIsLost() {
         for (long nowMillis = 0; nowMillis < LENGTH_MILLIS; nowMillis += TICK_MILLIS) {
             tick(nowMillis);
         }
@@ -60,12 +60,12 @@
 
     private void tick(long nowMillis) {
         engines.forEach(engine -> engine.tick(nowMillis));
-        for (Waiting waiting : List.copyOf(line)) {
+        for (Waiting waiting : List.copyOf(queue)) {
             if (place(waiting.arrivedMillis, nowMillis).isEmpty()) {
-                line.remove(waiting);
+                queue.remove(waiting);
             } else if (!Patience.mayWaitForRoom(ROUTE, nowMillis - waiting.arrivedMillis, ROUTE.timeoutMillis())) {
                 refusedLate++;
-                line.remove(waiting);
+                queue.remove(waiting);
             }
         }
         if (nowMillis % REQUEST_MILLIS < TICK_MILLIS) {
@@ -74,8 +74,8 @@
     }
 
     private void await(Choice.Full full, long nowMillis) {
-        if (Patience.mayJoinLine(ROUTE, 0, full.waitMillis(line.size()), 0, ROUTE.timeoutMillis())) {
-            line.add(new Waiting(nowMillis));
+        if (Patience.mayEnqueue(ROUTE, 0, full.waitMillis(queue.size()), ROUTE.timeoutMillis())) {
+            queue.add(new Waiting(nowMillis));
         } else {
             refusedAtOnce++;
         }
