Reckon what other entries send by this entry's pace, not by its last request

Cause, by reading: an engine counted as full by what all entries are taken to send until its next news, which was each request from here times the number of entries. With 31 entries and 24 places one request filled an engine until news came, up to 0.8 s later; requests waited, and were refused, while places were free. Change: others are taken to have sent, since the news, at the pace at which this entry sent to that engine lately; the same for token memory. Which of the engines with room is taken goes by the earlier count, which spreads what comes between two news. Tests: TargetTest.oneRequestDoesNotFillAnEngineThatManyEntriesUse, .whatOtherEntriesSendMeanwhileCounts, .requestThatDoesNotFitInMemoryFindsNoRoom.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -281,7 +281,7 @@
         Attempt next = new Attempt(this, target);
         stream.sent(next.sentMillis());
         attempt = next;
-        target.began(ask.model(), ask.adapter(), EngineNeed.tokens(ask));
+        target.began(ask.model(), ask.adapter(), EngineNeed.tokens(ask), next.sentMillis());
         ask.model().ifPresent(context.demand()::began);
         ClientRequest request = terms.forReplica(target, stream.lastEventId(), EventLoop.nowMillis());
         next.call(target.pool().send(request, next));
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -43,6 +43,11 @@
     /** Two tellings of the load of an engine with requests from here; one that missed them may stand still. */
     private static final long DOUBT_MILLIS = 400L;
 
+    /** Over how long requests sent from here are averaged, to tell what other entries send. */
+    private static final double SEND_HALF_LIFE_MILLIS = 1_000.0;
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     /** Pause after the first failed connect; doubled up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 300L;
 
@@ -52,6 +57,7 @@
     private static final long FULL_PAUSE_MILLIS = 60L;
 
     private final ClientPool pool;
+    private final Decayed sends = new Decayed(SEND_HALF_LIFE_MILLIS);
     private final Decayed tries = new Decayed(FAILURE_HALF_LIFE_MILLIS);
     private final Decayed failures = new Decayed(FAILURE_HALF_LIFE_MILLIS);
     private final Map<String, Integer> adaptersInUse = new HashMap<>();
@@ -266,15 +272,27 @@
     }
 
     /**
-     * Whether a request fits into the engine's memory beside those that run. One that does not makes another be put back
-     * and read anew, or waits in the engine where nobody can tell whether it runs.
+     * Whether the engine is taken to have a place and memory for one more. One that has not makes another request be put
+     * back and read anew, or lets this one wait in it where nobody can tell whether it runs.
+     *
+     * @param slots requests that it runs at once.
+     * @param tokens memory that the request is expected to take.
+     * @param nowMillis the steady time.
      */
-    boolean hasMemoryFor(long tokens, long nowMillis) {
+    boolean hasRoomFor(int slots, long tokens, long nowMillis) {
         return freshNews(nowMillis)
-                .filter(fresh -> fresh.getKvTotalTokens() > 0)
-                .map(fresh -> fresh.getKvUsedTokens() + tokensSinceNews * Math.max(1, fresh.getEntries()) + tokens
-                        <= fresh.getKvTotalTokens())
-                .orElse(true);
+                .map(fresh -> hasRoomFor(fresh, slots, tokens, nowMillis))
+                .orElse(inFlight < slots);
+    }
+
+    /** Other entries are taken to have sent, since the news, at the pace at which this one sends lately. */
+    private boolean hasRoomFor(EngineNews fresh, int slots, long tokens, long nowMillis) {
+        double seconds = (nowMillis - newsAtMillis) / MILLIS_PER_SECOND;
+        double byOthers = Math.max(0, fresh.getEntries() - 1) * sends.perSecond(nowMillis) * seconds;
+        double load = Math.max(inFlight, fresh.getRunning() + fresh.getWaiting() + sentSinceNews + byOthers);
+        double usedTokens = fresh.getKvUsedTokens() + tokensSinceNews + byOthers * tokens;
+        boolean fits = fresh.getKvTotalTokens() == 0 || usedTokens + tokens <= fresh.getKvTotalTokens();
+        return load < slots && fits;
     }
 
     /** The share of late tries that failed, drawn towards none while there are few. */
@@ -322,9 +340,9 @@
                 .orElse(0L);
     }
 
-    void began(Optional<String> model, Optional<String> adapter, long tokens) {
+    void began(Optional<String> model, Optional<String> adapter, long tokens, long nowMillis) {
         tokensSinceNews += tokens;
-        long nowMillis = EventLoop.nowMillis();
+        sends.add(1, nowMillis);
         if (inFlight == 0 && !isSilent(nowMillis)) {
             busySinceMillis = nowMillis;
         }
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -109,8 +109,7 @@
                 .filter(target -> !target.isPaused(nowMillis) && target.pool().hasRoom())
                 .toList();
         List<Target> roomy = open.stream()
-                .filter(target -> target.expectedLoad(nowMillis) < engine.slots())
-                .filter(target -> target.hasMemoryFor(need.tokens(), nowMillis))
+                .filter(target -> target.hasRoomFor(engine.slots(), need.tokens(), nowMillis))
                 .toList();
         if (roomy.isEmpty()) {
             return holding.stream().allMatch(tried::contains)
--- a/src/test/java/io/waxwingquay/forward/CrowdedModelTest.java
+++ b/src/test/java/io/waxwingquay/forward/CrowdedModelTest.java
@@ -116,7 +116,7 @@
 
         private void run(long nowMillis) {
             endMillis.add(nowMillis + DURATION_MILLIS / 2 + durations.nextLong(DURATION_MILLIS));
-            target.began(Optional.of("m"), Optional.empty(), 1_000);
+            target.began(Optional.of("m"), Optional.empty(), 1_000, nowMillis);
         }
 
         private void tick(long nowMillis) {
--- a/src/test/java/io/waxwingquay/forward/NewsWriterTest.java
+++ b/src/test/java/io/waxwingquay/forward/NewsWriterTest.java
@@ -104,7 +104,7 @@
         NewsWriter writer = new NewsWriter(targets, new DemandMeter(), 0);
         writer.write("entry", MANIFEST, 0);
         Target used = targets.livingAt(new HostPort("10.0.0.1", 80)).orElseThrow();
-        used.began(Optional.of("m"), Optional.of("a1"), 0);
+        used.began(Optional.of("m"), Optional.of("a1"), 0, 0);
         Map<HostPort, EntryNews> news = writer.write("entry", MANIFEST, 50);
         assertEquals(Set.of(new HostPort("10.0.0.1", 80)), news.keySet());
         assertEquals(List.of("m/a1"), at(news, "10.0.0.1").getAdaptersInUse());
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -62,7 +62,7 @@
         first.news(news(first, 1, List.of()).setEntries(5), nowMillis);
         Target second = target("second", "a", false);
         second.news(news(second, 3, List.of()).setEntries(5), nowMillis);
-        first.began(Optional.of("m"), Optional.empty(), 0);
+        first.began(Optional.of("m"), Optional.empty(), 0, EventLoop.nowMillis());
         Choice choice = choose(List.of(first, second), Optional.empty());
         assertEquals(second, assertInstanceOf(Choice.Send.class, choice).target());
     }
@@ -105,7 +105,7 @@
     void sendsOneRequestAtATimeToASilentEngine() {
         Target silent = target("silent", "a", false);
         silent.news(news(silent, 0, List.of()), nowMillis - 1_200);
-        silent.began(Optional.of("m"), Optional.empty(), 0);
+        silent.began(Optional.of("m"), Optional.empty(), 0, EventLoop.nowMillis());
         assertInstanceOf(Choice.Full.class, choose(List.of(silent), Optional.empty()));
     }
 
@@ -117,7 +117,7 @@
         Target idle = target("idle", "a", false);
         idle.tellers(70);
         idle.news(news(idle, 0, List.of()), EventLoop.nowMillis() - 1_200);
-        idle.began(Optional.of("m"), Optional.empty(), 0);
+        idle.began(Optional.of("m"), Optional.empty(), 0, EventLoop.nowMillis());
         assertFalse(idle.isSilent(EventLoop.nowMillis()));
         assertTrue(idle.isSilent(EventLoop.nowMillis() + 1_200));
     }
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -7,6 +7,7 @@
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.ClientPool;
+import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.peer.NewsNumber;
 import io.waxwingquay.peer.NewsPace;
 import io.waxwingquay.transport.generated.EngineNews;
@@ -14,7 +15,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class TargetTest {
@@ -68,6 +71,35 @@
         assertFalse(target.isInDoubt(16_000, 17_800));
     }
 
+    // Many entries use an engine, and each hears of it a second apart. Were each request from here taken to be sent by
+    // all
+    // of them, the engine would count as full after the first.
+    @Test
+    void oneRequestDoesNotFillAnEngineThatManyEntriesUse() {
+        long nowMillis = EventLoop.nowMillis();
+        target.news(whole(3).setEntries(30), nowMillis);
+        target.began(Optional.of("m"), Optional.empty(), 100, nowMillis);
+        assertTrue(target.hasRoomFor(24, 100, nowMillis + 200));
+    }
+
+    // Each entry sends five requests a second to one engine. By the time that the next is sent others have sent as
+    // many.
+    @Test
+    void whatOtherEntriesSendMeanwhileCounts() {
+        long nowMillis = EventLoop.nowMillis();
+        target.news(whole(16).setEntries(5), nowMillis);
+        IntStream.range(0, 5).forEach(number -> target.began(Optional.of("m"), Optional.empty(), 100, nowMillis));
+        assertTrue(target.hasRoomFor(24, 100, nowMillis + 50));
+        assertFalse(target.hasRoomFor(24, 100, nowMillis + 400));
+    }
+
+    @Test
+    void requestThatDoesNotFitInMemoryFindsNoRoom() {
+        target.news(whole(3).setKvUsedTokens(900).setKvTotalTokens(1_000), 0);
+        assertTrue(target.hasRoomFor(24, 100, 0));
+        assertFalse(target.hasRoomFor(24, 101, 0));
+    }
+
     // Datagrams overtake each other. Were the earlier one taken in after the later one, requests would go by an old
     // load.
     @Test
