--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -252,13 +252,6 @@
                 .forEach(held -> held.getAdapters().remove(name)));
     }
 
-    /** Requests in the replica: what it said last and what was sent from here since, or only what was sent from here. */
-    int load(long nowMillis) {
-        return freshNews(nowMillis)
-                .map(fresh -> Math.max(inFlight, fresh.getRunning() + fresh.getWaiting() + sentSinceNews))
-                .orElse(inFlight);
-    }
-
     /**
      * Requests in the replica by the time that one sent now is there. All entries hear the same news and send to the same
      * replica until the next, so what this one has sent since is taken to be sent by each.
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -44,7 +44,7 @@
         target.news(load(8), 100);
         assertTrue(target.holds("m", 100));
         assertTrue(target.holdsAdapter("m", "a1", 100));
-        assertEquals(8, target.load(100));
+        assertEquals(8, target.expectedLoad(100));
     }
 
     // An engine stands still just before a stream is sent to it. Its caller leaves before the engine counts as silent,
@@ -107,7 +107,7 @@
         EngineNews early = load(9);
         target.news(whole(3), 0);
         target.news(early, 10);
-        assertEquals(3, target.load(10));
+        assertEquals(3, target.expectedLoad(10));
     }
 
     // The first news of a life is lost. Its load must not be taken for that of the earlier life, with what that held.
@@ -117,7 +117,7 @@
         assertFalse(target.holds("m", 0));
         target.news(whole(3), 0);
         target.news(load(8).setBornMillis(BORN_MILLIS + 1), 10);
-        assertEquals(3, target.load(10));
+        assertEquals(3, target.expectedLoad(10));
     }
 
     // With many processes to tell, a round takes longer. Were news forgotten within it, each engine would be taken to
