--- a/src/main/java/io/waxwingquay/forward/Patience.java
+++ b/src/main/java/io/waxwingquay/forward/Patience.java
@@ -87,6 +87,10 @@
     /**
      * Whether a request's caller is still there when its answer begins.
      *
+     * <p>Failure: a stream that waited for room is sent just before its caller leaves, to an engine that has stopped and does
+     * not count as silent yet. Symptom: the engine runs it for nobody when it wakes. A stream that is sent only with time for
+     * its first event is given up, if the engine is not heard, before its caller leaves.
+     *
      * @param silentMillis how long the caller has had nothing new.
      * @param usualMillis what a first event usually takes at the replica; 0 if it is not known.
      */
--- a/src/main/java/io/waxwingquay/forward/QueuedRequest.java
+++ b/src/main/java/io/waxwingquay/forward/QueuedRequest.java
@@ -28,8 +28,8 @@
     }
 
     /**
-     * Found no room: waits on if room is expected while its caller is there. One that waits already keeps
-     * its queued.
+     * Found no room: waits on if room is expected while its caller is there. One that waits already keeps its place in
+     * the queue.
      *
      * @return whether it waits.
      */
--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -33,14 +33,10 @@
     /** How much more a copy must gain than what makes way for it is worth; less would swap models to and fro. */
     private static final double GAIN_FACTOR = 2.0;
 
-    /** The last copy of a model that nobody asked for lately is still worth this: someone asks every few seconds. */
+    /** The last copy of a model that nobody asked for lately is still worth this. */
     private static final double UNASKED_WORTH = 0.12;
 
-    /**
-     * And it is worth this for each second that it takes to load. An estimate: demand moves to a model that was silent
-     * without a sign, once in ten seconds on the users' days, and what is asked until it is loaded is lost, some 10
-     * requests for each second of the load, shared out over a dozen silent models.
-     */
+    /** And this for each second that it takes to load: demand moves to silent models without a sign. */
     private static final double UNASKED_WORTH_PER_LOAD_SECOND = 0.1;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
--- a/src/main/java/io/waxwingquay/residency/EnginePlanner.java
+++ b/src/main/java/io/waxwingquay/residency/EnginePlanner.java
@@ -117,10 +117,10 @@
 
         /**
          * Failure: all processes have started again, and none brings anything in for a window, so as not to go over the
-         * ceiling. Symptom: demand that moved before they ended is not followed. A few engines need not wait: what they
-         * begin and what was begun before stays below it.
+         * ceiling. Symptom: demand that moved before they ended is not followed. A few engines, the same in every process,
+         * need not wait: the rest of the ceiling is left to what was begun before.
          */
-        private void spareFew(Set<HostPort> engines) {
+        private void forgetAssumedLoadIfSpared(Set<HostPort> engines) {
             long before = engines.stream()
                     .filter(other -> other.hashCode() < address.hashCode())
                     .count();
@@ -141,7 +141,7 @@
         }
 
         private WeightLoadPace.Ceiling ceiling() {
-            spareFew(neighbours.listedEngines(nowMillis));
+            forgetAssumedLoadIfSpared(neighbours.listedEngines(nowMillis));
             int engines = Math.max(1, neighbours.listedEngines(nowMillis).size());
             return pace.ceiling(engine.storeLoadsPerSecond(), engines);
         }
--- a/src/main/java/io/waxwingquay/residency/WeightLoadPace.java
+++ b/src/main/java/io/waxwingquay/residency/WeightLoadPace.java
@@ -49,7 +49,8 @@
      * Counts the load that an earlier process here may just have begun.
      *
      * <p>Failure: all processes start again, and none knows what was begun before. Symptom: within one window engines load
-     * their parts twice, which is over the ceiling.
+     * their parts twice, which is over the ceiling. One load covers an engine whose part is one in a window, as where there
+     * are about as many engines as loads allowed.
      *
      * @param nowMillis the steady time of the start.
      */
