Tell when a replica's row is missing, and how long it counts as doubtful

The logs of an entry say when the store was lost and regained and when a replica is let go, not when its row was found missing. So they can't part a row that was known to be dropped and was held in doubt from one that was not known to be dropped.

fleet: replica missing id= reachable= doubtful_ms=, fleet: replica listed again id=, and missing= in an entry's dump. No decision changes. ReplicaDirectoryTest, OperationsTest and HostedPathTest pass.

--- a/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
+++ b/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
@@ -62,6 +62,15 @@
         return List.copyOf(known.values());
     }
 
+    /**
+     * The replicas whose rows are missing and that are not let go yet.
+     *
+     * @return their ids.
+     */
+    public Set<String> missing() {
+        return Set.copyOf(missingSinceMillis.keySet());
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onAll(WatchedTable.Page<ReplicaRecord> page) {
@@ -110,7 +119,9 @@
     }
 
     private void seen(ReplicaRecord record) {
-        missingSinceMillis.remove(record.id());
+        if (missingSinceMillis.remove(record.id()) != null) {
+            LOG.log(System.Logger.Level.INFO, "fleet: replica listed again id={0}", record.id());
+        }
         ReplicaRecord before = known.put(record.id(), record);
         if (!record.equals(before)) {
             listener.onReplica(record, Optional.ofNullable(before));
@@ -118,8 +129,14 @@
     }
 
     private void missing(String id) {
-        if (known.containsKey(id)) {
-            missingSinceMillis.putIfAbsent(id, clockMillis.getAsLong());
+        long nowMillis = clockMillis.getAsLong();
+        if (known.containsKey(id) && missingSinceMillis.putIfAbsent(id, nowMillis) == null) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "fleet: replica missing id={0} reachable={1} doubtful_ms={2}",
+                    id,
+                    reachable,
+                    Math.max(nowMillis, doubtfulUntilMillis) - nowMillis);
         }
     }
 
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -113,7 +113,7 @@
                 "replicas", REPLICA_PATIENCE_MILLIS, platform::replicasAt, replicaWatch::version, replicaWatch::adopt);
         admin.copies(platform::copy);
         admin.dump(() -> "active=" + forwarder.activeCount() + " engines_heard=" + forwarder.heardCount() + " suspects="
-                + suspects.count() + " replicas=" + replicas.replicas());
+                + suspects.count() + " missing=" + replicas.missing() + " replicas=" + replicas.replicas());
         loop.execute(this::begin);
     }
 
