--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -181,7 +181,7 @@
     @Test
     void entryThatTheStoreTurnsAwayTakesWhatAnotherEntryKnows() throws Exception {
         world.startCutOffEntry();
-        Await.until(() -> world.askCutOff("/p/1", "a17").status() == 200);
+        Await.until(() -> world.askSecond("/p/1", "a17").status() == 200);
     }
 
     // Later the operator changes a route. The entry that the store turns away hears that there is a newer version,
@@ -189,10 +189,10 @@
     @Test
     void entryThatTheStoreTurnsAwayFollowsANewerConfiguration() throws Exception {
         world.startCutOffEntry();
-        Await.until(() -> world.askCutOff("/p/1", "a18").status() == 200);
+        Await.until(() -> world.askSecond("/p/1", "a18").status() == 200);
         world.manifest(2, "/q/");
-        Await.until(() -> world.askCutOff("/q/1", "a19").status() == 200);
-        assertEquals(404, world.askCutOff("/p/1", "a20").status());
+        Await.until(() -> world.askSecond("/q/1", "a19").status() == 200);
+        assertEquals(404, world.askSecond("/p/1", "a20").status());
     }
 
     // A request hides another in its body. The replica must see one request, with that body.
@@ -335,9 +335,9 @@
         world.ask("POST", "/p/1", "a26-0", "", POISON);
         assertEquals(2, crashes.count.get());
         world.startCutOffEntry();
-        Await.until(() -> world.dumpCutOff().contains("suspects=1"));
-        Await.until(() -> world.askCutOff("/p/1", "a26-1", "innocent").status() == 200);
-        assertEquals(503, world.askCutOff("/p/1", "a26-2", POISON).status());
+        Await.until(() -> world.dumpSecond().contains("suspects=1"));
+        Await.until(() -> world.askSecond("/p/1", "a26-1", "innocent").status() == 200);
+        assertEquals(503, world.askSecond("/p/1", "a26-2", POISON).status());
         assertEquals(2, crashes.count.get());
     }
 
--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -43,9 +43,9 @@
     private static final int LOWEST_PORT = 10_000;
     private static final int HIGHEST_PORT = 30_000;
     private static final int PORTS = 7;
-    private static final String CUT_OFF_HOST = "127.0.0.6";
+    private static final String SECOND_HOST = "127.0.0.6";
     private static final List<String> HOSTS =
-            List.of("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", CUT_OFF_HOST);
+            List.of("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", SECOND_HOST);
 
     private final EventLoop outside = EventLoop.start("outside");
     private final EventLoop inside = EventLoop.start("inside");
@@ -91,27 +91,37 @@
 
     /** Starts another entry that the store turns away, and that is told of the first as a seed. */
     void startCutOffEntry() throws Exception {
-        StoreStandin away = StoreStandin.start(outside, new HostPort(CUT_OFF_HOST, base));
+        StoreStandin away = StoreStandin.start(outside, new HostPort(SECOND_HOST, base));
         away.away(true);
-        HostSettings settings = entry(CUT_OFF_HOST, away.address(), List.of("127.0.0.1"));
+        startSecond(away.address());
+    }
+
+    /** Starts another entry that reads the same store, and waits until it is ready. */
+    void startSecondEntry() throws Exception {
+        startSecond(store.address());
+        Await.until(() -> askSecond("/p/1", "second", "x").status() == 200);
+    }
+
+    private void startSecond(HostPort storeAddress) throws Exception {
+        HostSettings settings = entry(SECOND_HOST, storeAddress, List.of("127.0.0.1"));
         CompletableFuture<HostedProcess> started = new CompletableFuture<>();
         inside.execute(() -> started.complete(HostedEntry.start(inside, settings)));
         Await.value(started);
     }
 
-    Answer askCutOff(String path, String id) throws IOException {
-        return askCutOff(path, id, "x");
+    Answer askSecond(String path, String id) throws IOException {
+        return askSecond(path, id, "x");
     }
 
-    Answer askCutOff(String path, String id, String body) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getByName(CUT_OFF_HOST), base + 2)) {
+    Answer askSecond(String path, String id, String body) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName(SECOND_HOST), base + 2)) {
             socket.setSoTimeout(30_000);
             return exchange(socket, request("POST", path, id, "", body));
         }
     }
 
-    String dumpCutOff() throws IOException {
-        return dump(CUT_OFF_HOST);
+    String dumpSecond() throws IOException {
+        return dump(SECOND_HOST);
     }
 
     CompletableFuture<Void> leave() {
