Give back requests that wait for a connection when their replica leaves

What callers would see: a request chosen for a replica waits up to 1 s for its connection and reaches the replica after it has left, or is about to.

Cause: a request was chosen once and sent later, and closing the pool left those that waited. ClientPoolTest .requestThatWaitsForAConnectionIsNotSentAfterTheClose, red before: the replica read its first byte (71) after the close.

Change: a pool gives back what waits as not sent when its replica is draining, gone or missing, and the request is placed anew. Such a replica is not counted as unreachable for it.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -347,7 +347,9 @@
             from.target().failed();
             mayHaveRun = true;
         } else {
-            from.target().unreachable();
+            if (from.target().takesWork() && !from.target().mayHaveLeft()) {
+                from.target().unreachable();
+            }
             attempts--;
             connectFailures++;
         }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -93,11 +93,15 @@
     void record(ReplicaRecord newer) {
         record = newer;
         listing.listed();
+        if (!takesWork()) {
+            pool.withdrawWaiting();
+        }
     }
 
     /** Its row is missing; it may come back. */
     void missing() {
         listing.missing();
+        pool.withdrawWaiting();
     }
 
     String id() {
@@ -116,6 +120,7 @@
         return inFlight;
     }
 
+    /** Its pool gives back what waits for a connection there, as it would arrive too late. */
     void gone() {
         gone = true;
         pool.close();
@@ -165,6 +170,9 @@
         news = newer;
         newsAtMillis = nowMillis;
         listing.heard(newer.isDraining());
+        if (!takesWork()) {
+            pool.withdrawWaiting();
+        }
         sentSinceNews = 0;
         tokensSinceNews = 0;
     }
--- a/src/main/java/io/waxwingquay/net/ClientPool.java
+++ b/src/main/java/io/waxwingquay/net/ClientPool.java
@@ -89,9 +89,15 @@
         return all.size() - idle.size() + connecting;
     }
 
+    /** Gives back the requests that wait for a connection: the server is not to get them any more. */
+    public void withdrawWaiting() {
+        openings.forEach(Opening::withdraw);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void close() {
+        withdrawWaiting();
         new ArrayList<>(idle).forEach(ClientConnection::close);
         idle.clear();
         limit = 0;
@@ -169,6 +175,14 @@
             }
         }
 
+        /** The listener is told later, as it may well ask for another connection. */
+        private void withdraw() {
+            if (!cancelled) {
+                cancelled = true;
+                loop.execute(() -> listener.onFailure(false, "the server is not to be used any more"));
+            }
+        }
+
         private void fail(String why) {
             if (!cancelled) {
                 listener.onFailure(false, why);
--- a/src/test/java/io/waxwingquay/net/ClientPoolTest.java
+++ b/src/test/java/io/waxwingquay/net/ClientPoolTest.java
@@ -152,6 +152,21 @@
         }
     }
 
+    // Guards against a request that reaches a replica after it has left, because it waited for its connection.
+    @Test
+    void requestThatWaitsForAConnectionIsNotSentAfterTheClose() throws Exception {
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        loop.execute(() -> {
+            pool.send(request(false), new Noted(answer));
+            pool.close();
+        });
+        try (Socket socket = server.accept()) {
+            CompletableFuture<Integer> first = CompletableFuture.supplyAsync(() -> read(socket));
+            assertEquals(-1, Await.value(first));
+        }
+        assertEquals("failed sent=false", Await.value(answer));
+    }
+
     private static int read(Socket socket) {
         try {
             return socket.getInputStream().read();
