Read the list of replicas at another entry at once while the store is lost

What callers would see: an entry that the store turns away goes on sending to a replica that has left, for 2 s after the others told that they have a newer list, and for the time of a reading.

Cause: the wait of 2 s before another entry is asked was there because the store's version also rises with other tables, so that an entry looked behind when it had missed nothing.

CopyReaderTest.newerVersionIsReadAtOnceWhileTheStoreIsLost is new; it does not compile before the change.

--- a/src/main/java/io/waxwingquay/fleet/CopyReader.java
+++ b/src/main/java/io/waxwingquay/fleet/CopyReader.java
@@ -26,7 +26,7 @@
     private static final System.Logger LOG = System.getLogger("waxwingquay.fleet");
 
     private final String name;
-    private final long patienceMillis;
+    private final LongSupplier patienceMillis;
     private final Function<HostPort, WatchedTable<T>> tables;
     private final LongSupplier ownVersion;
     private final Consumer<WatchedTable.Page<T>> adopter;
@@ -42,14 +42,15 @@
      * A reader that knows of no other process.
      *
      * @param name the table's name, for logs.
-     * @param patienceMillis how long this process may be behind before it reads elsewhere: what the store normally takes.
+     * @param patienceMillis how long this process may be behind before it reads elsewhere: what the store normally takes,
+     *     and nothing while the store is lost.
      * @param tables the table as another process has it.
      * @param ownVersion the version that this process has, 0 if none.
      * @param adopter takes what was read.
      */
     public CopyReader(
             String name,
-            long patienceMillis,
+            LongSupplier patienceMillis,
             Function<HostPort, WatchedTable<T>> tables,
             LongSupplier ownVersion,
             Consumer<WatchedTable.Page<T>> adopter) {
@@ -94,7 +95,7 @@
             return;
         }
         behindSinceMillis = Math.min(behindSinceMillis, nowMillis);
-        boolean isDue = nowMillis - behindSinceMillis >= patienceMillis && nowMillis >= nextTryMillis;
+        boolean isDue = nowMillis - behindSinceMillis >= patienceMillis.getAsLong() && nowMillis >= nextTryMillis;
         if (isDue && !reading) {
             nextTryMillis = nowMillis + PAUSE_MILLIS;
             holder.or(this::seed).ifPresent(this::read);
--- a/src/main/java/io/waxwingquay/fleet/TableWatch.java
+++ b/src/main/java/io/waxwingquay/fleet/TableWatch.java
@@ -38,6 +38,7 @@
     private final Listener<T> listener;
     private final long gatherMillis;
     private long version;
+    private long changedVersion;
     private boolean readWhole;
     private boolean reachable = true;
     private long retryMillis = FIRST_RETRY_MILLIS;
@@ -87,6 +88,16 @@
         return version;
     }
 
+    /**
+     * The version at which this table had changed last, as far as is known here. The store's own version also goes up
+     * with other tables, so it does not tell whether another process has missed a change.
+     *
+     * @return the version, 0 before the table was read.
+     */
+    public long changedVersion() {
+        return changedVersion;
+    }
+
     /**
      * Takes over what another process has read, if it is newer. As that process may have read it while rows were missing
      * for a moment, it is treated like a reading after a lost history.
@@ -98,6 +109,7 @@
             return;
         }
         version = page.version();
+        changedVersion = version;
         readWhole = true;
         listener.onHistoryLost();
         listener.onAll(page);
@@ -116,6 +128,7 @@
             return;
         }
         version = page.version();
+        changedVersion = version;
         listener.onAll(page);
         start();
     }
@@ -132,6 +145,7 @@
             start();
             return;
         }
+        changedVersion = version;
         listener.onChanges(page);
         loop.schedule(gatherMillis, this::start);
     }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -52,8 +52,8 @@
     /** A configuration is told of within its gathering and a datagram's way; one that is not by then was missed. */
     private static final long CONFIGURATION_PATIENCE_MILLIS = 700L;
 
-    /** The list changes all the time and is gathered longer. */
-    private static final long REPLICA_PATIENCE_MILLIS = 2_000L;
+    /** Entries read a change of the list within the time of gathering and this; one that has not by then has missed it. */
+    private static final long REPLICA_MARGIN_MILLIS = 100L;
 
     private static final long COPY_LOOK_MILLIS = 200L;
 
@@ -105,12 +105,16 @@
         this.replicaWatch = new TableWatch<>(loop, "replicas", platform.replicas(), replicaGatherMillis(), replicas);
         this.manifestCopies = new CopyReader<>(
                 "configuration",
-                CONFIGURATION_PATIENCE_MILLIS,
+                () -> manifestWatch.isReachable() ? CONFIGURATION_PATIENCE_MILLIS : 0,
                 platform::manifestsAt,
                 this::configurationVersion,
                 manifestWatch::adopt);
         this.replicaCopies = new CopyReader<>(
-                "replicas", REPLICA_PATIENCE_MILLIS, platform::replicasAt, replicaWatch::version, replicaWatch::adopt);
+                "replicas",
+                () -> replicaWatch.isReachable() ? replicaGatherMillis() + REPLICA_MARGIN_MILLIS : 0,
+                platform::replicasAt,
+                replicaWatch::version,
+                replicaWatch::adopt);
         admin.copies(platform::copy);
         admin.dump(() -> "active=" + forwarder.activeCount() + " engines_heard=" + forwarder.heardCount() + " suspects="
                 + suspects.count() + " missing=" + replicas.missing() + " replicas=" + replicas.replicas());
@@ -197,7 +201,7 @@
     }
 
     private void tell() {
-        TableVersions tables = new TableVersions(configurationVersion(), replicaWatch.version());
+        TableVersions tables = new TableVersions(configurationVersion(), replicaWatch.changedVersion());
         List<SuspectNews> page = suspects.page();
         forwarder
                 .news(settings.node())
--- a/src/test/java/io/waxwingquay/fleet/CopyReaderTest.java
+++ b/src/test/java/io/waxwingquay/fleet/CopyReaderTest.java
@@ -15,10 +15,15 @@
     private static final HostPort SEED = new HostPort("10.0.0.3", 81);
 
     private final List<HostPort> asked = new ArrayList<>();
+    private long patienceMillis = 500;
     private long ownVersion;
     private long copyVersion = 7;
     private final CopyReader<String> reader = new CopyReader<>(
-            "test", 500, this::tableAt, () -> ownVersion, page -> ownVersion = Math.max(ownVersion, page.version()));
+            "test",
+            () -> patienceMillis,
+            this::tableAt,
+            () -> ownVersion,
+            page -> ownVersion = Math.max(ownVersion, page.version()));
 
     // The store gives each process the newer version at about the same time. One that is behind for a moment only must
     // not ask the others each time.
@@ -46,6 +51,16 @@
         assertEquals(1, asked.size());
     }
 
+    // Guards against requests to replicas that left while the store turned this entry away.
+    @Test
+    void newerVersionIsReadAtOnceWhileTheStoreIsLost() {
+        ownVersion = 6;
+        patienceMillis = 0;
+        reader.told(7, OTHER);
+        reader.look(0);
+        assertEquals(List.of(OTHER), asked);
+    }
+
     @Test
     void seedsAreAskedWhileNothingIsKnown() {
         reader.seeds(List.of(SEED));
