Read the limit that a replica names, and tell it in the logs

No log says that a replica names how many requests a second it takes, so that the logs can't part an entry that was not told from one that was. forward: replica limit id= per_s=, when it changes. No decision changes yet. HeaderCodecTest, OperationsTest pass.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -99,6 +99,9 @@
             breakOff("an answer to request " + reply.id());
             return;
         }
+        if (reply.replicaId().map(target.id()::equals).orElse(true)) {
+            target.limit(reply.limitPerSecond());
+        }
         streams = status == OK && exchange.isStream() && !reply.didNotRun();
     }
 
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -91,6 +92,13 @@
      * @param misdirected whether another replica, or one that lacks the model, was reached.
      * @param full whether the replica had no room.
      * @param replicaId the replica that answered, if it says so.
+     * @param limitPerSecond the requests a second that the replica takes from all entries together, if it names a limit.
      */
-    record Reply(String id, boolean didNotRun, boolean misdirected, boolean full, Optional<String> replicaId) {}
+    record Reply(
+            String id,
+            boolean didNotRun,
+            boolean misdirected,
+            boolean full,
+            Optional<String> replicaId,
+            OptionalDouble limitPerSecond) {}
 }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -48,6 +49,8 @@
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
+
     /** Pause after the first failed connect; doubled up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 300L;
 
@@ -75,6 +78,7 @@
     private long tokensSinceNews;
     private double answerMillis;
     private long answeredAtMillis;
+    private OptionalDouble limitPerSecond = OptionalDouble.empty();
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private Use toldUse = new Use(Set.of(), Set.of());
@@ -182,6 +186,18 @@
         listing.heard(closes);
     }
 
+    /** What its newest answer names as the requests a second that it takes from all entries together. */
+    void limit(OptionalDouble perSecond) {
+        if (!perSecond.equals(limitPerSecond)) {
+            limitPerSecond = perSecond;
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "forward: replica limit id={0} per_s={1}",
+                    id(),
+                    perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none");
+        }
+    }
+
     /** Bytes of an answer have come from it. */
     void heard(long nowMillis) {
         heardMillis = nowMillis;
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -36,6 +37,9 @@
     /** Present, whatever its value, when the replica promises that the request has not run. */
     private static final String NOT_EXECUTED = "Not-Executed";
 
+    /** Requests a second, a decimal number, from all machines together; not a limit on connections or on load. */
+    private static final String SERVER_LIMIT = "Server-Limit";
+
     private static final String RETRY_AFTER = "Retry-After";
 
     /** Fields that are the system's to set; one that a client sent must not reach a replica. */
@@ -101,7 +105,12 @@
         boolean full = notExecuted && (status == UNAVAILABLE || status == TOO_MANY);
         String id = Optional.ofNullable(fields.get(ATTEMPT_ID)).orElse("");
         return new Reply(
-                id, notExecuted || misdirected, misdirected, full, Optional.ofNullable(fields.get(REPLICA_ID)));
+                id,
+                notExecuted || misdirected,
+                misdirected,
+                full,
+                Optional.ofNullable(fields.get(REPLICA_ID)),
+                decimal(fields.get(SERVER_LIMIT)));
     }
 
     /** {@inheritDoc} */
@@ -121,6 +130,19 @@
         return fields;
     }
 
+    /** What is no number, or less than none, names no limit. */
+    private static OptionalDouble decimal(String text) {
+        if (text == null || text.isBlank()) {
+            return OptionalDouble.empty();
+        }
+        try {
+            double number = Double.parseDouble(text.trim());
+            return number >= 0 && Double.isFinite(number) ? OptionalDouble.of(number) : OptionalDouble.empty();
+        } catch (NumberFormatException failure) {
+            return OptionalDouble.empty();
+        }
+    }
+
     private static Optional<Long> whole(String text) {
         if (text == null || text.isBlank()) {
             return Optional.empty();
--- a/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
+++ b/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
@@ -7,6 +7,7 @@
 
 import io.waxwingquay.forward.MessageCodec;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
@@ -30,6 +31,19 @@
         assertEquals("5c:800,91:410", ask.promptKey());
     }
 
+    @Test
+    void readsTheLimitThatAReplicaNames() {
+        assertEquals(OptionalDouble.of(3.7), limit("3.7"));
+        assertEquals(OptionalDouble.empty(), limit("-1"));
+        assertEquals(OptionalDouble.empty(), limit("NaN"));
+        assertEquals(OptionalDouble.empty(), limit("few"));
+        assertEquals(OptionalDouble.empty(), codec.reply(200, HttpFields.EMPTY).limitPerSecond());
+    }
+
+    private OptionalDouble limit(String text) {
+        return codec.reply(200, HttpFields.build().put("Server-Limit", text)).limitPerSecond();
+    }
+
     // A client sends fields that are the system's to set. A replica that saw them would hold memory, skip its queue or
     // go on from another request's memory, as the client pleases.
     @Test
