Keep the limit that a replica names, over all entries together

What callers saw: nothing at first; a replica in need that names 3.7 requests a second got 34 in 4 s, 27 allowed, and goes on to fail.

Cause: the field was not read. The class: a bound on the sum of all entries that no entry can see kept by itself. Reading it is not enough, as five entries would each keep the whole; so each earns an equal part (admission.SharedRate) and saves one request at the most, which lapses where parts are far less than one request. Targets at their limit are passed over by every kind of send, and what finds none is refused at once unless its turn comes in its time.

SharedRateTest: 1 to 320 senders keep 1.5 times the rate and five requests in any 4 s after a quiet time, and use it within 5 in 100 under steady demand.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -100,7 +100,7 @@
             return;
         }
         if (reply.replicaId().map(target.id()::equals).orElse(true)) {
-            target.limit(reply.limitPerSecond());
+            exchange.limited(target, reply.limitPerSecond());
         }
         streams = status == OK && exchange.isStream() && !reply.didNotRun();
     }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
 import java.util.HashSet;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -287,6 +288,11 @@
         next.call(target.pool().send(request, next));
     }
 
+    /** An answer's head has told which limit its replica names, if any. */
+    void limited(Target by, OptionalDouble perSecond) {
+        context.limited(by, perSecond);
+    }
+
     /** A whole answer has come, of any status. */
     void answered(Attempt from, MessageCodec.Reply reply, byte[] body) {
         release(from);
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.manifest.Engine;
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /** What a request needs of the entry that it came to. */
 interface ForwardContext {
@@ -39,5 +40,8 @@
     /** A replica said that it is another one, or lacks what was asked for. */
     void misdirected(Target target, MessageCodec.Ask ask, MessageCodec.Reply reply);
 
+    /** A replica named how many requests a second it takes from all entries together, or named no limit. */
+    void limited(Target target, OptionalDouble perSecond);
+
     void ended(Exchange exchange, Outcome outcome);
 }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -352,6 +353,12 @@
                 other.orElse(target.id()));
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void limited(Target target, OptionalDouble perSecond) {
+        target.limit(perSecond, entryCount(), random::nextDouble, EventLoop.nowMillis());
+    }
+
     /** {@inheritDoc} */
     @Override
     public void ended(Exchange exchange, Outcome outcome) {
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.admission.SharedRate;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.ClientPool;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.DoubleSupplier;
 import java.util.stream.Collectors;
 
 /** One life of a replica, as this entry sees it. */
@@ -79,6 +81,7 @@
     private double answerMillis;
     private long answeredAtMillis;
     private OptionalDouble limitPerSecond = OptionalDouble.empty();
+    private Optional<SharedRate> limit = Optional.empty();
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private Use toldUse = new Use(Set.of(), Set.of());
@@ -186,18 +189,38 @@
         listing.heard(closes);
     }
 
-    /** What its newest answer names as the requests a second that it takes from all entries together. */
-    void limit(OptionalDouble perSecond) {
+    /**
+     * What its newest answer names as the requests a second that it takes from all entries together. Each entry keeps its part;
+     * one that was not told yet sends as if there were no limit, and is told with the first answer.
+     *
+     * @param perSecond the limit; empty if it names none any more.
+     * @param entries how many share it.
+     * @param phase where in its cycle this entry begins, from 0 up to 1.
+     */
+    void limit(OptionalDouble perSecond, int entries, DoubleSupplier phase, long nowMillis) {
+        if (perSecond.isEmpty()) {
+            limit = Optional.empty();
+        } else if (limit.isPresent()) {
+            limit.get().share(perSecond.getAsDouble(), entries, nowMillis);
+        } else {
+            limit = Optional.of(SharedRate.of(perSecond.getAsDouble(), entries, phase.getAsDouble(), nowMillis));
+        }
         if (!perSecond.equals(limitPerSecond)) {
             limitPerSecond = perSecond;
             LOG.log(
                     System.Logger.Level.INFO,
-                    "forward: replica limit id={0} per_s={1}",
+                    "forward: replica limit id={0} per_s={1} entries={2}",
                     id(),
-                    perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none");
+                    perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none",
+                    entries);
         }
     }
 
+    /** How long until its limit lets this entry send it another request; 0 if it may now, or there is no limit. */
+    long limitedMillis(long nowMillis) {
+        return limit.map(rate -> rate.waitMillis(nowMillis)).orElse(0L);
+    }
+
     /** Bytes of an answer have come from it. */
     void heard(long nowMillis) {
         heardMillis = nowMillis;
@@ -378,6 +401,7 @@
     void began(Optional<String> model, Optional<String> adapter, long tokens, long nowMillis) {
         tokensSinceNews += tokens;
         sends.add(1, nowMillis);
+        limit.ifPresent(rate -> rate.sent(nowMillis));
         if (inFlight == 0 && !isSilent(nowMillis)) {
             busySinceMillis = nowMillis;
         }
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -76,14 +76,16 @@
                 .stream()
                 .filter(target -> !tried.contains(target))
                 .toList();
-        List<Target> open = there.stream()
-                .filter(target -> !target.isPaused(nowMillis) && target.pool().hasRoom())
-                .toList();
+        List<Target> open =
+                there.stream().filter(target -> isOpen(target, nowMillis)).toList();
         return cheapest(open, target -> plainMillis(target, nowMillis))
                 .<Choice>map(Choice.Send::new)
                 .orElseGet(() -> there.isEmpty()
                         ? new Choice.Nowhere()
-                        : new Choice.Full(FULL_RETRY_MILLIS, 0, OptionalLong.empty()));
+                        : new Choice.Full(
+                                Math.max(FULL_RETRY_MILLIS, limitedMillis(there, nowMillis)),
+                                limitedMillis(there, nowMillis),
+                                OptionalLong.empty()));
     }
 
     /**
@@ -107,7 +109,7 @@
         }
         List<Target> open = heardOf(holding, nowMillis).stream()
                 .filter(target -> !tried.contains(target))
-                .filter(target -> !target.isPaused(nowMillis) && target.pool().hasRoom())
+                .filter(target -> isOpen(target, nowMillis))
                 .toList();
         List<Target> roomy = open.stream()
                 .filter(target -> target.hasRoomFor(engine.slots(), need.tokens(), nowMillis))
@@ -124,6 +126,19 @@
         return present ? new Choice.Send(best) : new Choice.LoadAdapter(best);
     }
 
+    /** Whether nothing in this entry's way keeps a request from it now. */
+    private static boolean isOpen(Target target, long nowMillis) {
+        return !target.isPaused(nowMillis) && target.pool().hasRoom() && target.limitedMillis(nowMillis) == 0;
+    }
+
+    /** How long until the limit of one of them lets this entry send again; 0 if one lets it now. */
+    private static long limitedMillis(List<Target> targets, long nowMillis) {
+        return targets.stream()
+                .mapToLong(target -> target.limitedMillis(nowMillis))
+                .min()
+                .orElse(0L);
+    }
+
     /** Leaves out those that may have left, unless all may: then their rows have lapsed together, as in an outage. */
     private static List<Target> sureToStay(List<Target> targets) {
         List<Target> staying =
@@ -225,7 +240,9 @@
                 .orElse(0);
         double placeMillis = need.durationMillis() / (engine.slots() * holding.size());
         double ahead = Math.max(1, least - engine.slots() + 1);
-        return new Choice.Full(Math.round(ahead * placeMillis) + FULL_RETRY_MILLIS, placeMillis, copyMillis);
+        long roomMillis = Math.round(ahead * placeMillis) + FULL_RETRY_MILLIS;
+        long limitedMillis = limitedMillis(holding, nowMillis);
+        return new Choice.Full(Math.max(roomMillis, limitedMillis), Math.max(placeMillis, limitedMillis), copyMillis);
     }
 
     /** A number from 0 up to 1 that a pair always gets. */
--- /dev/null
+++ b/src/test/java/io/waxwingquay/admission/SharedRateTest.java
@@ -0,0 +1,66 @@
+package io.waxwingquay.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class SharedRateTest {
+
+    private static final long WINDOW_MILLIS = 4_000;
+    private static final long STEP_MILLIS = 50;
+    private static final long QUIET_MILLIS = 200_000;
+    private static final long BUSY_MILLIS = 20_000;
+
+    private final Random random = new Random(7);
+
+    // Guards against senders whose parts are small and that all have saved a request when demand comes.
+    @ParameterizedTest
+    @CsvSource({"1, 3.7", "5, 2.8", "8, 0.5", "25, 3.7", "31, 12", "320, 3.7", "320, 60"})
+    void sendersKeepTheRateTogetherAfterAQuietTime(int senders, double perSecond) {
+        List<SharedRate> parts = IntStream.range(0, senders)
+                .mapToObj(number -> SharedRate.of(perSecond, senders, random.nextDouble(), 0))
+                .toList();
+        Deque<Long> sent = new ArrayDeque<>();
+        int most = 0;
+        for (long now = QUIET_MILLIS; now < QUIET_MILLIS + BUSY_MILLIS; now += STEP_MILLIS) {
+            for (SharedRate part : parts) {
+                if (part.waitMillis(now) == 0) {
+                    part.sent(now);
+                    sent.add(now);
+                }
+            }
+            while (!sent.isEmpty() && sent.peek() <= now - WINDOW_MILLIS) {
+                sent.remove();
+            }
+            most = Math.max(most, sent.size());
+        }
+        double allowed = 1.5 * perSecond * WINDOW_MILLIS / 1_000 + 5;
+        assertTrue(most <= allowed, senders + " senders sent " + most + ", allowed " + allowed);
+    }
+
+    // Guards against a limit that keeps a replica idle: demand that is always there gets nearly all of the rate.
+    @ParameterizedTest
+    @CsvSource({"1, 3.7", "5, 2.8", "25, 3.7", "320, 60"})
+    void sendersUseTheRateWhileDemandIsThere(int senders, double perSecond) {
+        List<SharedRate> parts = IntStream.range(0, senders)
+                .mapToObj(number -> SharedRate.of(perSecond, senders, random.nextDouble(), 0))
+                .toList();
+        long sent = 0;
+        for (long now = 0; now < QUIET_MILLIS; now += 5) {
+            for (SharedRate part : parts) {
+                if (part.waitMillis(now) == 0) {
+                    part.sent(now);
+                    sent++;
+                }
+            }
+        }
+        assertEquals(1.0, sent / (perSecond * QUIET_MILLIS / 1_000), 0.05);
+    }
+}
