--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -1,6 +1,5 @@
 package io.waxwingquay.forward;
 
-import io.waxwingquay.admission.SharedRate;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.ClientPool;
@@ -51,8 +50,6 @@
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
-
     /** Pause after the first failed connect; doubled up to the longest. */
     private static final long FIRST_PAUSE_MILLIS = 300L;
 
@@ -63,6 +60,7 @@
 
     private final ClientPool pool;
     private final Listing listing = new Listing();
+    private final NamedLimit limit = new NamedLimit();
     private final Decayed sends = new Decayed(SEND_HALF_LIFE_MILLIS);
     private final Decayed tries = new Decayed(FAILURE_HALF_LIFE_MILLIS);
     private final Decayed failures = new Decayed(FAILURE_HALF_LIFE_MILLIS);
@@ -80,8 +78,6 @@
     private long tokensSinceNews;
     private double answerMillis;
     private long answeredAtMillis;
-    private OptionalDouble limitPerSecond = OptionalDouble.empty();
-    private Optional<SharedRate> limit = Optional.empty();
     private long pausedUntilMillis = Long.MIN_VALUE;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private Use toldUse = new Use(Set.of(), Set.of());
@@ -189,36 +185,14 @@
         listing.heard(closes);
     }
 
-    /**
-     * What its newest answer names as the requests a second that it takes from all entries together. Each entry keeps its part;
-     * one that was not told yet sends as if there were no limit, and is told with the first answer.
-     *
-     * @param perSecond the limit; empty if it names none any more.
-     * @param entries how many share it.
-     * @param phase where in its cycle this entry begins, from 0 up to 1.
-     */
+    /** What its newest answer names as the requests a second that it takes from all entries together. */
     void limit(OptionalDouble perSecond, int entries, DoubleSupplier phase, long nowMillis) {
-        if (perSecond.isEmpty()) {
-            limit = Optional.empty();
-        } else if (limit.isPresent()) {
-            limit.get().share(perSecond.getAsDouble(), entries, nowMillis);
-        } else {
-            limit = Optional.of(SharedRate.of(perSecond.getAsDouble(), entries, phase.getAsDouble(), nowMillis));
-        }
-        if (!perSecond.equals(limitPerSecond)) {
-            limitPerSecond = perSecond;
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "forward: replica limit id={0} per_s={1} entries={2}",
-                    id(),
-                    perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none",
-                    entries);
-        }
+        limit.named(id(), perSecond, entries, phase, nowMillis);
     }
 
     /** How long until its limit lets this entry send it another request; 0 if it may now, or there is no limit. */
     long limitedMillis(long nowMillis) {
-        return limit.map(rate -> rate.waitMillis(nowMillis)).orElse(0L);
+        return limit.waitMillis(nowMillis);
     }
 
     /** Bytes of an answer have come from it. */
@@ -401,7 +375,7 @@
     void began(Optional<String> model, Optional<String> adapter, long tokens, long nowMillis) {
         tokensSinceNews += tokens;
         sends.add(1, nowMillis);
-        limit.ifPresent(rate -> rate.sent(nowMillis));
+        limit.sent(nowMillis);
         if (inFlight == 0 && !isSilent(nowMillis)) {
             busySinceMillis = nowMillis;
         }
--- /dev/null
+++ b/src/test/java/io/waxwingquay/forward/NamedLimitTest.java
@@ -0,0 +1,48 @@
+package io.waxwingquay.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+
+class NamedLimitTest {
+
+    private static final int ENTRIES = 4;
+
+    private final NamedLimit limit = new NamedLimit();
+
+    @Test
+    void nothingIsLimitedBeforeAnAnswerNamesALimit() {
+        assertEquals(0, limit.waitMillis(0));
+    }
+
+    @Test
+    void limitHoldsForThisEntrysPart() {
+        name(OptionalDouble.of(2.0), 0);
+        assertEquals(2_000, limit.waitMillis(0));
+        assertEquals(0, limit.waitMillis(2_000));
+        limit.sent(2_000);
+        assertEquals(2_000, limit.waitMillis(2_000));
+    }
+
+    // Guards against a replica that stays limited after it has recovered.
+    @Test
+    void answerThatNamesNoLimitEndsIt() {
+        name(OptionalDouble.of(2.0), 0);
+        name(OptionalDouble.empty(), 100);
+        assertEquals(0, limit.waitMillis(100));
+    }
+
+    // Guards against a burst by each answer that names another limit.
+    @Test
+    void otherLimitKeepsWhatWasEarned() {
+        name(OptionalDouble.of(2.0), 0);
+        name(OptionalDouble.of(1.0), 1_000);
+        assertTrue(limit.waitMillis(1_000) > 1_000);
+    }
+
+    private void name(OptionalDouble perSecond, long nowMillis) {
+        limit.named("r", perSecond, ENTRIES, () -> 0.0, nowMillis);
+    }
+}
