Let the silent model that was asked for least make way, not the first by name

Change: the tie goes to the model asked for least over a longer time; among those never asked for, to a hash of engine and model, the same in every process. CopyPlanTest.ofSilentModelsTheOneAskedForLeastMakesWay, red before (idle, expected other).

--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -222,10 +222,14 @@
     }
 
     private List<String> sortedByCost(EngineView view) {
-        record Costed(String model, double cost) {}
+        record Costed(String model, double cost, double rememberedPerSecond) {}
+        // Of silent models, which cost the same, the one goes that was asked for least over a longer time.
         return view.held().stream()
-                .map(held -> new Costed(held, costOf(view, List.of(held))))
-                .sorted(Comparator.comparingDouble(Costed::cost).thenComparing(Costed::model))
+                .map(held -> new Costed(
+                        held, costOf(view, List.of(held)), demandFor(held).slowPerSecond()))
+                .sorted(Comparator.comparingDouble(Costed::cost)
+                        .thenComparingDouble(Costed::rememberedPerSecond)
+                        .thenComparingDouble(costed -> spread(view.address(), costed.model)))
                 .map(Costed::model)
                 .toList();
     }
--- a/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
+++ b/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
@@ -41,6 +41,21 @@
         assertEquals(List.of("more"), step.makesWay());
     }
 
+    // Guards against a choice by name among models that are silent now: the one asked for least over a longer time
+    // goes.
+    @Test
+    void ofSilentModelsTheOneAskedForLeastMakesWay() {
+        List<CopyPlan.EngineView> engines = List.of(view(FIRST, "busy", "rare"), view(SECOND, "idle", "other", "more"));
+        Map<String, CopyPlan.Demand> demand = Map.of(
+                "busy", demand(60, 120),
+                "idle", new CopyPlan.Demand(0, 0.2, 0),
+                "other", new CopyPlan.Demand(0, 0.05, 0),
+                "more", new CopyPlan.Demand(0, 0.3, 0));
+        CopyPlan.Step step =
+                new CopyPlan(ENGINE, engines, demand, OPEN).stepFor(SECOND).orElseThrow();
+        assertEquals(List.of("other"), step.makesWay());
+    }
+
     // At a start no entry has told yet what callers ask for. If copies moved then, the platform's own placement would
     // be
     // undone for nothing, and the first callers would find their models gone.
