--- a/src/main/java/io/waxwingquay/admission/SharedRate.java
+++ b/src/main/java/io/waxwingquay/admission/SharedRate.java
@@ -4,9 +4,9 @@
  * One sender's part of a rate that several senders keep together without talking to each other.
  *
  * <p>Each sender earns an equal part and may save one request. Failure: there are many senders, each part is far less than
- * one request, and all have saved one when demand comes. Symptom: as many requests at once as there are senders. So a saved
- * request lapses, and of all senders only as many hold one at a time as the rate may be passed by for a moment.
- * Senders begin at different points of their cycle, so that they do not earn their requests together.
+ * one request, and all have saved one when demand comes. Symptom: as many requests at once as there are senders. So where
+ * there are many, a saved request lapses soon after it was earned, and senders begin at different points of their cycle:
+ * at any time few of them hold one.
  */
 public final class SharedRate {
 
