Give started processes ports that no connection can take meanwhile

Cause, possible: ProcessWorld took ports that the system hands out to anybody, closed them, and started a JVM that binds them seconds later. A connection or listener of anything else may get one meanwhile; a datagram socket there was not even looked for. The process then ends, and nobody looks.

Change: the search that HostedWorld had, below the ports that the system hands out, becomes testing.FreePorts for both; no port is given twice in a process. A process that ends or never serves fails the test with what it logged.

Conclusion: one cause is gone, and the next failure tells its own.

--- a/src/test/java/io/waxwingquay/hosted/HostedWorld.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedWorld.java
@@ -5,11 +5,10 @@
 import io.waxwingquay.standin.prepared.EngineStandin;
 import io.waxwingquay.standin.prepared.StoreStandin;
 import io.waxwingquay.testing.Await;
+import io.waxwingquay.testing.FreePorts;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -40,8 +39,6 @@
              "models":[{"name":"m","weights_mb":100,"load_s":1,"adapters":2,"adapter_mb":1}]}}]}
             """;
 
-    private static final int LOWEST_PORT = 10_000;
-    private static final int HIGHEST_PORT = 30_000;
     private static final int PORTS = 7;
     private static final String SECOND_HOST = "127.0.0.6";
     private static final List<String> HOSTS =
@@ -49,7 +46,7 @@
 
     private final EventLoop outside = EventLoop.start("outside");
     private final EventLoop inside = EventLoop.start("inside");
-    private final int base = freePorts();
+    private final int base = FreePorts.adjacent(PORTS, HOSTS);
     final StoreStandin store = StoreStandin.start(outside, new HostPort("127.0.0.1", base));
     final EngineStandin engine1 = engine("e1", "127.0.0.2", List.of("m"));
     final EngineStandin engine2 = engine("e2", "127.0.0.3", List.of("m"));
@@ -241,34 +238,6 @@
         return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1);
     }
 
-    /**
-     * The first of seven ports that are free at all our addresses. They lie below those that the system hands out by
-     * itself, or a connection of another test could take one between the look and the use.
-     */
-    private static int freePorts() {
-        int start = LOWEST_PORT + (int) (ProcessHandle.current().pid() * PORTS % (HIGHEST_PORT - LOWEST_PORT));
-        for (int base = start; base < HIGHEST_PORT + PORTS; base += PORTS) {
-            if (areFree(base)) {
-                return base;
-            }
-        }
-        throw new IllegalStateException("no " + PORTS + " free ports from " + start);
-    }
-
-    private static boolean areFree(int base) {
-        for (String host : HOSTS) {
-            for (int port = base; port < base + PORTS; port++) {
-                try (ServerSocket stream = new ServerSocket(port, 1, InetAddress.getByName(host));
-                        DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName(host))) {
-                    assert stream.isBound() && datagrams.isBound();
-                } catch (IOException taken) {
-                    return false;
-                }
-            }
-        }
-        return true;
-    }
-
     /**
      * An answer as it came.
      *
--- a/src/test/java/io/waxwingquay/scenario/ProcessWorld.java
+++ b/src/test/java/io/waxwingquay/scenario/ProcessWorld.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.scenario;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import io.waxwingquay.bench.Caller;
 import io.waxwingquay.bench.SettingsText;
@@ -11,9 +13,8 @@
 import io.waxwingquay.common.Json;
 import io.waxwingquay.store.HttpTableService;
 import io.waxwingquay.testing.Await;
+import io.waxwingquay.testing.FreePorts;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -26,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 /**
  * A deployment of separate processes on loopback: platform, weight store, two engines, a plain service, their sides,
@@ -79,6 +81,10 @@
             """;
     private static final String LOOPBACK = "127.0.0.1";
     private static final int ENTRIES = 2;
+
+    /** For the other roles, administration and callers. */
+    private static final int PORTS = 3;
+
     private static final long LEASE_MILLIS = 1_000L;
     private static final long DEADLINE_MILLIS = 15_000L;
 
@@ -203,7 +209,20 @@
         submit(key, document);
         startProduct(Files.readString(Path.of(key + ".pub")).strip());
         for (String name : adminPorts.keySet()) {
-            Await.until(() -> isServing(name));
+            awaitServing(name);
+        }
+    }
+
+    /** A process that ends, or never serves, fails the test with what it logged. */
+    private void awaitServing(String name) throws Exception {
+        StartedProcess process = processes.get(name);
+        try {
+            Await.until(() -> {
+                assertTrue(process.isAlive(), "ended");
+                return isServing(name);
+            });
+        } catch (AssertionError failure) {
+            throw new AssertionError(name + " is not serving, it logged: " + process.logged(), failure);
         }
     }
 
@@ -289,17 +308,8 @@
                 .body();
     }
 
-    private static List<Integer> freePorts() throws IOException {
-        List<ServerSocket> probes = new ArrayList<>();
-        try {
-            for (int number = 0; number < 3; number++) {
-                probes.add(new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)));
-            }
-            return probes.stream().map(ServerSocket::getLocalPort).toList();
-        } finally {
-            for (ServerSocket probe : probes) {
-                probe.close();
-            }
-        }
+    private static List<Integer> freePorts() {
+        int first = FreePorts.adjacent(PORTS, List.of(LOOPBACK));
+        return IntStream.range(first, first + PORTS).boxed().toList();
     }
 }
--- a/src/test/java/io/waxwingquay/scenario/StartedProcess.java
+++ b/src/test/java/io/waxwingquay/scenario/StartedProcess.java
@@ -56,7 +56,7 @@
     int awaitPort() throws Exception {
         List<Integer> found = Collections.synchronizedList(new ArrayList<>());
         Await.until(() -> {
-            assertTrue(process.isAlive(), logged());
+            assertTrue(isAlive(), logged());
             Matcher matcher = PORT.matcher(logged());
             if (matcher.find()) {
                 found.add(Integer.valueOf(matcher.group(1)));
@@ -66,6 +66,10 @@
         return found.get(0);
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     String logged() throws IOException {
         return Files.readString(log);
     }
--- /dev/null
+++ b/src/test/java/io/waxwingquay/testing/FreePorts.java
@@ -0,0 +1,61 @@
+package io.waxwingquay.testing;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.stream.IntStream;
+
+/**
+ * Ports that a test hands to processes or nodes of its own. They lie below those that the system hands out by itself, or
+ * a connection of anything else could take one between the look and the use.
+ */
+public final class FreePorts {
+
+    private static final int LOWEST = 10_000;
+    private static final int HIGHEST = 30_000;
+
+    /** Processes that run at the same time begin this many ports apart. */
+    private static final int PORTS_PER_PROCESS = 101;
+
+    private static int next = wrapped(LOWEST + ProcessHandle.current().pid() * PORTS_PER_PROCESS);
+
+    private FreePorts() {}
+
+    /**
+     * Finds ports that lie side by side and are free for streams and datagrams. None is given twice within a process.
+     *
+     * @param count how many.
+     * @param hosts the addresses where they are to be free.
+     * @return the first of them.
+     */
+    public static synchronized int adjacent(int count, List<String> hosts) {
+        for (int searched = 0; searched < HIGHEST - LOWEST; searched += count) {
+            int base = next;
+            next = wrapped(base + count);
+            if (areFree(base, count, hosts)) {
+                return base;
+            }
+        }
+        throw new IllegalStateException("no " + count + " free ports between " + LOWEST + " and " + HIGHEST);
+    }
+
+    private static int wrapped(long port) {
+        return (int) (LOWEST + (port - LOWEST) % (HIGHEST - LOWEST));
+    }
+
+    private static boolean areFree(int base, int count, List<String> hosts) {
+        return hosts.stream()
+                .allMatch(host -> IntStream.range(base, base + count).allMatch(port -> isFree(host, port)));
+    }
+
+    private static boolean isFree(String host, int port) {
+        try (ServerSocket stream = new ServerSocket(port, 1, InetAddress.getByName(host));
+                DatagramSocket datagrams = new DatagramSocket(port, InetAddress.getByName(host))) {
+            return stream.isBound() && datagrams.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+}
