Look at time limits only while requests are under way

Cause: each entry woke 67 times a second to look at the time limits of its requests, also without any.

The first request begins the ticks, and they end when none is left. How a request's limits are kept is unchanged.

HostedPathTest, HostedExitTest, LeavingReplicaTest, DepartureTest passed.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -16,16 +16,12 @@
 import io.waxwingquay.transport.generated.EntryNews;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.eclipse.jetty.http.HttpFields;
@@ -38,12 +34,6 @@
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
 
-    /** How exactly time limits are kept. */
-    private static final long TICK_MILLIS = 15L;
-
-    /** A look that comes so late follows a stall of this process. */
-    private static final long STALL_MILLIS = 200L;
-
     /** A caller refused by this process alone may come back soon: it reaches another entry. */
     private static final long ELSEWHERE_MILLIS = 200L;
 
@@ -72,13 +62,11 @@
     private final TargetTable targets;
     private final NewsWriter newsWriter;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
-    private final Set<Exchange> active = new HashSet<>();
+    private final ActiveRequests active;
     private Optional<Manifest> manifest = Optional.empty();
     private RouteTable routes = RouteTable.of(List.of());
     private int entries;
     private long exitMillis = Long.MAX_VALUE;
-    private long tickedMillis = EventLoop.nowMillis();
-    private boolean passedOver;
     private boolean admitting = true;
 
     /**
@@ -113,7 +101,7 @@
         this.changed = peers::demandChanged;
         this.targets = new TargetTable(this::pool);
         this.newsWriter = new NewsWriter(targets, demand, EventLoop.nowMillis());
-        loop.execute(() -> loop.every(TICK_MILLIS, this::tick));
+        this.active = new ActiveRequests(loop);
     }
 
     /**
@@ -158,14 +146,14 @@
     @Override
     public void leaveWithin(long millis) {
         exitMillis = EventLoop.nowMillis() + millis;
-        new ArrayList<>(active).forEach(Exchange::leave);
+        active.leave();
     }
 
     /** {@inheritDoc} */
     @Override
     public void endAdmission() {
         admitting = false;
-        new ArrayList<>(active).forEach(Exchange::exit);
+        active.exit();
     }
 
     /** {@inheritDoc} */
@@ -254,13 +242,13 @@
     /** {@inheritDoc} */
     @Override
     public int activeCount() {
-        return active.size();
+        return active.count();
     }
 
     /** {@inheritDoc} */
     @Override
     public List<String> activeIds() {
-        return active.stream().map(exchange -> exchange.ask().id()).toList();
+        return active.ids();
     }
 
     /** {@inheritDoc} */
@@ -404,40 +392,6 @@
         return route.kind() == Route.Kind.STREAM || leftMillis < PLAIN_OBJECTIVES * route.objectiveMillis();
     }
 
-    /**
-     * Failure: this process stands still, and looks at the time before it reads what has come meanwhile. Symptom: requests
-     * whose answers lie unread are given up. What has come is read before the next look, so one that is late is passed over.
-     * The next one counts however late it is, or a process that is always late would keep no time limit.
-     */
-    private void tick() {
-        long nowMillis = EventLoop.nowMillis();
-        passedOver = !passedOver && nowMillis - tickedMillis > STALL_MILLIS;
-        tickedMillis = nowMillis;
-        if (passedOver) {
-            return;
-        }
-        active.stream()
-                .sorted(Comparator.comparingLong(exchange -> exchange.slackMillis(nowMillis)))
-                .toList()
-                .forEach(exchange -> tick(exchange, nowMillis));
-        if (exitMillis != Long.MAX_VALUE) {
-            // A request that was turned away by its replica since then would wait here too.
-            new ArrayList<>(active).forEach(Exchange::leave);
-        }
-    }
-
-    /** A fault in one request must not keep the time limits of the others from being looked at. */
-    private static void tick(Exchange exchange, long nowMillis) {
-        try {
-            exchange.tick(nowMillis);
-        } catch (RuntimeException failure) {
-            LOG.log(
-                    System.Logger.Level.ERROR,
-                    "forward: a request failed id=" + exchange.ask().id(),
-                    failure);
-        }
-    }
-
     /** The processes beside engines should know soon of what has changed here. */
     public void tellSoon() {
         newsWriter.hasten();
