Take an answer's head as a sign of its replica only if it is that replica's

Cause: by reading. The head of any answer counted as a sign that its replica stays in the list, before the request's id was compared, and also where another replica answered at the address.

Change: the sign is taken where the answer's limit is, after both are compared.

Figures: HostedPathTest and LeavingReplicaTest passed. No test or play showed a request that was sent wrongly for it; the connection or the target is dropped right after.

Conclusion: tidier; not the mend of anything seen.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -92,7 +92,6 @@
         status = newStatus;
         fields = newFields;
         heard();
-        target.answerBegan(fields.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()));
         reply = exchange.codec().reply(status, fields);
         if (!reply.id().isEmpty() && !reply.id().equals(exchange.ask().id())) {
             // The answer of another request, late or doubled; nothing on this connection can be told apart any more.
@@ -100,6 +99,7 @@
             return;
         }
         if (reply.replicaId().map(target.id()::equals).orElse(true)) {
+            target.answerBegan(fields.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()));
             exchange.limited(target, reply.limitPerSecond());
         }
         streams = status == OK && exchange.isStream() && !reply.didNotRun();
