Start the platform's roles without the command line's library

Cause: a process that is started again is missed until it answers. The class archive can't hold the classes of picocli, which are of an older form; the virtual machine reads and checks 173 of them at each start.

--- /dev/null
+++ b/src/main/java/io/waxwingquay/command/HostedRole.java
@@ -0,0 +1,88 @@
+package io.waxwingquay.command;
+
+import io.waxwingquay.hosted.HostSettings;
+import io.waxwingquay.hosted.HostedEntry;
+import io.waxwingquay.hosted.HostedProcess;
+import io.waxwingquay.hosted.HostedSide;
+import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.observe.Logging;
+import io.waxwingquay.platform.SettingsFile;
+import io.waxwingquay.settings.ProcessSettings.LogFormat;
+import io.waxwingquay.settings.ProcessSettings.LogLevel;
+import io.waxwingquay.settings.SettingsException;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BiFunction;
+import sun.misc.Signal;
+
+/** The roles on the prepared platform, and how a process runs one of them. */
+enum HostedRole {
+    /** Takes callers' requests. */
+    ENTRY(HostedEntry::start),
+    /** Looks after the engine beside it. */
+    SIDE(HostedSide::start);
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.command");
+
+    private final BiFunction<EventLoop, HostSettings, HostedProcess> start;
+
+    HostedRole(BiFunction<EventLoop, HostSettings, HostedProcess> start) {
+        this.start = start;
+    }
+
+    /** The settings file that the platform names for this process. */
+    static Path namedSettings() {
+        return Path.of(System.getenv().getOrDefault(SettingsFile.VARIABLE, "local.toml"));
+    }
+
+    /**
+     * Runs the role until SIGTERM.
+     *
+     * @param file the settings file.
+     * @param level the lowest level that is logged.
+     * @param errors told why it can't run.
+     * @return the exit code.
+     */
+    int run(Path file, LogLevel level, PrintWriter errors) throws InterruptedException {
+        Logging.toStandardOutput(LogFormat.TEXT, level);
+        HostSettings settings;
+        try {
+            settings = SettingsFile.read(file);
+        } catch (SettingsException refused) {
+            errors.println(refused.getMessage());
+            return ExitCodes.REFUSED;
+        } catch (IOException failure) {
+            errors.println("settings file " + file + " cannot be read: " + failure.getMessage());
+            return ExitCodes.FAILED;
+        }
+        HostedProcess process = start(settings);
+        CountDownLatch left = new CountDownLatch(1);
+        Signal.handle(new Signal("TERM"), signal -> process.leave().thenRun(left::countDown));
+        // The settings that this program uses do not change while a VM lives; the virtual machine would exit on HUP.
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> LOG.log(
+                        System.Logger.Level.INFO,
+                        "command: told of changed settings, none of which apply to a running process"));
+        left.await();
+        Logging.flush();
+        return ExitCodes.OK;
+    }
+
+    /** All of a process is put together on its loop, so that two threads never read and load classes side by side. */
+    private HostedProcess start(HostSettings settings) {
+        EventLoop loop = EventLoop.start("loop");
+        CompletableFuture<HostedProcess> started = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                started.complete(start.apply(loop, settings));
+            } catch (RuntimeException failure) {
+                started.completeExceptionally(failure);
+            }
+        });
+        return started.join();
+    }
+}
