Keep saved retries of many entries together below the slack

Cause: by reading (docs/INVARIANTS.md said so). The slack of a retry budget is divided by the number of entries, and a part of less than one retry was taken for one. With 320 entries and a slack of 100, as the grown sites have, a quiet service that fails could get 320 retries at once.

Change: RetryBudget.sharedBy. What a sender holds without having earned it is none or one, drawn so that the parts add up. It may always earn a whole retry, which lapses 10 s after its last first try. A part of 2.58 was 2; now it is 2 or 3, by the draw.

Figures: RetryBudgetTest, 320 parts of a slack of 100 with a fifth kept back: at most 100 retries after each entry had earned one and then been quiet. On the code before, each of them starts with one, 320 in all, by its arithmetic; the test does not compile there.

Still above the slack, by arithmetic: entries that each get a request in some two to ten seconds may hold one that was earned in more than one window, if all spend it within one.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -302,7 +302,10 @@
     /** {@inheritDoc} */
     @Override
     public RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(service, key -> RetryBudget.of(settings.retryShare() * BUDGET_SHARE, burst()));
+        return budgets.computeIfAbsent(
+                service,
+                key -> RetryBudget.sharedBy(
+                        settings.retryShare() * BUDGET_SHARE, burst(), random.nextDouble(), EventLoop::nowMillis));
     }
 
     /** {@inheritDoc} */
@@ -406,8 +409,8 @@
         }
     }
 
-    private int burst() {
-        return (int) Math.max(1, settings.retrySlack() * BUDGET_SHARE / entries);
+    private double burst() {
+        return settings.retrySlack() * BUDGET_SHARE / entries;
     }
 
     private ClientPool pool(ReplicaRecord record) {
--- a/src/test/java/io/waxwingquay/admission/RetryBudgetTest.java
+++ b/src/test/java/io/waxwingquay/admission/RetryBudgetTest.java
@@ -8,6 +8,8 @@
 import io.waxwingquay.transport.generated.RefusalReason;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -44,6 +46,35 @@
         assertFalse(budget.tryRetry());
     }
 
+    // Many entries share a slack of 100, of which a fifth is kept back. Each might save up a whole retry, so that a
+    // quiet
+    // service that fails would get one from each of them at once.
+    @Test
+    void manyEntriesTogetherSaveUpNoMoreThanTheSlack() {
+        Random random = new Random(7);
+        AtomicLong nowMillis = new AtomicLong();
+        List<RetryBudget> entries = IntStream.range(0, 320)
+                .mapToObj(number -> RetryBudget.sharedBy(0.2, 80.0 / 320, random.nextDouble(), nowMillis::get))
+                .toList();
+        entries.forEach(RetryBudgetTest::earnOne);
+        nowMillis.addAndGet(10_001);
+        long retries = entries.stream().filter(RetryBudget::tryRetry).count();
+        assertTrue(retries <= 100, () -> retries + " retries");
+    }
+
+    // The same, and the service is in use: what an entry earns itself it may spend, however small its part.
+    @Test
+    void entryWithASmallPartSpendsWhatItEarns() {
+        RetryBudget budget = RetryBudget.sharedBy(0.2, 0.25, 0, () -> 0L);
+        assertFalse(budget.tryRetry());
+        earnOne(budget);
+        assertTrue(budget.tryRetry());
+    }
+
+    private static void earnOne(RetryBudget budget) {
+        IntStream.range(0, 5).forEach(first -> budget.noteFirstTry());
+    }
+
     // Entries come and go, and with them each one's part of the budget. If a part that grows again were filled at once,
     // entries that flap would send far more than all of them together may.
     @Test
