Part what became of tries from a target's state

Change: forward.TryHistory takes failures, the usual time to an answer and the pauses after failed connects. Nothing decides otherwise than before.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -155,6 +155,12 @@
         }
     }
 
+    /** Its replica is known to answer, and in what time. */
+    void succeeded() {
+        long nowMillis = EventLoop.nowMillis();
+        target.tries().succeeded(nowMillis - sentMillis, nowMillis);
+    }
+
     private void heard() {
         heardMillis = EventLoop.nowMillis();
         target.heard(heardMillis);
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -164,7 +164,8 @@
         long silentMillis = nowMillis - attempt.heardMillis();
         return state == ExchangeState.STREAMING
                 ? Patience.isStreamSilent(silentMillis)
-                : Patience.isUnanswered(route, silentMillis, attempt.target().answerMillis());
+                : Patience.isUnanswered(
+                        route, silentMillis, attempt.target().tries().answerMillis());
     }
 
     /**
@@ -301,14 +302,14 @@
             return;
         }
         if (from.status() >= SERVER_ERROR) {
-            from.target().failed();
+            from.target().tries().failed(EventLoop.nowMillis());
             mayHaveRun = true;
             lastFailure = "status " + from.status();
             if (!stream.began() && route.mayRepeat() && tryAgain()) {
                 return;
             }
         } else {
-            from.target().succeeded(EventLoop.nowMillis() - from.sentMillis());
+            from.succeeded();
         }
         if (stream.began()) {
             breakOff("a resumed stream was answered " + from.status());
@@ -324,7 +325,7 @@
         }
         if (!stream.began()) {
             move(ExchangeState.Event.BEGIN);
-            from.target().succeeded(EventLoop.nowMillis() - from.sentMillis());
+            from.succeeded();
             answers.begin(from);
         }
         stream.passed(id, EventLoop.nowMillis());
@@ -350,11 +351,11 @@
         release(from);
         lastFailure = why;
         if (sent) {
-            from.target().failed();
+            from.target().tries().failed(EventLoop.nowMillis());
             mayHaveRun = true;
         } else {
             if (from.target().takesWork() && !from.target().mayHaveLeft()) {
-                from.target().unreachable();
+                from.target().tries().unreachable(EventLoop.nowMillis());
             }
             attempts--;
             connectFailures++;
@@ -379,7 +380,7 @@
         if (reply.misdirected()) {
             context.misdirected(from.target(), ask, reply);
         } else if (reply.full()) {
-            from.target().full();
+            from.target().tries().full(EventLoop.nowMillis());
         }
         if (stream.began()) {
             brokenMillis = EventLoop.nowMillis();
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -95,7 +95,7 @@
 
     /** Whether its caller is still there when a replica begins to answer, if it has had nothing new for so long. */
     boolean mayBegin(Target target, long silentMillis, long nowMillis) {
-        return Patience.mayBegin(route, silentMillis, target.recentAnswerMillis(nowMillis));
+        return Patience.mayBegin(route, silentMillis, target.tries().recentAnswerMillis(nowMillis));
     }
 
     /** Chooses a replica for it, other than those named. */
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -19,15 +19,6 @@
 /** One life of a replica, as this entry sees it. */
 final class Target {
 
-    /** Over how long failures are remembered: a few requests' time, so that a mended replica is soon used again. */
-    private static final double FAILURE_HALF_LIFE_MILLIS = 2_500.0;
-
-    /** Weight of the newest answer in the smoothed time to answer. */
-    private static final double SMOOTHING = 0.15;
-
-    /** How fast it is forgotten that a replica was slow. */
-    private static final double ANSWER_HALF_LIFE_MILLIS = 2_000.0;
-
     /** Against the round in which news comes, changed or not: older news is no better than the platform's list. */
     private static final double FRESH_ROUNDS = 2.5;
 
@@ -50,20 +41,11 @@
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
-    /** Pause after the first failed connect; doubled up to the longest. */
-    private static final long FIRST_PAUSE_MILLIS = 300L;
-
-    private static final long LONGEST_PAUSE_MILLIS = 2_400L;
-
-    /** How long a replica that said it was full is passed over. */
-    private static final long FULL_PAUSE_MILLIS = 60L;
-
     private final ClientPool pool;
     private final Listing listing = new Listing();
     private final NamedLimit limit = new NamedLimit();
+    private final TryHistory tries = new TryHistory();
     private final Decayed sends = new Decayed(SEND_HALF_LIFE_MILLIS);
-    private final Decayed tries = new Decayed(FAILURE_HALF_LIFE_MILLIS);
-    private final Decayed failures = new Decayed(FAILURE_HALF_LIFE_MILLIS);
     private final Map<String, Integer> adaptersInUse = new HashMap<>();
     private final Map<String, Integer> modelsInUse = new HashMap<>();
     private ReplicaRecord record;
@@ -76,10 +58,6 @@
     private int inFlight;
     private int sentSinceNews;
     private long tokensSinceNews;
-    private double answerMillis;
-    private long answeredAtMillis;
-    private long pausedUntilMillis = Long.MIN_VALUE;
-    private long pauseMillis = FIRST_PAUSE_MILLIS;
     private Use toldUse = new Use(Set.of(), Set.of());
     private boolean gone;
     private boolean replaced;
@@ -119,6 +97,10 @@
         return pool;
     }
 
+    TryHistory tries() {
+        return tries;
+    }
+
     int inFlight() {
         return inFlight;
     }
@@ -139,10 +121,6 @@
         return listing.mayHaveLeft();
     }
 
-    boolean isPaused(long nowMillis) {
-        return nowMillis < pausedUntilMillis;
-    }
-
     boolean isGone() {
         return gone;
     }
@@ -282,7 +260,7 @@
     /** The replica lacks what the news said it held, or another one has its address; the next news tells. */
     void misdirected(Optional<String> model, Optional<String> adapter) {
         if (news == null || model.isEmpty()) {
-            unreachable();
+            tries.unreachable(EventLoop.nowMillis());
             return;
         }
         news.getModels().removeIf(held -> adapter.isEmpty() && held.getName().equals(model.get()));
@@ -327,20 +305,6 @@
         return load < slots && fits;
     }
 
-    /** The share of late tries that failed, drawn towards none while there are few. */
-    double failureShare(long nowMillis) {
-        return failures.value(nowMillis) / (tries.value(nowMillis) + 1.0);
-    }
-
-    double answerMillis() {
-        return answerMillis;
-    }
-
-    /** The usual time to an answer, fading while none comes, so that one that was slow is tried again. */
-    double recentAnswerMillis(long nowMillis) {
-        return answerMillis * Math.pow(0.5, (nowMillis - answeredAtMillis) / ANSWER_HALF_LIFE_MILLIS);
-    }
-
     Map<String, Integer> adaptersInUse() {
         return adaptersInUse;
     }
@@ -392,30 +356,6 @@
                 model.orElse("") + "/" + name, (key, count) -> count > 1 ? count - 1 : null));
     }
 
-    void succeeded(long tookMillis) {
-        answeredAtMillis = EventLoop.nowMillis();
-        tries.add(1, answeredAtMillis);
-        answerMillis = answerMillis == 0 ? tookMillis : answerMillis + SMOOTHING * (tookMillis - answerMillis);
-        pauseMillis = FIRST_PAUSE_MILLIS;
-    }
-
-    void failed() {
-        long nowMillis = EventLoop.nowMillis();
-        tries.add(1, nowMillis);
-        failures.add(1, nowMillis);
-    }
-
-    void full() {
-        pausedUntilMillis = Math.max(pausedUntilMillis, EventLoop.nowMillis() + FULL_PAUSE_MILLIS);
-    }
-
-    /** A connect that failed says more than a failed request: nothing is there, or the way to it is cut. */
-    void unreachable() {
-        failed();
-        pausedUntilMillis = EventLoop.nowMillis() + pauseMillis;
-        pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
-    }
-
     /**
      * What requests from here use.
      *
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -128,7 +128,7 @@
 
     /** Whether nothing in this entry's way keeps a request from it now. */
     private static boolean isOpen(Target target, long nowMillis) {
-        return !target.isPaused(nowMillis) && target.pool().hasRoom() && target.limitedMillis(nowMillis) == 0;
+        return !target.tries().isPaused(nowMillis) && target.pool().hasRoom() && target.limitedMillis(nowMillis) == 0;
     }
 
     /** How long until the limit of one of them lets this entry send again; 0 if one lets it now. */
@@ -159,17 +159,20 @@
     }
 
     private double plainMillis(Target target, long nowMillis) {
-        double answer = target.answerMillis() == 0 ? UNKNOWN_ANSWER_MILLIS : target.answerMillis();
+        double answer = target.tries().answerMillis() == 0
+                ? UNKNOWN_ANSWER_MILLIS
+                : target.tries().answerMillis();
         double busy = (target.inFlight() + 1.0) / Math.max(1, target.record().slots());
-        return answer * (1 + busy) * (1 + FAILURE_FACTOR * target.failureShare(nowMillis)) + zoneMillis(target);
+        return answer * (1 + busy) * (1 + FAILURE_FACTOR * target.tries().failureShare(nowMillis)) + zoneMillis(target);
     }
 
     private double engineMillis(Target target, Engine engine, EngineNeed need, long nowMillis) {
         double busy = target.expectedLoad(nowMillis) / (double) engine.slots();
-        double slow = Math.min(MOST_SLOWNESS_MILLIS, SLOWNESS_SHARE * target.recentAnswerMillis(nowMillis));
+        double slow =
+                Math.min(MOST_SLOWNESS_MILLIS, SLOWNESS_SHARE * target.tries().recentAnswerMillis(nowMillis));
         double base = FULL_BATCH_MILLIS * busy
                 + LATE_MILLIS * Crowding.lateShare(busy)
-                + FAILED_MILLIS * target.failureShare(nowMillis)
+                + FAILED_MILLIS * target.tries().failureShare(nowMillis)
                 + slow;
         double adapterMillis = need.adapter()
                 .map(name -> adapterMillis(target, engine, need.model(), name, nowMillis))
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -48,8 +48,8 @@
         full.news(news(full, 10, List.of()), nowMillis);
         Target failing = target("failing", "a", false);
         failing.news(news(failing, 1, List.of()), nowMillis);
-        IntStream.range(0, 19).forEach(number -> failing.succeeded(30));
-        failing.failed();
+        IntStream.range(0, 19).forEach(number -> failing.tries().succeeded(30, nowMillis));
+        failing.tries().failed(nowMillis);
         Choice choice = choose(List.of(full, failing), Optional.empty());
         assertEquals(failing, assertInstanceOf(Choice.Send.class, choice).target());
     }
