Tell a taken port in the rehearsal at once, and draw others

What was seen: one of four builds of deploy/system.toml that ran at the same time failed, and its class archive was smaller than the others' (14.7 against 16.3 MB). Built alone again it succeeded. Its log was lost with that; it ended 30.7 s after its start.

Cause, likely: the rehearsal draws its ports. If one is taken, the failure of the start was only logged, and the rehearsal waited for its limit of 30 s, then failed, and the build with it. A trial with a taken port did just that.

Change: the failure of the start ends the rehearsal with its cause, all that it started is closed, and ports that turn out to be taken are drawn again, five times at the most.

Conclusion: the build no longer fails for a taken port; another cause would be told by its log.

--- a/src/main/java/io/waxwingquay/command/RehearseCommand.java
+++ b/src/main/java/io/waxwingquay/command/RehearseCommand.java
@@ -4,9 +4,12 @@
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
 import io.waxwingquay.standin.prepared.Rehearsal;
+import java.net.BindException;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -21,6 +24,7 @@
 
     private static final int LOWEST_PORT = 20_000;
     private static final int HIGHEST_PORT = 30_000;
+    private static final int MOST_DRAWS = 5;
 
     @Option(names = "--port", description = "The first of ten free ports on loopback; drawn if it is left out.")
     private Optional<Integer> port = Optional.empty();
@@ -29,8 +33,30 @@
     @Override
     public Integer call() throws Exception {
         Logging.toStandardOutput(LogFormat.TEXT, LogLevel.INFO);
-        Rehearsal.play(port.orElseGet(() -> ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT)));
+        if (port.isPresent()) {
+            Rehearsal.play(port.get());
+        } else {
+            playAtDrawnPorts();
+        }
         Logging.flush();
         return ExitCodes.OK;
     }
+
+    /** Other programs may use some of the ports that are drawn. */
+    private static void playAtDrawnPorts() throws Exception {
+        for (int draw = 1; ; draw++) {
+            try {
+                Rehearsal.play(ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT));
+                return;
+            } catch (Exception failure) {
+                if (draw == MOST_DRAWS || !isPortTaken(failure)) {
+                    throw failure;
+                }
+            }
+        }
+    }
+
+    private static boolean isPortTaken(Throwable failure) {
+        return Stream.iterate(failure, Objects::nonNull, Throwable::getCause).anyMatch(BindException.class::isInstance);
+    }
 }
--- a/src/main/java/io/waxwingquay/standin/prepared/Rehearsal.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/Rehearsal.java
@@ -78,20 +78,25 @@
         store.put("servers", "i-2", plain.row("plain", "z", "ready"));
         HostPort callers = new HostPort(ENTRY_HOST, basePort + 2);
         HostPort readiness = new HostPort(ENTRY_HOST, basePort + 3);
-        EventLoop processes = EventLoop.start("processes");
-        CompletableFuture<HostedProcess> entry = new CompletableFuture<>();
-        processes.execute(() -> {
-            HostedSide.start(processes, settings(SIDE_HOST, Optional.empty(), Optional.of(engineAddress), store));
-            entry.complete(HostedEntry.start(
-                    processes, settings(ENTRY_HOST, Optional.of(callers), Optional.empty(), store, readiness)));
-        });
-        HostedProcess process = entry.get(LIMIT_SECONDS, TimeUnit.SECONDS);
-        ClientPool pool = new ClientPool(loop, new InetSocketAddress(callers.host(), callers.port()), 4);
-        expectOk(pool, "GET", "/p/1", "");
-        expectOk(pool, "POST", "/s/1", "m");
-        expectOk(pool, "POST", "/s/2", "m/a1");
-        process.leave().get(LIMIT_SECONDS, TimeUnit.SECONDS);
-        processes.close();
+        try (EventLoop processes = EventLoop.start("processes")) {
+            CompletableFuture<HostedProcess> entry = new CompletableFuture<>();
+            processes.execute(() -> {
+                try {
+                    HostedSide.start(
+                            processes, settings(SIDE_HOST, Optional.empty(), Optional.of(engineAddress), store));
+                    entry.complete(HostedEntry.start(
+                            processes, settings(ENTRY_HOST, Optional.of(callers), Optional.empty(), store, readiness)));
+                } catch (RuntimeException failure) {
+                    entry.completeExceptionally(failure);
+                }
+            });
+            HostedProcess process = entry.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            ClientPool pool = new ClientPool(loop, new InetSocketAddress(callers.host(), callers.port()), 4);
+            expectOk(pool, "GET", "/p/1", "");
+            expectOk(pool, "POST", "/s/1", "m");
+            expectOk(pool, "POST", "/s/2", "m/a1");
+            process.leave().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        }
     }
 
     private void expectOk(ClientPool pool, String method, String path, String model) throws Exception {
--- /dev/null
+++ b/src/test/java/io/waxwingquay/standin/prepared/RehearsalTest.java
@@ -0,0 +1,26 @@
+package io.waxwingquay.standin.prepared;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.waxwingquay.testing.FreePorts;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import org.junit.jupiter.api.Test;
+
+class RehearsalTest {
+
+    // The port for callers is taken. The failure was only logged, and the build waited for it until its limit.
+    @Test
+    void takenPortFailsTheRehearsalWithItsCause() throws Exception {
+        int base = FreePorts.adjacent(10, List.of("127.0.0.1", "127.0.0.2", "127.0.0.3"));
+        try (ServerSocket taken = new ServerSocket(base + 2, 1, InetAddress.getByName("127.0.0.1"))) {
+            ExecutionException failure =
+                    assertThrows(ExecutionException.class, () -> Rehearsal.play(taken.getLocalPort() - 2));
+            assertInstanceOf(UncheckedIOException.class, failure.getCause());
+        }
+    }
+}
