End a process whose role cannot start

What was seen, on reading the diff: since roles start without the command line's library, a failure of the start ends the main thread alone. The loop's thread keeps the process alive; it listens nowhere, and nobody starts it again. By the command line such a process still ended.

Cause: the library's handler for failures turned them into an exit code; HostedMain has none.

Change: HostedRole.start tells why, closes the loop and gives no process; both ways in end with exit code 1.

--- a/src/main/java/io/waxwingquay/command/HostedRole.java
+++ b/src/main/java/io/waxwingquay/command/HostedRole.java
@@ -13,7 +13,9 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BiFunction;
 import sun.misc.Signal;
@@ -58,7 +60,11 @@
             errors.println("settings file " + file + " cannot be read: " + failure.getMessage());
             return ExitCodes.FAILED;
         }
-        HostedProcess process = start(settings);
+        Optional<HostedProcess> started = start(settings, errors);
+        if (started.isEmpty()) {
+            return ExitCodes.FAILED;
+        }
+        HostedProcess process = started.get();
         CountDownLatch left = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), signal -> process.leave().thenRun(left::countDown));
         // The settings that this program uses do not change while a VM lives; the virtual machine would exit on HUP.
@@ -72,8 +78,15 @@
         return ExitCodes.OK;
     }
 
-    /** All of a process is put together on its loop, so that two threads never read and load classes side by side. */
-    private HostedProcess start(HostSettings settings) {
+    /**
+     * Starts the process. All of it is put together on its loop, so that two threads never read and load classes side by
+     * side.
+     *
+     * @param settings the settings.
+     * @param errors told why it can't start.
+     * @return the process; empty if it can't start, and nothing of it is left then.
+     */
+    Optional<HostedProcess> start(HostSettings settings, PrintWriter errors) {
         EventLoop loop = EventLoop.start("loop");
         CompletableFuture<HostedProcess> started = new CompletableFuture<>();
         loop.execute(() -> {
@@ -83,6 +96,13 @@
                 started.completeExceptionally(failure);
             }
         });
-        return started.join();
+        try {
+            return Optional.of(started.join());
+        } catch (CompletionException failure) {
+            loop.close();
+            errors.println("the role cannot start: " + failure.getCause().getMessage());
+            LOG.log(System.Logger.Level.DEBUG, "command: the role cannot start.", failure);
+            return Optional.empty();
+        }
     }
 }
