Name the address that an entry's settings lack

Its settings had no address for readiness, and the start ended with 'No value present'.

Cause: the entry took two addresses without saying which it needs; and the test lacked one.

Change: 'listen.front: is missing; ...' and the same for listen.ready. The test names both addresses, and a second one asks for the message.

--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -25,6 +25,7 @@
 import io.waxwingquay.transport.generated.TableVersions;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpFields;
@@ -93,8 +94,8 @@
                 new Suspects(suspects, EventLoop::nowMillis, this::suspectsChanged),
                 random);
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicas());
-        HostPort callers = settings.callers().orElseThrow();
-        HostPort readiness = settings.readiness().orElseThrow();
+        HostPort callers = needed(settings.callers(), "listen.front");
+        HostPort readiness = needed(settings.readiness(), "listen.ready");
         this.server = HttpServer.listen(loop, socket(callers), forwarder);
         HttpServer.listen(loop, socket(readiness), this::readiness);
         this.departure =
@@ -215,6 +216,11 @@
         return new HostPort(engine.host(), settings.peerPort());
     }
 
+    private static HostPort needed(Optional<HostPort> address, String element) {
+        return address.orElseThrow(() -> new IllegalArgumentException(
+                element + ": is missing; this role takes callers' requests and tells whether it is ready"));
+    }
+
     private static InetSocketAddress socket(HostPort address) {
         return new InetSocketAddress(address.host(), address.port());
     }
--- a/src/test/java/io/waxwingquay/command/HostedRoleTest.java
+++ b/src/test/java/io/waxwingquay/command/HostedRoleTest.java
@@ -23,24 +23,34 @@
     // started it again.
     @Test
     void roleThatCannotListenEndsAndSaysWhy() throws IOException {
-        int port = FreePorts.adjacent(3, List.of(LOOPBACK));
-        StringWriter errors = new StringWriter();
+        int port = FreePorts.adjacent(4, List.of(LOOPBACK));
         try (ServerSocket taken = new ServerSocket(port + 2, 1, InetAddress.getByName(LOOPBACK))) {
-            HostSettings settings = settings(port, taken.getLocalPort());
-            assertEquals(Optional.empty(), HostedRole.ENTRY.start(settings, new PrintWriter(errors, true)));
+            String told = whyNot(settings(port, Optional.of(new HostPort(LOOPBACK, taken.getLocalPort()))));
+            assertTrue(told.contains("free the port or change it"), told);
         }
-        assertTrue(errors.toString().contains("free the port or change it"), errors.toString());
     }
 
-    private static HostSettings settings(int firstPort, int callersPort) {
+    @Test
+    void missingAddressIsNamed() {
+        String told = whyNot(settings(FreePorts.adjacent(4, List.of(LOOPBACK)), Optional.empty()));
+        assertTrue(told.contains("listen.front: is missing"), told);
+    }
+
+    private static String whyNot(HostSettings settings) {
+        StringWriter errors = new StringWriter();
+        assertEquals(Optional.empty(), HostedRole.ENTRY.start(settings, new PrintWriter(errors, true)));
+        return errors.toString();
+    }
+
+    private static HostSettings settings(int firstPort, Optional<HostPort> callers) {
         return new HostSettings(
                 "n",
                 "z",
                 LOOPBACK,
                 firstPort,
                 firstPort + 1,
-                Optional.of(new HostPort(LOOPBACK, callersPort)),
-                Optional.empty(),
+                callers,
+                Optional.of(new HostPort(LOOPBACK, firstPort + 3)),
                 Optional.empty(),
                 Optional.empty(),
                 new HostPort(LOOPBACK, 1),
