Name a burst a burst, and what starts a role its starter

Cause: read as a newcomer. RetryBudget called what may be held unearned 'free', and HostedRole had a field and a method of one name.

Change: names only.

Figures: RetryBudgetTest, HostedRoleTest and HostedMainTest passed.

Conclusion: none of its own.

--- a/src/main/java/io/waxwingquay/admission/RetryBudget.java
+++ b/src/main/java/io/waxwingquay/admission/RetryBudget.java
@@ -24,15 +24,15 @@
     private final double draw;
     private final LongSupplier clockMillis;
     private final AtomicLong microTokens;
-    private volatile long freeMicroTokens;
+    private volatile long burstMicroTokens;
     private volatile long triedMillis;
 
     private RetryBudget(long earnedMicroTokens, double part, double draw, LongSupplier clockMillis) {
         this.earnedMicroTokens = earnedMicroTokens;
         this.draw = draw;
         this.clockMillis = clockMillis;
-        this.freeMicroTokens = free(part);
-        this.microTokens = new AtomicLong(freeMicroTokens);
+        this.burstMicroTokens = burst(part);
+        this.microTokens = new AtomicLong(burstMicroTokens);
         this.triedMillis = clockMillis.getAsLong();
     }
 
@@ -79,7 +79,7 @@
      * @param part the most retries that may be saved up; of several senders, divided by their number.
      */
     public void limitBurst(double part) {
-        freeMicroTokens = free(part);
+        burstMicroTokens = burst(part);
         microTokens.updateAndGet(held -> Math.min(held, mostMicroTokens()));
     }
 
@@ -104,16 +104,16 @@
 
     private void lapse() {
         if (clockMillis.getAsLong() - triedMillis > EARNED_MILLIS) {
-            microTokens.updateAndGet(held -> Math.min(held, freeMicroTokens));
+            microTokens.updateAndGet(held -> Math.min(held, burstMicroTokens));
         }
     }
 
-    private long free(double part) {
+    private long burst(double part) {
         return (long) (part + draw) * MICRO_TOKENS_PER_RETRY;
     }
 
     /** Whatever its part, a sender may earn a whole retry. */
     private long mostMicroTokens() {
-        return Math.max(MICRO_TOKENS_PER_RETRY, freeMicroTokens);
+        return Math.max(MICRO_TOKENS_PER_RETRY, burstMicroTokens);
     }
 }
--- a/src/main/java/io/waxwingquay/command/HostedRole.java
+++ b/src/main/java/io/waxwingquay/command/HostedRole.java
@@ -29,10 +29,10 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.command");
 
-    private final BiFunction<EventLoop, HostSettings, HostedProcess> start;
+    private final BiFunction<EventLoop, HostSettings, HostedProcess> starter;
 
-    HostedRole(BiFunction<EventLoop, HostSettings, HostedProcess> start) {
-        this.start = start;
+    HostedRole(BiFunction<EventLoop, HostSettings, HostedProcess> starter) {
+        this.starter = starter;
     }
 
     /** The settings file that the platform names for this process. */
@@ -91,7 +91,7 @@
         CompletableFuture<HostedProcess> started = new CompletableFuture<>();
         loop.execute(() -> {
             try {
-                started.complete(start.apply(loop, settings));
+                started.complete(starter.apply(loop, settings));
             } catch (RuntimeException failure) {
                 started.completeExceptionally(failure);
             }
