Log the orders whose outcome is unknown when an engine begins again

An engine that was given more than it has room for can be traced to an order of its previous incarnation only by comparing counts across both. The line 'engine begins' now names what may still be executed, as 'load m/a1 after 20'. No decision is changed.

--- a/src/main/java/io/waxwingquay/residency/EngineControl.java
+++ b/src/main/java/io/waxwingquay/residency/EngineControl.java
@@ -45,5 +45,12 @@
      * @param expectedOrdersTaken precondition of the order: the exact number of orders that the engine has accepted
      *     before.
      */
-    record Order(boolean load, String model, Optional<String> adapter, long expectedOrdersTaken) {}
+    record Order(boolean load, String model, Optional<String> adapter, long expectedOrdersTaken) {
+
+        /** Returns the order in a short form for logs. */
+        String toText() {
+            String item = adapter.map(name -> model + "/" + name).orElse(model);
+            return (load ? "load " : "unload ") + item + " after " + expectedOrdersTaken;
+        }
+    }
 }
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -214,9 +214,10 @@
         if (restarted) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "residency: engine begins orders={0} models={1}",
+                    "residency: engine begins orders={0} models={1} unresolved={2}",
                     newer.ordersTaken(),
-                    newer.modelNames());
+                    newer.modelNames(),
+                    orders.unresolvedOrders());
             mover.onEngineRestart();
         }
         report = Optional.of(newer);
--- a/src/main/java/io/waxwingquay/residency/OrderTracker.java
+++ b/src/main/java/io/waxwingquay/residency/OrderTracker.java
@@ -67,5 +67,13 @@
                 .toList();
     }
 
+    /** Returns the orders whose outcome is unknown, for logs: operation, model and adapter, and the expected count. */
+    List<String> unresolvedOrders() {
+        return unresolved.stream()
+                .map(UnresolvedOrder::order)
+                .map(EngineControl.Order::toText)
+                .toList();
+    }
+
     private record UnresolvedOrder(EngineControl.Order order, long incarnation, long answeredMillis) {}
 }
