Show that orders of an earlier incarnation overcommit an engine

An engine leaves orders unanswered, restarts, and executes them as soon as its count of accepted orders matches: - an adapter order, while all adapter slots are occupied; - a model order, after the plan has evicted the expected model without an unload.

--- /dev/null
+++ b/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
@@ -0,0 +1,132 @@
+package io.waxwingquay.residency;
+
+import io.waxwingquay.fleet.EngineReport;
+import io.waxwingquay.fleet.ReplicaRecord;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * An engine that leaves orders unanswered and executes them later, as soon as its count of accepted orders matches.
+ * It records whether it was ever ordered to hold more than it has room for.
+ */
+final class LateOrderEngine implements EngineControl {
+
+    private static final long ANSWER_TIMEOUT_MILLIS = 20L;
+
+    private final int modelRoom;
+    private final int adapterSlots;
+    private final Set<String> onDisk;
+    private final Map<String, Set<String>> adaptersByModel = new TreeMap<>();
+    private final List<Order> unanswered = new ArrayList<>();
+    private Executor loop = Runnable::run;
+    private long bornMillis = 1;
+    private long ordersTaken;
+    private long reports;
+    private boolean answering = true;
+    private boolean overcommitted;
+
+    LateOrderEngine(int modelRoom, int adapterSlots, Set<String> onDisk) {
+        this.modelRoom = modelRoom;
+        this.adapterSlots = adapterSlots;
+        this.onDisk = onDisk;
+    }
+
+    /** Begins an incarnation that has accepted some orders, of which it shows what it holds now. */
+    synchronized void begin(long ordersTakenBefore, String... models) {
+        bornMillis++;
+        ordersTaken = ordersTakenBefore;
+        answering = true;
+        adaptersByModel.clear();
+        List.of(models).forEach(model -> adaptersByModel.put(model, new TreeSet<>()));
+    }
+
+    /** Sets the loop on which the process that gives orders expects its answers. */
+    synchronized void answerOn(Executor newLoop) {
+        loop = newLoop;
+    }
+
+    synchronized void stopAnswering() {
+        answering = false;
+    }
+
+    synchronized int unansweredOrders() {
+        return unanswered.size();
+    }
+
+    synchronized long reports() {
+        return reports;
+    }
+
+    synchronized boolean holds(String model, String adapter) {
+        return adaptersByModel.getOrDefault(model, Set.of()).contains(adapter);
+    }
+
+    synchronized boolean holds(String model) {
+        return adaptersByModel.containsKey(model);
+    }
+
+    synchronized boolean wasOvercommitted() {
+        return overcommitted;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public synchronized CompletableFuture<EngineReport> report() {
+        reports++;
+        List<ReplicaRecord.ResidentModel> models = adaptersByModel.entrySet().stream()
+                .map(each -> new ReplicaRecord.ResidentModel(each.getKey(), List.copyOf(each.getValue())))
+                .toList();
+        EngineReport report =
+                new EngineReport(bornMillis, ordersTaken, false, 0, 0, 0, 0, models, Set.of(), Set.of(), onDisk, false);
+        return CompletableFuture.supplyAsync(() -> report, loop);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public synchronized CompletableFuture<Answer> issue(Order order) {
+        if (!answering) {
+            unanswered.add(order);
+            Executor timeout = CompletableFuture.delayedExecutor(ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, loop);
+            return CompletableFuture.supplyAsync(() -> Answer.UNKNOWN, timeout);
+        }
+        boolean isExpected = order.expectedOrdersTaken() == ordersTaken;
+        if (isExpected) {
+            execute(order);
+            executeLateOrders();
+        }
+        return CompletableFuture.supplyAsync(() -> isExpected ? Answer.TAKEN : Answer.CONFLICT, loop);
+    }
+
+    private void executeLateOrders() {
+        Optional<Order> next = unanswered.stream()
+                .filter(order -> order.expectedOrdersTaken() == ordersTaken)
+                .findFirst();
+        next.ifPresent(order -> {
+            unanswered.remove(order);
+            execute(order);
+            executeLateOrders();
+        });
+    }
+
+    private void execute(Order order) {
+        ordersTaken++;
+        if (order.adapter().isPresent()) {
+            Set<String> adapters = adaptersByModel.getOrDefault(order.model(), new TreeSet<>());
+            order.adapter().ifPresent(order.load() ? adapters::add : adapters::remove);
+        } else if (order.load()) {
+            adaptersByModel.putIfAbsent(order.model(), new TreeSet<>());
+        } else {
+            adaptersByModel.remove(order.model());
+        }
+        int adapters = adaptersByModel.values().stream().mapToInt(Set::size).sum();
+        overcommitted |= adaptersByModel.size() > modelRoom || adapters > adapterSlots;
+    }
+}
