Leave adapter slots free for late orders of an earlier incarnation

Seen: an engine with all adapter slots occupied was ordered to load one more and crashed with all its requests. Cause: an order names how many orders the engine has accepted before, and an engine counts anew in each incarnation. An adapter order that got no answer fits again once the next incarnation has accepted as many orders. Only models were kept room for. Change: for as long as an unanswered adapter load of an earlier incarnation can still be executed, a slot is left free for it. Within one incarnation the count rules out the second.

--- a/src/main/java/io/waxwingquay/fleet/EngineReport.java
+++ b/src/main/java/io/waxwingquay/fleet/EngineReport.java
@@ -53,6 +53,20 @@
         return models.stream().map(ReplicaRecord.ResidentModel::name).toList();
     }
 
+    /**
+     * Returns whether an adapter occupies a slot.
+     *
+     * @param model the model of the adapter.
+     * @param adapter the name of the adapter.
+     * @return whether it is held or loading.
+     */
+    public boolean hasAdapter(String model, String adapter) {
+        return loadingAdapters.contains(model + '/' + adapter)
+                || model(model)
+                        .filter(held -> held.adapters().contains(adapter))
+                        .isPresent();
+    }
+
     /**
      * Returns the number of occupied adapter slots.
      *
--- a/src/main/java/io/waxwingquay/residency/AdapterScheduler.java
+++ b/src/main/java/io/waxwingquay/residency/AdapterScheduler.java
@@ -73,17 +73,29 @@
         waitersByAdapter.clear();
     }
 
-    /** Returns the next order that loads a requested adapter or evicts another one for it. */
-    Optional<EngineControl.Order> nextOrder(Engine engine, EngineReport report, Set<String> inUse, long nowMillis) {
+    /**
+     * Returns the next order that loads a requested adapter or evicts another one for it.
+     *
+     * @param engine the specification of the engine.
+     * @param report the state reported by the engine.
+     * @param reservedSlots slots to leave free.
+     * @param inUse adapters in use by requests, as {@code model/adapter}.
+     * @param nowMillis the current monotonic time.
+     */
+    Optional<EngineControl.Order> nextOrder(
+            Engine engine, EngineReport report, int reservedSlots, Set<String> inUse, long nowMillis) {
         waitersByAdapter.values().removeIf(waiters -> nowMillis - waiters.sinceMillis > CALL_TIMEOUT_MILLIS);
         inUse.forEach(text -> lastUsedMillis.put(AdapterName.parse(text), nowMillis));
         Optional<AdapterName> nextToLoad = waitersByAdapter.keySet().stream()
                 .filter(name -> !report.loadingAdapters().contains(name.toString()))
                 .findFirst();
-        if (nextToLoad.isEmpty() || report.loadingAdapters().size() >= MAX_LOADING_ADAPTERS) {
+        int availableSlots = engine.adapterSlots() - reservedSlots;
+        if (nextToLoad.isEmpty()
+                || availableSlots <= 0
+                || report.loadingAdapters().size() >= MAX_LOADING_ADAPTERS) {
             return Optional.empty();
         }
-        if (report.usedAdapterSlots() < engine.adapterSlots()) {
+        if (report.usedAdapterSlots() < availableSlots) {
             return nextToLoad.map(name -> order(true, name, report));
         }
         return leastRecentlyUsed(report, nowMillis).map(name -> order(false, name, report));
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -249,8 +249,8 @@
         EngineReport current = report.get();
         long nowMillis = EventLoop.nowMillis();
         adapterScheduler.replyToWaiters(current, this::sendAdapterReply);
-        Optional<EngineControl.Order> adapterOrder =
-                adapterScheduler.nextOrder(engine.get(), current, peers.adaptersInUse(nowMillis), nowMillis);
+        Optional<EngineControl.Order> adapterOrder = adapterScheduler.nextOrder(
+                engine.get(), current, orders.reservedAdapterSlots(current), peers.adaptersInUse(nowMillis), nowMillis);
         if (adapterOrder.isPresent()) {
             issue(adapterOrder.get());
         } else if (!current.executingOrder() && !current.draining()) {
--- a/src/main/java/io/waxwingquay/residency/OrderTracker.java
+++ b/src/main/java/io/waxwingquay/residency/OrderTracker.java
@@ -3,6 +3,7 @@
 import io.waxwingquay.fleet.EngineReport;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -67,6 +68,23 @@
                 .toList();
     }
 
+    /**
+     * Returns the number of adapter slots to leave free for orders of earlier incarnations. Within one incarnation the
+     * count in an order already rules out that it is executed in addition to the one issued after it.
+     */
+    int reservedAdapterSlots(EngineReport report) {
+        return (int) unresolved.stream()
+                .filter(each -> each.incarnation != incarnation)
+                .map(UnresolvedOrder::order)
+                .filter(order -> order.load() && order.expectedOrdersTaken() >= report.ordersTaken())
+                .filter(order -> order.adapter()
+                        .filter(name -> !report.hasAdapter(order.model(), name))
+                        .isPresent())
+                .map(order -> Map.entry(order.model(), order.adapter()))
+                .distinct()
+                .count();
+    }
+
     /** Returns the orders whose outcome is unknown, for logs: operation, model and adapter, and the expected count. */
     List<String> unresolvedOrders() {
         return unresolved.stream()
--- a/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
+++ b/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
@@ -50,6 +50,15 @@
         assertEquals(Optional.empty(), nextOrder(report(false, "a1", "a2"), Set.of("m/a1", "m/a2")));
     }
 
+    // Guards against evicting one adapter after the other while all slots are reserved and nothing can be loaded.
+    @Test
+    void evictsNothingWhileAllSlotsAreReserved() {
+        addCall(1, "a9");
+        assertEquals(Optional.empty(), nextOrder(report(false, "a1", "a2"), 2, Set.of()));
+        assertFalse(
+                nextOrder(report(false, "a1", "a2"), 1, Set.of()).orElseThrow().load());
+    }
+
     // An engine that is loading a model accepts no adapter order for seconds. Without an immediate reply the caller
     // would wait until its request is late instead of asking another engine.
     @Test
@@ -71,7 +80,11 @@
     }
 
     private Optional<EngineControl.Order> nextOrder(EngineReport report, Set<String> inUse) {
-        return scheduler.nextOrder(ENGINE, report, inUse, 10);
+        return nextOrder(report, 0, inUse);
+    }
+
+    private Optional<EngineControl.Order> nextOrder(EngineReport report, int reservedSlots, Set<String> inUse) {
+        return scheduler.nextOrder(ENGINE, report, reservedSlots, inUse, 10);
     }
 
     private void replyToWaiters(EngineReport report) {
