Keep memory free for models that late orders may still load

Seen: the plan evicted a model that only an unanswered order could still load. Nothing was unloaded for it, another model was loaded in its place, and the late order then had no room. Cause: the model of an unanswered order counted as held, and what is held can be evicted. The same held for the models restored before there is demand, which did not count it at all. Change: memory is reserved for it. It is no copy, can't be evicted, and may be loaded there.

--- a/src/main/java/io/waxwingquay/residency/CopyPlan.java
+++ b/src/main/java/io/waxwingquay/residency/CopyPlan.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Plans which model each engine loads next and which models are evicted for it. The plan is a pure function of its
@@ -111,10 +112,11 @@
                 .toList();
         this.demand = demand;
         this.engines.forEach(view -> {
-            double heldMegabytes = view.held().stream()
+            double occupiedMegabytes = Stream.concat(view.held().stream(), view.reservedFor().stream())
+                    .distinct()
                     .mapToDouble(engine::modelWeightsMegabytes)
                     .sum();
-            freeMegabytes.put(view.address(), engine.modelMemoryMegabytes() - heldMegabytes);
+            freeMegabytes.put(view.address(), engine.modelMemoryMegabytes() - occupiedMegabytes);
             Set<String> all = new HashSet<>(view.held());
             view.loading().ifPresent(all::add);
             all.forEach(model -> copyCounts.merge(model, 1, Integer::sum));
@@ -213,7 +215,8 @@
     }
 
     private Optional<Candidate> candidate(EngineView view, Engine.Model model) {
-        double missingMegabytes = model.weightsMegabytes() - freeMegabytes.get(view.address());
+        double requiredMegabytes = view.reservedFor().contains(model.name()) ? 0 : model.weightsMegabytes();
+        double missingMegabytes = requiredMegabytes - freeMegabytes.get(view.address());
         if (missingMegabytes > 0 && demandFor(model.name()).perSecond() < MIN_GAIN_PER_SECOND) {
             // A model without demand only takes free memory: demand is unknown at startup, and existing copies should
             // stay then.
@@ -309,6 +312,8 @@
      *
      * @param address the engine's address.
      * @param held models that it holds.
+     * @param reservedFor models for which memory is kept free, as an order with an unknown outcome may still load them.
+     *     They are no copies, and nothing can be evicted to free that memory.
      * @param loading the model that is loading, or for which others are being evicted.
      * @param cachedOnHost models whose weights are in its host's memory or on its disk.
      * @param inUse models in use by its requests; eviction would have to wait for those.
@@ -318,14 +323,28 @@
     public record EngineView(
             HostPort address,
             Set<String> held,
+            Set<String> reservedFor,
             Optional<String> loading,
             Set<String> cachedOnHost,
             Set<String> inUse,
             int recentStoreLoads,
             int requests) {
 
+        /** Creates a view of an engine without orders whose outcome is unknown. */
+        EngineView(
+                HostPort address,
+                Set<String> held,
+                Optional<String> loading,
+                Set<String> cachedOnHost,
+                Set<String> inUse,
+                int recentStoreLoads,
+                int requests) {
+            this(address, held, Set.of(), loading, cachedOnHost, inUse, recentStoreLoads, requests);
+        }
+
         EngineView withoutLoading() {
-            return new EngineView(address, held, Optional.empty(), cachedOnHost, inUse, recentStoreLoads, requests);
+            return new EngineView(
+                    address, held, reservedFor, Optional.empty(), cachedOnHost, inUse, recentStoreLoads, requests);
         }
     }
 
--- a/src/main/java/io/waxwingquay/residency/EnginePlanner.java
+++ b/src/main/java/io/waxwingquay/residency/EnginePlanner.java
@@ -2,13 +2,13 @@
 
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.EngineReport;
-import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.manifest.Engine;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** Combines the updates received about all engines and asks the plan for the next step of its own engine. */
 final class EnginePlanner {
@@ -73,14 +73,13 @@
             if (isWarmingUp()) {
                 return restoreStep();
             }
-            Set<String> held = new HashSet<>(report.modelNames());
-            held.addAll(orders.unresolvedLoads());
             Set<String> cachedOnHost = new HashSet<>(report.onDisk());
             cachedOnHost.addAll(report.inHostMemory());
             List<CopyPlan.EngineView> views = new ArrayList<>(peers.otherEngines(address, announced, nowMillis));
             views.add(new CopyPlan.EngineView(
                     address,
-                    held,
+                    Set.copyOf(report.modelNames()),
+                    Set.copyOf(orders.unresolvedLoads()),
                     Optional.empty(),
                     cachedOnHost,
                     peers.modelsInUse(nowMillis),
@@ -93,24 +92,22 @@
          * Returns a step for the next model of the engine's previous incarnation that is cached on the host and fits.
          */
         private Optional<CopyPlan.Step> restoreStep() {
-            double heldMegabytes = report.models().stream()
-                    .mapToDouble(this::modelWeightsMegabytes)
+            List<String> unresolvedLoads = orders.unresolvedLoads();
+            double occupiedMegabytes = Stream.concat(report.modelNames().stream(), unresolvedLoads.stream())
+                    .distinct()
+                    .mapToDouble(engine::modelWeightsMegabytes)
                     .sum();
             boolean hasNoDemand = peers.demand(nowMillis).isEmpty();
             return previousModels.models().stream()
                     .filter(model ->
                             hasNoDemand && report.model(model).isEmpty() && ModelMover.isCachedOnHost(report, model))
                     .filter(model -> engine.model(model).isPresent())
-                    .filter(model ->
-                            heldMegabytes + engine.modelWeightsMegabytes(model) <= engine.modelMemoryMegabytes())
+                    .filter(model -> unresolvedLoads.contains(model)
+                            || occupiedMegabytes + engine.modelWeightsMegabytes(model) <= engine.modelMemoryMegabytes())
                     .findFirst()
                     .map(model -> new CopyPlan.Step(model, List.of()));
         }
 
-        private double modelWeightsMegabytes(ReplicaRecord.ResidentModel model) {
-            return engine.modelWeightsMegabytes(model.name());
-        }
-
         private boolean isWarmingUp() {
             long elapsedMillis = nowMillis - startMillis;
             boolean hasPeerUpdates =
--- a/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
+++ b/src/test/java/io/waxwingquay/residency/CopyPlanTest.java
@@ -156,6 +156,27 @@
         assertEquals("other", plan.stepFor(SECOND).orElseThrow().model());
     }
 
+    // Guards against evicting a model that only an order with an unknown outcome may load: that frees no memory.
+    @Test
+    void memoryReservedForAModelIsFreedByNoEviction() {
+        CopyPlan.EngineView reserving = new CopyPlan.EngineView(
+                FIRST, Set.of("busy"), Set.of("idle", "rare"), Optional.empty(), Set.of(), Set.of(), 0, 0);
+        Map<String, CopyPlan.Demand> asked = Map.of("busy", demand(90, 90), "other", demand(5, 5));
+        new CopyPlan(ENGINE, List.of(reserving), asked, UNLIMITED)
+                .stepFor(FIRST)
+                .ifPresent(step -> assertTrue(reserving.reservedFor().contains(step.model()), step.toString()));
+    }
+
+    @Test
+    void modelWithReservedMemoryIsLoadedIntoIt() {
+        CopyPlan.EngineView reserving = new CopyPlan.EngineView(
+                FIRST, Set.of("busy"), Set.of("idle", "rare"), Optional.empty(), Set.of(), Set.of(), 0, 0);
+        Map<String, CopyPlan.Demand> asked = Map.of("busy", demand(90, 90), "rare", demand(5, 5));
+        assertEquals(
+                Optional.of(new CopyPlan.Step("rare", List.of())),
+                new CopyPlan(ENGINE, List.of(reserving), asked, UNLIMITED).stepFor(FIRST));
+    }
+
     private static CopyPlan.EngineView view(HostPort address, String... held) {
         return new CopyPlan.EngineView(address, Set.of(held), Optional.empty(), Set.of(), Set.of(), 0, 0);
     }
