Address orders to the engine's current incarnation

Seen: an engine with no room left carried out an order that its previous incarnation had left unanswered. Cause: an order was guarded by a count that begins anew with each incarnation, and by nothing else; whoever had the address when it was carried out took it. What a process remembers of its unanswered orders covers that, but ends with the process: if side process and engine are lost together, the successor knows of nothing. Class: a message to an address that outlives the one it was meant for. Requests have named their replica all along, orders did not. Change: the side process asks the engine for its id through the health check, once for each incarnation, and orders name it. A replica with another id refuses them, so that unanswered orders for it are void at once and need no memory or slots. A new start time counts as a restart, and a refused order has the engine asked again. Before: EngineManagerTest#lateOrderOfAnEndedProcessDoesNotReachTheNextIncarnation failed, expected false but was true; after: passes. A restart under the same id with the side process lost as well is still open.

--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -40,6 +40,7 @@
     private final EngineManager keeper;
     private final PreparedPlatform platform;
     private final WatchedTable<Manifest> configurationTable;
+    private Optional<String> healthPath = Optional.empty();
     private boolean configurationKnown;
     private boolean readInProgress;
 
@@ -55,7 +56,12 @@
             pace.assumeRecentLoad(EventLoop.nowMillis());
         }
         this.keeper = new EngineManager(
-                loop, engine, service, platform.engineControl(engine, settings.vmName()), new PeerSender(), pace);
+                loop,
+                engine,
+                service,
+                platform.engineControl(engine, settings.vmName(), () -> healthPath),
+                new PeerSender(),
+                pace);
         loop.execute(this::startTasks);
     }
 
@@ -138,6 +144,7 @@
     private void apply(WatchedTable.Page<Manifest> page) {
         page.rows().forEach(row -> row.value().ifPresent(manifest -> {
             configurationKnown = true;
+            healthPath = Optional.ofNullable(manifest.services().get(service)).flatMap(Manifest.Service::healthPath);
             keeper.configure(manifest.engine(service));
         }));
     }
--- a/src/main/java/io/waxwingquay/manifest/Manifest.java
+++ b/src/main/java/io/waxwingquay/manifest/Manifest.java
@@ -30,7 +30,8 @@
      *
      * @param name the service's name.
      * @param maxConnections the maximum number of connections that one replica accepts from all callers together.
+     * @param healthPath the path of the health check of its replicas, if they have one.
      * @param engine the engine that its replicas run, empty if they are plain services.
      */
-    public record Service(String name, int maxConnections, Optional<Engine> engine) {}
+    public record Service(String name, int maxConnections, Optional<String> healthPath, Optional<Engine> engine) {}
 }
--- a/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
+++ b/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
@@ -7,7 +7,9 @@
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.residency.EngineControl;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Controls the engine on the same VM over HTTP. */
@@ -22,16 +24,36 @@
      */
     private static final long FENCE = 1L;
 
+    private static final String TARGET_REPLICA = "Target-Replica";
+    private static final String REPLICA_ID = "Replica-Id";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
 
     private final PlatformClient engine;
     private final String holder;
+    private final Supplier<Optional<String>> healthPath;
 
-    HttpEngineControl(EventLoop loop, HostPort address, String holder) {
+    HttpEngineControl(EventLoop loop, HostPort address, String holder, Supplier<Optional<String>> healthPath) {
         this.engine = new PlatformClient(loop, address, TIMEOUT_MILLIS);
         this.holder = holder;
+        this.healthPath = healthPath;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CompletableFuture<String> identify() {
+        return healthPath
+                .get()
+                .map(path -> engine.get(path, 0).thenApply(HttpEngineControl::replicaId))
+                .orElseGet(() -> CompletableFuture.failedFuture(
+                        new StoreException("the configuration of the service has no health path")));
+    }
+
+    private static String replicaId(PlatformClient.Reply reply) {
+        return Optional.ofNullable(reply.fields().get(REPLICA_ID))
+                .orElseThrow(() -> new StoreException(
+                        "the engine answered the health check with status " + reply.status() + " and without its id"));
     }
 
     /** {@inheritDoc} */
@@ -52,7 +74,7 @@
 
     /** {@inheritDoc} */
     @Override
-    public CompletableFuture<Answer> issue(Order order) {
+    public CompletableFuture<Answer> issue(Order order, Optional<String> replicaId) {
         ObjectNode body = JsonFields.MAPPER.createObjectNode();
         body.put("op", order.load() ? "load" : "unload");
         body.put("model", order.model());
@@ -60,7 +82,9 @@
         body.put("precondition", order.expectedOrdersTaken());
         body.put("holder", holder);
         body.put("fence", FENCE);
-        return engine.post("/order", HttpFields.EMPTY, JsonFields.write(body))
+        HttpFields.Mutable fields = HttpFields.build();
+        replicaId.ifPresent(id -> fields.put(TARGET_REPLICA, id));
+        return engine.post("/order", fields, JsonFields.write(body))
                 .thenApply(reply -> answer(reply.status()))
                 .exceptionally(failure -> Answer.UNKNOWN);
     }
--- a/src/main/java/io/waxwingquay/platform/ManifestReader.java
+++ b/src/main/java/io/waxwingquay/platform/ManifestReader.java
@@ -81,7 +81,11 @@
                 .filter(JsonNode::isObject)
                 .map(ManifestReader::engine);
         return JsonFields.text(node, "name")
-                .map(name -> new Manifest.Service(name, (int) JsonFields.longOr(node, "max_conns", 100L), engine));
+                .map(name -> new Manifest.Service(
+                        name,
+                        (int) JsonFields.longOr(node, "max_conns", 100L),
+                        JsonFields.text(node, "health_path"),
+                        engine));
     }
 
     private static Engine engine(JsonNode node) {
--- a/src/main/java/io/waxwingquay/platform/PlatformClient.java
+++ b/src/main/java/io/waxwingquay/platform/PlatformClient.java
@@ -62,9 +62,10 @@
      * A complete reply.
      *
      * @param status the HTTP status.
+     * @param fields the header fields.
      * @param body the body.
      */
-    record Reply(int status, byte[] body) {}
+    record Reply(int status, HttpFields fields, byte[] body) {}
 
     private static final class ReplyCollector implements ClientListener {
 
@@ -72,6 +73,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final String target;
         private int status;
+        private HttpFields fields = HttpFields.EMPTY;
 
         private ReplyCollector(String target) {
             this.target = target;
@@ -79,8 +81,9 @@
 
         /** {@inheritDoc} */
         @Override
-        public void onHead(int newStatus, HttpFields fields) {
+        public void onHead(int newStatus, HttpFields newFields) {
             status = newStatus;
+            fields = newFields;
         }
 
         /** {@inheritDoc} */
@@ -94,7 +97,7 @@
         /** {@inheritDoc} */
         @Override
         public void onComplete() {
-            future.complete(new Reply(status, body.toByteArray()));
+            future.complete(new Reply(status, fields, body.toByteArray()));
         }
 
         /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
+++ b/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
@@ -8,6 +8,7 @@
 import io.waxwingquay.residency.EngineControl;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * The services of the prepared platform to one process: its store and the engine. All of it runs on the loop.
@@ -114,9 +115,10 @@
      *
      * @param address the engine's address.
      * @param holder the name under which this process gives orders.
+     * @param healthPath the path of the engine's health check, once the configuration is known.
      * @return the engine's control.
      */
-    public EngineControl engineControl(HostPort address, String holder) {
-        return new HttpEngineControl(loop, address, holder);
+    public EngineControl engineControl(HostPort address, String holder, Supplier<Optional<String>> healthPath) {
+        return new HttpEngineControl(loop, address, holder, healthPath);
     }
 }
--- a/src/main/java/io/waxwingquay/residency/EngineControl.java
+++ b/src/main/java/io/waxwingquay/residency/EngineControl.java
@@ -14,13 +14,22 @@
      */
     CompletableFuture<EngineReport> report();
 
+    /**
+     * Asks for the id of the replica that is reached now.
+     *
+     * @return the id; fails if the engine does not name it.
+     */
+    CompletableFuture<String> identify();
+
     /**
      * Issues an order.
      *
      * @param order the order.
+     * @param replicaId the only replica that may execute the order; empty for whichever is reached, also when the order
+     *     is executed late.
      * @return the engine's answer, {@link Answer#UNKNOWN} if there is none: the order may still be executed.
      */
-    CompletableFuture<Answer> issue(Order order);
+    CompletableFuture<Answer> issue(Order order, Optional<String> replicaId);
 
     /** The answer of an engine to an order. */
     enum Answer {
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -34,6 +34,9 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
+    /** The interval at which an engine that has not named its id is asked again. */
+    private static final long IDENTIFY_MILLIS = 1_000L;
+
     /** The interval at which the engine's state is logged. */
     private static final long STATE_LOG_MILLIS = 2_000L;
 
@@ -52,6 +55,7 @@
     private final ModelMover mover = new ModelMover();
     private final EnginePlanner planner;
     private boolean pollInFlight;
+    private long identifyAtMillis = Long.MIN_VALUE;
     private boolean earlyPollScheduled;
     private final UpdateSequence updateNumber = new UpdateSequence(EventLoop.nowMillis());
     private final UpdateSchedule schedule = new UpdateSchedule();
@@ -222,14 +226,38 @@
         }
         report = Optional.of(newer);
         orders.onReport(newer, restarted);
+        if (restarted) {
+            identifyAtMillis = Long.MIN_VALUE;
+        }
+        identify();
         issueNextOrder();
         sendUpdate();
     }
 
-    /** A restarted engine is empty and has accepted no order. */
+    /** Asks for the id of the engine's current incarnation while it is unknown. */
+    private void identify() {
+        long nowMillis = EventLoop.nowMillis();
+        if (engine.isEmpty() || orders.isIdentified() || nowMillis < identifyAtMillis) {
+            return;
+        }
+        identifyAtMillis = nowMillis + IDENTIFY_MILLIS;
+        control.identify().whenComplete((id, failure) -> {
+            if (failure == null) {
+                orders.onIdentified(id);
+            }
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "residency: engine identified id={0} cause={1}",
+                    id,
+                    failure == null ? "" : failure.getMessage());
+        });
+    }
+
+    /** A restarted engine has another start time; if it reports none, it is empty and has accepted no order. */
     private static boolean hasRestarted(EngineReport before, EngineReport current) {
         boolean isEmptied = current.models().isEmpty() && !before.models().isEmpty();
-        return current.ordersTaken() < before.ordersTaken()
+        return current.bornMillis() != before.bornMillis()
+                || current.ordersTaken() < before.ordersTaken()
                 || isEmptied && current.ordersTaken() == before.ordersTaken();
     }
 
--- a/src/main/java/io/waxwingquay/residency/OrderTracker.java
+++ b/src/main/java/io/waxwingquay/residency/OrderTracker.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -13,7 +14,9 @@
  * <p>Failure: an order gets no answer and is executed seconds later, possibly in the engine's next incarnation.
  * Symptom: the models exceed the memory, and the engine crashes. Each order states how many orders the engine has
  * accepted before; once the engine has accepted another one, a late order no longer matches and is void. Until then,
- * and for {@link #LATE_EXECUTION_MILLIS} after a restart, the model that an unresolved order would load counts as held.
+ * and for {@link #LATE_EXECUTION_MILLIS} after a restart, memory is kept free for the model that an unresolved order
+ * would load, and a slot for each adapter. An order that is addressed to an incarnation by its id is void once the engine
+ * has another id; most restarted engines have, but not all.
  */
 final class OrderTracker {
 
@@ -23,6 +26,7 @@
     private final EngineControl control;
     private final LongSupplier clockMillis;
     private final List<UnresolvedOrder> unresolved = new ArrayList<>();
+    private Optional<String> replicaId = Optional.empty();
     private boolean awaitingAnswer;
     private long incarnation;
 
@@ -39,10 +43,15 @@
     void issue(EngineControl.Order order, Consumer<EngineControl.Answer> onAnswer) {
         awaitingAnswer = true;
         long orderIncarnation = incarnation;
-        control.issue(order).thenAccept(answer -> {
+        Optional<String> addressee = replicaId;
+        control.issue(order, addressee).thenAccept(answer -> {
             awaitingAnswer = false;
+            if (answer == EngineControl.Answer.REFUSED && replicaId.equals(addressee)) {
+                // The engine may have restarted with another id since its last report.
+                replicaId = Optional.empty();
+            }
             if (answer == EngineControl.Answer.UNKNOWN) {
-                unresolved.add(new UnresolvedOrder(order, orderIncarnation, clockMillis.getAsLong()));
+                unresolved.add(new UnresolvedOrder(order, addressee, orderIncarnation, clockMillis.getAsLong()));
             }
             onAnswer.accept(answer);
         });
@@ -51,6 +60,7 @@
     void onReport(EngineReport report, boolean restarted) {
         if (restarted) {
             incarnation++;
+            replicaId = Optional.empty();
         }
         long nowMillis = clockMillis.getAsLong();
         unresolved.removeIf(each -> nowMillis - each.answeredMillis > LATE_EXECUTION_MILLIS);
@@ -58,6 +68,20 @@
                 each -> each.incarnation == incarnation && report.ordersTaken() > each.order.expectedOrdersTaken());
     }
 
+    /** Returns whether the id of the current incarnation is known, so that orders are addressed to it alone. */
+    boolean isIdentified() {
+        return replicaId.isPresent();
+    }
+
+    /**
+     * Sets the id of the current incarnation. Orders that are addressed to another one are refused by it and are void.
+     */
+    void onIdentified(String id) {
+        replicaId = Optional.of(id);
+        unresolved.removeIf(
+                each -> each.addressee.filter(other -> !other.equals(id)).isPresent());
+    }
+
     /** Returns the models that an order with an unknown outcome may still load. */
     List<String> unresolvedLoads() {
         return unresolved.stream()
@@ -93,5 +117,6 @@
                 .toList();
     }
 
-    private record UnresolvedOrder(EngineControl.Order order, long incarnation, long answeredMillis) {}
+    private record UnresolvedOrder(
+            EngineControl.Order order, Optional<String> addressee, long incarnation, long answeredMillis) {}
 }
--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -26,6 +26,9 @@
  */
 public final class ReplicaStandin {
 
+    /** The path of the health check. */
+    public static final String HEALTH_PATH = "/health";
+
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
@@ -119,15 +122,15 @@
         switch (caller.request().path()) {
             case "/report" -> caller.respond(OK, HttpFields.EMPTY, report());
             case "/order" -> carryOutOrder(caller);
+            case HEALTH_PATH -> caller.respond(OK, HttpFields.build().put("Replica-Id", id), "healthy");
             default -> runRequest(caller);
         }
     }
 
     private void runRequest(ServerExchange caller) {
         HttpFields fields = caller.request().fields();
-        String targetReplica = fields.get("Target-Replica");
         String model = fields.get("Model");
-        if (targetReplica != null && !targetReplica.equals(id) || model != null && !holds(model)) {
+        if (isForOther(fields) || model != null && !holds(model)) {
             caller.respond(MISDIRECTED, HttpFields.build().put("Replica-Id", id), "not here");
             return;
         }
@@ -135,6 +138,11 @@
         behaviour.run(this, caller);
     }
 
+    private boolean isForOther(HttpFields fields) {
+        String targetReplica = fields.get("Target-Replica");
+        return targetReplica != null && !targetReplica.equals(id);
+    }
+
     private boolean holds(String model) {
         String[] parts = model.split("/", 2);
         Set<String> adapters = adaptersByModel.get(parts[0]);
@@ -142,6 +150,10 @@
     }
 
     private void carryOutOrder(ServerExchange caller) {
+        if (isForOther(caller.request().fields())) {
+            caller.respond(MISDIRECTED, HttpFields.build().put("Replica-Id", id), "not here");
+            return;
+        }
         JsonNode order;
         try {
             order = MAPPER.readTree(caller.request().body());
--- a/src/test/java/io/waxwingquay/forward/EntryUpdateWriterTest.java
+++ b/src/test/java/io/waxwingquay/forward/EntryUpdateWriterTest.java
@@ -26,7 +26,10 @@
     private static final Engine LARGE = engine(64);
     private static final Engine SMALL = engine(8);
     private static final Manifest MANIFEST = new Manifest(
-            1, List.of(), Map.of("large", new Manifest.Service("large", 9, Optional.of(LARGE))), ServerLimits.DEFAULT);
+            1,
+            List.of(),
+            Map.of("large", new Manifest.Service("large", 9, Optional.empty(), Optional.of(LARGE))),
+            ServerLimits.DEFAULT);
 
     private final TargetTable targets =
             new TargetTable(record -> new ClientPool(null, new InetSocketAddress("127.0.0.1", 1), 1));
@@ -41,9 +44,9 @@
         list("c", "small", "10.0.0.3");
         list("d", "plain", "10.0.0.4");
         Map<String, Manifest.Service> services = Map.of(
-                "large", new Manifest.Service("large", 9, Optional.of(LARGE)),
-                "small", new Manifest.Service("small", 9, Optional.of(SMALL)),
-                "plain", new Manifest.Service("plain", 9, Optional.empty()));
+                "large", new Manifest.Service("large", 9, Optional.empty(), Optional.of(LARGE)),
+                "small", new Manifest.Service("small", 9, Optional.empty(), Optional.of(SMALL)),
+                "plain", new Manifest.Service("plain", 9, Optional.empty(), Optional.empty()));
         Manifest manifest = new Manifest(1, List.of(), services, ServerLimits.DEFAULT);
         Map<HostPort, EntryNews> updates =
                 new EntryUpdateWriter(targets, new DemandMeter(), 0).write("entry", manifest, 0);
--- /dev/null
+++ b/src/test/java/io/waxwingquay/platform/HttpEngineControlTest.java
@@ -0,0 +1,66 @@
+package io.waxwingquay.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.StoreException;
+import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.residency.EngineControl;
+import io.waxwingquay.standin.prepared.ReplicaStandin;
+import io.waxwingquay.testing.Await;
+import io.waxwingquay.testing.FreePorts;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpEngineControlTest {
+
+    private static final EngineControl.Order LOAD = new EngineControl.Order(true, "m", Optional.empty(), 0);
+
+    private final EventLoop loop = EventLoop.start("engine control");
+    private final HostPort address = new HostPort("127.0.0.1", FreePorts.adjacent(1, List.of("127.0.0.1")));
+
+    @BeforeEach
+    void start() {
+        ReplicaStandin.start(loop, "e1", address, List.of(), ReplicaStandin.Behaviour.ECHO);
+    }
+
+    @AfterEach
+    void stop() {
+        loop.close();
+    }
+
+    // Guards against an order that is executed by another incarnation of the engine than the one it was decided for.
+    @Test
+    void orderForAnotherIdIsRefused() throws Exception {
+        EngineControl control = control(Optional.of(ReplicaStandin.HEALTH_PATH));
+        Await.until(() -> answer(control, "e0") == EngineControl.Answer.REFUSED);
+        Await.until(() -> answer(control, "e1") != EngineControl.Answer.UNKNOWN);
+        assertEquals(1, Await.value(control.report()).ordersTaken());
+    }
+
+    private static EngineControl.Answer answer(EngineControl control, String replicaId) throws Exception {
+        return Await.value(control.issue(LOAD, Optional.of(replicaId)));
+    }
+
+    @Test
+    void healthCheckNamesTheId() throws Exception {
+        assertEquals(
+                "e1",
+                Await.value(control(Optional.of(ReplicaStandin.HEALTH_PATH)).identify()));
+    }
+
+    @Test
+    void engineWithoutHealthPathIsNotIdentified() {
+        assertTrue(Await.failure(StoreException.class, control(Optional.empty()).identify())
+                .getMessage()
+                .contains("no health path"));
+    }
+
+    private EngineControl control(Optional<String> healthPath) {
+        return new HttpEngineControl(loop, address, "side", () -> healthPath);
+    }
+}
--- a/src/test/java/io/waxwingquay/residency/EngineManagerTest.java
+++ b/src/test/java/io/waxwingquay/residency/EngineManagerTest.java
@@ -73,6 +73,25 @@
         assertFalse(engine.wasOvercommitted());
     }
 
+    // Guards against an order that got no answer from one incarnation of the engine and is executed by the next, when
+    // the
+    // process that issued it has ended as well and its successor knows nothing of it.
+    @Test
+    void lateOrderOfAnEndedProcessDoesNotReachTheNextIncarnation() throws Exception {
+        engine.begin(4, "m");
+        Driver ended = startManager();
+        Await.until(engine::isIdentified);
+        engine.stopAnswering();
+        requestUntil(ended, "late", () -> engine.unansweredOrders() > 0);
+        loops.remove(0).close();
+        engine.begin(2, "m");
+        engine.rename("i-2");
+        Driver successor = startManager();
+        requestUntil(successor, "a1", () -> engine.holds("m", "a1"));
+        requestUntil(successor, "a2", () -> engine.holds("m", "a2"));
+        assertFalse(engine.wasOvercommitted());
+    }
+
     /** Waits until no more orders come, as the call for the adapter has timed out. */
     private void awaitQuiet() throws Exception {
         int before;
--- a/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
+++ b/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
@@ -25,13 +25,15 @@
     private final int adapterSlots;
     private final Set<String> onDisk;
     private final Map<String, Set<String>> adaptersByModel = new TreeMap<>();
-    private final List<Order> unanswered = new ArrayList<>();
+    private final List<UnansweredOrder> unanswered = new ArrayList<>();
     private Executor loop = Runnable::run;
     private long bornMillis = 1;
     private long ordersTaken;
     private long reports;
     private boolean answering = true;
     private boolean overcommitted;
+    private String id = "i-1";
+    private boolean identified;
 
     LateOrderEngine(int modelRoom, int adapterSlots, Set<String> onDisk) {
         this.modelRoom = modelRoom;
@@ -61,6 +63,17 @@
         return unanswered.size();
     }
 
+    /** Gives the current incarnation another id; by default an engine keeps its id. */
+    synchronized void rename(String newId) {
+        id = newId;
+        identified = false;
+    }
+
+    /** Returns whether the engine was asked for its current id. */
+    synchronized boolean isIdentified() {
+        return identified;
+    }
+
     synchronized long reports() {
         return reports;
     }
@@ -91,13 +104,21 @@
 
     /** {@inheritDoc} */
     @Override
-    public synchronized CompletableFuture<Answer> issue(Order order) {
+    public synchronized CompletableFuture<String> identify() {
+        identified = true;
+        String current = id;
+        return CompletableFuture.supplyAsync(() -> current, loop);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public synchronized CompletableFuture<Answer> issue(Order order, Optional<String> replicaId) {
         if (!answering) {
-            unanswered.add(order);
+            unanswered.add(new UnansweredOrder(order, replicaId));
             Executor timeout = CompletableFuture.delayedExecutor(ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, loop);
             return CompletableFuture.supplyAsync(() -> Answer.UNKNOWN, timeout);
         }
-        boolean isExpected = order.expectedOrdersTaken() == ordersTaken;
+        boolean isExpected = isExpected(order, replicaId);
         if (isExpected) {
             execute(order);
             executeLateOrders();
@@ -105,13 +126,18 @@
         return CompletableFuture.supplyAsync(() -> isExpected ? Answer.TAKEN : Answer.CONFLICT, loop);
     }
 
+    private boolean isExpected(Order order, Optional<String> replicaId) {
+        return order.expectedOrdersTaken() == ordersTaken
+                && replicaId.filter(named -> !named.equals(id)).isEmpty();
+    }
+
     private void executeLateOrders() {
-        Optional<Order> next = unanswered.stream()
-                .filter(order -> order.expectedOrdersTaken() == ordersTaken)
+        Optional<UnansweredOrder> next = unanswered.stream()
+                .filter(each -> isExpected(each.order, each.replicaId))
                 .findFirst();
-        next.ifPresent(order -> {
-            unanswered.remove(order);
-            execute(order);
+        next.ifPresent(each -> {
+            unanswered.remove(each);
+            execute(each.order);
             executeLateOrders();
         });
     }
@@ -129,4 +155,6 @@
         int adapters = adaptersByModel.values().stream().mapToInt(Set::size).sum();
         overcommitted |= adaptersByModel.size() > modelRoom || adapters > adapterSlots;
     }
+
+    private record UnansweredOrder(Order order, Optional<String> replicaId) {}
 }
--- a/src/test/java/io/waxwingquay/residency/OrderTrackerTest.java
+++ b/src/test/java/io/waxwingquay/residency/OrderTrackerTest.java
@@ -23,7 +23,12 @@
                 }
 
                 @Override
-                public CompletableFuture<Answer> issue(Order order) {
+                public CompletableFuture<String> identify() {
+                    throw new UnsupportedOperationException("not used in this test");
+                }
+
+                @Override
+                public CompletableFuture<Answer> issue(Order order, Optional<String> replicaId) {
                     return answer;
                 }
             },
@@ -57,6 +62,40 @@
         assertTrue(orders.unresolvedLoads().isEmpty());
     }
 
+    // Guards against memory kept free for seconds after a restart: an order that names the earlier id is never
+    // executed.
+    @Test
+    void unansweredLoadOfAnotherIdIsVoid() {
+        orders.onIdentified("i-1");
+        issue();
+        answer.complete(EngineControl.Answer.UNKNOWN);
+        orders.onReport(report(0), true);
+        assertFalse(orders.isIdentified());
+        assertEquals(List.of("m"), orders.unresolvedLoads());
+        orders.onIdentified("i-2");
+        assertTrue(orders.unresolvedLoads().isEmpty());
+    }
+
+    // Guards against addressing all further orders to an incarnation that has ended, which refuses each of them.
+    @Test
+    void refusedOrderHasTheEngineIdentifiedAgain() {
+        orders.onIdentified("i-1");
+        issue();
+        answer.complete(EngineControl.Answer.REFUSED);
+        assertFalse(orders.isIdentified());
+    }
+
+    // Guards against taking an engine that keeps its id after a restart for one that refuses late orders.
+    @Test
+    void unansweredLoadOfTheSameIdStaysUnresolved() {
+        orders.onIdentified("i-1");
+        issue();
+        answer.complete(EngineControl.Answer.UNKNOWN);
+        orders.onReport(report(0), true);
+        orders.onIdentified("i-1");
+        assertEquals(List.of("m"), orders.unresolvedLoads());
+    }
+
     @Test
     void answeredLoadIsResolved() {
         issue();
