Show that a replica which says it leaves is used further

A plain replica and an engine say in their answers that they leave, while list and gossip call them ready: - the plain replica gets all 20 further requests (expected: <1> but was: <21>); - the engine, once it is the only one, gets them as well (expected: <503> but was: <200>).

--- a/src/test/java/io/waxwingquay/hosted/LeavingReplicaTest.java
+++ b/src/test/java/io/waxwingquay/hosted/LeavingReplicaTest.java
@@ -2,8 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.waxwingquay.standin.prepared.ReplicaStandin;
 import io.waxwingquay.testing.Await;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.stream.Stream;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -11,6 +15,7 @@
 class LeavingReplicaTest {
 
     private static final int REQUESTS = 20;
+    private static final String MODEL = "Model: m\r\nToken-Counts: 10,10\r\n";
 
     private HostedDeployment deployment;
 
@@ -41,6 +46,59 @@
         assertEquals(before, deployment.plain1.startedAttemptIds().size());
     }
 
+    // Guards against requests to a replica that says in its answers that it leaves, while its row is listed as ready,
+    // and
+    // after the row has been dropped and listed again.
+    @Test
+    void replicaThatSaysItLeavesGetsNoMoreRequests() throws Exception {
+        deployment.plain1.behaviour((replica, caller) -> caller.respond(
+                200, HttpFields.build(replica.responseFields(caller)).put("Server-Leaving", "1"), "ok"));
+        Await.until(() -> saysItLeaves("/p/1", ""));
+        assertNoneReach(deployment.plain1, "/p/1", "", 200);
+        deployment.store.remove("servers", "p1");
+        Await.until(() -> !deployment.dump().contains("id=p1"));
+        deployment.register(deployment.plain1, "p1", "plain", "ready");
+        deployment.store.remove("servers", "p2");
+        Await.until(
+                () -> deployment.dump().contains("id=p1") && !deployment.dump().contains("id=p2"));
+        assertNoneReach(deployment.plain1, "/p/1", "", 503);
+    }
+
+    // Guards against requests to an engine that says at the head of a stream that it leaves, while the process beside
+    // it
+    // goes on to call it ready.
+    @Test
+    void engineThatSaysItLeavesGetsNoMoreRequestsThoughGossipCallsItReady() throws Exception {
+        deployment.engine1.behaviour((replica, caller) -> {
+            caller.begin(
+                    200,
+                    HttpFields.build(replica.responseFields(caller))
+                            .put("Content-Type", "text/event-stream")
+                            .put("Server-Leaving", "1"));
+            caller.write(ByteBuffer.wrap("id: 1\ndata: event 1\n\n".getBytes(StandardCharsets.UTF_8)));
+            caller.finish();
+        });
+        Await.until(() -> saysItLeaves("/quick/1", MODEL));
+        assertNoneReach(deployment.engine1, "/quick/1", MODEL, 200);
+        deployment.store.remove("servers", "e2");
+        Await.until(() -> !deployment.dump().contains("id=e2"));
+        assertNoneReach(deployment.engine1, "/quick/1", MODEL, 503);
+    }
+
+    private boolean saysItLeaves(String path, String fields) throws Exception {
+        return deployment.ask("POST", path, "c", fields, "x").head().contains("Server-Leaving: 1");
+    }
+
+    private void assertNoneReach(ReplicaStandin replica, String path, String fields, int expectedStatus)
+            throws Exception {
+        int before = replica.startedAttemptIds().size();
+        for (int number = 0; number < REQUESTS; number++) {
+            int status = deployment.ask("POST", path, "d" + number, fields, "x").status();
+            assertEquals(expectedStatus, status);
+        }
+        assertEquals(before, replica.startedAttemptIds().size());
+    }
+
     private static boolean isUnlisted(String dump) {
         return dump.contains("missing=[p1]") || !dump.contains("id=p1");
     }
