Log that a replica announces in an answer that it leaves

No log line told that an entry had been told so. The codec reads Server-Leaving, and the first answer of an incarnation with it is logged as 'forward: replica leaves id= told_by=answer'. Nothing is decided by it yet.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -105,6 +105,9 @@
         if (response.replicaId().map(target.id()::equals).orElse(true)) {
             target.answerBegan(fields.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString()));
             exchange.rateLimitAnnounced(target, response.limitPerSecond());
+            if (response.leaving()) {
+                target.announcedLeaving();
+            }
         }
         streaming = status == OK && exchange.isStream() && !response.didNotRun();
     }
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -95,6 +95,7 @@
      * @param replicaId the replica that answered, if it is named.
      * @param limitPerSecond the requests per second that the replica accepts from all entries together, if it announces
      *     a limit.
+     * @param leaving whether the replica announces that it is about to leave.
      */
     record ResponseHead(
             String id,
@@ -102,5 +103,6 @@
             boolean misdirected,
             boolean full,
             Optional<String> replicaId,
-            OptionalDouble limitPerSecond) {}
+            OptionalDouble limitPerSecond,
+            boolean leaving) {}
 }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -47,6 +47,7 @@
     private final ClientPool pool;
     private final ListingStatus listingStatus = new ListingStatus();
     private final ReplicaRateLimit rateLimit = new ReplicaRateLimit();
+    private final ReplicaAnnouncements announcements = new ReplicaAnnouncements();
     private final AttemptHistory attemptHistory = new AttemptHistory();
     private final DecayingSum recentSends = new DecayingSum(SEND_HALF_LIFE_MILLIS);
     private final Map<String, Integer> adaptersInUse = new HashMap<>();
@@ -168,6 +169,11 @@
         listingStatus.heard(closesConnection);
     }
 
+    /** Notes that an answer of the replica announced that it is about to leave. */
+    void announcedLeaving() {
+        announcements.leaving(id());
+    }
+
     /** Applies the requests per second that its latest response announces for all entries together. */
     void rateLimitAnnounced(OptionalDouble perSecond, int entryCount, DoubleSupplier phase, long nowMillis) {
         rateLimit.announced(id(), perSecond, entryCount, phase, nowMillis);
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -46,6 +46,9 @@
      */
     private static final String SERVER_LIMIT = "Server-Limit";
 
+    /** Present in all answers of a replica that is about to leave; {@code 0} would state that it stays. */
+    private static final String SERVER_LEAVING = "Server-Leaving";
+
     private static final String RETRY_AFTER = "Retry-After";
 
     /** Fields that only this system may set; those sent by a client must not reach a replica. */
@@ -117,7 +120,15 @@
                 misdirected,
                 full,
                 Optional.ofNullable(fields.get(REPLICA_ID)),
-                parseLimit(fields.get(SERVER_LIMIT)));
+                parseLimit(fields.get(SERVER_LIMIT)),
+                announcesLeaving(fields));
+    }
+
+    /** Returns whether an answer of a replica, to whatever was sent to it, announces that it is about to leave. */
+    static boolean announcesLeaving(HttpFields fields) {
+        return Optional.ofNullable(fields.get(SERVER_LEAVING))
+                .filter(value -> !value.trim().equals("0"))
+                .isPresent();
     }
 
     /** {@inheritDoc} */
--- a/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
+++ b/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
@@ -31,6 +31,15 @@
         assertEquals("5c:800,91:410", ask.sharedPromptPrefix());
     }
 
+    @Test
+    void readsThatAReplicaLeaves() {
+        assertTrue(codec.readResponse(200, HttpFields.build().put("Server-Leaving", "1"))
+                .leaving());
+        assertFalse(codec.readResponse(200, HttpFields.build().put("Server-Leaving", "0"))
+                .leaving());
+        assertFalse(codec.readResponse(200, HttpFields.EMPTY).leaving());
+    }
+
     @Test
     void readsTheLimitThatAReplicaAnnounces() {
         assertEquals(OptionalDouble.of(3.7), limit("3.7"));
