Send nothing to a replica that announces in an answer that it leaves

Seen: while the platform's store was away, a replica went on getting 1 to 10 requests a second for ten seconds after its answers had said that it leaves. Cause: a departure was known from the list and from the process beside an engine alone. Plain replicas have no such process, and the list can't change while the store is away. The answers, which pass anyway, were not looked at. Class: news that only one way brings is missing when that way is cut. Change: an answer that announces the departure counts for as long as its incarnation lives. Neither a row nor an update that calls the replica ready takes it back, and it is kept when the row is dropped and listed again. Requests that wait for a connection go elsewhere at once; first tries, queued requests, retries and resumed streams all choose among replicas that accept requests. The process beside an engine reads it from the head of a report and tells it on.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -99,7 +99,7 @@
                 (target, call) ->
                         engineNotifier.requestAdapter(target.address(), call.id(), call.model(), call.adapter()));
         this.onStateChanged = engineNotifier::demandChanged;
-        this.targets = new TargetTable(this::newPool);
+        this.targets = new TargetTable(this::newPool, EventLoop::nowMillis);
         this.updateWriter = new EntryUpdateWriter(targets, demandMeter, EventLoop.nowMillis());
         this.activeRequests = new ActiveRequests(loop);
     }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -47,7 +47,7 @@
     private final ClientPool pool;
     private final ListingStatus listingStatus = new ListingStatus();
     private final ReplicaRateLimit rateLimit = new ReplicaRateLimit();
-    private final ReplicaAnnouncements announcements = new ReplicaAnnouncements();
+    private final ReplicaAnnouncements announcements;
     private final AttemptHistory attemptHistory = new AttemptHistory();
     private final DecayingSum recentSends = new DecayingSum(SEND_HALF_LIFE_MILLIS);
     private final Map<String, Integer> adaptersInUse = new HashMap<>();
@@ -67,8 +67,13 @@
     private boolean replaced;
 
     Target(ReplicaRecord record, ClientPool pool) {
+        this(record, pool, new ReplicaAnnouncements());
+    }
+
+    Target(ReplicaRecord record, ClientPool pool, ReplicaAnnouncements announcements) {
         this.record = record;
         this.pool = pool;
+        this.announcements = announcements;
     }
 
     ReplicaRecord record() {
@@ -119,7 +124,11 @@
 
     /** Returns whether new requests may be sent to it at all. */
     boolean acceptsRequests() {
-        return !gone && !replaced && !record.draining() && !(update != null && update.isDraining());
+        return !gone
+                && !replaced
+                && !announcements.isLeaving()
+                && !record.draining()
+                && !(update != null && update.isDraining());
     }
 
     /** Returns whether its row is missing and no message since then has shown that it stays. */
@@ -172,6 +181,11 @@
     /** Notes that an answer of the replica announced that it is about to leave. */
     void announcedLeaving() {
         announcements.leaving(id());
+        pool.failWaiting();
+    }
+
+    ReplicaAnnouncements announcements() {
+        return announcements;
     }
 
     /** Applies the requests per second that its latest response announces for all entries together. */
--- a/src/main/java/io/waxwingquay/forward/TargetTable.java
+++ b/src/main/java/io/waxwingquay/forward/TargetTable.java
@@ -12,23 +12,31 @@
 import java.util.Optional;
 import java.util.function.BinaryOperator;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
 /**
- * The incarnations of replicas to which this entry sends requests. What was known of an incarnation is dropped with it.
+ * The incarnations of replicas to which this entry sends requests. What was known of an incarnation is dropped with it,
+ * except for its own announcements.
  */
 final class TargetTable implements ReplicaDirectory.Listener {
 
+    /** How long the announcements of an unlisted incarnation are kept, well beyond the exit of a leaving replica. */
+    static final long ANNOUNCEMENT_RETENTION_MILLIS = 600_000L;
+
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
     private final Function<ReplicaRecord, ClientPool> poolFactory;
+    private final LongSupplier clockMillis;
     private final Map<String, Target> byId = new HashMap<>();
+    private final Map<Incarnation, Departed> departed = new HashMap<>();
 
     /** Index for the lookup of each request and each status update; rebuilt after a change. */
     private Optional<Index> index = Optional.empty();
 
-    TargetTable(Function<ReplicaRecord, ClientPool> poolFactory) {
+    TargetTable(Function<ReplicaRecord, ClientPool> poolFactory, LongSupplier clockMillis) {
         this.poolFactory = poolFactory;
+        this.clockMillis = clockMillis;
     }
 
     Collection<Target> all() {
@@ -63,8 +71,8 @@
         if (known != null && known.record().isSameIncarnation(record)) {
             known.record(record);
         } else {
-            Optional.ofNullable(known).ifPresent(Target::markGone);
-            byId.put(record.id(), new Target(record, poolFactory.apply(record)));
+            Optional.ofNullable(known).ifPresent(this::remove);
+            byId.put(record.id(), new Target(record, poolFactory.apply(record), announcementsOf(record)));
         }
         index = Optional.empty();
         replaceEarlierIncarnations(record.address());
@@ -101,10 +109,36 @@
     /** {@inheritDoc} */
     @Override
     public void onRemoved(ReplicaRecord record) {
-        Optional.ofNullable(byId.remove(record.id())).ifPresent(Target::markGone);
+        Optional.ofNullable(byId.remove(record.id())).ifPresent(this::remove);
         index = Optional.empty();
     }
 
+    private void remove(Target target) {
+        target.markGone();
+        long nowMillis = clockMillis.getAsLong();
+        departed.values().removeIf(each -> nowMillis - each.removedMillis > ANNOUNCEMENT_RETENTION_MILLIS);
+        departed.put(Incarnation.of(target.record()), new Departed(target.announcements(), nowMillis));
+    }
+
+    /**
+     * Returns what an incarnation has announced so far. A row may be dropped and listed again while its replica lives,
+     * and an announcement that is lost with the row would have requests sent to a replica that is about to exit.
+     */
+    private ReplicaAnnouncements announcementsOf(ReplicaRecord record) {
+        return Optional.ofNullable(departed.remove(Incarnation.of(record)))
+                .map(Departed::announcements)
+                .orElseGet(ReplicaAnnouncements::new);
+    }
+
+    private record Incarnation(String id, long bornMillis, HostPort address) {
+
+        private static Incarnation of(ReplicaRecord record) {
+            return new Incarnation(record.id(), record.bornMillis(), record.address());
+        }
+    }
+
+    private record Departed(ReplicaAnnouncements announcements, long removedMillis) {}
+
     private record Index(Map<String, List<Target>> byService, Map<HostPort, Target> byAddress) {
 
         private static Index of(Collection<Target> targets) {
--- a/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
+++ b/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
@@ -65,7 +65,8 @@
                         "the engine answered the request for its report with status " + reply.status());
             }
             try {
-                return ReplicaReader.report(JsonFields.read(reply.body()));
+                return ReplicaReader.report(
+                        JsonFields.read(reply.body()), HeaderCodec.announcesLeaving(reply.fields()));
             } catch (IOException failure) {
                 throw new StoreException("the engine's report can't be parsed: " + failure);
             }
--- a/src/main/java/io/waxwingquay/platform/ReplicaReader.java
+++ b/src/main/java/io/waxwingquay/platform/ReplicaReader.java
@@ -40,8 +40,13 @@
                 models(node)));
     }
 
-    /** Decodes an engine's report of its load. */
-    static EngineReport report(JsonNode node) {
+    /**
+     * Decodes an engine's report of its load.
+     *
+     * @param node the body of the answer.
+     * @param announcedLeaving whether the head of the answer announces that the engine is about to leave.
+     */
+    static EngineReport report(JsonNode node, boolean announcedLeaving) {
         JsonNode atHand = node.path("at_hand");
         return new EngineReport(
                 JsonFields.longOr(node, "born", 0L),
@@ -55,7 +60,10 @@
                 Set.copyOf(new HashSet<>(loadingAdapters(node))),
                 Set.copyOf(new HashSet<>(JsonFields.texts(atHand, "in_memory"))),
                 Set.copyOf(new HashSet<>(JsonFields.texts(atHand, "on_disk"))),
-                JsonFields.text(node, "state").filter("draining"::equals).isPresent());
+                announcedLeaving
+                        || JsonFields.text(node, "state")
+                                .filter("draining"::equals)
+                                .isPresent());
     }
 
     /**
--- a/src/test/java/io/waxwingquay/forward/TargetTableTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTableTest.java
@@ -17,8 +17,9 @@
 
     private static final HostPort ADDRESS = new HostPort("10.0.0.1", 80);
 
+    private long nowMillis;
     private final TargetTable table =
-            new TargetTable(record -> new ClientPool(null, new InetSocketAddress("127.0.0.1", 1), 10));
+            new TargetTable(record -> new ClientPool(null, new InetSocketAddress("127.0.0.1", 1), 10), () -> nowMillis);
 
     // Guards against wasted retries: the row of an earlier incarnation stays listed for seconds after a replica has
     // lost power and restarted under another id, and requests to the earlier id are rejected.
@@ -47,10 +48,46 @@
         assertTrue(table.currentAt(ADDRESS).isEmpty());
     }
 
+    // Guards against requests to a leaving replica whose row is dropped and listed again, or of which an earlier
+    // incarnation is listed in between.
+    @Test
+    void announcedDepartureOutlastsTheRow() {
+        list("one", 2_000);
+        target("one").announcedLeaving();
+        table.onRemoved(record("one", 2_000));
+        list("one", 2_000);
+        assertFalse(target("one").acceptsRequests());
+        list("one", 1_000);
+        list("one", 2_000);
+        assertFalse(target("one").acceptsRequests());
+    }
+
+    @Test
+    void announcedDepartureIsThatOfOneIncarnation() {
+        list("one", 2_000);
+        target("one").announcedLeaving();
+        list("one", 3_000);
+        assertTrue(target("one").acceptsRequests());
+    }
+
+    @Test
+    void announcementsOfUnlistedIncarnationsAreDroppedInTheEnd() {
+        list("one", 2_000);
+        target("one").announcedLeaving();
+        table.onRemoved(record("one", 2_000));
+        nowMillis += TargetTable.ANNOUNCEMENT_RETENTION_MILLIS + 1;
+        list("other", 2_000);
+        table.onRemoved(record("other", 2_000));
+        list("one", 2_000);
+        assertTrue(target("one").acceptsRequests());
+    }
+
     private void list(String id, long bornMillis) {
-        ReplicaRecord record =
-                new ReplicaRecord(id, bornMillis, "s", ADDRESS, "a", 10, false, OptionalLong.empty(), List.of());
-        table.onListed(record, Optional.empty());
+        table.onListed(record(id, bornMillis), Optional.empty());
+    }
+
+    private static ReplicaRecord record(String id, long bornMillis) {
+        return new ReplicaRecord(id, bornMillis, "s", ADDRESS, "a", 10, false, OptionalLong.empty(), List.of());
     }
 
     private Target target(String id) {
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -131,6 +131,16 @@
         assertFalse(target.holds("m", 3 * roundMillis));
     }
 
+    // Guards against a row or an update that is older than the announcement and calls the replica ready.
+    @Test
+    void announcedDepartureOutlastsRowsAndUpdates() {
+        target.update(fullUpdate(3), 0);
+        target.announcedLeaving();
+        target.record(target.record());
+        target.update(fullUpdate(3).setDraining(false), 10);
+        assertFalse(target.acceptsRequests());
+    }
+
     private EngineNews fullUpdate(int running) {
         return loadUpdate(running)
                 .setNearModels(List.of())
--- a/src/test/java/io/waxwingquay/platform/ReplicaReaderTest.java
+++ b/src/test/java/io/waxwingquay/platform/ReplicaReaderTest.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.common.HostPort;
@@ -49,16 +50,27 @@
 
     @Test
     void readsAReport() throws IOException {
-        EngineReport report =
-                ReplicaReader.report(JsonFields.read(("{\"models\":[{\"name\":\"m\",\"adapters\":[\"a1\"]}],"
-                                + "\"at_hand\":{\"in_memory\":[\"n\"],\"on_disk\":[\"m\",\"n\"]},\"busy\":true,\"seq\":5,"
-                                + "\"running\":3,\"waiting\":2,\"coming\":[\"m/a2@1\"],\"state\":\"ready\"}")
-                        .getBytes(StandardCharsets.UTF_8)));
+        EngineReport report = report(
+                "{\"models\":[{\"name\":\"m\",\"adapters\":[\"a1\"]}],"
+                        + "\"at_hand\":{\"in_memory\":[\"n\"],\"on_disk\":[\"m\",\"n\"]},\"busy\":true,\"seq\":5,"
+                        + "\"running\":3,\"waiting\":2,\"coming\":[\"m/a2@1\"],\"state\":\"ready\"}",
+                false);
         assertEquals(5, report.ordersTaken());
         assertTrue(report.executingOrder());
         assertEquals(Set.of("m/a2"), report.loadingAdapters());
         assertEquals(2, report.usedAdapterSlots());
         assertEquals(Set.of("m", "n"), report.onDisk());
+        assertFalse(report.draining());
+    }
+
+    // Guards against calling an engine ready whose answer announces at its head that it leaves.
+    @Test
+    void readsADepartureFromTheHeadOfAReport() throws IOException {
+        assertTrue(report("{\"state\":\"ready\"}", true).draining());
+    }
+
+    private static EngineReport report(String json, boolean announcedLeaving) throws IOException {
+        return ReplicaReader.report(JsonFields.read(json.getBytes(StandardCharsets.UTF_8)), announcedLeaving);
     }
 
     private static Optional<ReplicaRecord> row(String json) throws IOException {
