Make the tests of a leaving replica independent of which one answers first

LeavingReplicaTest#replicaThatSaysItLeavesGetsNoMoreRequests failed once in its set-up: it asked until the replica that leaves had answered, but the entry prefers the other one for good if that answered faster at first. The replica is the only one listed when it is asked now; what is asserted afterwards is the same, and both tests fail on the code before the fix (expected <1> but was <21>, expected <1> but was <2>).

--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -89,6 +89,18 @@
         store.put("servers", id, replica.row(service, "z", state));
     }
 
+    /** Drops the row of a replica, and waits until the entry no longer uses it. */
+    void unlist(String id) throws Exception {
+        store.remove("servers", id);
+        Await.until(() -> !dump().contains("id=" + id));
+    }
+
+    /** Lists a replica as ready, and waits until the entry knows it. */
+    void list(ReplicaStandin replica, String id, String service) throws Exception {
+        register(replica, id, service, "ready");
+        Await.until(() -> dump().contains("id=" + id));
+    }
+
     /** Starts a second entry that can't reach the store and has the first entry as a seed. */
     void startEntryWithoutStore() throws Exception {
         StoreStandin unreachableStore = StoreStandin.start(standinLoop, new HostPort(SECOND_HOST, basePort));
--- a/src/test/java/io/waxwingquay/hosted/LeavingReplicaTest.java
+++ b/src/test/java/io/waxwingquay/hosted/LeavingReplicaTest.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.hosted;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.standin.prepared.ReplicaStandin;
 import io.waxwingquay.testing.Await;
@@ -53,14 +54,13 @@
     void replicaThatSaysItLeavesGetsNoMoreRequests() throws Exception {
         deployment.plain1.behaviour((replica, caller) -> caller.respond(
                 200, HttpFields.build(replica.responseFields(caller)).put("Server-Leaving", "1"), "ok"));
-        Await.until(() -> saysItLeaves("/p/1", ""));
+        deployment.unlist("p2");
+        assertTrue(saysItLeaves("/p/1", ""));
+        deployment.list(deployment.plain2, "p2", "plain");
         assertNoneReach(deployment.plain1, "/p/1", "", 200);
-        deployment.store.remove("servers", "p1");
-        Await.until(() -> !deployment.dump().contains("id=p1"));
-        deployment.register(deployment.plain1, "p1", "plain", "ready");
-        deployment.store.remove("servers", "p2");
-        Await.until(
-                () -> deployment.dump().contains("id=p1") && !deployment.dump().contains("id=p2"));
+        deployment.unlist("p1");
+        deployment.list(deployment.plain1, "p1", "plain");
+        deployment.unlist("p2");
         assertNoneReach(deployment.plain1, "/p/1", "", 503);
     }
 
@@ -78,10 +78,11 @@
             caller.write(ByteBuffer.wrap("id: 1\ndata: event 1\n\n".getBytes(StandardCharsets.UTF_8)));
             caller.finish();
         });
-        Await.until(() -> saysItLeaves("/quick/1", MODEL));
+        deployment.unlist("e2");
+        assertTrue(saysItLeaves("/quick/1", MODEL));
+        deployment.list(deployment.engine2, "e2", "engines");
         assertNoneReach(deployment.engine1, "/quick/1", MODEL, 200);
-        deployment.store.remove("servers", "e2");
-        Await.until(() -> !deployment.dump().contains("id=e2"));
+        deployment.unlist("e2");
         assertNoneReach(deployment.engine1, "/quick/1", MODEL, 503);
     }
 
