Keep away from a replica for the time that its refusal names

Seen by reading: a replica that answers 503 and names with Retry-After how long it wants nothing got the next request 60 ms later, and at once after its row had been dropped and listed again. Cause: entries took each refusal for a full queue and did not read for how long it holds. Change: a 503 of a replica with Retry-After keeps all further requests of this entry from it until then: first tries, queued ones, retries and resumed streams choose among the others, and what waits for a connection goes elsewhere. A later, shorter refusal changes nothing. If no other replica can serve a request it is rejected at once, and its caller told to come back when one may. Not looked at: other entries are not told of a refusal, as it concerns one machine.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -108,6 +108,7 @@
             if (response.leaving()) {
                 target.announcedLeaving();
             }
+            response.refusesForMillis().ifPresent(millis -> target.announcedRefusal(millis, EventLoop.nowMillis()));
         }
         streaming = status == OK && exchange.isStream() && !response.didNotRun();
     }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -358,7 +358,7 @@
             from.target().attemptHistory().failed(EventLoop.nowMillis());
             mayHaveRun = true;
         } else {
-            if (from.target().acceptsRequests() && !from.target().mayHaveDeparted()) {
+            if (!from.target().declinesRequests(EventLoop.nowMillis())) {
                 from.target().attemptHistory().unreachable(EventLoop.nowMillis());
             }
             attempts--;
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Reads and writes the header fields that callers and replicas use. */
@@ -96,6 +97,8 @@
      * @param limitPerSecond the requests per second that the replica accepts from all entries together, if it announces
      *     a limit.
      * @param leaving whether the replica announces that it is about to leave.
+     * @param refusesForMillis how long the replica wants no further request from this entry; empty if it has not refused
+     *     the request or names no time.
      */
     record ResponseHead(
             String id,
@@ -104,5 +107,6 @@
             boolean full,
             Optional<String> replicaId,
             OptionalDouble limitPerSecond,
-            boolean leaving) {}
+            boolean leaving,
+            OptionalLong refusesForMillis) {}
 }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -184,6 +184,12 @@
         pool.failWaiting();
     }
 
+    /** Notes that the replica refused a request and wants none for a time. */
+    void announcedRefusal(long forMillis, long nowMillis) {
+        announcements.refusing(id(), forMillis, nowMillis);
+        pool.failWaiting();
+    }
+
     ReplicaAnnouncements announcements() {
         return announcements;
     }
@@ -200,6 +206,16 @@
         return rateLimit.waitMillis(nowMillis);
     }
 
+    /** Returns how long the replica wants no request from this entry, by its refusals or its rate limit. */
+    long sendDelayMillis(long nowMillis) {
+        return Math.max(rateLimit.waitMillis(nowMillis), announcements.refusalMillis(nowMillis));
+    }
+
+    /** Returns whether a request that waits for a connection to it should go elsewhere. */
+    boolean declinesRequests(long nowMillis) {
+        return !acceptsRequests() || mayHaveDeparted() || announcements.refusalMillis(nowMillis) > 0;
+    }
+
     /** Notes that bytes of a response have arrived. */
     void answerReceived(long nowMillis) {
         lastAnswerMillis = nowMillis;
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -89,7 +89,7 @@
                 .orElseGet(() -> accepting.isEmpty()
                         ? new Choice.NoReplica()
                         : new Choice.Full(
-                                Math.max(FULL_WAIT_MILLIS, rateLimitDelayMillis(accepting, nowMillis)),
+                                Math.max(FULL_WAIT_MILLIS, sendDelayMillis(accepting, nowMillis)),
                                 rateLimitDelayMillis(accepting, nowMillis),
                                 OptionalLong.empty()));
     }
@@ -138,13 +138,13 @@
     }
 
     /**
-     * Returns whether this entry may send a request to the target now: it is not paused, has a connection, and is below
-     * its rate limit.
+     * Returns whether this entry may send a request to the target now: it is not paused, has a connection, and wants
+     * requests by its own answers.
      */
     private static boolean isAvailable(Target target, long nowMillis) {
         return !target.attemptHistory().isPaused(nowMillis)
                 && target.pool().hasCapacity()
-                && target.rateLimitDelayMillis(nowMillis) == 0;
+                && target.sendDelayMillis(nowMillis) == 0;
     }
 
     /** Returns the least time until the rate limit of a target lets this entry send again; 0 if one lets it now. */
@@ -155,6 +155,14 @@
                 .orElse(0L);
     }
 
+    /** Returns the least time until a target wants requests from this entry again; 0 if one wants them now. */
+    private static long sendDelayMillis(List<Target> targets, long nowMillis) {
+        return targets.stream()
+                .mapToLong(target -> target.sendDelayMillis(nowMillis))
+                .min()
+                .orElse(0L);
+    }
+
     /**
      * Excludes replicas that may have departed, unless all may have: their rows have then expired together, as in an
      * outage.
@@ -277,7 +285,7 @@
         long firstSlotMillis = Math.round(requestsAhead * slotIntervalMillis) + FULL_WAIT_MILLIS;
         long rateLimitDelayMillis = rateLimitDelayMillis(holding, nowMillis);
         return new Choice.Full(
-                Math.max(firstSlotMillis, rateLimitDelayMillis),
+                Math.max(firstSlotMillis, sendDelayMillis(holding, nowMillis)),
                 Math.max(slotIntervalMillis, rateLimitDelayMillis),
                 copyReadyMillis);
     }
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.regex.Pattern;
 import org.eclipse.jetty.http.HttpFields;
 
@@ -49,6 +50,10 @@
     /** Present in all answers of a replica that is about to leave; {@code 0} would state that it stays. */
     private static final String SERVER_LEAVING = "Server-Leaving";
 
+    /**
+     * Seconds, which may have a fraction; never a date. From a replica, on a 503: the time for which it wants nothing from
+     * this machine. To a caller: the time after which it may come back.
+     */
     private static final String RETRY_AFTER = "Retry-After";
 
     /** Fields that only this system may set; those sent by a client must not reach a replica. */
@@ -71,6 +76,7 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double MAX_DELAY_SECONDS = 86_400.0;
     private static final Pattern COMMA = Pattern.compile(",");
 
     /** {@inheritDoc} */
@@ -120,8 +126,9 @@
                 misdirected,
                 full,
                 Optional.ofNullable(fields.get(REPLICA_ID)),
-                parseLimit(fields.get(SERVER_LIMIT)),
-                announcesLeaving(fields));
+                parseNumber(fields.get(SERVER_LIMIT)),
+                announcesLeaving(fields),
+                status == SERVICE_UNAVAILABLE ? parseDelayMillis(fields.get(RETRY_AFTER)) : OptionalLong.empty());
     }
 
     /** Returns whether an answer of a replica, to whatever was sent to it, announces that it is about to leave. */
@@ -148,8 +155,15 @@
         return fields;
     }
 
-    /** Parses a limit; a value that is not a finite, non-negative number sets none. */
-    private static OptionalDouble parseLimit(String text) {
+    private static OptionalLong parseDelayMillis(String seconds) {
+        OptionalDouble number = parseNumber(seconds);
+        return number.isPresent()
+                ? OptionalLong.of(Math.round(Math.min(number.getAsDouble(), MAX_DELAY_SECONDS) * MILLIS_PER_SECOND))
+                : OptionalLong.empty();
+    }
+
+    /** Parses a limit or a time; a value that is not a finite, non-negative number counts as absent. */
+    private static OptionalDouble parseNumber(String text) {
         if (text == null || text.isBlank()) {
             return OptionalDouble.empty();
         }
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -141,6 +141,16 @@
         assertFalse(target.acceptsRequests());
     }
 
+    // Guards against a later, shorter refusal that would end an earlier one.
+    @Test
+    void longestRefusalHolds() {
+        target.announcedRefusal(1_000, 0);
+        target.announcedRefusal(100, 10);
+        assertEquals(500, target.sendDelayMillis(500));
+        assertEquals(0, target.sendDelayMillis(1_000));
+        assertTrue(target.acceptsRequests());
+    }
+
     private EngineNews fullUpdate(int running) {
         return loadUpdate(running)
                 .setNearModels(List.of())
--- a/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
+++ b/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
@@ -8,6 +8,7 @@
 import io.waxwingquay.forward.MessageCodec;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
@@ -40,6 +41,19 @@
         assertFalse(codec.readResponse(200, HttpFields.EMPTY).leaving());
     }
 
+    @Test
+    void readsHowLongAReplicaRefuses() {
+        assertEquals(OptionalLong.of(1_250), refusal(503, "1.25"));
+        assertEquals(OptionalLong.empty(), refusal(429, "1.25"));
+        assertEquals(OptionalLong.empty(), refusal(503, "-1"));
+        assertEquals(OptionalLong.empty(), refusal(503, "Fri, 04 Dec 2026 00:00:00 GMT"));
+    }
+
+    private OptionalLong refusal(int status, String retryAfter) {
+        return codec.readResponse(status, HttpFields.build().put("Retry-After", retryAfter))
+                .refusesForMillis();
+    }
+
     @Test
     void readsTheLimitThatAReplicaAnnounces() {
         assertEquals(OptionalDouble.of(3.7), limit("3.7"));
