Report an entry as ready only once it has known a side

Seen: callers that reached a new entry got 503 no_target, as it was ready when it had a bundle but knew no side yet, while other entries could have served them. Change: an entry is ready once it has a bundle and has known a side that accepts work. It then stays ready when sides go: all entries lose them at about the same time, and taking all out of rotation would help nobody. The admin port and the caller port answer alike, draining included. Before: EntryNodeTest#isNotReadyBeforeItKnowsASide expected <503> but was <200>; after: passes.

--- a/src/main/java/io/waxwingquay/entry/CallerHandler.java
+++ b/src/main/java/io/waxwingquay/entry/CallerHandler.java
@@ -31,6 +31,7 @@
     private final EntryComponents components;
     private final BundleSource bundles;
     private final DrainGate gate;
+    private final Readiness readiness;
     private final ModelDispatcher modelDispatcher;
     private final ServiceDispatcher serviceDispatcher;
     private final RequestReader reader;
@@ -39,11 +40,13 @@
             EntryComponents components,
             BundleSource bundles,
             DrainGate gate,
+            Readiness readiness,
             ModelDispatcher modelDispatcher,
             ServiceDispatcher serviceDispatcher) {
         this.components = components;
         this.bundles = bundles;
         this.gate = gate;
+        this.readiness = readiness;
         this.modelDispatcher = modelDispatcher;
         this.serviceDispatcher = serviceDispatcher;
         this.reader = new RequestReader(components.configuration());
@@ -56,7 +59,7 @@
         if (path.equals("/healthz")) {
             answerProbe(response, callback, true, "ok");
         } else if (path.equals("/readyz")) {
-            boolean ready = !gate.isClosed() && bundles.current().isPresent();
+            boolean ready = readiness.notReadyReason().isEmpty();
             answerProbe(response, callback, ready, ready ? "ready" : "not ready");
         } else {
             startExchange(path, request, response, callback);
--- a/src/main/java/io/waxwingquay/entry/EntryNode.java
+++ b/src/main/java/io/waxwingquay/entry/EntryNode.java
@@ -53,6 +53,7 @@
 
     private final ScheduledThreadPoolExecutor executor;
     private final DrainGate gate = new DrainGate();
+    private final Readiness readiness;
     private final LoadTracker loadBoard = new LoadTracker();
     private final AtomicBoolean closed = new AtomicBoolean();
     private final EntryComponents components;
@@ -69,11 +70,12 @@
         ClaimStore claimStore = new ClaimStore(committer);
         this.outcomeWriter = new OutcomeWriter(components, claimStore, gate);
         ServiceDispatcher serviceDispatcher = new ServiceDispatcher(components, claimStore, outcomeWriter);
+        this.readiness = new Readiness(builder.bundles, builder.membership, gate);
         this.server = new Server(httpThreads());
         this.connector = connector(builder.configuration);
         server.addConnector(connector);
         server.setHandler(new CallerHandler(
-                components, builder.bundles, gate, new ModelDispatcher(components), serviceDispatcher));
+                components, builder.bundles, gate, readiness, new ModelDispatcher(components), serviceDispatcher));
         executor.scheduleWithFixedDelay(
                 () -> pruneLoadBoard(builder.membership),
                 LOAD_BOARD_PRUNE_INTERVAL_MILLIS,
@@ -125,6 +127,15 @@
         return loadBoard;
     }
 
+    /**
+     * Returns why this process should get no callers.
+     *
+     * @return the reason, empty if it is ready.
+     */
+    public Optional<String> notReadyReason() {
+        return readiness.notReadyReason();
+    }
+
     /**
      * Returns the number of requests in flight and of outcomes still to be recorded.
      *
--- a/src/main/java/io/waxwingquay/process/EntryProcess.java
+++ b/src/main/java/io/waxwingquay/process/EntryProcess.java
@@ -31,7 +31,7 @@
     }
 
     /**
-     * Starts an entry process, which becomes ready when it has a bundle in force.
+     * Starts an entry process, which becomes ready when it has a bundle in force and knows a side.
      *
      * @param settings the settings.
      * @return the running process.
@@ -54,7 +54,7 @@
                 .build();
         EntryProcess process = new EntryProcess(runtime, node.start());
         runtime.startAdminServer(
-                process::notReadyReason, process::drain, dump -> dump.section("entry", process::dumpState));
+                node::notReadyReason, process::drain, dump -> dump.section("entry", process::dumpState));
         runtime.start();
         return process;
     }
@@ -132,10 +132,6 @@
         runtime.close();
     }
 
-    private Optional<String> notReadyReason() {
-        return runtime.bundles().current().isPresent() ? Optional.empty() : Optional.of("no bundle in force yet");
-    }
-
     private EntryState dumpState() {
         return new EntryState(
                 runtime.settings().name(),
--- a/src/test/java/io/waxwingquay/entry/EntryNodeTest.java
+++ b/src/test/java/io/waxwingquay/entry/EntryNodeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
@@ -102,6 +103,24 @@
         assertEquals("not_ready", complete(node, COMPLETION_BODY).error("code"));
     }
 
+    // Guards against callers who reach a new entry before it knows a side: all of their requests are rejected, while
+    // other entries could serve them.
+    @Test
+    void isNotReadyBeforeItKnowsASide() {
+        cluster.knownSides = List.of();
+        assertEquals(503, CallerClient.get(node, "/readyz"));
+        cluster.knownSides = List.of(cluster.firstSide);
+        assertEquals(200, CallerClient.get(node, "/readyz"));
+    }
+
+    // Guards against entries that all leave the balancer at once when the last side of a moment goes.
+    @Test
+    void staysReadyWhenSidesGo() {
+        assertEquals(200, CallerClient.get(node, "/readyz"));
+        cluster.knownSides = List.of();
+        assertEquals(200, CallerClient.get(node, "/readyz"));
+    }
+
     @Test
     void characterSplitAcrossChunksIsNotGarbled() {
         cluster.firstSide.pollAnswerFilter = answer -> {
