Keep a replica's announced limit when its row is dropped and listed again

Found by looking for the cause of the unread departure elsewhere: what a replica announces was kept with its row's entry and died with it. A row may be dropped and listed again while its replica lives, and the entry then sent without the limit until the next answer. Change: the limit is kept with the other announcements of the incarnation. Before: TargetTableTest#announcedLimitOutlastsTheRow, expected <true> but was <false>; after: passes.

--- a/src/main/java/io/waxwingquay/forward/ReplicaAnnouncements.java
+++ b/src/main/java/io/waxwingquay/forward/ReplicaAnnouncements.java
@@ -8,6 +8,7 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
+    private final ReplicaRateLimit rateLimit = new ReplicaRateLimit();
     private boolean leaving;
     private long refusesUntilMillis = Long.MIN_VALUE;
 
@@ -23,6 +24,10 @@
         }
     }
 
+    ReplicaRateLimit rateLimit() {
+        return rateLimit;
+    }
+
     boolean isLeaving() {
         return leaving;
     }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -46,7 +46,6 @@
 
     private final ClientPool pool;
     private final ListingStatus listingStatus = new ListingStatus();
-    private final ReplicaRateLimit rateLimit = new ReplicaRateLimit();
     private final ReplicaAnnouncements announcements;
     private final AttemptHistory attemptHistory = new AttemptHistory();
     private final DecayingSum recentSends = new DecayingSum(SEND_HALF_LIFE_MILLIS);
@@ -196,19 +195,19 @@
 
     /** Applies the requests per second that its latest response announces for all entries together. */
     void rateLimitAnnounced(OptionalDouble perSecond, int entryCount, DoubleSupplier phase, long nowMillis) {
-        rateLimit.announced(id(), perSecond, entryCount, phase, nowMillis);
+        announcements.rateLimit().announced(id(), perSecond, entryCount, phase, nowMillis);
     }
 
     /**
      * Returns how long until the rate limit lets this entry send another request; 0 if it may now or there is no limit.
      */
     long rateLimitDelayMillis(long nowMillis) {
-        return rateLimit.waitMillis(nowMillis);
+        return announcements.rateLimit().waitMillis(nowMillis);
     }
 
     /** Returns how long the replica wants no request from this entry, by its refusals or its rate limit. */
     long sendDelayMillis(long nowMillis) {
-        return Math.max(rateLimit.waitMillis(nowMillis), announcements.refusalMillis(nowMillis));
+        return Math.max(rateLimitDelayMillis(nowMillis), announcements.refusalMillis(nowMillis));
     }
 
     /** Returns whether a request that waits for a connection to it should go elsewhere. */
@@ -386,7 +385,7 @@
     void requestSent(Optional<String> model, Optional<String> adapter, long kvTokens, long nowMillis) {
         tokensSinceUpdate += kvTokens;
         recentSends.add(1, nowMillis);
-        rateLimit.sent(nowMillis);
+        announcements.rateLimit().sent(nowMillis);
         if (inFlight == 0 && !isUnresponsive(nowMillis)) {
             busySinceMillis = nowMillis;
         }
--- a/src/test/java/io/waxwingquay/forward/TargetTableTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTableTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
@@ -62,6 +63,19 @@
         assertFalse(target("one").acceptsRequests());
     }
 
+    // Guards against a replica that gets more requests than its limit allows because its row is dropped and listed
+    // again.
+    @Test
+    void announcedLimitOutlastsTheRow() {
+        list("one", 2_000);
+        target("one").rateLimitAnnounced(OptionalDouble.of(0.001), 1, () -> 0.0, 0);
+        target("one").requestSent(Optional.empty(), Optional.empty(), 0, 0);
+        assertTrue(target("one").rateLimitDelayMillis(0) > 0);
+        table.onRemoved(record("one", 2_000));
+        list("one", 2_000);
+        assertTrue(target("one").rateLimitDelayMillis(0) > 0);
+    }
+
     @Test
     void announcedDepartureIsThatOfOneIncarnation() {
         list("one", 2_000);
