--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -32,11 +32,13 @@
     private static final String PROMPT_PREFIX = "Prompt-Prefix";
 
     private static final String LAST_EVENT_ID = "Last-Event-Id";
-    private static final String TARGET_REPLICA = "Target-Replica";
+    /** Id of the only replica that may run the request or carry out the order; any other answers with status 421. */
+    static final String TARGET_REPLICA = "Target-Replica";
+
     private static final String REQUEST_PRIORITY = "Request-Priority";
 
     /** Id of the replica that answered; for a misdirected request, of the replica that now has the address. */
-    private static final String REPLICA_ID = "Replica-Id";
+    static final String REPLICA_ID = "Replica-Id";
 
     /** Present, with any value, if the replica guarantees that the request has not run. */
     private static final String NOT_EXECUTED = "Not-Executed";
--- a/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
+++ b/src/main/java/io/waxwingquay/platform/HttpEngineControl.java
@@ -24,8 +24,6 @@
      */
     private static final long FENCE = 1L;
 
-    private static final String TARGET_REPLICA = "Target-Replica";
-    private static final String REPLICA_ID = "Replica-Id";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int CONFLICT = 409;
@@ -51,7 +49,7 @@
     }
 
     private static String replicaId(PlatformClient.Reply reply) {
-        return Optional.ofNullable(reply.fields().get(REPLICA_ID))
+        return Optional.ofNullable(reply.fields().get(HeaderCodec.REPLICA_ID))
                 .orElseThrow(() -> new StoreException(
                         "the engine answered the health check with status " + reply.status() + " and without its id"));
     }
@@ -84,7 +82,7 @@
         body.put("holder", holder);
         body.put("fence", FENCE);
         HttpFields.Mutable fields = HttpFields.build();
-        replicaId.ifPresent(id -> fields.put(TARGET_REPLICA, id));
+        replicaId.ifPresent(id -> fields.put(HeaderCodec.TARGET_REPLICA, id));
         return engine.post("/order", fields, JsonFields.write(body))
                 .thenApply(reply -> answer(reply.status()))
                 .exceptionally(failure -> Answer.UNKNOWN);
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.hosted;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.standin.prepared.ReplicaStandin;
@@ -42,6 +44,7 @@
             """;
 
     private static final int PORT_COUNT = 7;
+    private static final int REQUESTS = 20;
     private static final String SECOND_HOST = "127.0.0.6";
     private static final List<String> HOSTS =
             List.of("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", SECOND_HOST);
@@ -166,6 +169,17 @@
         standinLoop.schedule(delayMillis, task);
     }
 
+    /** Asserts that requests to the first entry are answered with a status, and that a replica gets none of them. */
+    void assertNoneReach(ReplicaStandin replica, String path, String fields, int expectedStatus) throws IOException {
+        int before = replica.startedAttemptIds().size();
+        for (int number = 0; number < REQUESTS; number++) {
+            assertEquals(
+                    expectedStatus,
+                    ask("POST", path, "none-" + number, fields, "x").status());
+        }
+        assertEquals(before, replica.startedAttemptIds().size());
+    }
+
     int readyStatus() throws IOException {
         try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), basePort + 3)) {
             return exchange(socket, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n").status;
--- a/src/test/java/io/waxwingquay/hosted/LeavingReplicaTest.java
+++ b/src/test/java/io/waxwingquay/hosted/LeavingReplicaTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.waxwingquay.standin.prepared.ReplicaStandin;
 import io.waxwingquay.testing.Await;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -48,8 +47,7 @@
     }
 
     // Guards against requests to a replica that says in its answers that it leaves, while its row is listed as ready,
-    // and
-    // after the row has been dropped and listed again.
+    // also after the row has been dropped and listed again.
     @Test
     void replicaThatSaysItLeavesGetsNoMoreRequests() throws Exception {
         deployment.plain1.behaviour((replica, caller) -> caller.respond(
@@ -57,16 +55,15 @@
         deployment.unlist("p2");
         assertTrue(saysItLeaves("/p/1", ""));
         deployment.list(deployment.plain2, "p2", "plain");
-        assertNoneReach(deployment.plain1, "/p/1", "", 200);
+        deployment.assertNoneReach(deployment.plain1, "/p/1", "", 200);
         deployment.unlist("p1");
         deployment.list(deployment.plain1, "p1", "plain");
         deployment.unlist("p2");
-        assertNoneReach(deployment.plain1, "/p/1", "", 503);
+        deployment.assertNoneReach(deployment.plain1, "/p/1", "", 503);
     }
 
-    // Guards against requests to an engine that says at the head of a stream that it leaves, while the process beside
-    // it
-    // goes on to call it ready.
+    // Guards against requests to an engine that says at the head of a stream that it leaves, while its side process
+    // still calls it ready.
     @Test
     void engineThatSaysItLeavesGetsNoMoreRequestsThoughGossipCallsItReady() throws Exception {
         deployment.engine1.behaviour((replica, caller) -> {
@@ -81,25 +78,15 @@
         deployment.unlist("e2");
         assertTrue(saysItLeaves("/quick/1", MODEL));
         deployment.list(deployment.engine2, "e2", "engines");
-        assertNoneReach(deployment.engine1, "/quick/1", MODEL, 200);
+        deployment.assertNoneReach(deployment.engine1, "/quick/1", MODEL, 200);
         deployment.unlist("e2");
-        assertNoneReach(deployment.engine1, "/quick/1", MODEL, 503);
+        deployment.assertNoneReach(deployment.engine1, "/quick/1", MODEL, 503);
     }
 
     private boolean saysItLeaves(String path, String fields) throws Exception {
         return deployment.ask("POST", path, "c", fields, "x").head().contains("Server-Leaving: 1");
     }
 
-    private void assertNoneReach(ReplicaStandin replica, String path, String fields, int expectedStatus)
-            throws Exception {
-        int before = replica.startedAttemptIds().size();
-        for (int number = 0; number < REQUESTS; number++) {
-            int status = deployment.ask("POST", path, "d" + number, fields, "x").status();
-            assertEquals(expectedStatus, status);
-        }
-        assertEquals(before, replica.startedAttemptIds().size());
-    }
-
     private static boolean isUnlisted(String dump) {
         return dump.contains("missing=[p1]") || !dump.contains("id=p1");
     }
--- a/src/test/java/io/waxwingquay/hosted/RefusingReplicaTest.java
+++ b/src/test/java/io/waxwingquay/hosted/RefusingReplicaTest.java
@@ -14,8 +14,6 @@
 
 class RefusingReplicaTest {
 
-    private static final int REQUESTS = 20;
-
     /** Longer than any test runs. */
     private static final String RETRY_AFTER_SECONDS = "600.5";
 
@@ -44,19 +42,18 @@
     }
 
     // Guards against requests to a plain replica that wants none for the time that its refusal names, also after its
-    // row
-    // has been dropped and listed again.
+    // row has been dropped and listed again.
     @Test
     void plainReplicaGetsNothingForTheTimeItsRefusalNames() throws Exception {
         deployment.plain1.behaviour(REFUSE);
         deployment.unlist("p2");
         assertEquals(503, ask("/brief/1", "").status());
         deployment.list(deployment.plain2, "p2", "plain");
-        assertNoneReach(deployment.plain1, "/brief/1", "", 200);
+        deployment.assertNoneReach(deployment.plain1, "/brief/1", "", 200);
         deployment.unlist("p1");
         deployment.list(deployment.plain1, "p1", "plain");
         deployment.unlist("p2");
-        assertNoneReach(deployment.plain1, "/brief/1", "", 503);
+        deployment.assertNoneReach(deployment.plain1, "/brief/1", "", 503);
     }
 
     // Guards against requests to an engine that wants none for the time that its refusal names.
@@ -66,9 +63,9 @@
         deployment.unlist("e2");
         assertEquals(503, ask("/quick/1", MODEL).status());
         deployment.list(deployment.engine2, "e2", "engines");
-        assertNoneReach(deployment.engine1, "/quick/1", MODEL, 200);
+        deployment.assertNoneReach(deployment.engine1, "/quick/1", MODEL, 200);
         deployment.unlist("e2");
-        assertNoneReach(deployment.engine1, "/quick/1", MODEL, 503);
+        deployment.assertNoneReach(deployment.engine1, "/quick/1", MODEL, 503);
     }
 
     // Guards against a delay for callers that is shorter than the one for which all replicas refuse.
@@ -89,15 +86,6 @@
         return deployment.ask("POST", path, "h", fields, "x");
     }
 
-    private void assertNoneReach(ReplicaStandin replica, String path, String fields, int expectedStatus)
-            throws Exception {
-        int before = reached(replica);
-        for (int number = 0; number < REQUESTS; number++) {
-            assertEquals(expectedStatus, ask(path, fields).status());
-        }
-        assertEquals(before, reached(replica));
-    }
-
     private static int reached(ReplicaStandin replica) {
         return replica.startedAttemptIds().size();
     }
--- a/src/test/java/io/waxwingquay/platform/HttpEngineControlTest.java
+++ b/src/test/java/io/waxwingquay/platform/HttpEngineControlTest.java
@@ -12,6 +12,8 @@
 import io.waxwingquay.testing.FreePorts;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -39,11 +41,11 @@
         EngineControl control = control(Optional.of(ReplicaStandin.HEALTH_PATH));
         Await.until(() -> answer(control, "e0") == EngineControl.Answer.REFUSED);
         Await.until(() -> answer(control, "e1") != EngineControl.Answer.UNKNOWN);
-        assertEquals(1, Await.value(control.report()).ordersTaken());
+        assertEquals(1, onLoop(control::report).ordersTaken());
     }
 
     private static EngineControl.Answer answer(EngineControl control, String replicaId) throws Exception {
-        return Await.value(control.issue(LOAD, Optional.of(replicaId)));
+        return onLoop(() -> control.issue(LOAD, Optional.of(replicaId)));
     }
 
     @Test
@@ -60,6 +62,11 @@
                 .contains("no health path"));
     }
 
+    /** Starts a call on the loop, on which all use of the control takes place. */
+    private <T> T onLoop(Supplier<CompletableFuture<T>> call) throws Exception {
+        return Await.value(CompletableFuture.supplyAsync(call, loop).thenCompose(result -> result));
+    }
+
     private EngineControl control(Optional<String> healthPath) {
         return new HttpEngineControl(loop, address, "side", () -> healthPath);
     }
--- a/src/test/java/io/waxwingquay/residency/EngineManagerTest.java
+++ b/src/test/java/io/waxwingquay/residency/EngineManagerTest.java
@@ -74,8 +74,7 @@
     }
 
     // Guards against an order that got no answer from one incarnation of the engine and is executed by the next, when
-    // the
-    // process that issued it has ended as well and its successor knows nothing of it.
+    // the process that issued it has ended as well and its successor knows nothing of it.
     @Test
     void lateOrderOfAnEndedProcessDoesNotReachTheNextIncarnation() throws Exception {
         engine.begin(4, "m");
