--- a/src/test/java/io/waxwingquay/platform/HttpEngineControlTest.java
+++ b/src/test/java/io/waxwingquay/platform/HttpEngineControlTest.java
@@ -44,7 +44,7 @@
         assertEquals(1, onLoop(control::report).ordersTaken());
     }
 
-    private static EngineControl.Answer answer(EngineControl control, String replicaId) throws Exception {
+    private EngineControl.Answer answer(EngineControl control, String replicaId) throws Exception {
         return onLoop(() -> control.issue(LOAD, Optional.of(replicaId)));
     }
 
