--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -244,12 +244,13 @@
         control.identify().whenComplete((id, failure) -> {
             if (failure == null) {
                 orders.onIdentified(id);
+                LOG.log(System.Logger.Level.INFO, "residency: engine identified id={0}", id);
+            } else {
+                LOG.log(
+                        System.Logger.Level.WARNING,
+                        "residency: engine not identified cause={0}",
+                        failure.getMessage());
             }
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "residency: engine identified id={0} cause={1}",
-                    id,
-                    failure == null ? "" : failure.getMessage());
         });
     }
 
