Keep pipelined input while another connection is read

Cause: all reads share one buffer. A non-idempotent request is sent over an idle connection that is read first, so that a close is noticed. That read happens while the caller's own input is still being parsed out of the same buffer and clears it: what the caller sent behind its request was lost, and that request got no response.

Change: reads that happen during input use a second, small buffer.

Before: LoopConnectionTest.readOfAnotherConnectionKeepsPipelinedInput timed out waiting for the second of two pipelined responses. After: both arrive.

Conclusion: the same class elsewhere: onFillable of a server connection is also called by closeIfIdle, which runs from timers and signals only, never during input.

--- a/src/main/java/io/waxwingquay/net/ClientConnection.java
+++ b/src/main/java/io/waxwingquay/net/ClientConnection.java
@@ -76,7 +76,7 @@
      * detected.
      */
     boolean readAndCheckOpen() {
-        onFillable();
+        readDuringInput();
         return !unusable && getEndPoint().isOpen();
     }
 
--- a/src/main/java/io/waxwingquay/net/EventLoop.java
+++ b/src/main/java/io/waxwingquay/net/EventLoop.java
@@ -47,10 +47,12 @@
     private static final int KEEP_ALIVE_PROBES = 3;
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final int BUFFER_BYTES = 65_536;
+    private static final int SECOND_BUFFER_BYTES = 1_024;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final System.Logger LOG = System.getLogger("waxwingquay.net");
 
     private final ByteBuffer inputBuffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
+    private final ByteBuffer secondInputBuffer = ByteBuffer.allocateDirect(SECOND_BUFFER_BYTES);
     private final ByteBuffer outputBuffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
     private final Queue<Runnable> postedTasks = new ConcurrentLinkedQueue<>();
     private final TimerQueue timers = new TimerQueue();
@@ -218,6 +220,11 @@
         return inputBuffer;
     }
 
+    /** Returns a buffer for reads that happen while {@link #inputBuffer} is in use. */
+    ByteBuffer secondInputBuffer() {
+        return secondInputBuffer;
+    }
+
     ByteBuffer outputBuffer() {
         outputBuffer.clear();
         return outputBuffer;
--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -78,7 +78,18 @@
     /** {@inheritDoc} */
     @Override
     public void onFillable() {
-        ByteBuffer buffer = loop.inputBuffer();
+        readInto(loop.inputBuffer());
+    }
+
+    /**
+     * Reads pending input while the input of another connection is being processed, whose bytes are still in the buffer
+     * that the connections share.
+     */
+    final void readDuringInput() {
+        readInto(loop.secondInputBuffer());
+    }
+
+    private void readInto(ByteBuffer buffer) {
         while (!inputEnded && getEndPoint().isOpen() && acceptsInput()) {
             buffer.clear();
             int count;
