Do not read again after a read that left room in the buffer

Cause: every input was followed by a second, empty read. For a forwarded stream that is one of four system calls an event: wait, read, empty read, write. On the prepared platform a system call is dear.

Change: a short read ends the reading; the selector is level-triggered and reports what comes later, the end of input too. A read that filled the buffer is still followed by another.

Tests: LoopConnectionTest, one for the short read (red before: 2 reads) and one for the full buffer.

--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -108,7 +108,15 @@
                 awaitInput();
                 return;
             }
+            boolean isDrained = count < buffer.capacity();
             onInput(buffer);
+            if (isDrained) {
+                // A read that leaves room in the buffer has emptied the channel: reading again would only cost a call.
+                if (acceptsInput()) {
+                    awaitInput();
+                }
+                return;
+            }
         }
     }
 
--- a/src/test/java/io/waxwingquay/net/LoopConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/LoopConnectionTest.java
@@ -7,8 +7,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,6 +33,24 @@
         loop.close();
     }
 
+    // Guards against a second, empty read for each event of a stream, a third of the system calls that an event costs.
+    @Test
+    void shortReadIsNotFollowedByAnother() {
+        CountingChannel channel = new CountingChannel(10);
+        new DiscardingConnection(channel, loop).onFillable();
+        assertEquals(1, channel.reads);
+    }
+
+    // Guards against input that stays unread in the channel when it filled the buffer to the last byte.
+    @Test
+    void fullReadIsFollowedByAnother() {
+        int capacity = loop.inputBuffer().capacity();
+        CountingChannel channel = new CountingChannel(capacity + 10);
+        new DiscardingConnection(channel, loop).onFillable();
+        assertEquals(0, channel.remaining);
+        assertEquals(2, channel.reads);
+    }
+
     // A request that must not run twice is sent over a connection that is read first. Guards against that read
     // overwriting what the caller sent behind its request: the next request would get no response.
     @Test
@@ -100,4 +120,65 @@
             throw new IllegalStateException(why);
         }
     }
+
+    /** Holds bytes to be read, and counts the reads. */
+    private static final class CountingChannel implements ReadableByteChannel {
+
+        private int remaining;
+        private int reads;
+
+        private CountingChannel(int bytes) {
+            this.remaining = bytes;
+        }
+
+        @Override
+        public int read(ByteBuffer target) {
+            reads++;
+            int count = Math.min(remaining, target.remaining());
+            target.position(target.position() + count);
+            remaining -= count;
+            return count;
+        }
+
+        @Override
+        public boolean isOpen() {
+            return true;
+        }
+
+        @Override
+        public void close() {
+            // nothing to release
+        }
+    }
+
+    private static final class DiscardingConnection extends LoopConnection {
+
+        private DiscardingConnection(CountingChannel channel, EventLoop loop) {
+            super(new ChannelEndPoint(channel), loop);
+        }
+
+        @Override
+        void onInput(ByteBuffer bytes) {
+            bytes.position(bytes.limit());
+        }
+
+        @Override
+        void onInputEnd(Throwable cause) {
+            // no further input
+        }
+    }
+
+    private static final class ChannelEndPoint extends ByteArrayEndPoint {
+
+        private final CountingChannel channel;
+
+        private ChannelEndPoint(CountingChannel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public Object getTransport() {
+            return channel;
+        }
+    }
 }
