Train the class archive with processes that start from settings files

Cause: the run that records classes for the archive put processes together by hand, so that reading the settings file, the start of a role, its signal handlers, the plan with several engines and refusals for absent models were not in it. A process loaded 188 classes from outside the archive, and the first lambda among them made it build the machinery that defines classes at run time (class loading log of one side process, 20 s of traffic).

--- a/src/main/java/io/waxwingquay/command/HostedRole.java
+++ b/src/main/java/io/waxwingquay/command/HostedRole.java
@@ -64,8 +64,20 @@
         if (started.isEmpty()) {
             return ExitCodes.FAILED;
         }
-        HostedProcess process = started.get();
         CountDownLatch closed = new CountDownLatch(1);
+        handleSignals(started.get(), closed);
+        closed.await();
+        Logging.flush();
+        return ExitCodes.OK;
+    }
+
+    /**
+     * Shuts the process down on SIGTERM and ignores SIGHUP.
+     *
+     * @param process the process.
+     * @param closed counted down once the process has shut down.
+     */
+    static void handleSignals(HostedProcess process, CountDownLatch closed) {
         Signal.handle(new Signal("TERM"), signal -> process.shutdown().thenRun(closed::countDown));
         // Without a handler the JVM would exit on SIGHUP. The settings in use do not change during the life of a VM.
         Signal.handle(
@@ -73,36 +85,45 @@
                 signal -> LOG.log(
                         System.Logger.Level.INFO,
                         "command: ignored SIGHUP, as no changed setting applies to a running process"));
-        closed.await();
-        Logging.flush();
-        return ExitCodes.OK;
     }
 
     /**
-     * Starts the process. All of its parts are assembled on its event loop, so that two threads never read and load
-     * classes concurrently.
+     * Starts the process.
      *
      * @param settings the settings.
      * @param errors receives the reason if the process can't start.
      * @return the process; empty if it can't start, in which case nothing of it keeps running.
      */
     Optional<HostedProcess> start(HostSettings settings, PrintWriter errors) {
+        try {
+            return Optional.of(launch(settings).join());
+        } catch (CompletionException failure) {
+            errors.println("the role cannot start: " + failure.getCause().getMessage());
+            LOG.log(System.Logger.Level.DEBUG, "command: the role cannot start.", failure);
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Launches the process. All of its parts are assembled on its event loop, so that two threads never read and load
+     * classes concurrently.
+     *
+     * @param settings the settings.
+     * @return the process; if it can't start, the future fails with the cause and nothing of it keeps running.
+     */
+    CompletableFuture<HostedProcess> launch(HostSettings settings) {
         EventLoop loop = EventLoop.start("loop");
-        CompletableFuture<HostedProcess> started = new CompletableFuture<>();
+        CompletableFuture<HostedProcess> launched = new CompletableFuture<>();
         loop.execute(() -> {
             try {
-                started.complete(starter.apply(loop, settings));
+                launched.complete(starter.apply(loop, settings));
             } catch (RuntimeException failure) {
-                started.completeExceptionally(failure);
+                launched.completeExceptionally(failure);
             }
         });
-        try {
-            return Optional.of(started.join());
-        } catch (CompletionException failure) {
+        return launched.exceptionallyAsync(failure -> {
             loop.close();
-            errors.println("the role cannot start: " + failure.getCause().getMessage());
-            LOG.log(System.Logger.Level.DEBUG, "command: the role cannot start.", failure);
-            return Optional.empty();
-        }
+            throw new CompletionException(failure);
+        });
     }
 }
--- a/src/main/java/io/waxwingquay/command/RehearseCommand.java
+++ b/src/main/java/io/waxwingquay/command/RehearseCommand.java
@@ -1,13 +1,19 @@
 package io.waxwingquay.command;
 
+import io.waxwingquay.hosted.HostedProcess;
 import io.waxwingquay.observe.Logging;
+import io.waxwingquay.platform.SettingsFile;
 import io.waxwingquay.settings.ProcessSettings.LogFormat;
 import io.waxwingquay.settings.ProcessSettings.LogLevel;
 import io.waxwingquay.standin.prepared.TrainingRun;
+import java.io.IOException;
 import java.net.BindException;
+import java.nio.file.Path;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 import picocli.CommandLine.Command;
@@ -34,7 +40,7 @@
     public Integer call() throws Exception {
         Logging.configureStandardOutput(LogFormat.TEXT, LogLevel.INFO);
         if (port.isPresent()) {
-            TrainingRun.run(port.get());
+            TrainingRun.run(RehearseCommand::launch, port.get());
         } else {
             runOnRandomPorts();
         }
@@ -42,11 +48,22 @@
         return ExitCodes.OK;
     }
 
+    /** Launches a process by the code that {@link HostedMain} runs. */
+    private static CompletableFuture<HostedProcess> launch(String name, Path settings) throws IOException {
+        HostedRole role = HostedMain.parseRole(name)
+                .orElseThrow(() -> new IllegalArgumentException("there is no role named " + name));
+        return role.launch(SettingsFile.read(settings)).thenApply(process -> {
+            HostedRole.handleSignals(process, new CountDownLatch(1));
+            return process;
+        });
+    }
+
     /** Runs on random ports and retries with others if a port is in use by another program. */
     private static void runOnRandomPorts() throws Exception {
         for (int attempt = 1; ; attempt++) {
             try {
-                TrainingRun.run(ThreadLocalRandom.current().nextInt(MIN_FIRST_PORT, MAX_FIRST_PORT));
+                TrainingRun.run(
+                        RehearseCommand::launch, ThreadLocalRandom.current().nextInt(MIN_FIRST_PORT, MAX_FIRST_PORT));
                 return;
             } catch (Exception failure) {
                 if (attempt == MAX_ATTEMPTS || !isPortInUse(failure)) {
