Plan again only after a while if a plan gave the engine nothing to do

Cause: as long as an engine had no model to move, the plan of all copies was computed with each poll of its state and with each request for an adapter: ten times a second under load, and every four milliseconds while adapters load.

Change: a plan without a step for this engine holds for 250 ms. An engine that begins again, and every plan that has a step, are not held back.

Before: ModelMoverTest.pollsForAdaptersDoNotRepeatAnEmptyPlan counted 63 plans in 250 ms; after: 1.

A load can be announced up to 250 ms later than before (100 ms); loads take 0.6 to 6 s.

--- a/src/main/java/io/waxwingquay/residency/ModelMover.java
+++ b/src/main/java/io/waxwingquay/residency/ModelMover.java
@@ -32,6 +32,12 @@
     /** A load that the engine does not report after this time was lost. */
     private static final long LOAD_VISIBLE_TIMEOUT_MILLIS = 600L;
 
+    /**
+     * How long a plan without a step for this engine holds. A plan weighs all models against all engines, while the
+     * engine's state is polled every few milliseconds as long as adapters load.
+     */
+    private static final long EMPTY_PLAN_VALID_MILLIS = 250L;
+
     /** The minimum remaining time reported for a load that should be complete. */
     private static final long MIN_REMAINING_MILLIS = 50L;
 
@@ -42,6 +48,7 @@
     private List<String> evictions = List.of();
     private long phaseStartMillis;
     private boolean storeLoadCounted;
+    private long nextPlanMillis = Long.MIN_VALUE;
 
     /** Returns the model that is being moved in. */
     Optional<String> loadingModel() {
@@ -64,6 +71,7 @@
 
     /** Abandons the current move, as the engine has restarted. */
     void onEngineRestart() {
+        nextPlanMillis = Long.MIN_VALUE;
         transition(MoveState.Event.LOST);
     }
 
@@ -107,13 +115,19 @@
     }
 
     private void announce(Planner planner, long nowMillis) {
-        planner.nextStep(Optional.empty()).ifPresent(step -> {
-            model = step.model();
-            evictions = step.evictions();
-            phaseStartMillis = nowMillis;
-            storeLoadCounted = false;
-            transition(MoveState.Event.PLAN);
-        });
+        if (nowMillis < nextPlanMillis) {
+            return;
+        }
+        Optional<CopyPlan.Step> planned = planner.nextStep(Optional.empty());
+        if (planned.isEmpty()) {
+            nextPlanMillis = nowMillis + EMPTY_PLAN_VALID_MILLIS;
+            return;
+        }
+        model = planned.get().model();
+        evictions = planned.get().evictions();
+        phaseStartMillis = nowMillis;
+        storeLoadCounted = false;
+        transition(MoveState.Event.PLAN);
     }
 
     private void confirm(EngineReport report, Planner planner, long nowMillis) {
--- a/src/test/java/io/waxwingquay/residency/ModelMoverTest.java
+++ b/src/test/java/io/waxwingquay/residency/ModelMoverTest.java
@@ -16,11 +16,13 @@
     private final ModelMover mover = new ModelMover();
     private Optional<CopyPlan.Step> plan = Optional.of(new CopyPlan.Step("new", List.of("old")));
     private int storeLoadRequests;
+    private int plans;
     private Set<String> inUse = Set.of();
 
     private final ModelMover.Planner planner = new ModelMover.Planner() {
         @Override
         public Optional<CopyPlan.Step> nextStep(Optional<String> announced) {
+            plans++;
             return plan;
         }
 
@@ -102,6 +104,31 @@
         assertEquals(Optional.empty(), mover.loadingModel());
     }
 
+    // While adapters load, the engine is polled every four milliseconds. Guards against a plan of all engines with each
+    // poll, which took most of a side's processor time as soon as many models were asked for.
+    @Test
+    void pollsForAdaptersDoNotRepeatAnEmptyPlan() {
+        plan = Optional.empty();
+        for (long nowMillis = 0; nowMillis < 250; nowMillis += 4) {
+            nextOrder(nowMillis, "old");
+        }
+        assertEquals(1, plans);
+        plan = Optional.of(new CopyPlan.Step("new", List.of("old")));
+        nextOrder(252, "old");
+        assertEquals(Optional.of("new"), mover.loadingModel());
+    }
+
+    // Guards against an engine that begins again empty and waits for an earlier plan to expire.
+    @Test
+    void engineRestartIsPlannedAtOnce() {
+        plan = Optional.empty();
+        nextOrder(0, "old");
+        mover.onEngineRestart();
+        plan = Optional.of(new CopyPlan.Step("new", List.of()));
+        nextOrder(4);
+        assertEquals(Optional.of("new"), mover.loadingModel());
+    }
+
     private Optional<EngineControl.Order> nextOrder(long nowMillis, String... held) {
         List<ReplicaRecord.ResidentModel> models = Stream.of(held)
                 .map(name -> new ReplicaRecord.ResidentModel(name, List.of()))
