Count entries by the greatest report, not by the last

Cause: side processes report how many entries they hear, and an entry divided the retry budget, the connections of a replica and the limits that replicas announce by the last report it got. A side process that starts again has heard one entry at first; every entry that then heard it took the share of a sole entry until the next report, and the time after which that engine's updates count as stale was worked out from the same number.

Change: the greatest report of all side processes counts, each as long as their updates count (EntryCount).

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -63,7 +63,7 @@
     private final ActiveRequests activeRequests;
     private Optional<Manifest> manifest = Optional.empty();
     private RouteTable routes = RouteTable.of(List.of());
-    private int entryCount;
+    private final EntryCount entryCount;
     private long exitAtMillis = Long.MAX_VALUE;
     private boolean admitting = true;
 
@@ -92,7 +92,7 @@
         this.metrics = metrics;
         this.suspects = suspects;
         this.random = random;
-        this.entryCount = settings.assumedEntryCount();
+        this.entryCount = new EntryCount(settings.assumedEntryCount());
         this.chooser = new TargetChooser(settings.zone(), random);
         this.adapterRequester = new AdapterRequester(
                 loop,
@@ -200,12 +200,12 @@
         long nowMillis = EventLoop.nowMillis();
         targets.currentAt(HostPort.of(update.getEngineAddress())).ifPresent(target -> {
             target.receiverCount(
-                    entryCount + targets.replicaCount(target.record().service()));
+                    entryCount() + targets.replicaCount(target.record().service()));
             target.update(update, nowMillis);
+            if (entryCount.report(target.address(), update.getEntries(), target.updateLifetimeMillis(), nowMillis)) {
+                divideSharedLimits();
+            }
         });
-        if (update.getEntries() > 0) {
-            setEntryCount(update.getEntries());
-        }
     }
 
     /**
@@ -286,7 +286,7 @@
     /** {@inheritDoc} */
     @Override
     public int entryCount() {
-        return Math.max(1, entryCount);
+        return entryCount.current();
     }
 
     /** {@inheritDoc} */
@@ -409,16 +409,13 @@
         onStateChanged.run();
     }
 
-    private void setEntryCount(int count) {
-        if (count != entryCount) {
-            entryCount = count;
-            budgets.values().forEach(budget -> budget.limitBurst(retryBurstPerEntry()));
-            targets.all().forEach(target -> target.pool().maxConnections(maxConnections(target.record())));
-        }
+    private void divideSharedLimits() {
+        budgets.values().forEach(budget -> budget.limitBurst(retryBurstPerEntry()));
+        targets.all().forEach(target -> target.pool().maxConnections(maxConnections(target.record())));
     }
 
     private double retryBurstPerEntry() {
-        return settings.retryBurst() * BUDGET_SHARE / entryCount;
+        return settings.retryBurst() * BUDGET_SHARE / entryCount();
     }
 
     private ClientPool newPool(ReplicaRecord record) {
@@ -431,6 +428,6 @@
         int atReplica = manifest.map(known -> known.services().get(record.service()))
                 .map(Manifest.Service::maxConnections)
                 .orElse(record.slots());
-        return (int) Math.max(1, atReplica * CONNECTION_SHARE / entryCount);
+        return (int) Math.max(1, atReplica * CONNECTION_SHARE / entryCount());
     }
 }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -263,6 +263,11 @@
         unresponsiveAfterMillis = Math.max(UNRESPONSIVE_MILLIS, Math.round(UNRESPONSIVE_ROUNDS * roundMillis));
     }
 
+    /** Returns how long an update of the side process counts. */
+    long updateLifetimeMillis() {
+        return updateLifetimeMillis;
+    }
+
     boolean holds(String model, long nowMillis) {
         return freshUpdate(nowMillis)
                 .map(fresh -> fresh.getModels().stream()
