Do not count less urgent requests ahead of an urgent one that would wait

At 8 s 15 of 28 engines were full and long requests with an objective of 5 s had come at four times their rate. An entry that has one request waiting for a model assumes as many at each of the 33 entries, and counted them all ahead of a new one: 33 slots at 52 ms each are beyond what a request with a limit of 3 s may wait, so one relaxed request that waits made the entry refuse all urgent ones for that model, although the urgent one would be checked first. The more entries, the sooner.

Change: requests wait by priority of their route and objective; only those that are checked before a request count ahead of it, and waiting requests are checked by priority before slack.

Before: by the same sum 202 + 33 x 52 = 1,918 ms, more than the 600 ms allowed. After: 202 ms, queued (WaitQueuesTest).

--- a/src/main/java/io/waxwingquay/forward/QueuedRequest.java
+++ b/src/main/java/io/waxwingquay/forward/QueuedRequest.java
@@ -14,7 +14,8 @@
     }
 
     /**
-     * Returns the order in which waiting requests are checked, lowest first; requests that are not queued come first.
+     * Returns the order in which waiting requests of one priority are checked, lowest first; requests that are not queued
+     * come first.
      */
     long slackMillis(long nowMillis) {
         return waiting ? terms.slackMillis(nowMillis) : Long.MIN_VALUE;
@@ -47,10 +48,23 @@
         return waiting && context.waitQueues().isFull(terms.queueKey(), nowMillis) && terms.mayWaitForRoom(nowMillis);
     }
 
-    /** Returns how long until a slot is expected; the queues of all entries are assumed to be of the same length. */
+    /** Returns the priority by which waiting requests are checked; requests that are not queued come first. */
+    int priority() {
+        return waiting ? terms.waitRank().priority() : Integer.MIN_VALUE;
+    }
+
+    /**
+     * Returns how long until a slot is expected; the queues of all entries are assumed to be of the same length.
+     *
+     * <p>Only requests that are checked before this one precede it. Failure: requests that can wait for long queue for a
+     * crowded model. Symptom: if they counted, an urgent request would be rejected at once for each of them that waits
+     * at this entry, although it would get the next slot, and the more entries there are the sooner.
+     */
     long expectedWaitMillis(Choice.Full full) {
         return full.expectedWaitMillis(
-                waiting ? 0 : context.waitQueues().size(terms.queueKey()) * context.entryCount());
+                waiting
+                        ? 0
+                        : context.waitQueues().countAhead(terms.queueKey(), terms.waitRank()) * context.entryCount());
     }
 
     /**
@@ -67,7 +81,7 @@
         }
         if (!waiting) {
             waiting = true;
-            context.waitQueues().joined(terms.queueKey());
+            context.waitQueues().joined(terms.queueKey(), terms.waitRank());
         }
         return true;
     }
@@ -75,7 +89,7 @@
     void leaveQueue() {
         if (waiting) {
             waiting = false;
-            context.waitQueues().left(terms.queueKey());
+            context.waitQueues().left(terms.queueKey(), terms.waitRank());
         }
     }
 }
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -92,6 +92,11 @@
         return WaitPolicy.slackMillis(route, waitedMillis(nowMillis));
     }
 
+    /** Returns the rank of the request among those that wait for the same slots. */
+    WaitQueues.Rank waitRank() {
+        return new WaitQueues.Rank(route.priority(), route.objectiveMillis());
+    }
+
     /** Returns the key of the queue of requests that wait for the same slots. */
     String queueKey() {
         return service + '/' + head.model().orElse("");
--- a/src/main/java/io/waxwingquay/forward/WaitQueues.java
+++ b/src/main/java/io/waxwingquay/forward/WaitQueues.java
@@ -1,7 +1,9 @@
 package io.waxwingquay.forward;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Counts the requests that wait here for a slot of the same engines. This bounds the load of a model with more demand
@@ -18,20 +20,24 @@
 
     private final Map<String, Queue> queues = new HashMap<>();
 
-    /** Returns the number of requests in a queue. */
-    int size(String name) {
+    /** Returns the number of requests in a queue that precede a further one of this rank. */
+    int countAhead(String name, Rank rank) {
         Queue queue = queues.get(name);
-        return queue == null ? 0 : queue.waiting;
+        return queue == null
+                ? 0
+                : queue.waitingByRank.headMap(rank, true).values().stream()
+                        .mapToInt(Integer::intValue)
+                        .sum();
     }
 
-    void joined(String name) {
-        queue(name).waiting++;
+    void joined(String name, Rank rank) {
+        queue(name).waitingByRank.merge(rank, 1, Integer::sum);
     }
 
-    void left(String name) {
+    void left(String name, Rank rank) {
         Queue queue = queue(name);
-        queue.waiting--;
-        if (queue.waiting == 0) {
+        queue.waitingByRank.computeIfPresent(rank, (key, waiting) -> waiting == 1 ? null : waiting - 1);
+        if (queue.waitingByRank.isEmpty()) {
             queues.remove(name);
         }
     }
@@ -54,9 +60,27 @@
         return queues.computeIfAbsent(name, key -> new Queue());
     }
 
+    /**
+     * The rank of a request in its queue, the most urgent first.
+     *
+     * @param priority the priority of its route, of which the lowest comes first.
+     * @param objectiveMillis the latency objective of its route.
+     */
+    record Rank(int priority, long objectiveMillis) implements Comparable<Rank> {
+
+        private static final Comparator<Rank> ORDER =
+                Comparator.comparingInt(Rank::priority).thenComparingLong(Rank::objectiveMillis);
+
+        /** {@inheritDoc} */
+        @Override
+        public int compareTo(Rank other) {
+            return ORDER.compare(this, other);
+        }
+    }
+
     private static final class Queue {
 
-        private int waiting;
+        private final TreeMap<Rank, Integer> waitingByRank = new TreeMap<>();
         private long fullUntilMillis = Long.MIN_VALUE;
     }
 }
