--- a/src/main/java/io/waxwingquay/forward/ActiveRequests.java
+++ b/src/main/java/io/waxwingquay/forward/ActiveRequests.java
@@ -125,8 +125,7 @@
 
     private void checkAll(long nowMillis) {
         exchanges.stream()
-                .sorted(Comparator.comparingLong(
-                        exchange -> exchange.queuedRequest().slackMillis(nowMillis)))
+                .sorted(Comparator.comparing(Exchange::queuedRequest, QueuedRequest.checkOrder(nowMillis)))
                 .toList()
                 .forEach(exchange -> tick(exchange, nowMillis));
         if (draining) {
--- a/src/main/java/io/waxwingquay/forward/QueuedRequest.java
+++ b/src/main/java/io/waxwingquay/forward/QueuedRequest.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.forward;
 
+import java.util.Comparator;
+
 /** The position of a request that waits, or may wait, for a slot, and when its choice of a replica is repeated. */
 final class QueuedRequest {
 
@@ -14,11 +16,16 @@
     }
 
     /**
-     * Returns the order in which waiting requests of one priority are checked, lowest first; requests that are not queued
-     * come first.
+     * Returns the order in which requests are checked: those that are not queued first, then by the priority of their
+     * routes, and within it by slack.
      */
-    long slackMillis(long nowMillis) {
-        return waiting ? terms.slackMillis(nowMillis) : Long.MIN_VALUE;
+    static Comparator<QueuedRequest> checkOrder(long nowMillis) {
+        return Comparator.comparingInt(QueuedRequest::priority)
+                .thenComparingLong(request -> request.waiting ? request.terms.slackMillis(nowMillis) : 0);
+    }
+
+    private int priority() {
+        return waiting ? terms.waitRank().priority() : Integer.MIN_VALUE;
     }
 
     /** Has the choice of a replica repeated after this delay. */
@@ -48,11 +55,6 @@
         return waiting && context.waitQueues().isFull(terms.queueKey(), nowMillis) && terms.mayWaitForRoom(nowMillis);
     }
 
-    /** Returns the priority by which waiting requests are checked; requests that are not queued come first. */
-    int priority() {
-        return waiting ? terms.waitRank().priority() : Integer.MIN_VALUE;
-    }
-
     /**
      * Returns how long until a slot is expected; the queues of all entries are assumed to be of the same length.
      *
