--- a/src/main/java/io/waxwingquay/forward/AttemptHistory.java
+++ b/src/main/java/io/waxwingquay/forward/AttemptHistory.java
@@ -1,5 +1,7 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.common.DecayingSum;
+
 /**
  * The recent attempts at one replica: how many failed, how long responses took, and how long the replica is avoided.
  */
--- a/src/main/java/io/waxwingquay/forward/DemandMeter.java
+++ b/src/main/java/io/waxwingquay/forward/DemandMeter.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.common.DecayingSum;
 import io.waxwingquay.transport.generated.ModelDemand;
 import java.util.HashMap;
 import java.util.Map;
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.common.DecayingSum;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.ClientPool;
