Read client accounts from the configuration

Cause: the configuration names the accounts that may send requests, with keys, priority and a limit in requests or tokens; nothing read them.

The adapter decodes them. A route may need no key.

Conclusion: nothing uses them yet.

--- a/src/main/java/io/waxwingquay/manifest/Manifest.java
+++ b/src/main/java/io/waxwingquay/manifest/Manifest.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.manifest;
 
+import io.waxwingquay.account.Accounts;
 import io.waxwingquay.net.ServerLimits;
 import java.util.List;
 import java.util.Map;
@@ -12,8 +13,22 @@
  * @param routes all routes.
  * @param services the services by name.
  * @param limits limits on the requests that callers may send.
+ * @param accounts the client accounts that may send requests.
  */
-public record Manifest(long version, List<Route> routes, Map<String, Service> services, ServerLimits limits) {
+public record Manifest(
+        long version, List<Route> routes, Map<String, Service> services, ServerLimits limits, Accounts accounts) {
+
+    /**
+     * Creates a configuration without client accounts.
+     *
+     * @param version the version.
+     * @param routes all routes.
+     * @param services the services by name.
+     * @param limits limits on the requests that callers may send.
+     */
+    public Manifest(long version, List<Route> routes, Map<String, Service> services, ServerLimits limits) {
+        this(version, routes, services, limits, Accounts.none());
+    }
 
     /**
      * Returns the engine that the replicas of a service run.
--- a/src/main/java/io/waxwingquay/manifest/Route.java
+++ b/src/main/java/io/waxwingquay/manifest/Route.java
@@ -16,6 +16,7 @@
  * @param shares the services with their weights.
  * @param maxAttempts the maximum number of replicas that one request is sent to.
  * @param resumable whether a broken stream may be resumed at another replica.
+ * @param open whether requests need no key of a client account, and count for none.
  */
 public record Route(
         String name,
@@ -28,7 +29,8 @@
         int priority,
         List<Share> shares,
         int maxAttempts,
-        boolean resumable) {
+        boolean resumable,
+        boolean open) {
 
     /** Defines which requests of a route may be retried. */
     public enum Kind {
--- a/src/main/java/io/waxwingquay/platform/ManifestReader.java
+++ b/src/main/java/io/waxwingquay/platform/ManifestReader.java
@@ -29,7 +29,11 @@
         JsonFields.list(node, "services").forEach(serviceNode -> service(serviceNode)
                 .ifPresent(service -> services.put(service.name(), service)));
         return Optional.of(new Manifest(
-                node.get("version").longValue(), routes, Map.copyOf(services), limits(node.path("limits"))));
+                node.get("version").longValue(),
+                routes,
+                Map.copyOf(services),
+                limits(node.path("limits")),
+                AccountReader.read(node)));
     }
 
     private static Optional<Route> route(JsonNode node) {
@@ -50,7 +54,8 @@
                 (int) JsonFields.longOr(node, "priority", 0L),
                 shares,
                 (int) JsonFields.longOr(node, "max_attempts", 1L),
-                node.path("resumable").asBoolean(false)));
+                node.path("resumable").asBoolean(false),
+                node.path("public").asBoolean(false)));
     }
 
     /** Maps the kind of a route; an unknown kind is handled as the strictest one, which runs at most once. */
--- a/src/test/java/io/waxwingquay/forward/OverloadedModelTest.java
+++ b/src/test/java/io/waxwingquay/forward/OverloadedModelTest.java
@@ -35,7 +35,18 @@
     private static final Engine ENGINE =
             new Engine(SLOTS, 100_000, 200.0, 2, 1.0, List.of(new Engine.Model("m", 70.0, 6_000, 1_300, 600, 1.0)));
     private static final Route ROUTE = new Route(
-            "r", "x.test", "/", Route.Kind.STREAM, 15_000, 500, 250, 0, List.of(new Route.Share("s", 1)), 1, false);
+            "r",
+            "x.test",
+            "/",
+            Route.Kind.STREAM,
+            15_000,
+            500,
+            250,
+            0,
+            List.of(new Route.Share("s", 1)),
+            1,
+            false,
+            false);
 
     private final TargetChooser chooser = new TargetChooser("z", new Random(1));
     private final List<SimulatedEngine> engines = List.of(new SimulatedEngine("e1"), new SimulatedEngine("e2"));
--- a/src/test/java/io/waxwingquay/forward/WaitPolicyTest.java
+++ b/src/test/java/io/waxwingquay/forward/WaitPolicyTest.java
@@ -81,7 +81,8 @@
                 0,
                 List.of(new Route.Share("s", 1)),
                 2,
-                true);
+                true,
+                false);
         assertTrue(WaitPolicy.slackMillis(urgent, 200) < WaitPolicy.slackMillis(urgent, 400));
         assertTrue(WaitPolicy.slackMillis(urgent, 400) < WaitPolicy.slackMillis(relaxed, 400));
         assertTrue(WaitPolicy.slackMillis(relaxed, 4_900) < WaitPolicy.slackMillis(urgent, 400));
@@ -97,6 +98,7 @@
     }
 
     private static Route route(Route.Kind kind) {
-        return new Route("r", "x.test", "/", kind, 4_000, 300, 150, 0, List.of(new Route.Share("s", 1)), 2, true);
+        return new Route(
+                "r", "x.test", "/", kind, 4_000, 300, 150, 0, List.of(new Route.Share("s", 1)), 2, true, false);
     }
 }
--- a/src/test/java/io/waxwingquay/forward/WaitQueuesTest.java
+++ b/src/test/java/io/waxwingquay/forward/WaitQueuesTest.java
@@ -16,7 +16,18 @@
     private static final WaitQueues.Rank LIVE = new WaitQueues.Rank(1, 300);
     private static final WaitQueues.Rank RELAXED = new WaitQueues.Rank(1, 5_000);
     private static final Route URGENT_ROUTE = new Route(
-            "r", "x.test", "/", Route.Kind.STREAM, 3_000, 300, 150, 0, List.of(new Route.Share("s", 1)), 1, false);
+            "r",
+            "x.test",
+            "/",
+            Route.Kind.STREAM,
+            3_000,
+            300,
+            150,
+            0,
+            List.of(new Route.Share("s", 1)),
+            1,
+            false,
+            false);
 
     private final WaitQueues queues = new WaitQueues();
 
--- a/src/test/java/io/waxwingquay/manifest/RouteTableTest.java
+++ b/src/test/java/io/waxwingquay/manifest/RouteTableTest.java
@@ -36,6 +36,7 @@
                 0,
                 List.of(new Route.Share("old", 90), new Route.Share("new", 10)),
                 1,
+                false,
                 false);
         assertEquals("old", split.chooseService(0.0));
         assertEquals("old", split.chooseService(0.89));
@@ -48,6 +49,7 @@
     }
 
     private static Route route(String name, String host, String prefix) {
-        return new Route(name, host, prefix, Route.Kind.SAFE, 1, 1, 0, 0, List.of(new Route.Share("s", 1)), 1, false);
+        return new Route(
+                name, host, prefix, Route.Kind.SAFE, 1, 1, 0, 0, List.of(new Route.Share("s", 1)), 1, false, false);
     }
 }
