Keep the quota of an account by a tally that all entries share

Cause: an account's quota binds the sum of all entries, in touch or not, while what is asked within it must not be refused. An account may come through one entry or all of them, and a part of its quota is less than one request.

Change: behind the interface Allowance, equal parts and a shared tally. Two processes beside engines, by rendezvous hashing for each account, add up what entries report to have spent (sums, so that loss, doubling and disorder end in the same). An entry lets pass at once what fits into its part of half the balance, and asks the first of the two for anything else, some milliseconds; the second is asked if the first does not answer within a check. One that nobody answers spends a sixth of its equal part, because the others go on spending all of it. A tally that has just started knows nothing of what was spent, and hands out half of the stated tolerance, not the burst.

--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -332,10 +332,52 @@
   2: bool present
 }
 
+/**
+ * What one entry has spent of the quota of one client account since it started, less what it gave back, and what it asks
+ * for besides. The acknowledged units are those that any receiver has counted; the quota is that of the entry's
+ * configuration.
+ */
+struct AccountSpending {
+  1: string account,
+  2: i64 spentUnits,
+  3: i64 acknowledgedUnits,
+  4: double perSecond,
+  5: double burstUnits,
+  6: i64 configuration,
+  7: i64 askedUnits
+}
+
+/** What an entry has spent of some quotas. Sent as a datagram; a later one says all of it again. */
+struct SpendingReport {
+  1: i64 number,
+  2: list<AccountSpending> accounts
+}
+
+/**
+ * What is left of a quota for all entries, after the spending of the receiver that is named here; that includes what it
+ * asked for if that is granted.
+ */
+struct AccountBalance {
+  1: string account,
+  2: i64 spentUnits,
+  3: double balanceUnits,
+  4: double othersPerSecond,
+  5: i64 askedUnits,
+  6: bool granted
+}
+
+/** The answer to a report, whose number it names. */
+struct SpendingReply {
+  1: i64 number,
+  2: list<AccountBalance> accounts
+}
+
 /** One datagram between our processes on the prepared platform. */
 union PeerDatagram {
   1: EngineNews engine,
   2: EntryNews entry,
   3: AdapterCall adapterCall,
-  4: AdapterReply adapterReply
+  4: AdapterReply adapterReply,
+  5: SpendingReport spending,
+  6: SpendingReply spendingReply
 }
