Let only requests with the key of an account run, within its quota

Change: a gatekeeper looks at the key and spends the units of a request before anything else is spent on it; 401 and 429 (with when to come back, spread over those who were refused) are answered at once. Units of what did not run are given back. The adapter takes Key and a client's own Tenant off each send and names the account. A request that waits is looked at again before it is sent. Entries report by datagrams to processes beside engines; where there are no accounts none is sent.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.ClientCall;
 import io.waxwingquay.net.ClientListener;
 import io.waxwingquay.net.EventLoop;
@@ -55,6 +56,15 @@
         return lastReceivedMillis;
     }
 
+    /** Returns whether nothing has come for so long that another replica should take the request over. */
+    boolean isStalled(Route route, ExchangeState state, long nowMillis) {
+        long silentMillis = nowMillis - lastReceivedMillis;
+        return state == ExchangeState.STREAMING
+                ? WaitPolicy.isStreamStalled(silentMillis)
+                : WaitPolicy.isAnswerOverdue(
+                        route, silentMillis, target.attemptHistory().answerMillis());
+    }
+
     HttpFields fields() {
         return fields;
     }
--- a/src/main/java/io/waxwingquay/forward/EngineNotifier.java
+++ b/src/main/java/io/waxwingquay/forward/EngineNotifier.java
@@ -15,6 +15,9 @@
      */
     void requestAdapter(HostPort engine, long id, String model, String adapter);
 
+    /** Announces that the processes which add up the spending of client accounts should be told of it soon. */
+    void spendingReportDue();
+
     /** Announces a change of demand of which the side processes of engines should learn at once. */
     void demandChanged();
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -26,9 +26,6 @@
     /** Delay before a request that waits for room is checked again: at every tick. */
     private static final long ROOM_RECHECK_MILLIS = 0L;
 
-    /** Remaining time below which a further attempt can't finish before the deadline. */
-    private static final long MIN_ATTEMPT_MILLIS = 30L;
-
     private static final int MAX_CONNECT_FAILURES = 4;
 
     /** Default retry-after delay, by which most lost replicas are replaced or found again. */
@@ -58,11 +55,12 @@
             ServerExchange caller,
             Route route,
             MessageCodec.RequestHead head,
+            Admission admission,
             Suspicion suspicion) {
         this.context = context;
         this.caller = caller;
         this.responder = new CallerResponder(caller, context);
-        this.terms = RequestTerms.of(context, caller.request(), route, head);
+        this.terms = RequestTerms.of(context, caller.request(), route, head, admission);
         this.queuedRequest = new QueuedRequest(context, terms);
         this.route = route;
         this.head = head;
@@ -118,7 +116,10 @@
             }
             return;
         }
-        if (attempt != null && route.isSafeToRetry() && isAttemptStalled(nowMillis) && canRetryElsewhere(nowMillis)) {
+        if (attempt != null
+                && route.isSafeToRetry()
+                && attempt.isStalled(route, state, nowMillis)
+                && canRetryElsewhere(nowMillis)) {
             Attempt stalled = attempt;
             stalled.cancel();
             failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
@@ -162,14 +163,6 @@
         }
     }
 
-    private boolean isAttemptStalled(long nowMillis) {
-        long silentMillis = nowMillis - attempt.lastReceivedMillis();
-        return state == ExchangeState.STREAMING
-                ? WaitPolicy.isStreamStalled(silentMillis)
-                : WaitPolicy.isAnswerOverdue(
-                        route, silentMillis, attempt.target().attemptHistory().answerMillis());
-    }
-
     /**
      * Returns whether another replica could take the request over. A stalled attempt is given up only in that case: if
      * all replicas are slow for a moment, the caller would get a failure though its answer was on its way.
@@ -185,11 +178,14 @@
     }
 
     private boolean mayRetry() {
-        boolean hasTime = terms.remainingMillis(EventLoop.nowMillis()) > MIN_ATTEMPT_MILLIS;
-        return !callerGone && hasTime && attempts < route.maxAttempts();
+        return !callerGone && terms.hasTimeForAttempt(EventLoop.nowMillis()) && attempts < route.maxAttempts();
     }
 
     private void choose() {
+        if (!terms.isStillAuthorized() && !mayHaveRun) {
+            giveUp("its client account is gone");
+            return;
+        }
         long nowMillis = EventLoop.nowMillis();
         if (isResuming() && !WaitPolicy.mayResume(nowMillis - streamBrokenAtMillis)) {
             abortStream("it could not go on elsewhere");
@@ -433,6 +429,7 @@
     }
 
     private void reject(String why, long retryAfterMillis) {
+        terms.admission().giveBack();
         end(responder.reject(why, retryAfterMillis), why);
     }
 
@@ -463,7 +460,10 @@
         if (attempt != null && attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
             return;
         }
-        cancelAttempt();
+        withdrawAttempt();
+        if (!mayHaveRun) {
+            terms.admission().giveBack();
+        }
         end(0, "the caller left");
     }
 
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -19,6 +19,8 @@
 
     WaitQueues waitQueues();
 
+    Gatekeeper gatekeeper();
+
     /** Returns the number of entries, this one included. */
     int entryCount();
 
--- a/src/main/java/io/waxwingquay/forward/ForwardMetrics.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardMetrics.java
@@ -13,4 +13,10 @@
 
     /** Counts a request that matched no route. */
     void unrouted();
+
+    /** Counts a request whose key no client account holds. */
+    void unauthorized();
+
+    /** Counts a request refused because the quota of its client account is spent. */
+    void overQuota();
 }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.account.AllowanceTable;
 import io.waxwingquay.admission.RetryBudget;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaDirectory;
@@ -7,7 +8,6 @@
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.manifest.Route;
-import io.waxwingquay.manifest.RouteTable;
 import io.waxwingquay.net.ClientPool;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
@@ -22,22 +22,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.apache.commons.codec.digest.MurmurHash3;
-import org.eclipse.jetty.http.HttpFields;
 
 /** Forwards requests of callers to replicas. Not thread-safe: everything runs on the event loop. */
 public final class Forwarder implements ServerHandler, ForwardContext, RequestDrain {
 
-    private static final int NOT_FOUND = 404;
-    private static final int UNAVAILABLE = 503;
-
-    /** Retry-after delay of a caller that only this process rejects; it soon reaches another entry. */
-    private static final long OTHER_ENTRY_RETRY_AFTER_MILLIS = 200L;
-
-    /** How many times its objective a call of a plain service may take. */
-    private static final long MAX_PLAIN_OBJECTIVES = 4L;
-
     /** Share of a replica's connections used by entries; the rest is left to other clients, such as health checks. */
     private static final double CONNECTION_SHARE = 0.9;
 
@@ -59,13 +51,13 @@
     private final WaitQueues waitQueues = new WaitQueues();
     private final TargetTable targets;
     private final EntryUpdateWriter updateWriter;
+    private final AllowanceTable allowances;
+    private final Gatekeeper gatekeeper;
+    private final RequestIntake intake;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final ActiveRequests activeRequests;
     private Optional<Manifest> manifest = Optional.empty();
-    private RouteTable routes = RouteTable.of(List.of());
     private final EntryCount entryCount;
-    private long exitAtMillis = Long.MAX_VALUE;
-    private boolean admitting = true;
 
     /**
      * Creates a forwarder without a configuration.
@@ -102,6 +94,9 @@
         this.targets = new TargetTable(this::newPool, EventLoop::nowMillis);
         this.updateWriter = new EntryUpdateWriter(targets, demandMeter, EventLoop.nowMillis());
         this.activeRequests = new ActiveRequests(loop);
+        this.allowances = new AllowanceTable(settings.quotaTolerance(), this::entryCount, random, EventLoop::nowMillis);
+        this.gatekeeper = new Gatekeeper(allowances, engineNotifier::spendingReportDue);
+        this.intake = new RequestIntake(codec, metrics, gatekeeper, this::jitter, this::start);
     }
 
     /**
@@ -115,13 +110,15 @@
         }
         manifest = Optional.of(newer);
         updateSoon();
-        routes = RouteTable.of(newer.routes());
+        gatekeeper.configure(newer);
+        intake.configure(newer);
         targets.all().forEach(target -> target.pool().maxConnections(maxConnections(target.record())));
         LOG.log(
                 System.Logger.Level.INFO,
-                "forward: configuration in force version={0} routes={1}",
+                "forward: configuration in force version={0} routes={1} accounts={2}",
                 newer.version(),
-                newer.routes().size());
+                newer.routes().size(),
+                newer.accounts().all().size());
     }
 
     /**
@@ -145,48 +142,26 @@
     /** {@inheritDoc} */
     @Override
     public void drainWithin(long millis) {
-        exitAtMillis = EventLoop.nowMillis() + millis;
+        intake.drainWithin(millis);
         activeRequests.drain();
     }
 
     /** {@inheritDoc} */
     @Override
     public void endAdmission() {
-        admitting = false;
+        intake.endAdmission();
         activeRequests.terminate();
     }
 
     /** {@inheritDoc} */
     @Override
     public void handle(ServerExchange caller) {
-        if (!admitting) {
-            // The process exits without another check of the requests in progress, and would cut off any that is
-            // accepted now.
-            reject(caller, "this process exits");
-            return;
-        }
-        if (manifest.isEmpty()) {
-            reject(caller, "this entry has no configuration yet");
-            return;
-        }
-        MessageCodec.RequestHead head = codec.readRequest(caller.request().fields());
-        String host = Optional.ofNullable(caller.request().fields().get("Host")).orElse("");
-        Optional<Route> route = routes.find(host, caller.request().path());
-        if (route.isEmpty()) {
-            metrics.unrouted();
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "forward: no route id={0} version={1}",
-                    head.id(),
-                    manifest.get().version());
-            caller.respond(NOT_FOUND, HttpFields.EMPTY, "no route matches this host and path");
-            return;
-        }
-        if (mayOutlastProcess(route.get())) {
-            reject(caller, "this process is about to exit");
-            return;
-        }
-        Exchange exchange = new Exchange(this, caller, route.get(), head, suspects.forRequest(codec, caller.request()));
+        intake.handle(caller);
+    }
+
+    private void start(ServerExchange caller, Route route, MessageCodec.RequestHead head, Admission admission) {
+        Suspicion suspicion = suspects.forRequest(codec, caller.request());
+        Exchange exchange = new Exchange(this, caller, route, head, admission, suspicion);
         activeRequests.add(exchange);
         exchange.start();
     }
@@ -244,7 +219,7 @@
     /** {@inheritDoc} */
     @Override
     public int activeCount() {
-        return activeRequests.count();
+        return activeRequests.count() + intake.pendingCount();
     }
 
     /** {@inheritDoc} */
@@ -283,6 +258,35 @@
         return waitQueues;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public Gatekeeper gatekeeper() {
+        return gatekeeper;
+    }
+
+    /**
+     * Returns what this entry may spend of the quotas of client accounts.
+     *
+     * @return the allowances, whose reports are to be sent.
+     */
+    public AllowanceTable allowances() {
+        return allowances;
+    }
+
+    /**
+     * Returns the engines of all services.
+     *
+     * @return their addresses.
+     */
+    public Set<HostPort> engineAddresses() {
+        return manifest.stream()
+                .flatMap(known -> known.services().values().stream())
+                .filter(service -> service.engine().isPresent())
+                .flatMap(service -> targets.ofService(service.name()).stream())
+                .map(Target::address)
+                .collect(Collectors.toSet());
+    }
+
     /** {@inheritDoc} */
     @Override
     public int entryCount() {
@@ -387,28 +391,6 @@
                 outcome.why());
     }
 
-    private void reject(ServerExchange caller, String why) {
-        LOG.log(
-                System.Logger.Level.INFO,
-                "forward: refused id={0} why={1}",
-                codec.readRequest(caller.request().fields()).id(),
-                why);
-        HttpFields fields = codec.refusalFields(Optional.of(jitter(OTHER_ENTRY_RETRY_AFTER_MILLIS)));
-        caller.respond(UNAVAILABLE, fields, "it has not run: " + why);
-    }
-
-    /**
-     * Returns whether the request may still run when this process exits. If it is cut off then, it may have run; if it
-     * is rejected now, the caller can turn to another entry.
-     */
-    private boolean mayOutlastProcess(Route route) {
-        if (exitAtMillis == Long.MAX_VALUE) {
-            return false;
-        }
-        long remainingMillis = exitAtMillis - EventLoop.nowMillis();
-        return route.kind() == Route.Kind.STREAM || remainingMillis < MAX_PLAIN_OBJECTIVES * route.objectiveMillis();
-    }
-
     /** Has the side processes of engines updated soon about changes of this entry. */
     public void updateSoon() {
         updateWriter.hasten();
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.account.AccessKey;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -64,6 +65,7 @@
      * @param sharedPromptPrefix the shared parts of the prompt, without its own last one; an empty text if there are
      *     none.
      * @param lastEventId the last event that the caller received from an earlier run of this stream.
+     * @param key the key of a client account, if there is exactly one that may be one.
      */
     record RequestHead(
             String id,
@@ -73,7 +75,8 @@
             long inputTokens,
             long maxOutputTokens,
             String sharedPromptPrefix,
-            Optional<Long> lastEventId) {}
+            Optional<Long> lastEventId,
+            Optional<AccessKey> key) {}
 
     /**
      * The head fields that this system sets on a request to a replica.
@@ -82,9 +85,14 @@
      * @param remainingMillis the remaining time.
      * @param priority its priority in the engine, 0 first; empty for a plain service.
      * @param lastEventId the last event that need not be repeated.
+     * @param account the name of the client account that the request belongs to.
      */
     record ForwardedHead(
-            String replicaId, long remainingMillis, Optional<Integer> priority, Optional<Long> lastEventId) {}
+            String replicaId,
+            long remainingMillis,
+            Optional<Integer> priority,
+            Optional<Long> lastEventId,
+            Optional<String> account) {}
 
     /**
      * The head of a response.
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -17,19 +17,29 @@
 
     private static final int LOWEST_PRIORITY = 9;
 
+    /** Remaining time below which a further attempt can't finish before the deadline. */
+    private static final long MIN_ATTEMPT_MILLIS = 30L;
+
     private final ForwardContext context;
     private final ServerRequest request;
     private final Route route;
     private final MessageCodec.RequestHead head;
+    private final Admission admission;
     private final String service;
     private final Optional<Engine> engine;
     private final long deadlineAtMillis;
 
-    private RequestTerms(ForwardContext context, ServerRequest request, Route route, MessageCodec.RequestHead head) {
+    private RequestTerms(
+            ForwardContext context,
+            ServerRequest request,
+            Route route,
+            MessageCodec.RequestHead head,
+            Admission admission) {
         this.context = context;
         this.request = request;
         this.route = route;
         this.head = head;
+        this.admission = admission;
         this.service = route.chooseService(context.stableUniform(head.id()));
         this.engine = context.engine(service);
         long callerTimeoutMillis = head.remainingMillis().orElse(route.timeoutMillis());
@@ -37,8 +47,22 @@
     }
 
     /** Returns the terms of a request that matches a route. */
-    static RequestTerms of(ForwardContext context, ServerRequest request, Route route, MessageCodec.RequestHead head) {
-        return new RequestTerms(context, request, route, head);
+    static RequestTerms of(
+            ForwardContext context,
+            ServerRequest request,
+            Route route,
+            MessageCodec.RequestHead head,
+            Admission admission) {
+        return new RequestTerms(context, request, route, head, admission);
+    }
+
+    Admission admission() {
+        return admission;
+    }
+
+    /** Returns whether the configuration in force still knows the client account that it was admitted for. */
+    boolean isStillAuthorized() {
+        return context.gatekeeper().isStillAuthorized(route, head, admission);
     }
 
     Route route() {
@@ -71,6 +95,10 @@
         return deadlineAtMillis - nowMillis;
     }
 
+    boolean hasTimeForAttempt(long nowMillis) {
+        return remainingMillis(nowMillis) > MIN_ATTEMPT_MILLIS;
+    }
+
     long deadlineAtMillis() {
         return deadlineAtMillis;
     }
@@ -136,7 +164,8 @@
                 target.id(),
                 Math.max(1, remainingMillis(nowMillis)),
                 engine.map(each -> priority()),
-                lastEventId.stream().boxed().findFirst());
+                lastEventId.stream().boxed().findFirst(),
+                admission.accountName());
         HttpFields fields = context.codec().requestFields(request.fields(), forwarded);
         return new ClientRequest(request.method(), request.target(), fields, request.body(), route.isSafeToRetry());
     }
--- a/src/main/java/io/waxwingquay/hosted/HostSettings.java
+++ b/src/main/java/io/waxwingquay/hosted/HostSettings.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.hosted;
 
+import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
 import java.util.List;
 import java.util.Optional;
@@ -45,6 +46,7 @@
      * @param retryBudgetSlack the number of retries allowed in addition, over all processes and one window.
      * @param loadWindowMillis the window in which loads from the weight store are counted.
      * @param loadBurstFactor the factor by which loads in one window may exceed the permitted rate.
+     * @param quotaTolerance how far all entries together may exceed the quota of a client account.
      */
     public record Bounds(
             long drainMillis,
@@ -52,5 +54,6 @@
             double retryBudgetRatio,
             double retryBudgetSlack,
             long loadWindowMillis,
-            double loadBurstFactor) {}
+            double loadBurstFactor,
+            QuotaTolerance quotaTolerance) {}
 }
--- a/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
@@ -69,6 +69,9 @@
 
         private final Map<Integer, Timer> byStatus = new HashMap<>();
         private final Counter unrouted = Counter.builder("forward.unrouted").register(registry);
+        private final Counter unauthorized =
+                Counter.builder("forward.unauthorized").register(registry);
+        private final Counter overQuota = Counter.builder("forward.over.quota").register(registry);
 
         /** {@inheritDoc} */
         @Override
@@ -82,6 +85,18 @@
             unrouted.increment();
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void unauthorized() {
+            unauthorized.increment();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void overQuota() {
+            overQuota.increment();
+        }
+
         private Timer timer(int status) {
             return Timer.builder("forward.requests")
                     .tag("status", Integer.toString(status))
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -28,6 +28,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -38,6 +39,12 @@
     /** Interval at which this entry sends its demand to the side processes. */
     private static final long UPDATE_INTERVAL_MILLIS = 250L;
 
+    /** Delay before a report of what was spent of the quotas of client accounts, so that one tells of several requests. */
+    private static final long SPENDING_REPORT_DELAY_MILLIS = 1L;
+
+    /** Interval at which requests that wait for the answer to such a report are looked at. */
+    private static final long WAITING_CHECK_MILLIS = 30L;
+
     /** Delay before an urgent change is sent; it also limits how often urgent changes are sent. */
     private static final long URGENT_UPDATE_DELAY_MILLIS = 40L;
 
@@ -86,6 +93,8 @@
     private final PeerTableReader<Manifest> configurationCopies;
     private final PeerTableReader<ReplicaRecord> replicaCopies;
     private boolean urgentUpdateScheduled;
+    private boolean spendingReportScheduled;
+    private boolean waitingCheckScheduled;
 
     private HostedEntry(EventLoop loop, HostSettings settings) {
         this.settings = settings;
@@ -130,7 +139,8 @@
                 replicaWatch::version,
                 replicaWatch::adopt);
         adminServer.tableCopies(platform::encodedCopy);
-        adminServer.dump(() -> "active=" + forwarder.activeCount() + " engines_heard=" + forwarder.freshEngineCount()
+        adminServer.dump(() -> "active=" + forwarder.activeCount() + " configuration="
+                + configurationVersion() + " engines_heard=" + forwarder.freshEngineCount()
                 + " suspects=" + suspects.countSuspected() + " missing=" + replicas.unlistedIds() + " replicas="
                 + replicas.replicas());
         loop.execute(this::startTasks);
@@ -168,6 +178,7 @@
         });
         loop.every(ReplicaDirectory.UNLISTED_GRACE_MILLIS / 8, replicas::removeExpired);
         loop.every(UPDATE_INTERVAL_MILLIS, this::sendUpdates);
+        loop.every(UPDATE_INTERVAL_MILLIS, this::updateSpendingReceivers);
         LOG.log(
                 System.Logger.Level.INFO,
                 "hosted: entry started node={0} zone={1}",
@@ -206,6 +217,8 @@
             forwarder.engineUpdate(datagram.getEngine());
             suspects.merge(datagram.getEngine().getSuspects());
             onTableVersions(datagram.getEngine());
+        } else if (datagram.isSetSpendingReply()) {
+            forwarder.allowances().replied(sender, datagram.getSpendingReply());
         } else if (datagram.isSetAdapterReply()) {
             forwarder.adapterReply(
                     datagram.getAdapterReply().getId(),
@@ -232,6 +245,40 @@
                                 update.setTables(versions).setSuspects(suspectPage.isEmpty() ? null : suspectPage))));
     }
 
+    /** Tells which processes add up spending; reports that did not get through are repeated here. */
+    private void updateSpendingReceivers() {
+        if (forwarder.allowances().isEmpty()) {
+            return;
+        }
+        forwarder
+                .allowances()
+                .processes(forwarder.engineAddresses().stream()
+                        .map(this::sideAddressOf)
+                        .collect(Collectors.toSet()));
+        sendSpendingReports();
+    }
+
+    private void sendSpendingReports() {
+        forwarder
+                .allowances()
+                .reportsDue()
+                .forEach(report -> peers.send(report.receiver(), PeerDatagram.spending(report.report())));
+        checkWaitingLater();
+    }
+
+    /** Checks, while any request waits for the answer to a report, whether the report or the answer is lost. */
+    private void checkWaitingLater() {
+        if (!waitingCheckScheduled) {
+            waitingCheckScheduled = true;
+            loop.schedule(WAITING_CHECK_MILLIS, () -> {
+                waitingCheckScheduled = false;
+                if (forwarder.allowances().checkWaiting()) {
+                    sendSpendingReports();
+                }
+            });
+        }
+    }
+
     /** Returns the address of the side process beside an engine; the port for datagrams is the same on every VM. */
     private HostPort sideAddressOf(HostPort engine) {
         return new HostPort(engine.host(), settings.peerPort());
@@ -251,7 +298,8 @@
                 settings.dataCentre(),
                 settings.bounds().retryBudgetRatio(),
                 settings.bounds().retryBudgetSlack(),
-                ASSUMED_ENTRY_COUNT);
+                ASSUMED_ENTRY_COUNT,
+                settings.bounds().quotaTolerance());
     }
 
     private final class PeerMessages implements EngineNotifier {
@@ -262,6 +310,18 @@
             peers.send(sideAddressOf(engine), PeerDatagram.adapterCall(new AdapterCall(id, model, adapter)));
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void spendingReportDue() {
+            if (!spendingReportScheduled) {
+                spendingReportScheduled = true;
+                loop.schedule(SPENDING_REPORT_DELAY_MILLIS, () -> {
+                    spendingReportScheduled = false;
+                    sendSpendingReports();
+                });
+            }
+        }
+
         /** {@inheritDoc} */
         @Override
         public void demandChanged() {
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.hosted;
 
+import io.waxwingquay.account.SpendingTallies;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.fleet.WatchedTable;
@@ -153,10 +154,19 @@
 
         private final SuspectRelay suspectRelay =
                 new SuspectRelay(new SharedSuspects(EventLoop::nowMillis, RandomGenerator.of("L64X128MixRandom")));
+        private final SpendingTallies tallies =
+                new SpendingTallies(settings.bounds().quotaTolerance());
         private final PeerChannel channel =
                 new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::onDatagram);
 
         private void onDatagram(HostPort sender, PeerDatagram datagram) {
+            if (datagram.isSetSpending()) {
+                channel.send(
+                        sender,
+                        PeerDatagram.spendingReply(
+                                tallies.report(sender, datagram.getSpending(), EventLoop.nowMillis())));
+                return;
+            }
             suspectRelay.receive(datagram);
             keeper.onDatagram(sender, datagram);
         }
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.platform;
 
+import io.waxwingquay.account.AccessKey;
 import io.waxwingquay.forward.MessageCodec;
 import io.waxwingquay.net.MessageHead;
 import java.util.List;
@@ -31,7 +32,14 @@
      */
     private static final String PROMPT_PREFIX = "Prompt-Prefix";
 
+    /** The secret of a client account, and nothing else; it reaches no replica. */
+    private static final String KEY = "Key";
+
+    /** Name of the client account, set by this system whatever a client sent. */
+    private static final String TENANT = "Tenant";
+
     private static final String LAST_EVENT_ID = "Last-Event-Id";
+
     /** Id of the only replica that may run the request or carry out the order; any other answers with status 421. */
     static final String TARGET_REPLICA = "Target-Replica";
 
@@ -61,6 +69,8 @@
     /** Fields that only this system may set; those sent by a client must not reach a replica. */
     private static final List<String> RESERVED_FIELDS = List.of(
             TARGET_REPLICA,
+            KEY,
+            TENANT,
             REQUEST_PRIORITY,
             DEADLINE_REMAINING,
             LAST_EVENT_ID,
@@ -74,6 +84,7 @@
     /** Fields whose values a client keeps for each attempt of one request. */
     private static final List<String> IDENTITY_FIELDS = List.of("Host", MODEL, PROMPT_PREFIX);
 
+    private static final int MAX_KEY_CHARACTERS = 512;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -100,7 +111,16 @@
                 parseLong(tokens[0]).orElse(0L),
                 tokens.length > 1 ? parseLong(tokens[1]).orElse(0L) : 0L,
                 prefix.indexOf(',') < 0 ? "" : prefix.substring(0, prefix.lastIndexOf(',')),
-                parseLong(fields.get(LAST_EVENT_ID)));
+                parseLong(fields.get(LAST_EVENT_ID)),
+                readKey(fields));
+    }
+
+    /** Reads the key; one that is sent twice or is longer than any that is handed out identifies nobody. */
+    private static Optional<AccessKey> readKey(HttpFields fields) {
+        List<String> values = fields.getValuesList(KEY);
+        return values.size() == 1 && !values.get(0).isEmpty() && values.get(0).length() <= MAX_KEY_CHARACTERS
+                ? Optional.of(AccessKey.of(values.get(0)))
+                : Optional.empty();
     }
 
     /** {@inheritDoc} */
@@ -111,6 +131,7 @@
         replicaFields.put(TARGET_REPLICA, order.replicaId());
         replicaFields.put(DEADLINE_REMAINING, Long.toString(order.remainingMillis()));
         order.priority().ifPresent(rank -> replicaFields.put(REQUEST_PRIORITY, Integer.toString(rank)));
+        order.account().ifPresent(name -> replicaFields.put(TENANT, name));
         order.lastEventId().ifPresent(id -> replicaFields.put(LAST_EVENT_ID, Long.toString(id)));
         return replicaFields;
     }
--- a/src/main/java/io/waxwingquay/platform/SettingsFile.java
+++ b/src/main/java/io/waxwingquay/platform/SettingsFile.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.hosted.HostSettings;
 import io.waxwingquay.settings.Problem;
@@ -88,7 +89,18 @@
                 requiredNumber(node, "retry_budget_ratio"),
                 requiredNumber(node, "budget_slack"),
                 (long) (JsonFields.doubleOr(node, "ceiling_window_s", 5.0) * MILLIS_PER_SECOND),
-                JsonFields.doubleOr(node, "ceiling_over", 1.0));
+                JsonFields.doubleOr(node, "ceiling_over", 1.0),
+                quotaTolerance(node));
+    }
+
+    /** Reads the tolerance of quotas, which deployments without client accounts do not state. */
+    private static QuotaTolerance quotaTolerance(JsonNode node) {
+        return JsonFields.number(node, "quota_window_s")
+                .map(seconds -> new QuotaTolerance(
+                        Math.round(seconds * MILLIS_PER_SECOND),
+                        JsonFields.doubleOr(node, "quota_over", 0.0),
+                        JsonFields.doubleOr(node, "quota_slack", 0.0)))
+                .orElse(QuotaTolerance.NONE);
     }
 
     private double requiredNumber(JsonNode node, String field) {
--- a/src/test/java/io/waxwingquay/command/HostedRoleTest.java
+++ b/src/test/java/io/waxwingquay/command/HostedRoleTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.hosted.HostSettings;
 import io.waxwingquay.testing.FreePorts;
@@ -55,6 +56,6 @@
                 new HostPort(LOOPBACK, 1),
                 true,
                 List.of(),
-                new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1));
+                new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, QuotaTolerance.NONE));
     }
 }
--- a/src/test/java/io/waxwingquay/forward/ForwarderTest.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.EventLoop;
@@ -54,7 +55,7 @@
     private Forwarder forwarder() {
         Forwarder forwarder = new Forwarder(
                 loop,
-                new ForwardSettings("z", 0.2, RETRY_BURST, 8),
+                new ForwardSettings("z", 0.2, RETRY_BURST, 8, QuotaTolerance.NONE),
                 new HeaderCodec(),
                 new UncountedMetrics(),
                 new SilentNotifier(),
@@ -90,6 +91,16 @@
         public void unrouted() {
             // not counted here
         }
+
+        @Override
+        public void unauthorized() {
+            // not counted here
+        }
+
+        @Override
+        public void overQuota() {
+            // not counted here
+        }
     }
 
     private static final class SilentNotifier implements EngineNotifier {
@@ -99,6 +110,11 @@
             throw new IllegalStateException("no adapter is requested here");
         }
 
+        @Override
+        public void spendingReportDue() {
+            // nobody to notify
+        }
+
         @Override
         public void demandChanged() {
             // nobody to notify
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.standin.prepared.ReplicaStandin;
@@ -88,6 +89,13 @@
         store.put("op", "config", String.format(MANIFEST, version).replace("\"/p/\"", '"' + plainPrefix + '"'));
     }
 
+    /** Sets a configuration with client accounts, and waits until it is in force. */
+    void configureAccounts(long version, String accounts) throws Exception {
+        String manifest = String.format(MANIFEST, version).stripTrailing();
+        store.put("op", "config", manifest.substring(0, manifest.length() - 1) + ",\"tenants\":" + accounts + "}");
+        Await.until(() -> dump().contains("configuration=" + version));
+    }
+
     void register(ReplicaStandin replica, String id, String service, String state) {
         store.put("servers", id, replica.row(service, "z", state));
     }
@@ -129,9 +137,13 @@
     }
 
     Answer askSecond(String path, String id, String body) throws IOException {
+        return askSecond(path, id, "", body);
+    }
+
+    Answer askSecond(String path, String id, String extraFields, String body) throws IOException {
         try (Socket socket = new Socket(InetAddress.getByName(SECOND_HOST), basePort + 2)) {
             socket.setSoTimeout(30_000);
-            return exchange(socket, request("POST", path, id, "", body));
+            return exchange(socket, request("POST", path, id, extraFields, body));
         }
     }
 
@@ -266,7 +278,7 @@
     }
 
     private static HostSettings.Bounds bounds() {
-        return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1);
+        return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, new QuotaTolerance(8_000, 0.1, 20));
     }
 
     /**
--- a/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
+++ b/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.waxwingquay.account.AccessKey;
 import io.waxwingquay.forward.MessageCodec;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -32,6 +33,29 @@
         assertEquals("5c:800,91:410", ask.sharedPromptPrefix());
     }
 
+    // Guards against a key or a client's own account name that reaches a replica, in any spelling of the header.
+    @Test
+    void replacesTheAccountAndRemovesTheKey() {
+        HttpFields out = codec.requestFields(
+                HttpFields.build().add("key", "k1").add("TENANT", "other").add("tenant", "third"),
+                new MessageCodec.ForwardedHead("i-1", 900, Optional.empty(), Optional.empty(), Optional.of("forge")));
+        assertFalse(out.contains("Key"));
+        assertEquals("forge", String.join(",", out.getValuesList("Tenant")));
+    }
+
+    @Test
+    void readsAKeyOnlyIfThereIsExactlyOne() {
+        assertEquals(Optional.of(AccessKey.of("k1")), key(HttpFields.build().add("Key", "k1")));
+        assertEquals(Optional.empty(), key(HttpFields.build().add("Key", "k1").add("key", "k1")));
+        assertEquals(Optional.empty(), key(HttpFields.build().add("Key", "")));
+        assertEquals(Optional.empty(), key(HttpFields.build().add("Key", "k".repeat(513))));
+        assertEquals(Optional.empty(), key(HttpFields.build()));
+    }
+
+    private Optional<AccessKey> key(HttpFields fields) {
+        return codec.readRequest(fields).key();
+    }
+
     @Test
     void readsThatAReplicaLeaves() {
         assertTrue(codec.readResponse(200, HttpFields.build().put("Server-Leaving", "1"))
@@ -87,7 +111,7 @@
                         .put("Connection", "x-secret")
                         .put("X-Secret", "1")
                         .put("X-Other", "kept"),
-                new MessageCodec.ForwardedHead("i-1", 900, Optional.of(3), Optional.empty()));
+                new MessageCodec.ForwardedHead("i-1", 900, Optional.of(3), Optional.empty(), Optional.empty()));
         assertEquals("i-1", out.get("Target-Replica"));
         assertEquals("3", out.get("Request-Priority"));
         assertEquals("900", out.get("Deadline-Remaining"));
