Count requests refused by account and quota in explain

Cause: explain counts why requests were lost from the lines at their end; requests refused at the door have another line, which it passed over.

Change: these lines name route and status; two reasons more, UNAUTHORIZED and OVER_QUOTA.

Test: LossTest.

--- a/src/main/java/io/waxwingquay/explain/EndedRequest.java
+++ b/src/main/java/io/waxwingquay/explain/EndedRequest.java
@@ -43,6 +43,10 @@
             + " took_ms=(?<took>\\d+) first_ms=(?<first>\\d+) pause_ms=(?<pause>\\d+) waited_ms=(?<waited>\\d+)"
             + " objective_ms=(?<objective>\\d+) pause_objective_ms=(?<pauseObjective>\\d+) why=(?<why>.*)");
 
+    private static final Pattern REFUSED_LINE =
+            Pattern.compile("(?<at>\\d{4}-\\d\\d-\\d\\dT[\\d:.]+Z) .*forward: refused id=\\S* route=(?<route>\\S+)"
+                    + " status=(?<status>\\d+) why=(?<why>.*)");
+
     /**
      * Parses a log line.
      *
@@ -51,9 +55,29 @@
      */
     public static Optional<EndedRequest> parse(String line) {
         Matcher matcher = LINE.matcher(line);
+        return matcher.find() ? parseEnded(matcher) : parseRefused(REFUSED_LINE.matcher(line));
+    }
+
+    /** Parses the line of a request that was refused before it was routed to a replica. */
+    private static Optional<EndedRequest> parseRefused(Matcher matcher) {
         if (!matcher.find()) {
             return Optional.empty();
         }
+        return parseEpochMillis(matcher.group("at"))
+                .map(endedMillis -> new EndedRequest(
+                        endedMillis,
+                        matcher.group("route"),
+                        "",
+                        (int) number(matcher, "status"),
+                        0,
+                        0,
+                        0,
+                        0,
+                        0,
+                        matcher.group("why")));
+    }
+
+    private static Optional<EndedRequest> parseEnded(Matcher matcher) {
         long firstEventMillis = number(matcher, "first");
         long tookMillis = number(matcher, "took");
         return parseEpochMillis(matcher.group("at"))
--- a/src/main/java/io/waxwingquay/explain/Loss.java
+++ b/src/main/java/io/waxwingquay/explain/Loss.java
@@ -8,6 +8,10 @@
  * Classifies the outcome of a request for its caller. The constants are tested in order, and the first match applies.
  */
 public enum Loss {
+    /** Refused because no client account holds its key. */
+    UNAUTHORIZED(request -> request.reason().startsWith("no client account")),
+    /** Refused because the quota of its client account is spent. */
+    OVER_QUOTA(request -> request.reason().startsWith("the quota of its account")),
     /** Rejected because no engine had its model in memory. */
     MODEL_ABSENT(request -> request.isRejected() && request.reason().contains("is in no engine")),
     /** Rejected because its adapter was not loaded in time. */
--- a/src/test/java/io/waxwingquay/explain/LossTest.java
+++ b/src/test/java/io/waxwingquay/explain/LossTest.java
@@ -13,6 +13,8 @@
     @CsvSource(
             delimiter = '|',
             value = {
+                "401 | 0 | 0 | 0 | no client account holds its key key_sent=true version=3 | UNAUTHORIZED",
+                "429 | 0 | 0 | 0 | the quota of its account is spent account=a units=900 | OVER_QUOTA",
                 "503 | 0 | 0 | 0 | model m is in no engine | MODEL_ABSENT",
                 "503 | 900 | 0 | 0 | adapter a1 does not come | ADAPTER_ABSENT",
                 "503 | 4 | 0 | 0 | no room | NO_ROOM",
@@ -40,6 +42,16 @@
         assertEquals(expected, Loss.of(request));
     }
 
+    // Guards against requests refused by their account or its quota that no count shows.
+    @Test
+    void parsesTheLineOfARequestRefusedAtTheDoor() {
+        EndedRequest request = EndedRequest.parse("  1.5 front-1 2026-08-28T10:41:26.058Z INFO  forward: refused id=d4"
+                        + " route=r-1 status=429 why=the quota of its account is spent account=a units=900")
+                .orElseThrow();
+        assertEquals("r-1", request.route());
+        assertEquals(Loss.OVER_QUOTA, Loss.of(request));
+    }
+
     @Test
     void parsesAnEntryLogLine() {
         EndedRequest request = EndedRequest.parse(
