Let the priority of a client account go before that of the route

Cause: an account's priority takes precedence over its route's; entries queued and engines ran by the route alone.

Change: the rank of a waiting request begins with the account's class, and an engine's ten priorities are five for each of two classes, the routes in order within. Without accounts the numbers are as before.

Tests: WaitQueuesTest, ClientAccountsTest (what an engine is told).

--- a/src/main/java/io/waxwingquay/forward/QueuedRequest.java
+++ b/src/main/java/io/waxwingquay/forward/QueuedRequest.java
@@ -7,27 +7,27 @@
 
     private final ForwardContext context;
     private final RequestTerms terms;
+    private final WaitQueues.Rank rank;
     private boolean waiting;
     private long recheckAtMillis = Long.MAX_VALUE;
 
     QueuedRequest(ForwardContext context, RequestTerms terms) {
         this.context = context;
         this.terms = terms;
+        this.rank = terms.waitRank();
     }
 
     /**
      * Returns the order in which requests are checked: those that are not queued first, then by the priority of their
-     * routes, and within it by slack.
+     * accounts and routes, and within it by slack.
      */
     static Comparator<QueuedRequest> checkOrder(long nowMillis) {
-        return Comparator.comparingInt(QueuedRequest::priority)
+        return Comparator.<QueuedRequest, Boolean>comparing(request -> request.waiting)
+                .thenComparingInt(request -> request.waiting ? request.rank.accountPriority() : 0)
+                .thenComparingInt(request -> request.waiting ? request.rank.priority() : 0)
                 .thenComparingLong(request -> request.waiting ? request.terms.slackMillis(nowMillis) : 0);
     }
 
-    private int priority() {
-        return waiting ? terms.waitRank().priority() : Integer.MIN_VALUE;
-    }
-
     /** Has the choice of a replica repeated after this delay. */
     void recheckIn(long delayMillis, long nowMillis) {
         recheckAtMillis = nowMillis + delayMillis;
@@ -64,9 +64,7 @@
      */
     long expectedWaitMillis(Choice.Full full) {
         return full.expectedWaitMillis(
-                waiting
-                        ? 0
-                        : context.waitQueues().countAhead(terms.queueKey(), terms.waitRank()) * context.entryCount());
+                waiting ? 0 : context.waitQueues().countAhead(terms.queueKey(), rank) * context.entryCount());
     }
 
     /**
@@ -83,7 +81,7 @@
         }
         if (!waiting) {
             waiting = true;
-            context.waitQueues().joined(terms.queueKey(), terms.waitRank());
+            context.waitQueues().joined(terms.queueKey(), rank);
         }
         return true;
     }
@@ -91,7 +89,7 @@
     void leaveQueue() {
         if (waiting) {
             waiting = false;
-            context.waitQueues().left(terms.queueKey(), terms.waitRank());
+            context.waitQueues().left(terms.queueKey(), rank);
         }
     }
 }
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -17,6 +17,9 @@
 
     private static final int LOWEST_PRIORITY = 9;
 
+    /** Engine priorities for the routes of one priority class of accounts; engines have ten, so that two classes fit. */
+    private static final int PRIORITIES_PER_ACCOUNT_CLASS = 5;
+
     /** Remaining time below which a further attempt can't finish before the deadline. */
     private static final long MIN_ATTEMPT_MILLIS = 30L;
 
@@ -122,7 +125,7 @@
 
     /** Returns the rank of the request among those that wait for the same slots. */
     WaitQueues.Rank waitRank() {
-        return new WaitQueues.Rank(route.priority(), route.objectiveMillis());
+        return new WaitQueues.Rank(admission.priority().orElse(0), route.priority(), route.objectiveMillis());
     }
 
     /** Returns the key of the queue of requests that wait for the same slots. */
@@ -163,17 +166,26 @@
         MessageCodec.ForwardedHead forwarded = new MessageCodec.ForwardedHead(
                 target.id(),
                 Math.max(1, remainingMillis(nowMillis)),
-                engine.map(each -> priority()),
+                engine.map(each -> enginePriority()),
                 lastEventId.stream().boxed().findFirst(),
                 admission.accountName());
         HttpFields fields = context.codec().requestFields(request.fields(), forwarded);
         return new ClientRequest(request.method(), request.target(), fields, request.body(), route.isSafeToRetry());
     }
 
-    /** Returns the priority in the engine: that of the route first, and within it the urgency. */
-    private int priority() {
+    /**
+     * Returns the priority in the engine: that of the client account first if it has one, then that of the route, and
+     * within it the urgency.
+     */
+    private int enginePriority() {
         int relaxed = route.objectiveMillis() > RELAXED_OBJECTIVE_MILLIS ? 1 : 0;
-        return Math.min(LOWEST_PRIORITY, 2 * route.priority() + relaxed);
+        int ofRoute = 2 * route.priority() + relaxed;
+        return Math.min(
+                LOWEST_PRIORITY,
+                admission.priority().isPresent()
+                        ? admission.priority().getAsInt() * PRIORITIES_PER_ACCOUNT_CLASS
+                                + Math.min(PRIORITIES_PER_ACCOUNT_CLASS - 1, ofRoute)
+                        : ofRoute);
     }
 
     private long waitedMillis(long nowMillis) {
--- a/src/main/java/io/waxwingquay/forward/WaitQueues.java
+++ b/src/main/java/io/waxwingquay/forward/WaitQueues.java
@@ -63,13 +63,15 @@
     /**
      * The rank of a request in its queue, the most urgent first.
      *
+     * @param accountPriority the priority of its client account, of which the lowest comes first; 0 if it has none.
      * @param priority the priority of its route, of which the lowest comes first.
      * @param objectiveMillis the latency objective of its route.
      */
-    record Rank(int priority, long objectiveMillis) implements Comparable<Rank> {
+    record Rank(int accountPriority, int priority, long objectiveMillis) implements Comparable<Rank> {
 
-        private static final Comparator<Rank> ORDER =
-                Comparator.comparingInt(Rank::priority).thenComparingLong(Rank::objectiveMillis);
+        private static final Comparator<Rank> ORDER = Comparator.comparingInt(Rank::accountPriority)
+                .thenComparingInt(Rank::priority)
+                .thenComparingLong(Rank::objectiveMillis);
 
         /** {@inheritDoc} */
         @Override
--- a/src/test/java/io/waxwingquay/forward/WaitQueuesTest.java
+++ b/src/test/java/io/waxwingquay/forward/WaitQueuesTest.java
@@ -12,9 +12,9 @@
 class WaitQueuesTest {
 
     private static final int ENTRIES = 33;
-    private static final WaitQueues.Rank URGENT = new WaitQueues.Rank(0, 300);
-    private static final WaitQueues.Rank LIVE = new WaitQueues.Rank(1, 300);
-    private static final WaitQueues.Rank RELAXED = new WaitQueues.Rank(1, 5_000);
+    private static final WaitQueues.Rank URGENT = new WaitQueues.Rank(0, 0, 300);
+    private static final WaitQueues.Rank LIVE = new WaitQueues.Rank(0, 1, 300);
+    private static final WaitQueues.Rank RELAXED = new WaitQueues.Rank(0, 1, 5_000);
     private static final Route URGENT_ROUTE = new Route(
             "r",
             "x.test",
@@ -51,6 +51,14 @@
         assertEquals(2, queues.countAhead("a", RELAXED));
     }
 
+    @Test
+    void priorityOfTheAccountGoesBeforeThatOfTheRoute() {
+        queues.joined("a", new WaitQueues.Rank(1, 0, 300));
+        queues.joined("a", new WaitQueues.Rank(0, 2, 5_000));
+        assertEquals(1, queues.countAhead("a", new WaitQueues.Rank(0, 2, 5_000)));
+        assertEquals(2, queues.countAhead("a", new WaitQueues.Rank(1, 0, 300)));
+    }
+
     // Many long requests that can wait come at once and fill three engines of 16 slots, of which one becomes free each
     // 52 ms. Guards against rejecting every short urgent request at once because one of the others waits at its entry.
     @Test
--- a/src/test/java/io/waxwingquay/hosted/ClientAccountsTest.java
+++ b/src/test/java/io/waxwingquay/hosted/ClientAccountsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
 import io.waxwingquay.testing.Await;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -18,6 +19,8 @@
     private static final String ROTATED = "[{\"name\":\"forge\",\"api_keys\":[\"k2\"],\"rate_per_s\":0}]";
     private static final String LIMITED =
             "[{\"name\":\"forge\",\"api_keys\":[\"k1\"],\"rate_per_s\":0.01,\"burst\":10}]";
+    private static final String CLASSES = "[{\"name\":\"first\",\"api_keys\":[\"k1\"],\"priority\":0},"
+            + "{\"name\":\"second\",\"api_keys\":[\"k2\"],\"priority\":1}]";
     private static final int REQUESTS = 20;
 
     /** The balance of a quota of which nothing is known yet, by the tolerance of the deployment. */
@@ -99,6 +102,29 @@
         assertTrue(received.size() <= INITIAL_BALANCE + MARGIN, "served " + received.size());
     }
 
+    // Guards against engines that run the requests of a lower account class first, because their route is more urgent.
+    @Test
+    void engineIsToldThePriorityOfTheAccountBeforeThatOfTheRoute() throws Exception {
+        Behaviour capture = (engine, caller) -> {
+            received.add(caller.request().fields());
+            caller.respond(200, engine.responseFields(caller), "ok");
+        };
+        deployment.engine1.behaviour(capture);
+        deployment.engine2.behaviour(capture);
+        deployment.configureAccounts(2, CLASSES);
+        assertTrue(enginePriority("/s/1", "k1") < enginePriority("/quick/1", "k2"));
+        assertTrue(enginePriority("/quick/1", "k1") < enginePriority("/s/1", "k1"));
+    }
+
+    private int enginePriority(String path, String key) throws Exception {
+        received.clear();
+        String fields = "Model: m\r\nKey: " + key + "\r\n";
+        assertEquals(
+                200,
+                deployment.ask("POST", path, "e-" + path + key, fields, "x").status());
+        return Integer.parseInt(received.remove().get("Request-Priority"));
+    }
+
     private int status(String id, String fields) throws Exception {
         return deployment.ask("POST", "/p/1", id, fields, "x").status();
     }
