Send spending to the second process less often, and count what is confirmed

Cause: each report went to both processes of an account, though only the first decides; and an entry counted what it had reported against its part of the balance, so that one which had just been cut off went on until it noticed.

What no process has confirmed counts against the own part.

--- a/src/main/java/io/waxwingquay/account/AllowanceTable.java
+++ b/src/main/java/io/waxwingquay/account/AllowanceTable.java
@@ -179,16 +179,14 @@
     }
 
     /**
-     * Returns whether a report is due now.
+     * Returns whether a report about an account is due now.
      *
+     * @param account the account.
      * @return whether {@link #reportsDue} would return one.
      */
-    public boolean isReportDue() {
-        long nowMillis = clockMillis.getAsLong();
-        return !processes.isEmpty()
-                && unreported.stream()
-                        .map(allowances::get)
-                        .anyMatch(allowance -> allowance != null && allowance.isReportDue(nowMillis));
+    public boolean isReportDue(Account account) {
+        SharedAllowance allowance = allowances.get(account.name());
+        return allowance != null && !processes.isEmpty() && allowance.isReportDue(clockMillis.getAsLong());
     }
 
     /**
@@ -231,13 +229,13 @@
                 return;
             }
             boolean isSecondAsked = allowance.isSecondAsked();
-            AccountSpending first = allowance.report(account, receivers, number, nowMillis);
+            List<HostPort> due =
+                    isSecondAsked || allowance.isSecondReportDue(nowMillis) ? receivers : receivers.subList(0, 1);
+            AccountSpending first = allowance.report(account, due, receivers, number, nowMillis);
             AccountSpending second = isSecondAsked ? first : new AccountSpending(first).setAskedUnits(0);
-            for (HostPort receiver : receivers) {
-                byReceiver
-                        .computeIfAbsent(receiver, address -> new ArrayList<>())
-                        .add(receiver.equals(receivers.get(0)) ? first : second);
-            }
+            due.forEach(receiver -> byReceiver
+                    .computeIfAbsent(receiver, address -> new ArrayList<>())
+                    .add(receiver.equals(receivers.get(0)) ? first : second));
         }
         if (allowance.isReported() && !allowance.hasWaiting() && !allowance.isUnanswered(nowMillis)) {
             unreported.remove(account);
--- a/src/main/java/io/waxwingquay/account/SharedAllowance.java
+++ b/src/main/java/io/waxwingquay/account/SharedAllowance.java
@@ -65,6 +65,8 @@
     private long reportedUnits;
     private long grantedUnits;
     private long reportedMillis = Long.MIN_VALUE / 2;
+    private long secondReportedUnits;
+    private long secondReportedMillis = Long.MIN_VALUE / 2;
     private boolean reportRequested = true;
     private long promisedUntilMillis;
 
@@ -100,7 +102,7 @@
             spendOwnPart(units, nowMillis, decision);
         } else if (balance.isEmpty()) {
             waitForAnswer(units, decision);
-        } else if (waiting.isEmpty() && units <= ownPart(balance.getAsDouble()) - unreportedUnits()) {
+        } else if (waiting.isEmpty() && units <= ownPart(balance.getAsDouble()) - unacknowledgedUnits()) {
             spentUnits += units;
             decision.decided(OptionalLong.empty());
         } else if (balance.getAsDouble() <= 0 && ageMillis(nowMillis) <= SPENT_VALIDITY_MILLIS) {
@@ -141,7 +143,13 @@
         return reportRequested
                 || isUnanswered(nowMillis) && elapsedMillis >= REPEAT_MILLIS
                 || unreportedUnits() > ownPart(balance(nowMillis).orElse(0)) / 2
-                || spentUnits != reportedUnits && elapsedMillis >= MAX_REPORT_DELAY_MILLIS;
+                || spentUnits != reportedUnits && elapsedMillis >= MAX_REPORT_DELAY_MILLIS
+                || spentUnits != secondReportedUnits && isSecondReportDue(nowMillis);
+    }
+
+    /** Returns what was spent here and no process has confirmed, be it unreported or on its way. */
+    private long unacknowledgedUnits() {
+        return Math.max(0, spentUnits - acknowledgedUnits);
     }
 
     /** Returns what no process knows yet; units that one of them has granted are known to that one. */
@@ -161,19 +169,28 @@
 
     /** Returns whether everything spent has been reported. */
     boolean isReported() {
-        return spentUnits == reportedUnits && !reportRequested;
+        return spentUnits == reportedUnits && spentUnits == secondReportedUnits && !reportRequested;
     }
 
     boolean hasWaiting() {
         return !waiting.isEmpty();
     }
 
-    /** Returns the report to these processes, and records it as sent. */
-    AccountSpending report(String account, List<HostPort> receivers, long number, long nowMillis) {
+    /** Returns whether the second process, which takes over if the first is lost, should hear of the spending too. */
+    boolean isSecondReportDue(long nowMillis) {
+        return nowMillis - secondReportedMillis >= MAX_REPORT_DELAY_MILLIS;
+    }
+
+    /** Returns the report to the processes that are due, of those that this account has, and records it as sent. */
+    AccountSpending report(String account, List<HostPort> due, List<HostPort> receivers, long number, long nowMillis) {
         waiting.forEach(request -> request.reportNumber = Math.min(request.reportNumber, number));
         answers.keySet().retainAll(receivers);
-        receivers.forEach(receiver ->
+        due.forEach(receiver ->
                 answers.computeIfAbsent(receiver, name -> new Answer()).reported(nowMillis));
+        if (due.size() == receivers.size()) {
+            secondReportedMillis = nowMillis;
+            secondReportedUnits = spentUnits;
+        }
         reportRequested = false;
         reportedUnits = spentUnits;
         grantedUnits = 0;
--- a/src/main/java/io/waxwingquay/forward/Gatekeeper.java
+++ b/src/main/java/io/waxwingquay/forward/Gatekeeper.java
@@ -63,7 +63,7 @@
                 account.get(),
                 units,
                 retryAfter -> decision.accept(verdict(route, head, account.get(), units, retryAfter)));
-        if (allowances.isReportDue()) {
+        if (allowances.isReportDue(account.get())) {
             onReportDue.run();
         }
     }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -178,7 +178,6 @@
         });
         loop.every(ReplicaDirectory.UNLISTED_GRACE_MILLIS / 8, replicas::removeExpired);
         loop.every(UPDATE_INTERVAL_MILLIS, this::sendUpdates);
-        loop.every(UPDATE_INTERVAL_MILLIS, this::updateSpendingReceivers);
         LOG.log(
                 System.Logger.Level.INFO,
                 "hosted: entry started node={0} zone={1}",
@@ -235,6 +234,7 @@
     }
 
     private void sendUpdates() {
+        updateSpendingReceivers();
         TableVersions versions = new TableVersions(configurationVersion(), replicaWatch.lastChangeVersion());
         List<SuspectNews> suspectPage = suspects.nextUpdate();
         forwarder
--- a/src/test/java/io/waxwingquay/account/QuotaSimulation.java
+++ b/src/test/java/io/waxwingquay/account/QuotaSimulation.java
@@ -318,7 +318,7 @@
         @Override
         public void spend(int entry, long units, Allowance.Decision decision) {
             tables.get(entry).spend(account, units, decision);
-            if (tables.get(entry).isReportDue() && scheduled.add(entry)) {
+            if (tables.get(entry).isReportDue(account) && scheduled.add(entry)) {
                 simulation.after(REPORT_DELAY_MILLIS, () -> {
                     scheduled.remove(entry);
                     sendReports(entry);
