Train the class archive with client accounts

Cause: the archive that processes start from is made by a run of the whole path, which knew no accounts; a class or a lambda that is missing there is loaded and built at run time in each process.

Change: the run has two accounts, one whose quota is spent at once, and requests that end with 200, 401 and 429.

--- a/src/main/java/io/waxwingquay/standin/prepared/TrainingRun.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/TrainingRun.java
@@ -20,7 +20,7 @@
 
 /**
  * Runs the complete request path on loopback against stand-ins: a manifest, two engines with an adapter and a model to
- * load, a plain service, and requests through an entry. The build executes it once to record which classes a process
+ * load, a plain service, client accounts, and requests through an entry. The build executes it once to record which classes a process
  * loads; they are stored in a class archive, with which processes start faster and use less memory.
  *
  * <p>The processes are launched from settings files, as the platform does it: a single lambda or library class that is
@@ -35,6 +35,8 @@
     private static final long TIMEOUT_SECONDS = 30L;
     private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final int OK = 200;
+    private static final int UNAUTHORIZED = 401;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final String MANIFEST =
             """
             {"version":1,"routes":[
@@ -47,7 +49,10 @@
              "models":[{"name":"m","weights_mb":100,"load_s":1,"adapters":1,"adapter_mb":1},
              {"name":"n","weights_mb":100,"load_s":1,"adapters":0},{"name":"o","weights_mb":100,"load_s":1,"adapters":0},
              {"name":"p","weights_mb":100,"load_s":1,"adapters":0},
-             {"name":"q","weights_mb":100,"load_s":1,"adapters":0}]}}]}
+             {"name":"q","weights_mb":100,"load_s":1,"adapters":0}]}}],
+            "tenants":[{"name":"wide","api_keys":["wide-1","wide-2"],"priority":0,"unit":"token_stream",
+             "plain_tokens":100,"rate_per_s":100000,"burst":100000},
+             {"name":"narrow","api_keys":["narrow-1"],"priority":1,"rate_per_s":0.001,"burst":1}]}
             """;
     private static final String SETTINGS =
             """
@@ -67,6 +72,9 @@
             budget_slack = 20
             ceiling_window_s = 5
             ceiling_over = 1.1
+            quota_window_s = 8
+            quota_over = 0.1
+            quota_slack = 4
             [platform]
             address = "%6$s"
             """;
@@ -111,10 +119,12 @@
         launch("side", directory.resolve("second-side.toml"), sideSettings(SECOND_SIDE_HOST));
         HostedProcess entry = launch("entry", directory.resolve("entry.toml"), entrySettings());
         ClientPool pool = new ClientPool(loop, new InetSocketAddress(ENTRY_HOST, basePort + 2), 4);
-        expectOk(pool, "GET", "/p/1", "");
-        expectOk(pool, "POST", "/s/1", "m");
-        expectOk(pool, "POST", "/s/2", "m/a1");
-        expectOk(pool, "POST", "/s/3", "q");
+        expect(OK, pool, "GET", "/p/1", "", "wide-1");
+        expect(OK, pool, "POST", "/s/1", "m", "wide-1");
+        expect(OK, pool, "POST", "/s/2", "m/a1", "wide-2");
+        expect(OK, pool, "POST", "/s/3", "q", "wide-1");
+        expect(TOO_MANY_REQUESTS, pool, "GET", "/p/2", "", "narrow-1");
+        expect(UNAUTHORIZED, pool, "GET", "/p/3", "", "unknown");
         entry.shutdown().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
@@ -154,14 +164,17 @@
         Files.delete(directory);
     }
 
-    private void expectOk(ClientPool pool, String method, String path, String model) throws Exception {
+    /** Sends a request until it is answered with the status. */
+    private void expect(int expected, ClientPool pool, String method, String path, String model, String key)
+            throws Exception {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         int status = 0;
-        while (status != OK && System.nanoTime() < endNanos) {
+        while (status != expected && System.nanoTime() < endNanos) {
             CompletableFuture<Integer> answer = new CompletableFuture<>();
             HttpFields.Mutable fields = HttpFields.build()
                     .put("Host", "x.test")
                     .put("Attempt-Id", "r" + path)
+                    .put("Key", key)
                     .put("Deadline-Remaining", "3000");
             if (!model.isEmpty()) {
                 fields.put("Model", model).put("Token-Counts", "10,10").put("Prompt-Prefix", "a:5,b:5");
@@ -171,7 +184,7 @@
             status = answer.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
             LockSupport.parkNanos(RETRY_DELAY_NANOS);
         }
-        if (status != OK) {
+        if (status != expected) {
             throw new IllegalStateException(method + " " + path + " was answered with status " + status);
         }
     }
