--- a/src/main/java/io/waxwingquay/account/SharedAllowance.java
+++ b/src/main/java/io/waxwingquay/account/SharedAllowance.java
@@ -5,13 +5,10 @@
 import io.waxwingquay.transport.generated.AccountSpending;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.IntSupplier;
-import java.util.stream.Collectors;
 
 /**
  * Spends against the balance that is left for all entries, as two processes beside engines add it up.
@@ -34,9 +31,6 @@
     /** Age up to which an answer that nothing is left holds; an older one is asked for again. */
     private static final long SPENT_VALIDITY_MILLIS = 50L;
 
-    /** Time without an answer to a report after which a process no longer counts, until it answers again. */
-    private static final long UNANSWERED_MILLIS = 400L;
-
     /** Interval at which reports are repeated while no process answers. */
     private static final long REPEAT_MILLIS = 250L;
 
@@ -49,14 +43,11 @@
     /** The longest time after which a refused request is told to come back. */
     private static final long MAX_RETRY_AFTER_MILLIS = 10_000L;
 
-    /** How long the rate at which others spent is taken to go on; a burst of theirs may be over by then. */
-    private static final double MAX_ESTIMATE_SECONDS = 0.5;
-
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final IntSupplier entries;
     private final Allowance.WithEqualPart fallback;
-    private final Map<HostPort, Answer> answers = new HashMap<>();
+    private final AnsweredBalances answers = new AnsweredBalances();
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private Quota quota;
     private long configuration;
@@ -97,7 +88,7 @@
     @Override
     public void spend(long units, long nowMillis, Decision decision) {
         OptionalDouble balance = balance(nowMillis);
-        if (balance.isEmpty() && !isAnswerExpected(nowMillis)) {
+        if (balance.isEmpty() && !answers.isAnswerExpected(nowMillis)) {
             reportRequested |= nowMillis - reportedMillis >= REPEAT_MILLIS;
             spendOwnPart(units, nowMillis, decision);
         } else if (balance.isEmpty()) {
@@ -105,17 +96,13 @@
         } else if (waiting.isEmpty() && units <= ownPart(balance.getAsDouble()) - unacknowledgedUnits()) {
             spentUnits += units;
             decision.decided(OptionalLong.empty());
-        } else if (balance.getAsDouble() <= 0 && ageMillis(nowMillis) <= SPENT_VALIDITY_MILLIS) {
+        } else if (balance.getAsDouble() <= 0 && answers.ageMillis(nowMillis) <= SPENT_VALIDITY_MILLIS) {
             decision.decided(OptionalLong.of(retryAfterMillis(-balance.getAsDouble(), units, nowMillis)));
         } else {
             waitForAnswer(units, decision);
         }
     }
 
-    private boolean isAnswerExpected(long nowMillis) {
-        return answers.values().stream().anyMatch(answer -> !answer.isOverdue(nowMillis));
-    }
-
     private void waitForAnswer(long units, Decision decision) {
         reportRequested = true;
         waiting.add(new Waiting(units, decision));
@@ -184,9 +171,7 @@
     /** Returns the report to the processes that are due, of those that this account has, and records it as sent. */
     AccountSpending report(String account, List<HostPort> due, List<HostPort> receivers, long number, long nowMillis) {
         waiting.forEach(request -> request.reportNumber = Math.min(request.reportNumber, number));
-        answers.keySet().retainAll(receivers);
-        due.forEach(receiver ->
-                answers.computeIfAbsent(receiver, name -> new Answer()).reported(nowMillis));
+        answers.reported(due, receivers, nowMillis);
         if (due.size() == receivers.size()) {
             secondReportedMillis = nowMillis;
             secondReportedUnits = spentUnits;
@@ -229,8 +214,7 @@
 
     /** Takes the balance that a process has answered, and decides about the requests that waited for it. */
     void answered(HostPort process, long number, AccountBalance balance, long nowMillis) {
-        Answer answer = answers.get(process);
-        if (answer == null || !answer.answered(number, balance, nowMillis)) {
+        if (!answers.answered(process, number, balance, nowMillis)) {
             return;
         }
         acknowledgedUnits = Math.max(acknowledgedUnits, balance.getSpentUnits());
@@ -249,45 +233,29 @@
 
     /** Returns whether a process has left reports unanswered for so long that another one should be asked. */
     boolean isUnresponsive(HostPort process, long nowMillis) {
-        Answer answer = answers.get(process);
-        return answer != null && answer.isOverdue(nowMillis);
+        return answers.isUnresponsive(process, nowMillis);
     }
 
     /** Describes, for a log line, what a refusal was decided by and how old that is. */
     String describe(long nowMillis) {
         OptionalDouble balance = balance(nowMillis);
-        String answered = answers.entrySet().stream()
-                .filter(entry -> entry.getValue().isUsable(nowMillis))
-                .map(entry -> entry.getKey() + ":" + entry.getValue().ageMillis(nowMillis) + "ms")
-                .collect(Collectors.joining(","));
         return "per_s=" + Math.round(quota.perSecond())
                 + " version=" + configuration
                 + " balance=" + (balance.isPresent() ? Math.round(balance.getAsDouble()) : "own_part")
                 + " spent_here=" + spentUnits
-                + " others_per_s=" + Math.round(othersPerSecond(nowMillis))
-                + " answered_by=" + answered;
+                + " others_per_s=" + Math.round(answers.othersPerSecond(nowMillis))
+                + " answered_by=" + answers.describe(nowMillis);
     }
 
-    /** Returns the lowest balance of those answered, since a process that lacks reports knows a higher one. */
     private OptionalDouble balance(long nowMillis) {
-        return answers.values().stream()
-                .filter(answer -> answer.isUsable(nowMillis))
-                .mapToDouble(answer -> answer.balance(quota, spentUnits, nowMillis))
-                .min();
-    }
-
-    private long ageMillis(long nowMillis) {
-        return answers.values().stream()
-                .filter(answer -> answer.isUsable(nowMillis))
-                .mapToLong(answer -> answer.ageMillis(nowMillis))
-                .min()
-                .orElse(Long.MAX_VALUE);
+        return answers.balance(quota, spentUnits, nowMillis);
     }
 
     /** Spreads refused requests by the time at which this entry earns the units of each. */
     private long retryAfterMillis(double missingUnits, long units, long nowMillis) {
         double perSecond = Math.max(
-                quota.perSecond() / Math.max(1, entries.getAsInt()), quota.perSecond() - othersPerSecond(nowMillis));
+                quota.perSecond() / Math.max(1, entries.getAsInt()),
+                quota.perSecond() - answers.othersPerSecond(nowMillis));
         long earnedAtMillis = nowMillis + Math.round(missingUnits / quota.perSecond() * MILLIS_PER_SECOND);
         long spanMillis = Math.round(units / perSecond * MILLIS_PER_SECOND);
         long promisedMillis = Math.max(promisedUntilMillis, earnedAtMillis) + spanMillis;
@@ -296,14 +264,6 @@
         return Math.max(1, Math.min(MAX_RETRY_AFTER_MILLIS, promisedMillis - nowMillis));
     }
 
-    private double othersPerSecond(long nowMillis) {
-        return answers.values().stream()
-                .filter(answer -> answer.isUsable(nowMillis))
-                .mapToDouble(answer -> answer.othersPerSecond)
-                .max()
-                .orElse(0);
-    }
-
     /** A request that waits for the answer to the report that asks for its units. */
     private static final class Waiting {
 
@@ -317,52 +277,4 @@
             this.decision = decision;
         }
     }
-
-    /** The last answer of one process. */
-    private static final class Answer {
-
-        private long number = Long.MIN_VALUE;
-        private long spentUnits;
-        private double balanceUnits;
-        private double othersPerSecond;
-        private long answeredMillis;
-        private long unansweredSinceMillis = Long.MAX_VALUE;
-
-        void reported(long nowMillis) {
-            unansweredSinceMillis = Math.min(unansweredSinceMillis, nowMillis);
-        }
-
-        /** Takes an answer; returns whether it is newer than the last. */
-        boolean answered(long newerNumber, AccountBalance balance, long nowMillis) {
-            if (newerNumber <= number) {
-                return false;
-            }
-            number = newerNumber;
-            spentUnits = balance.getSpentUnits();
-            balanceUnits = balance.getBalanceUnits();
-            othersPerSecond = balance.getOthersPerSecond();
-            answeredMillis = nowMillis;
-            unansweredSinceMillis = Long.MAX_VALUE;
-            return true;
-        }
-
-        boolean isOverdue(long nowMillis) {
-            return unansweredSinceMillis != Long.MAX_VALUE && nowMillis - unansweredSinceMillis > UNANSWERED_MILLIS;
-        }
-
-        boolean isUsable(long nowMillis) {
-            return number != Long.MIN_VALUE && !isOverdue(nowMillis);
-        }
-
-        long ageMillis(long nowMillis) {
-            return nowMillis - answeredMillis;
-        }
-
-        double balance(Quota quota, long ownSpentUnits, long nowMillis) {
-            double seconds = ageMillis(nowMillis) / MILLIS_PER_SECOND;
-            double others = othersPerSecond * Math.min(seconds, MAX_ESTIMATE_SECONDS);
-            double earned = quota.perSecond() * seconds - others;
-            return Math.min(quota.burst(), balanceUnits + earned) - (ownSpentUnits - spentUnits);
-        }
-    }
 }
