--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -4,19 +4,11 @@
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.net.EventLoop;
-import io.waxwingquay.peer.UpdateSequence;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.AdapterReply;
-import io.waxwingquay.transport.generated.EngineNews;
-import io.waxwingquay.transport.generated.HeldModel;
 import io.waxwingquay.transport.generated.PeerDatagram;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 /** Manages one engine: polls its state, sends status updates about it, and issues orders to it one at a time. */
 public final class EngineManager {
@@ -57,9 +49,7 @@
     private boolean pollInFlight;
     private long identifyAtMillis = Long.MIN_VALUE;
     private boolean earlyPollScheduled;
-    private final UpdateSequence updateNumber = new UpdateSequence(EventLoop.nowMillis());
-    private final UpdateSchedule schedule = new UpdateSchedule();
-    private Set<HostPort> lastRecipients = Set.of();
+    private final EngineUpdates updates;
 
     /**
      * Creates a manager; {@link #start} starts it.
@@ -87,6 +77,7 @@
         this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
+        this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, sender);
     }
 
     /** Starts polling; called on the loop. */
@@ -186,10 +177,10 @@
      *
      * <p>Failure: a process restarts while nothing changes here. Symptom: it assumes that the models held here have
      * no copy, until the next periodic update. So it is sent a full update as soon as its restart is noticed; processes
-     * that were not known before are covered by {@link #sendUpdate}.
+     * that were not known before are covered by {@link EngineUpdates#sendDue}.
      */
     private void sendFullUpdate(HostPort recipient) {
-        report.ifPresent(current -> sender.send(recipient, fullUpdate(current, EventLoop.nowMillis())));
+        report.ifPresent(current -> updates.sendFull(recipient, current, engine, EventLoop.nowMillis()));
     }
 
     private void onAdapterCall(HostPort from, AdapterCall call) {
@@ -330,98 +321,7 @@
     }
 
     private void sendUpdate() {
-        report.ifPresent(current -> {
-            long nowMillis = EventLoop.nowMillis();
-            Set<HostPort> recipients = allRecipients(nowMillis);
-            Set<HostPort> activeEntries = peers.activeEntries(nowMillis);
-            Set<HostPort> newRecipients = recipients.stream()
-                    .filter(each -> !lastRecipients.contains(each))
-                    .collect(Collectors.toSet());
-            lastRecipients = recipients;
-            switch (schedule.nextUpdate(
-                    status(current, nowMillis), recipients.size(), activeEntries.size(), nowMillis)) {
-                case FULL_TO_ALL -> sender.send(recipients, fullUpdate(current, nowMillis));
-                case FULL_TO_ACTIVE_ENTRIES -> {
-                    newRecipients.addAll(activeEntries);
-                    sender.send(newRecipients, fullUpdate(current, nowMillis));
-                }
-                case LOAD_TO_ACTIVE_ENTRIES -> {
-                    sender.send(activeEntries, PeerDatagram.engine(loadUpdate(current, nowMillis)));
-                    sender.send(newRecipients, fullUpdate(current, nowMillis));
-                }
-                default -> sender.send(newRecipients, fullUpdate(current, nowMillis));
-            }
-        });
-    }
-
-    private Set<HostPort> allRecipients(long nowMillis) {
-        Set<HostPort> all = new HashSet<>(peers.entryAddresses(nowMillis));
-        peers.listedEngines(nowMillis).stream()
-                .filter(engineAddress -> !engineAddress.equals(address))
-                .forEach(engineAddress -> all.add(sender.sideAddress(engineAddress)));
-        return all;
-    }
-
-    private UpdateSchedule.EngineStatus status(EngineReport current, long nowMillis) {
-        List<HeldModel> routable = routableModels(current);
-        return new UpdateSchedule.EngineStatus(
-                routable.stream().map(HeldModel::getName).collect(Collectors.toSet()),
-                Set.copyOf(hostCachedModels(current)),
-                mover.loadingModel(),
-                loadLimiter.recentLoads(nowMillis),
-                current.draining(),
-                peers.newestTables(nowMillis)
-                        .map(newest -> newest.getValue().getConfiguration())
-                        .orElse(0L),
-                routable.stream()
-                        .flatMap(model -> model.getAdapters().stream().map(name -> model.getName() + "/" + name))
-                        .collect(Collectors.toSet()),
-                current.running() + current.waiting());
-    }
-
-    private static List<String> hostCachedModels(EngineReport current) {
-        return Stream.concat(current.onDisk().stream(), current.inHostMemory().stream())
-                .distinct()
-                .toList();
-    }
-
-    private PeerDatagram fullUpdate(EngineReport current, long nowMillis) {
-        return PeerDatagram.engine(loadUpdate(current, nowMillis)
-                .setServiceName(service)
-                .setModels(routableModels(current))
-                .setNearModels(hostCachedModels(current))
-                .setModelsInUse(new ArrayList<>(peers.modelsInUse(nowMillis))));
-    }
-
-    /** Creates an update without models, which reports the engine's load. */
-    private EngineNews loadUpdate(EngineReport current, long nowMillis) {
-        EngineNews update = new EngineNews()
-                .setEngineAddress(address.toString())
-                .setBornMillis(current.bornMillis())
-                .setNumber(updateNumber.next())
-                .setRunning(current.running())
-                .setWaiting(current.waiting())
-                .setKvUsedTokens(current.kvUsedTokens())
-                .setKvTotalTokens(current.kvTotalTokens())
-                .setStoreLoads(loadLimiter.recentLoads(nowMillis))
-                .setDraining(current.draining())
-                .setEntries(peers.entryAddresses(nowMillis).size());
-        peers.newestTables(nowMillis).ifPresent(newest -> update.setNewestTables(newest.getValue())
-                .setNewestTablesHost(newest.getKey().host()));
-        mover.loadingModel().ifPresent(model -> {
-            update.setLoadingModel(model);
-            update.setLoadingMillis(engine.map(known -> mover.remainingMillis(known, current, nowMillis))
-                    .orElse(0L));
-        });
-        return update;
-    }
-
-    /** Returns the models that requests may be routed to: all models held except those being evicted. */
-    private List<HeldModel> routableModels(EngineReport current) {
-        return current.models().stream()
-                .filter(model -> !mover.modelsBeingEvicted().contains(model.name()))
-                .map(model -> new HeldModel(model.name(), new ArrayList<>(model.adapters())))
-                .toList();
+        report.ifPresent(current -> updates.sendDue(current, engine, EventLoop.nowMillis()));
     }
 
     /** Sends datagrams to other processes. */
