Log what marked the end of a stream

A stream that its replica cut and a whole one left the same line, so that the log could not tell an orderly close inside an event from one between events or from a reset. The reason of a stream's end now says whether only the close of its connection marked it, and how many bytes of an event were left over. What is forwarded does not change.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.net.ClientCall;
 import io.waxwingquay.net.ClientListener;
 import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.net.MessageHead;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.OptionalLong;
@@ -73,6 +74,13 @@
         return status;
     }
 
+    /** Returns how the stream ended, for logs: what marked its end, and how much of an event was left over. */
+    String describeStreamEnd() {
+        String end = MessageHead.isDelimitedByClose(fields) ? " until its connection closed" : "";
+        int leftoverBytes = splitter.incompleteEvent().length;
+        return leftoverBytes == 0 ? end : end + ", " + leftoverBytes + " bytes into an event";
+    }
+
     boolean isFinished() {
         return finished;
     }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -338,10 +338,12 @@
     void streamEnded(Attempt from, byte[] tail) {
         release(from);
         if (!stream.hasBegun()) {
-            end(responder.respond(from, tail), "answered by " + from.target().id() + " without an event");
+            end(
+                    responder.respond(from, tail),
+                    "answered by " + from.target().id() + " without an event" + from.describeStreamEnd());
             return;
         }
-        end(responder.endStream(from, tail), "streamed by " + from.target().id());
+        end(responder.endStream(from, tail), "streamed by " + from.target().id() + from.describeStreamEnd());
     }
 
     /** Handles an attempt that ended without a complete response. */
--- a/src/main/java/io/waxwingquay/net/MessageHead.java
+++ b/src/main/java/io/waxwingquay/net/MessageHead.java
@@ -54,6 +54,16 @@
         return endToEnd;
     }
 
+    /**
+     * Returns whether the end of the connection is the only mark of the end of a response.
+     *
+     * @param fields all fields of a response that has a body.
+     * @return whether the response has neither a length nor chunks.
+     */
+    public static boolean isDelimitedByClose(HttpFields fields) {
+        return !fields.contains(HttpHeader.CONTENT_LENGTH) && !fields.contains(HttpHeader.TRANSFER_ENCODING);
+    }
+
     /**
      * Returns the idle timeout that a peer announces in its {@code Keep-Alive} field.
      *
