Add tests that fail: a stream closed within an event looks complete

The stand-in of a replica can stream with neither a length nor chunks, so that only the close of its connection ends the answer; ServerExchange starts such responses. Two tests reproduce what callers saw and fail on the code as it is: a stream that an orderly close cuts within its fourth event reaches the caller as a whole answer with 'id: 4, data: ev' at its end, and one that is cut before or within its first event as 200 with a length. That a whole stream of this kind stays whole is tested too, and passes.

--- a/src/main/java/io/waxwingquay/net/ServerExchange.java
+++ b/src/main/java/io/waxwingquay/net/ServerExchange.java
@@ -106,11 +106,31 @@
     }
 
     /**
-     * Sends a part of the body of a chunked response.
+     * Starts a response with neither a length nor chunks, whose end is the end of its connection.
+     *
+     * @param status the HTTP status.
+     * @param fields the header fields.
+     */
+    public void beginUntilClose(int status, HttpFields fields) {
+        if (state != State.WAITING) {
+            return;
+        }
+        state = State.STREAMING_UNTIL_CLOSE;
+        ByteBuffer buffer = startHead(status, fields, 0);
+        finishHead(buffer, true);
+        connection.send(buffer.flip());
+    }
+
+    /**
+     * Sends a part of the body of a response that was started.
      *
      * @param bytes the part; consumed before this method returns.
      */
     public void write(ByteBuffer bytes) {
+        if (state == State.STREAMING_UNTIL_CLOSE) {
+            connection.send(bytes);
+            return;
+        }
         if (state != State.STREAMING || !bytes.hasRemaining()) {
             return;
         }
@@ -121,8 +141,13 @@
         connection.send(buffer.flip());
     }
 
-    /** Ends a chunked response as a complete one. */
+    /** Ends a response that was started as a complete one. */
     public void finish() {
+        if (state == State.STREAMING_UNTIL_CLOSE) {
+            state = State.ENDED;
+            connection.onResponseComplete(true);
+            return;
+        }
         if (state != State.STREAMING) {
             return;
         }
@@ -186,6 +211,7 @@
     private enum State {
         WAITING,
         STREAMING,
+        STREAMING_UNTIL_CLOSE,
         ENDED
     }
 }
--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -246,6 +246,22 @@
                 caller.finish();
             };
         }
+
+        /**
+         * Returns a behaviour that streams text with neither a length nor chunks, and then closes the connection in
+         * order. A client can tell a stream that was cut from a complete one by an incomplete last event only.
+         *
+         * @param text the text after the head.
+         * @return the behaviour.
+         */
+        static Behaviour streamUntilClose(String text) {
+            return (replica, caller) -> {
+                caller.beginUntilClose(
+                        OK, HttpFields.build(replica.responseFields(caller)).put("Content-Type", "text/event-stream"));
+                caller.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+                caller.finish();
+            };
+        }
     }
 
     /**
--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -140,6 +140,46 @@
         assertTrue(events(6).startsWith(answer.body()), answer.body());
     }
 
+    @Test
+    void streamThatOnlyTheCloseOfItsConnectionEndsIsComplete() throws Exception {
+        streamUntilClose(events(3));
+        Answer answer = deployment.ask("POST", "/live/1", "a30", MODEL, "");
+        assertTrue(answer.complete(), answer.body());
+        assertEquals(events(3), answer.body());
+    }
+
+    // Guards against a cut stream that looks complete: its engine crashed within an event, and the close of its
+    // connection was read as the end of a stream that has neither a length nor chunks.
+    @Test
+    void streamClosedWithinAnEventDoesNotLookComplete() throws Exception {
+        streamUntilClose(events(3) + "id: 4\ndata: ev");
+        Answer answer = deployment.ask("POST", "/live/1", "a31", MODEL, "");
+        assertFalse(answer.complete(), answer.body());
+        assertEquals(events(3), answer.body());
+        deployment.engine2.behaviour(Behaviour.stream(6, 0));
+        for (int number = 0; number < 3; number++) {
+            Answer resumed = deployment.ask("POST", "/s/1", "a32-" + number, MODEL, "");
+            assertTrue(resumed.complete(), resumed.body());
+            assertEquals(events(6), resumed.body());
+        }
+    }
+
+    // Guards against a cut stream that looks complete because nothing of it, or a part of its first event only, came
+    // before the close of its connection.
+    @Test
+    void streamClosedBeforeItsFirstEventIsAFailure() throws Exception {
+        for (String part : List.of("", "id: 1\nda")) {
+            streamUntilClose(part);
+            Answer answer = deployment.ask("POST", "/live/1", "a33-" + part.length(), MODEL, "");
+            assertEquals(502, answer.status());
+        }
+    }
+
+    private void streamUntilClose(String text) {
+        deployment.engine1.behaviour(Behaviour.streamUntilClose(text));
+        deployment.engine2.behaviour(Behaviour.streamUntilClose(text));
+    }
+
     @Test
     void adapterIsLoadedBeforeItsRequestIsSent() throws Exception {
         deployment.engine1.behaviour(Behaviour.stream(2, 0));
