Treat a stream that ends inside an event as cut, however it ends

Callers received streams that their engine had cut by a crash as whole answers: 200 with the engine's signature, a last chunk and half an event. An answer may have neither a length nor chunks and end with its connection; the crash closes that in order, and what was left of an event was passed on in front of the mark of a whole answer. Only a reset was told from an end.

Ruled out: a reset read as an orderly end (ClientPoolTest still holds it).

A stream whose end leaves an incomplete event, or that has no event at all and no other end than that of its connection, is now a failed attempt like a reset: it goes on at another engine where it may be resumed, and is aborted or answered 502 where not. A break before any part of the answer counts against the request as a suspect, as it does for a reset. This suffices because an event is passed on only once its blank line was read, and the end of a stream only between events. What an orderly close between two events cuts off can't be seen.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -36,6 +36,7 @@
     private boolean streaming;
     private boolean finished;
     private boolean bodyStarted;
+    private boolean eventReceived;
     private boolean provedHarmless;
     private long lastReceivedMillis = sentMillis;
 
@@ -76,7 +77,7 @@
 
     /** Returns how the stream ended, for logs: what marked its end, and how much of an event was left over. */
     String describeStreamEnd() {
-        String end = MessageHead.isDelimitedByClose(fields) ? " until its connection closed" : "";
+        String end = MessageHead.isDelimitedByClose(fields) ? ", ended by the close of its connection" : "";
         int leftoverBytes = splitter.incompleteEvent().length;
         return leftoverBytes == 0 ? end : end + ", " + leftoverBytes + " bytes into an event";
     }
@@ -159,26 +160,42 @@
             return;
         }
         finished = true;
+        if (streaming && isStreamCut()) {
+            broken(true, "its stream was cut" + describeStreamEnd());
+            return;
+        }
         if (status < SERVER_ERROR && !response.didNotRun()) {
             markHarmless();
         }
         if (streaming) {
-            exchange.streamEnded(this, splitter.incompleteEvent());
+            exchange.streamEnded(this);
         } else {
             exchange.answered(this, response, body.toByteArray());
         }
     }
 
+    /**
+     * Returns whether the stream ended before its last event. A replica that crashes may close its connection in order,
+     * which also ends a complete stream that has neither a length nor chunks.
+     */
+    private boolean isStreamCut() {
+        return !splitter.isBetweenEvents() || !eventReceived && MessageHead.isDelimitedByClose(fields);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void onFailure(boolean sent, String why) {
         if (!finished) {
             finished = true;
-            if (sent && !bodyStarted) {
-                exchange.suspicion().connectionBroke(target);
-            }
-            exchange.failed(this, sent, why);
+            broken(sent, why);
+        }
+    }
+
+    private void broken(boolean sent, String why) {
+        if (sent && !bodyStarted) {
+            exchange.suspicion().connectionBroke(target);
         }
+        exchange.failed(this, sent, why);
     }
 
     /** Records in the replica's history that it answered, and how long that took. */
@@ -194,6 +211,7 @@
 
     private void onEvent(byte[] bytes, OptionalLong id) {
         if (!finished) {
+            eventReceived = true;
             markHarmless();
             exchange.eventReceived(this, bytes, id);
         }
--- a/src/main/java/io/waxwingquay/forward/CallerResponder.java
+++ b/src/main/java/io/waxwingquay/forward/CallerResponder.java
@@ -50,8 +50,7 @@
         return caller.unsentBytes() <= MAX_UNSENT_BYTES;
     }
 
-    int endStream(Attempt from, byte[] tail) {
-        caller.write(ByteBuffer.wrap(tail));
+    int endStream(Attempt from) {
         caller.finish();
         return from.status();
     }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -19,6 +19,7 @@
 final class Exchange {
 
     private static final int SERVER_ERROR = 500;
+    private static final byte[] NO_BODY = {};
 
     /** Interval between two checks of a request that waits for a model or an adapter. */
     private static final long RECHECK_MILLIS = 30L;
@@ -335,15 +336,16 @@
         }
     }
 
-    void streamEnded(Attempt from, byte[] tail) {
+    /** Handles the end of a stream, which is not within an event. */
+    void streamEnded(Attempt from) {
         release(from);
         if (!stream.hasBegun()) {
             end(
-                    responder.respond(from, tail),
+                    responder.respond(from, NO_BODY),
                     "answered by " + from.target().id() + " without an event" + from.describeStreamEnd());
             return;
         }
-        end(responder.endStream(from, tail), "streamed by " + from.target().id() + from.describeStreamEnd());
+        end(responder.endStream(from), "streamed by " + from.target().id() + from.describeStreamEnd());
     }
 
     /** Handles an attempt that ended without a complete response. */
