Refuse an empty document where JSON is expected

The same cause as in streams that were cut: a reply without a length ends with its connection, and one that a crash closed before its body read as an empty document. An empty document has no field, so a reply of the store counted as a table without rows and the report of an engine as one of an engine that holds no model. The document is now an error, like one that was cut later; JsonFieldsTest failed before for the empty one and passed for the others.

--- a/src/main/java/io/waxwingquay/platform/JsonFields.java
+++ b/src/main/java/io/waxwingquay/platform/JsonFields.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.EOFException;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,8 +16,13 @@
 
     private JsonFields() {}
 
+    /** Reads a document; an empty one is an error, as a reply without a length may have been cut before its body. */
     static JsonNode read(byte[] bytes) throws IOException {
-        return MAPPER.readTree(bytes);
+        JsonNode document = MAPPER.readTree(bytes);
+        if (document.isMissingNode()) {
+            throw new EOFException("the document is empty");
+        }
+        return document;
     }
 
     static byte[] write(JsonNode node) {
