--- a/src/main/java/io/waxwingquay/fleet/TableWatch.java
+++ b/src/main/java/io/waxwingquay/fleet/TableWatch.java
@@ -43,6 +43,7 @@
     private long version;
     private long lastChangeVersion;
     private boolean snapshotRead;
+    private boolean staleSnapshotRead;
     private boolean reachable = true;
     private long retryDelayMillis = MIN_RETRY_MILLIS;
 
@@ -130,15 +131,30 @@
         snapshotRead = true;
         if (page.version() < version) {
             // A stale snapshot: the store is polled again once it may have caught up.
+            noteStaleSnapshot(page.version());
             loop.schedule(MIN_RETRY_MILLIS, this::start);
             return;
         }
+        staleSnapshotRead = false;
         version = page.version();
         lastChangeVersion = version;
         listener.onSnapshot(page);
         start();
     }
 
+    /** Logs the first of consecutive stale snapshots. */
+    private void noteStaleSnapshot(long staleVersion) {
+        if (!staleSnapshotRead) {
+            staleSnapshotRead = true;
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "fleet: stale snapshot passed over table={0} version={1} known={2}",
+                    name,
+                    staleVersion,
+                    version);
+        }
+    }
+
     private void onChangesRead(WatchedTable.Page<T> page, Throwable failure) {
         if (failure != null) {
             onCallFailed(failure);
