Let the stand-ins of engines answer streams with events

LeavingReplicaTest, RefusingReplicaTest and ClientAccountsTest were red since a stream that ends inside an event counts as cut: their engines answered a streaming route with a plain text, which has no blank line and so is half an event (LeavingReplicaTest, ClientAccountsTest: 502 where 200 is expected). The engines now answer with an event, which is what an engine sends; what the tests assert stays as it was.

--- a/src/test/java/io/waxwingquay/hosted/ClientAccountsTest.java
+++ b/src/test/java/io/waxwingquay/hosted/ClientAccountsTest.java
@@ -115,7 +115,7 @@
     void engineIsToldThePriorityOfTheAccountBeforeThatOfTheRoute() throws Exception {
         Behaviour capture = (engine, caller) -> {
             received.add(caller.request().fields());
-            caller.respond(200, engine.responseFields(caller), "ok");
+            Behaviour.stream(1, 0).run(engine, caller);
         };
         deployment.engine1.behaviour(capture);
         deployment.engine2.behaviour(capture);
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.standin.prepared.ReplicaStandin;
+import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
 import io.waxwingquay.standin.prepared.StoreStandin;
 import io.waxwingquay.testing.Await;
 import io.waxwingquay.testing.FreePorts;
@@ -54,10 +55,10 @@
     private final EventLoop processLoop = EventLoop.start("inside");
     private final int basePort = FreePorts.adjacent(PORT_COUNT, HOSTS);
     final StoreStandin store = StoreStandin.start(standinLoop, new HostPort("127.0.0.1", basePort));
-    final ReplicaStandin engine1 = startEngine("e1", "127.0.0.2", List.of("m"));
-    final ReplicaStandin engine2 = startEngine("e2", "127.0.0.3", List.of("m"));
-    final ReplicaStandin plain1 = startEngine("p1", "127.0.0.4", List.of());
-    final ReplicaStandin plain2 = startEngine("p2", "127.0.0.5", List.of());
+    final ReplicaStandin engine1 = startReplica("e1", "127.0.0.2", List.of("m"), Behaviour.stream(1, 0));
+    final ReplicaStandin engine2 = startReplica("e2", "127.0.0.3", List.of("m"), Behaviour.stream(1, 0));
+    final ReplicaStandin plain1 = startReplica("p1", "127.0.0.4", List.of(), Behaviour.ECHO);
+    final ReplicaStandin plain2 = startReplica("p2", "127.0.0.5", List.of(), Behaviour.ECHO);
     private final HostedProcess entry;
 
     HostedDeployment() throws Exception {
@@ -238,9 +239,8 @@
         standinLoop.close();
     }
 
-    private ReplicaStandin startEngine(String id, String host, List<String> models) {
-        return ReplicaStandin.start(
-                standinLoop, id, new HostPort(host, basePort + 1), models, ReplicaStandin.Behaviour.ECHO);
+    private ReplicaStandin startReplica(String id, String host, List<String> models, Behaviour behaviour) {
+        return ReplicaStandin.start(standinLoop, id, new HostPort(host, basePort + 1), models, behaviour);
     }
 
     private HostSettings entrySettings(String host, HostPort storeAddress, List<String> seeds) {
