--- a/src/main/java/io/waxwingquay/standin/prepared/StoreStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/StoreStandin.java
@@ -35,6 +35,7 @@
     private final List<LongPoll> longPolls = new ArrayList<>();
     private long version;
     private long historyStartVersion;
+    private long era = 1;
     private boolean unavailable;
 
     private StoreStandin(EventLoop loop, HostPort address) {
@@ -94,6 +95,40 @@
         });
     }
 
+    /**
+     * Returns a copy of all rows, from which the store can be restored later.
+     *
+     * @return the copy.
+     */
+    public Copy copy() {
+        CompletableFuture<Copy> copied = new CompletableFuture<>();
+        loop.execute(() -> copied.complete(new Copy(version, copyOf(tables))));
+        return copied.join();
+    }
+
+    /**
+     * Restores the store from a copy: all that was written since is lost, versions go back to that of the copy and are
+     * given out again, and calls that wait for changes are not answered. The era rises by one.
+     *
+     * @param copy the copy.
+     */
+    public void restore(Copy copy) {
+        runOnLoop(() -> {
+            era++;
+            version = copy.version;
+            tables.clear();
+            tables.putAll(copyOf(copy.tables));
+            longPolls.forEach(poll -> poll.caller.abort());
+            longPolls.clear();
+        });
+    }
+
+    private static Map<String, TreeMap<String, Row>> copyOf(Map<String, TreeMap<String, Row>> tables) {
+        Map<String, TreeMap<String, Row>> copy = new HashMap<>();
+        tables.forEach((name, rows) -> copy.put(name, new TreeMap<>(rows)));
+        return copy;
+    }
+
     /**
      * Sets whether the store answers every call as unavailable.
      *
@@ -123,19 +158,19 @@
 
     private void handle(ServerExchange caller) {
         if (unavailable) {
-            caller.respond(UNAVAILABLE, HttpFields.EMPTY, "away");
+            respond(caller, UNAVAILABLE, "away");
             return;
         }
         Map<String, String> query = parseQuery(caller.request().target());
         if (caller.request().path().equals("/rows-get")) {
-            caller.respond(OK, HttpFields.EMPTY, page(rowsAfter(query.get("table"), 0, false)));
+            respond(caller, OK, page(rowsAfter(query.get("table"), 0, false)));
             return;
         }
         LongPoll poll = new LongPoll(caller, query.get("table"), Long.parseLong(query.get("after")));
         longPolls.add(poll);
         loop.schedule(Long.parseLong(query.get("wait_ms")), () -> {
             if (longPolls.remove(poll)) {
-                caller.respond(OK, HttpFields.EMPTY, page(List.of()));
+                respond(caller, OK, page(List.of()));
             }
         });
         completeReadyPolls();
@@ -145,9 +180,9 @@
     private void completeReadyPolls() {
         new ArrayList<>(longPolls).forEach(poll -> {
             List<Row> changed = rowsAfter(poll.table, poll.after, true);
-            if (unavailable || poll.after < historyStartVersion || !changed.isEmpty()) {
+            if (unavailable || !hasHistory(poll) || !changed.isEmpty()) {
                 longPolls.remove(poll);
-                poll.caller.respond(status(poll), HttpFields.EMPTY, page(changed));
+                respond(poll.caller, status(poll), page(changed));
             }
         });
     }
@@ -156,7 +191,16 @@
         if (unavailable) {
             return UNAVAILABLE;
         }
-        return poll.after < historyStartVersion ? GONE : OK;
+        return hasHistory(poll) ? OK : GONE;
+    }
+
+    /** Returns whether all changes after a version are known, which is not so for one that was not given out yet. */
+    private boolean hasHistory(LongPoll poll) {
+        return poll.after >= historyStartVersion && poll.after <= version;
+    }
+
+    private void respond(ServerExchange caller, int status, String body) {
+        caller.respond(status, HttpFields.build().put("Store-Era", Long.toString(era)), body);
     }
 
     private List<Row> rowsAfter(String table, long after, boolean withDeleted) {
@@ -189,6 +233,18 @@
         return pairs;
     }
 
+    /** All rows as of one version. */
+    public static final class Copy {
+
+        private final long version;
+        private final Map<String, TreeMap<String, Row>> tables;
+
+        private Copy(long version, Map<String, TreeMap<String, Row>> tables) {
+            this.version = version;
+            this.tables = tables;
+        }
+    }
+
     private record Row(String key, String value, long version, boolean deleted) {}
 
     private record LongPoll(ServerExchange caller, String table, long after) {}
