Compare versions of the store on the same timeline only

Callers were refused with 404 on routes that had been added, and served on routes that had been removed, for up to 5.4 s after the operator's change was acknowledged; requests reached replicas 2.1 to 2.3 s after they had said that they leave. Once the counter had passed it, changes with lower numbers were never read.

Ruled out: calls that the store held (all were answered at once) and rows that came late (they are read as soon as the number passes).

The store names its era in each answer. The versions of the replica list that processes tell each other and the copies that they hand out name the timeline too. This suffices because no process compares numbers of two timelines any more, and the era is in every answer, also where the counter has already passed.

--- a/src/main/java/io/waxwingquay/fleet/PeerTableReader.java
+++ b/src/main/java/io/waxwingquay/fleet/PeerTableReader.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Reads a table from a peer process when the local copy is stale and the store does not deliver the newer version.
@@ -18,8 +19,9 @@
  * an older version.
  *
  * @param <T> the type of a row's value.
+ * @param <V> the type of a version.
  */
-public final class PeerTableReader<T> {
+public final class PeerTableReader<T, V extends Comparable<V>> {
 
     /** Pause between two reads, since the next peer may not have the newer version either. */
     private static final long RETRY_INTERVAL_MILLIS = 600L;
@@ -29,11 +31,12 @@
     private final String name;
     private final LongSupplier stalenessLimitMillis;
     private final Function<HostPort, WatchedTable<T>> tableAtPeer;
-    private final LongSupplier ownVersion;
+    private final V noVersion;
+    private final Supplier<V> ownVersion;
     private final Consumer<WatchedTable.Page<T>> pageConsumer;
     private final List<HostPort> seeds = new ArrayList<>();
     private Optional<HostPort> newestPeer = Optional.empty();
-    private long newestVersion;
+    private V newestVersion;
     private long staleSinceMillis = Long.MAX_VALUE;
     private long nextReadMillis = Long.MIN_VALUE;
     private int nextSeedIndex;
@@ -46,18 +49,22 @@
      * @param stalenessLimitMillis how long this process may be stale before it reads from a peer: the normal
      *     propagation time of the store, and 0 while the store is unreachable.
      * @param tableAtPeer opens the table as a peer holds it.
-     * @param ownVersion the version that this process holds, 0 if none.
+     * @param noVersion the version of a process that holds none; older than any other.
+     * @param ownVersion the version that this process holds.
      * @param pageConsumer receives the rows read from a peer.
      */
     public PeerTableReader(
             String name,
             LongSupplier stalenessLimitMillis,
             Function<HostPort, WatchedTable<T>> tableAtPeer,
-            LongSupplier ownVersion,
+            V noVersion,
+            Supplier<V> ownVersion,
             Consumer<WatchedTable.Page<T>> pageConsumer) {
         this.name = name;
         this.stalenessLimitMillis = stalenessLimitMillis;
         this.tableAtPeer = tableAtPeer;
+        this.noVersion = noVersion;
+        this.newestVersion = noVersion;
         this.ownVersion = ownVersion;
         this.pageConsumer = pageConsumer;
     }
@@ -77,8 +84,8 @@
      * @param version the version that the peer holds.
      * @param peer the address at which it answers.
      */
-    public void recordPeerVersion(long version, HostPort peer) {
-        if (version > newestVersion) {
+    public void recordPeerVersion(V version, HostPort peer) {
+        if (version.compareTo(newestVersion) > 0) {
             newestVersion = version;
             newestPeer = Optional.of(peer);
         }
@@ -90,8 +97,8 @@
      * @param nowMillis the current monotonic time.
      */
     public void readIfStale(long nowMillis) {
-        long own = ownVersion.getAsLong();
-        if (own > 0 && own >= newestVersion) {
+        V own = ownVersion.get();
+        if (own.compareTo(noVersion) > 0 && own.compareTo(newestVersion) >= 0) {
             staleSinceMillis = Long.MAX_VALUE;
             return;
         }
@@ -119,7 +126,7 @@
                         peer,
                         failure.getMessage());
                 newestPeer = Optional.empty();
-                newestVersion = 0;
+                newestVersion = noVersion;
                 return;
             }
             LOG.log(
@@ -127,10 +134,10 @@
                     "fleet: copy read table={0} from={1} version={2}",
                     name,
                     peer,
-                    Long.toString(page.version()));
+                    page.version());
             pageConsumer.accept(page);
             // The announcement counts as delivered, so that the same one does not cause another read.
-            newestVersion = ownVersion.getAsLong();
+            newestVersion = ownVersion.get();
         });
     }
 }
--- a/src/main/java/io/waxwingquay/fleet/TableWatch.java
+++ b/src/main/java/io/waxwingquay/fleet/TableWatch.java
@@ -40,8 +40,8 @@
     private final WatchedTable<T> table;
     private final Listener<T> listener;
     private final long coalesceMillis;
-    private long version;
-    private long lastChangeVersion;
+    private StoreVersion version = StoreVersion.NONE;
+    private StoreVersion lastChangeVersion = StoreVersion.NONE;
     private boolean snapshotRead;
     private boolean staleSnapshotRead;
     private boolean reachable = true;
@@ -88,9 +88,9 @@
     /**
      * Returns the latest version of the store that is known here.
      *
-     * @return the version, 0 before the first snapshot.
+     * @return the version, {@link StoreVersion#NONE} before the first snapshot.
      */
-    public long version() {
+    public StoreVersion version() {
         return version;
     }
 
@@ -99,9 +99,9 @@
      * was adopted from a peer counts too. The store's {@link #version} also advances with other tables, so it does not
      * show whether another process has missed a change.
      *
-     * @return the version, 0 before the first snapshot.
+     * @return the version, {@link StoreVersion#NONE} before the first snapshot.
      */
-    public long lastChangeVersion() {
+    public StoreVersion lastChangeVersion() {
         return lastChangeVersion;
     }
 
@@ -112,9 +112,10 @@
      * @param page all rows that the peer could parse.
      */
     public void adopt(WatchedTable.Page<T> page) {
-        if (page.version() <= version) {
+        if (!page.version().isNewerThan(version)) {
             return;
         }
+        noteRestore(page.version());
         version = page.version();
         lastChangeVersion = version;
         snapshotRead = true;
@@ -129,13 +130,14 @@
         }
         onCallSucceeded();
         snapshotRead = true;
-        if (page.version() < version) {
+        if (version.isNewerThan(page.version())) {
             // A stale snapshot: the store is polled again once it may have caught up.
             noteStaleSnapshot(page.version());
             loop.schedule(MIN_RETRY_MILLIS, this::start);
             return;
         }
         staleSnapshotRead = false;
+        noteRestore(page.version());
         version = page.version();
         lastChangeVersion = version;
         listener.onSnapshot(page);
@@ -143,7 +145,7 @@
     }
 
     /** Logs the first of consecutive stale snapshots. */
-    private void noteStaleSnapshot(long staleVersion) {
+    private void noteStaleSnapshot(StoreVersion staleVersion) {
         if (!staleSnapshotRead) {
             staleSnapshotRead = true;
             LOG.log(
@@ -155,14 +157,29 @@
         }
     }
 
+    /** Notes whether the store was restored from an older copy since the known version. */
+    private void noteRestore(StoreVersion newVersion) {
+        if (!version.equals(StoreVersion.NONE) && newVersion.isOnLaterTimelineThan(version)) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "fleet: store restored from a copy table={0} version={1} known={2}",
+                    name,
+                    newVersion,
+                    version);
+            listener.onHistoryLost();
+        }
+    }
+
     private void onChangesRead(WatchedTable.Page<T> page, Throwable failure) {
         if (failure != null) {
             onCallFailed(failure);
             return;
         }
         onCallSucceeded();
-        boolean isStale = page.version() < version;
-        version = Math.max(version, page.version());
+        boolean isStale = version.isNewerThan(page.version());
+        if (!isStale) {
+            version = page.version();
+        }
         if (page.rows().isEmpty() || isStale) {
             start();
             return;
@@ -227,7 +244,10 @@
          */
         default void onReachabilityChanged(boolean reachable) {}
 
-        /** Rows may be missing from the next snapshot: the store dropped its history, or a peer read the snapshot. */
+        /**
+         * Rows may be missing from the next snapshot: the store dropped its history or was restored from an older copy,
+         * or a peer read the snapshot.
+         */
         default void onHistoryLost() {}
     }
 }
--- a/src/main/java/io/waxwingquay/fleet/WatchedTable.java
+++ b/src/main/java/io/waxwingquay/fleet/WatchedTable.java
@@ -25,9 +25,9 @@
      * @param version the version after which changes are wanted.
      * @param waitMillis how long the store waits for a change.
      * @return the changes in order, possibly none; fails with {@link StoreException.HistoryLost} if the store no longer
-     *     has all of them.
+     *     has all of them, or was restored since that version.
      */
-    CompletableFuture<Page<T>> changesAfter(long version, long waitMillis);
+    CompletableFuture<Page<T>> changesAfter(StoreVersion version, long waitMillis);
 
     /**
      * Rows as of one version.
@@ -36,7 +36,7 @@
      * @param version the version.
      * @param rows the rows.
      */
-    record Page<T>(long version, List<Row<T>> rows) {}
+    record Page<T>(StoreVersion version, List<Row<T>> rows) {}
 
     /**
      * A row of a table.
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.fleet.PeerTableReader;
 import io.waxwingquay.fleet.ReplicaDirectory;
 import io.waxwingquay.fleet.ReplicaRecord;
+import io.waxwingquay.fleet.StoreVersion;
 import io.waxwingquay.fleet.TableWatch;
 import io.waxwingquay.fleet.WatchedTable;
 import io.waxwingquay.forward.EngineNotifier;
@@ -90,8 +91,8 @@
     private final PreparedPlatform platform;
     private final TableWatch<Manifest> configurationWatch;
     private final TableWatch<ReplicaRecord> replicaWatch;
-    private final PeerTableReader<Manifest> configurationCopies;
-    private final PeerTableReader<ReplicaRecord> replicaCopies;
+    private final PeerTableReader<Manifest, Long> configurationCopies;
+    private final PeerTableReader<ReplicaRecord, StoreVersion> replicaCopies;
     private boolean urgentUpdateScheduled;
     private boolean spendingReportScheduled;
     private boolean waitingCheckScheduled;
@@ -130,12 +131,14 @@
                 "configuration",
                 () -> configurationWatch.isReachable() ? MAX_CONFIGURATION_LAG_MILLIS : 0,
                 platform::configurationTableAt,
+                0L,
                 this::configurationVersion,
                 configurationWatch::adopt);
         this.replicaCopies = new PeerTableReader<>(
                 "replicas",
                 () -> replicaWatch.isReachable() ? replicaBatchMillis() + REPLICA_LAG_MARGIN_MILLIS : 0,
                 platform::replicaTableAt,
+                StoreVersion.NONE,
                 replicaWatch::version,
                 replicaWatch::adopt);
         adminServer.tableCopies(platform::encodedCopy);
@@ -228,14 +231,18 @@
     private void onTableVersions(EngineNews update) {
         if (update.isSetNewestTables() && update.isSetNewestTablesHost()) {
             HostPort holder = adminAddressOf(update.getNewestTablesHost());
-            configurationCopies.recordPeerVersion(update.getNewestTables().getConfiguration(), holder);
-            replicaCopies.recordPeerVersion(update.getNewestTables().getReplicaList(), holder);
+            TableVersions newest = update.getNewestTables();
+            configurationCopies.recordPeerVersion(newest.getConfiguration(), holder);
+            replicaCopies.recordPeerVersion(
+                    new StoreVersion(newest.getReplicaListTimeline(), newest.getReplicaList()), holder);
         }
     }
 
     private void sendUpdates() {
         updateSpendingReceivers();
-        TableVersions versions = new TableVersions(configurationVersion(), replicaWatch.lastChangeVersion());
+        StoreVersion replicaList = replicaWatch.lastChangeVersion();
+        TableVersions versions =
+                new TableVersions(configurationVersion(), replicaList.number(), replicaList.timeline());
         List<SuspectNews> suspectPage = suspects.nextUpdate();
         forwarder
                 .entryUpdates(settings.vmName())
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -66,6 +66,9 @@
      */
     private static final String RETRY_AFTER = "Retry-After";
 
+    /** In all answers of the store: a number that rises by one each time that it is restored from an older copy. */
+    private static final String STORE_ERA = "Store-Era";
+
     /** Fields that only this system may set; those sent by a client must not reach a replica. */
     private static final List<String> RESERVED_FIELDS = List.of(
             TARGET_REPLICA,
@@ -154,6 +157,17 @@
                 status == SERVICE_UNAVAILABLE ? parseDelayMillis(fields.get(RETRY_AFTER)) : OptionalLong.empty());
     }
 
+    /** Returns the timeline of the store that an answer of it names; 0 if it names none that can be read. */
+    static long storeTimeline(HttpFields fields) {
+        String era = fields.get(STORE_ERA);
+        try {
+            return era == null ? 0L : Long.parseLong(era.trim());
+        } catch (NumberFormatException failure) {
+            // A store without a readable number counts as one that is never restored.
+            return 0L;
+        }
+    }
+
     /** Returns whether an answer of a replica, to whatever was sent to it, announces that it is about to leave. */
     static boolean announcesLeaving(HttpFields fields) {
         return Optional.ofNullable(fields.get(SERVER_LEAVING))
--- a/src/main/java/io/waxwingquay/platform/StoreTable.java
+++ b/src/main/java/io/waxwingquay/platform/StoreTable.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.waxwingquay.fleet.StoreException;
+import io.waxwingquay.fleet.StoreVersion;
 import io.waxwingquay.fleet.WatchedTable;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -40,41 +41,56 @@
     /** {@inheritDoc} */
     @Override
     public CompletableFuture<Page<T>> readAll() {
-        return readFrom("", new ArrayList<>());
+        return readFrom("", new ArrayList<>(), Optional.empty());
     }
 
     /** {@inheritDoc} */
     @Override
-    public CompletableFuture<Page<T>> changesAfter(long version, long waitMillis) {
-        String target = "/rows-feed?table=" + name + "&after=" + version + "&wait_ms=" + waitMillis;
+    public CompletableFuture<Page<T>> changesAfter(StoreVersion version, long waitMillis) {
+        String target = "/rows-feed?table=" + name + "&after=" + version.number() + "&wait_ms=" + waitMillis;
         return store.get(target, waitMillis).thenApply(reply -> {
             if (reply.status() == GONE) {
                 throw new StoreException.HistoryLost(name);
             }
             JsonNode body = body(reply);
             List<JsonNode> changes = JsonFields.list(body, "rows");
-            long newVersion = JsonFields.longOr(body, "ver", version);
+            StoreVersion newVersion = version(reply, body, version.number());
+            if (newVersion.isOnLaterTimelineThan(version)) {
+                // These are the changes after the same number on another timeline, so others may be missing.
+                throw new StoreException.HistoryLost(name);
+            }
             copy.applyChanges(newVersion, changes);
             return new Page<>(newVersion, rows(changes));
         });
     }
 
-    private CompletableFuture<Page<T>> readFrom(String from, List<JsonNode> rowsSoFar) {
+    private CompletableFuture<Page<T>> readFrom(
+            String from, List<JsonNode> rowsSoFar, Optional<StoreVersion> previousPage) {
         String target =
                 "/rows-get?table=" + name + "&part=&limit=" + PAGE_ROWS + (from.isEmpty() ? "" : "&from=" + from);
         return store.get(target, 0).thenCompose(reply -> {
             JsonNode body = body(reply);
+            StoreVersion version = version(reply, body, 0L);
+            if (previousPage.filter(version::isOnLaterTimelineThan).isPresent()) {
+                throw new StoreException("the store was restored while table " + name + " was read");
+            }
             rowsSoFar.addAll(JsonFields.list(body, "rows"));
             if (!body.path("has_more").asBoolean(false) || rowsSoFar.isEmpty()) {
-                long version = JsonFields.longOr(body, "ver", 0L);
                 copy.replaceAll(version, rowsSoFar);
                 return CompletableFuture.completedFuture(new Page<>(version, rows(rowsSoFar)));
             }
             // Keys are in byte order; the next page starts directly after the last key.
-            return readFrom(rowsSoFar.get(rowsSoFar.size() - 1).path("key").asText() + "%00", rowsSoFar);
+            return readFrom(
+                    rowsSoFar.get(rowsSoFar.size() - 1).path("key").asText() + "%00", rowsSoFar, Optional.of(version));
         });
     }
 
+    /** Returns the version of a reply of the store, or of the copy of a process, which names its timeline in the body. */
+    private static StoreVersion version(PlatformClient.Reply reply, JsonNode body, long fallbackNumber) {
+        long timeline = JsonFields.longOr(body, TableCopy.TIMELINE, HeaderCodec.storeTimeline(reply.fields()));
+        return new StoreVersion(timeline, JsonFields.longOr(body, "ver", fallbackNumber));
+    }
+
     private JsonNode body(PlatformClient.Reply reply) {
         if (reply.status() != OK) {
             throw new StoreException("table " + name + " was answered with status " + reply.status());
--- a/src/main/java/io/waxwingquay/platform/TableCopy.java
+++ b/src/main/java/io/waxwingquay/platform/TableCopy.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.waxwingquay.fleet.StoreVersion;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,12 +15,15 @@
  */
 final class TableCopy {
 
+    /** The field of a copy that names the timeline of the store, which the store itself names in a header. */
+    static final String TIMELINE = "timeline";
+
     private final Map<String, JsonNode> rows = new LinkedHashMap<>();
-    private long version;
+    private StoreVersion version = StoreVersion.NONE;
 
     /** Replaces all rows with those read as of a version; an older version has no effect. */
-    void replaceAll(long newVersion, List<JsonNode> newRows) {
-        if (newVersion < version) {
+    void replaceAll(StoreVersion newVersion, List<JsonNode> newRows) {
+        if (version.isNewerThan(newVersion)) {
             return;
         }
         rows.clear();
@@ -27,8 +31,8 @@
     }
 
     /** Applies changed and deleted rows; an older version has no effect. */
-    void applyChanges(long newVersion, List<JsonNode> changes) {
-        if (newVersion < version) {
+    void applyChanges(StoreVersion newVersion, List<JsonNode> changes) {
+        if (version.isNewerThan(newVersion)) {
             return;
         }
         version = newVersion;
@@ -43,13 +47,14 @@
 
     /** Encodes all rows as one page; empty before the table was read. */
     Optional<byte[]> encode() {
-        if (version == 0) {
+        if (version.equals(StoreVersion.NONE)) {
             return Optional.empty();
         }
         ObjectNode page = JsonFields.MAPPER.createObjectNode();
         ArrayNode list = page.putArray("rows");
         rows.values().forEach(list::add);
-        page.put("ver", version);
+        page.put(TIMELINE, version.timeline());
+        page.put("ver", version.number());
         page.put("has_more", false);
         return Optional.of(JsonFields.write(page));
     }
--- a/src/main/java/io/waxwingquay/residency/PeerUpdates.java
+++ b/src/main/java/io/waxwingquay/residency/PeerUpdates.java
@@ -153,7 +153,9 @@
         return entries.entrySet().stream()
                 .filter(entry -> entry.getValue().update.isSetTables())
                 .map(entry -> Map.entry(entry.getKey(), entry.getValue().update.getTables()))
-                .max(Comparator.comparing(Map.Entry::getValue));
+                .max(Map.Entry.comparingByValue(Comparator.comparingLong(TableVersions::getConfiguration)
+                        .thenComparingLong(TableVersions::getReplicaListTimeline)
+                        .thenComparingLong(TableVersions::getReplicaList)));
     }
 
     Set<String> adaptersInUse(long nowMillis) {
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -256,10 +256,14 @@
   2: list<string> adapters
 }
 
-/** Which versions of the platform's tables an entry has. One that the store turns away can read them there. */
+/**
+ * Which versions of the platform's tables an entry has. One that the store turns away can read them there. Versions of
+ * the replica list are comparable on the same timeline only, which ends when the store is restored from a copy.
+ */
 struct TableVersions {
   1: i64 configuration,
-  2: i64 replicaList
+  2: i64 replicaList,
+  3: i64 replicaListTimeline
 }
 
 /**
--- a/src/test/java/io/waxwingquay/fleet/PeerTableReaderTest.java
+++ b/src/test/java/io/waxwingquay/fleet/PeerTableReaderTest.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.common.HostPort;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 
@@ -16,24 +17,25 @@
 
     private final List<HostPort> peersRead = new ArrayList<>();
     private long stalenessLimitMillis = 500;
-    private long ownVersion;
-    private long copyVersion = 7;
-    private final PeerTableReader<String> reader = new PeerTableReader<>(
+    private StoreVersion ownVersion = StoreVersion.NONE;
+    private Optional<StoreVersion> copyVersion = Optional.of(version(7));
+    private final PeerTableReader<String, StoreVersion> reader = new PeerTableReader<>(
             "test",
             () -> stalenessLimitMillis,
             this::tableAt,
+            StoreVersion.NONE,
             () -> ownVersion,
-            page -> ownVersion = Math.max(ownVersion, page.version()));
+            page -> ownVersion = page.version().isNewerThan(ownVersion) ? page.version() : ownVersion);
 
     // The store delivers a newer version to all processes at about the same time. A process that is stale only briefly
     // must not read from its peers each time.
     @Test
     void briefStalenessIsLeftToStore() {
-        ownVersion = 6;
-        reader.recordPeerVersion(7, OTHER);
+        ownVersion = version(6);
+        reader.recordPeerVersion(version(7), OTHER);
         reader.readIfStale(0);
         reader.readIfStale(400);
-        ownVersion = 7;
+        ownVersion = version(7);
         reader.readIfStale(600);
         reader.readIfStale(2_000);
         assertTrue(peersRead.isEmpty());
@@ -41,12 +43,12 @@
 
     @Test
     void newerVersionIsReadFromPeer() {
-        ownVersion = 6;
-        reader.recordPeerVersion(7, OTHER);
+        ownVersion = version(6);
+        reader.recordPeerVersion(version(7), OTHER);
         reader.readIfStale(0);
         reader.readIfStale(500);
         assertEquals(List.of(OTHER), peersRead);
-        assertEquals(7, ownVersion);
+        assertEquals(version(7), ownVersion);
         reader.readIfStale(5_000);
         assertEquals(1, peersRead.size());
     }
@@ -54,9 +56,9 @@
     // Guards against requests to replicas that left while the store rejected this entry.
     @Test
     void newerVersionIsReadAtOnceWhileStoreIsUnreachable() {
-        ownVersion = 6;
+        ownVersion = version(6);
         stalenessLimitMillis = 0;
-        reader.recordPeerVersion(7, OTHER);
+        reader.recordPeerVersion(version(7), OTHER);
         reader.readIfStale(0);
         assertEquals(List.of(OTHER), peersRead);
     }
@@ -72,32 +74,51 @@
     // The peer that announced the version is gone when it is asked. The reader waits until another peer announces it.
     @Test
     void unresponsivePeerIsForgotten() {
-        ownVersion = 6;
-        copyVersion = -1;
-        reader.recordPeerVersion(7, OTHER);
+        ownVersion = version(6);
+        copyVersion = Optional.empty();
+        reader.recordPeerVersion(version(7), OTHER);
         reader.readIfStale(0);
         reader.readIfStale(500);
         reader.readIfStale(5_000);
         assertEquals(1, peersRead.size());
-        copyVersion = 7;
-        reader.recordPeerVersion(7, SEED);
+        copyVersion = Optional.of(version(7));
+        reader.recordPeerVersion(version(7), SEED);
         reader.readIfStale(6_000);
         reader.readIfStale(6_500);
         assertEquals(List.of(OTHER, SEED), peersRead);
     }
 
+    // Guards against a process that the store turns away and that waits for its old versions to be passed, although its
+    // peers have read the restored store, whose numbers are lower.
+    @Test
+    void versionOfALaterTimelineIsReadThoughItsNumberIsLower() {
+        ownVersion = version(6);
+        StoreVersion restored = new StoreVersion(2, 3);
+        copyVersion = Optional.of(restored);
+        reader.recordPeerVersion(restored, OTHER);
+        reader.recordPeerVersion(version(8), SEED);
+        reader.readIfStale(0);
+        reader.readIfStale(500);
+        assertEquals(List.of(OTHER), peersRead);
+        assertEquals(restored, ownVersion);
+    }
+
+    private static StoreVersion version(long number) {
+        return new StoreVersion(1, number);
+    }
+
     private WatchedTable<String> tableAt(HostPort process) {
         peersRead.add(process);
         return new WatchedTable<>() {
             @Override
             public CompletableFuture<Page<String>> readAll() {
-                return copyVersion < 0
-                        ? CompletableFuture.failedFuture(new StoreException("gone"))
-                        : CompletableFuture.completedFuture(new Page<>(copyVersion, List.of()));
+                return copyVersion
+                        .map(version -> CompletableFuture.completedFuture(new Page<String>(version, List.of())))
+                        .orElseGet(() -> CompletableFuture.failedFuture(new StoreException("gone")));
             }
 
             @Override
-            public CompletableFuture<Page<String>> changesAfter(long version, long waitMillis) {
+            public CompletableFuture<Page<String>> changesAfter(StoreVersion version, long waitMillis) {
                 return CompletableFuture.failedFuture(new StoreException("changes are not read from a peer"));
             }
         };
--- a/src/test/java/io/waxwingquay/fleet/ReplicaDirectoryTest.java
+++ b/src/test/java/io/waxwingquay/fleet/ReplicaDirectoryTest.java
@@ -94,7 +94,7 @@
 
     @SafeVarargs
     private static WatchedTable.Page<ReplicaRecord> page(WatchedTable.Row<ReplicaRecord>... rows) {
-        return new WatchedTable.Page<>(1, List.of(rows));
+        return new WatchedTable.Page<>(new StoreVersion(1, 1), List.of(rows));
     }
 
     private static WatchedTable.Row<ReplicaRecord> row(String id) {
--- a/src/test/java/io/waxwingquay/fleet/TableWatchTest.java
+++ b/src/test/java/io/waxwingquay/fleet/TableWatchTest.java
@@ -78,7 +78,11 @@
         return Optional.ofNullable(calls.poll(30, TimeUnit.SECONDS)).orElseThrow();
     }
 
-    private static WatchedTable.Page<String> page(long version, String value) {
+    private static WatchedTable.Page<String> page(long number, String value) {
+        return page(new StoreVersion(1, number), value);
+    }
+
+    private static WatchedTable.Page<String> page(StoreVersion version, String value) {
         return new WatchedTable.Page<>(version, List.of(new WatchedTable.Row<>("key", Optional.of(value))));
     }
 
@@ -92,7 +96,7 @@
         }
 
         @Override
-        public CompletableFuture<Page<String>> changesAfter(long version, long waitMillis) {
+        public CompletableFuture<Page<String>> changesAfter(StoreVersion version, long waitMillis) {
             CompletableFuture<Page<String>> answer = new CompletableFuture<>();
             CompletableFuture<Page<String>> onLoop = new CompletableFuture<>();
             answer.whenComplete((page, failure) -> loop.execute(() -> {
--- a/src/test/java/io/waxwingquay/hosted/RestoredStoreTest.java
+++ b/src/test/java/io/waxwingquay/hosted/RestoredStoreTest.java
@@ -34,8 +34,7 @@
         deployment.store.restore(copyBeforeLostWrites());
         deployment.configure(2);
         deployment.configure(3, "/added/");
-        Await.until(() ->
-                deployment.ask("POST", "/added/1", "r1", "", "x").status() == 200);
+        Await.until(() -> deployment.ask("POST", "/added/1", "r1", "", "x").status() == 200);
     }
 
     // Guards against a change that is never seen, because the store gave out its version before it was restored, and
