Keep what is known of a replica against older rows of a restored store

A replica that had said that it leaves was called ready again, one that was gone was listed again, and the row of an earlier incarnation took the place of the known one, each until the replica wrote again or its row expired.

An incarnation that was draining stays so, as none goes back to being ready. A removed incarnation, or the predecessor of a known one, is listed only by a row whose number is higher than that of the last row known: rows in the copy keep their numbers, and a replica that lives writes its row again. A removed replica is remembered for a minute. Not covered: a replica whose row was written and removed after the copy was made, and which then writes again under a number that is not higher; it is listed at its next change.

--- a/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
+++ b/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
@@ -18,17 +18,29 @@
  * departure: all replicas are removed at once and every request is rejected. So an unlisted replica is removed only
  * once {@link #UNLISTED_GRACE_MILLIS} have passed since the recovery; at other times it is removed at once. The
  * listener is told immediately that a row is unlisted, since the replica may have left.
+ *
+ * <p>A store that was restored from an older copy lists rows as they were then. Symptom if each were believed: requests
+ * reach replicas that have left or said that they leave. So an incarnation that was draining stays draining, and neither
+ * a removed incarnation nor the predecessor of a known one is listed by a row that is not newer than the last one known;
+ * a replica that lives writes its row again, under a new version.
  */
 public final class ReplicaDirectory implements TableWatch.Listener<ReplicaRecord> {
 
     /** How long rows that expired in an outage may take to reappear: the platform's two seconds and a margin. */
     public static final long UNLISTED_GRACE_MILLIS = 2_300L;
 
+    /**
+     * How long a removed replica is remembered: longer than a copy of the store is old and than a row stays listed whose
+     * replica is gone.
+     */
+    private static final long DEPARTURE_RETENTION_MILLIS = 60_000L;
+
     private static final System.Logger LOG = System.getLogger("waxwingquay.fleet");
 
     private final LongSupplier clockMillis;
     private final Listener listener;
-    private final Map<String, ReplicaRecord> recordsById = new HashMap<>();
+    private final Map<String, Listed> listedById = new HashMap<>();
+    private final Map<String, Departed> departedById = new HashMap<>();
     private final Map<String, Long> unlistedSinceMillis = new HashMap<>();
     private boolean reachable = true;
     private boolean snapshotReceived;
@@ -60,7 +72,7 @@
      * @return all replicas that are assumed to exist, including draining ones.
      */
     public Collection<ReplicaRecord> replicas() {
-        return List.copyOf(recordsById.values());
+        return listedById.values().stream().map(Listed::record).toList();
     }
 
     /**
@@ -79,9 +91,9 @@
         Set<String> present = new HashSet<>();
         page.rows().forEach(row -> row.value().ifPresent(record -> {
             present.add(record.id());
-            addOrUpdate(record);
+            addOrUpdate(new Listed(record, row.number()));
         }));
-        new ArrayList<>(recordsById.keySet())
+        new ArrayList<>(listedById.keySet())
                 .stream().filter(id -> !present.contains(id)).forEach(this::markUnlisted);
         removeExpired();
     }
@@ -89,7 +101,9 @@
     /** {@inheritDoc} */
     @Override
     public void onChanges(WatchedTable.Page<ReplicaRecord> page) {
-        page.rows().forEach(row -> row.value().ifPresentOrElse(this::addOrUpdate, () -> markUnlisted(row.key())));
+        page.rows().forEach(row -> row.value()
+                .ifPresentOrElse(
+                        record -> addOrUpdate(new Listed(record, row.number())), () -> markUnlisted(row.key())));
         removeExpired();
     }
 
@@ -121,39 +135,92 @@
         expired.forEach(this::remove);
     }
 
-    private void addOrUpdate(ReplicaRecord record) {
-        boolean wasUnlisted = unlistedSinceMillis.remove(record.id()) != null;
+    private void addOrUpdate(Listed stated) {
+        String id = stated.record.id();
+        Optional<Listed> known = Optional.ofNullable(listedById.get(id));
+        if (isOutdated(stated, known)) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "fleet: outdated row passed over id={0} version={1}",
+                    id,
+                    Long.toString(stated.rowNumber));
+            return;
+        }
+        boolean wasUnlisted = unlistedSinceMillis.remove(id) != null;
         if (wasUnlisted) {
-            LOG.log(System.Logger.Level.INFO, "fleet: replica listed again id={0}", record.id());
+            LOG.log(System.Logger.Level.INFO, "fleet: replica listed again id={0}", id);
         }
-        ReplicaRecord before = recordsById.put(record.id(), record);
-        if (wasUnlisted || !record.equals(before)) {
-            listener.onListed(record, Optional.ofNullable(before));
+        Optional<ReplicaRecord> before = known.map(Listed::record);
+        ReplicaRecord record = before.filter(stated.record::isEarlierStateOf).orElse(stated.record);
+        departedById.remove(id);
+        listedById.put(id, new Listed(record, stated.rowNumber));
+        if (wasUnlisted || !before.equals(Optional.of(record))) {
+            listener.onListed(record, before);
         }
     }
 
+    /** Returns whether a row says what was so before something else that is known of its replica. */
+    private boolean isOutdated(Listed stated, Optional<Listed> known) {
+        forgetOldDepartures();
+        boolean precedesDeparture = Optional.ofNullable(departedById.get(stated.record.id()))
+                .map(Departed::last)
+                .filter(last -> last.record.isSameIncarnation(stated.record))
+                .filter(stated::isNotNewerThan)
+                .isPresent();
+        boolean isPredecessor = known.filter(later -> stated.record.bornMillis() < later.record.bornMillis())
+                .filter(stated::isNotNewerThan)
+                .isPresent();
+        return precedesDeparture || isPredecessor;
+    }
+
     private void markUnlisted(String id) {
         long nowMillis = clockMillis.getAsLong();
-        if (recordsById.containsKey(id) && unlistedSinceMillis.putIfAbsent(id, nowMillis) == null) {
+        if (listedById.containsKey(id) && unlistedSinceMillis.putIfAbsent(id, nowMillis) == null) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "fleet: replica missing id={0} reachable={1} doubtful_ms={2}",
                     id,
                     reachable,
                     Math.max(nowMillis, graceUntilMillis) - nowMillis);
-            listener.onUnlisted(recordsById.get(id));
+            listener.onUnlisted(listedById.get(id).record);
         }
     }
 
     private void remove(String id) {
         unlistedSinceMillis.remove(id);
-        ReplicaRecord removed = recordsById.remove(id);
+        Listed removed = listedById.remove(id);
         if (removed != null) {
-            LOG.log(System.Logger.Level.INFO, "fleet: replica gone id={0} service={1}", id, removed.service());
-            listener.onRemoved(removed);
+            rememberDeparture(removed);
+            LOG.log(System.Logger.Level.INFO, "fleet: replica gone id={0} service={1}", id, removed.record.service());
+            listener.onRemoved(removed.record);
+        }
+    }
+
+    private void rememberDeparture(Listed last) {
+        forgetOldDepartures();
+        departedById.put(last.record.id(), new Departed(last, clockMillis.getAsLong()));
+    }
+
+    private void forgetOldDepartures() {
+        long nowMillis = clockMillis.getAsLong();
+        departedById.values().removeIf(each -> nowMillis - each.removedMillis > DEPARTURE_RETENTION_MILLIS);
+    }
+
+    /**
+     * A row as it was read.
+     *
+     * @param record the replica's record.
+     * @param rowNumber the number of the version at which the row was written.
+     */
+    private record Listed(ReplicaRecord record, long rowNumber) {
+
+        boolean isNotNewerThan(Listed other) {
+            return rowNumber <= other.rowNumber;
         }
     }
 
+    private record Departed(Listed last, long removedMillis) {}
+
     /** Receives changes of the directory. */
     public interface Listener {
 
--- a/src/main/java/io/waxwingquay/fleet/ReplicaRecord.java
+++ b/src/main/java/io/waxwingquay/fleet/ReplicaRecord.java
@@ -38,6 +38,17 @@
         return id.equals(other.id) && bornMillis == other.bornMillis && address.equals(other.address);
     }
 
+    /**
+     * Returns whether another record shows a later state of the same incarnation: one that leaves does not stay after
+     * all.
+     *
+     * @param other the other record.
+     * @return whether this record calls an incarnation ready that the other one calls draining.
+     */
+    public boolean isEarlierStateOf(ReplicaRecord other) {
+        return isSameIncarnation(other) && other.draining && !draining;
+    }
+
     /**
      * A model that a replica holds.
      *
--- a/src/main/java/io/waxwingquay/fleet/WatchedTable.java
+++ b/src/main/java/io/waxwingquay/fleet/WatchedTable.java
@@ -44,6 +44,7 @@
      * @param <T> the type of the row's value.
      * @param key the row's key.
      * @param value the row's value; empty if the row was removed or can't be parsed.
+     * @param number the number of the version at which the row was written.
      */
-    record Row<T>(String key, Optional<T> value) {}
+    record Row<T>(String key, Optional<T> value, long number) {}
 }
--- a/src/main/java/io/waxwingquay/platform/StoreTable.java
+++ b/src/main/java/io/waxwingquay/platform/StoreTable.java
@@ -110,10 +110,11 @@
     }
 
     private Row<T> row(String key, JsonNode row) {
+        long number = JsonFields.longOr(row, "ver", 0L);
         if (row.path("deleted").asBoolean(false)) {
-            return new Row<>(key, Optional.empty());
+            return new Row<>(key, Optional.empty(), number);
         }
-        return new Row<>(key, value(key, row));
+        return new Row<>(key, value(key, row), number);
     }
 
     private Optional<T> value(String key, JsonNode row) {
--- a/src/test/java/io/waxwingquay/fleet/TableWatchTest.java
+++ b/src/test/java/io/waxwingquay/fleet/TableWatchTest.java
@@ -83,7 +83,8 @@
     }
 
     private static WatchedTable.Page<String> page(StoreVersion version, String value) {
-        return new WatchedTable.Page<>(version, List.of(new WatchedTable.Row<>("key", Optional.of(value))));
+        return new WatchedTable.Page<>(
+                version, List.of(new WatchedTable.Row<>("key", Optional.of(value), version.number())));
     }
 
     private record ChangesCall(long waitMillis, CompletableFuture<WatchedTable.Page<String>> answer) {}
