Track the interruption of a stream with its progress

Exchange kept the time of the last interruption beside the other times of a stream, which StreamProgress holds.

--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -48,7 +48,6 @@
     private boolean mayHaveRun;
     private boolean callerGone;
     private final StreamProgress stream;
-    private long streamBrokenAtMillis;
     private String lastFailure = "";
 
     Exchange(
@@ -188,7 +187,7 @@
             return;
         }
         long nowMillis = EventLoop.nowMillis();
-        if (isResuming() && !WaitPolicy.mayResume(nowMillis - streamBrokenAtMillis)) {
+        if (isResuming() && !WaitPolicy.mayResume(stream.interruptedMillis(nowMillis))) {
             abortStream("it could not go on elsewhere");
             return;
         }
@@ -339,13 +338,13 @@
     /** Handles the end of a stream, which is not within an event. */
     void streamEnded(Attempt from) {
         release(from);
-        if (!stream.hasBegun()) {
-            end(
-                    responder.respond(from, NO_BODY),
-                    "answered by " + from.target().id() + " without an event" + from.describeStreamEnd());
-            return;
+        String replica = from.target().id();
+        String streamEnd = from.describeStreamEnd();
+        if (stream.hasBegun()) {
+            end(responder.endStream(from), "streamed by " + replica + streamEnd);
+        } else {
+            end(responder.respond(from, NO_BODY), "answered by " + replica + " without an event" + streamEnd);
         }
-        end(responder.endStream(from), "streamed by " + from.target().id() + from.describeStreamEnd());
     }
 
     /** Handles an attempt that ended without a complete response. */
@@ -363,7 +362,7 @@
             connectFailures++;
         }
         if (stream.hasBegun()) {
-            streamBrokenAtMillis = EventLoop.nowMillis();
+            stream.interrupted(EventLoop.nowMillis());
             if (!route.isSafeToRetry() || !tryRetry()) {
                 abortStream(why);
             }
@@ -385,7 +384,7 @@
             from.target().attemptHistory().full(EventLoop.nowMillis());
         }
         if (stream.hasBegun()) {
-            streamBrokenAtMillis = EventLoop.nowMillis();
+            stream.interrupted(EventLoop.nowMillis());
         }
         if (!tryRetry()) {
             giveUp(lastFailure);
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -11,6 +11,7 @@
     private long firstEventMillis;
     private long lastEventAtMillis;
     private long longestPauseMillis;
+    private long interruptedAtMillis;
     private OptionalLong firstSentAtMillis = OptionalLong.empty();
 
     StreamProgress(long arrivedAtMillis, OptionalLong lastEventId) {
@@ -56,6 +57,15 @@
         lastEventAtMillis = nowMillis;
     }
 
+    void interrupted(long nowMillis) {
+        interruptedAtMillis = nowMillis;
+    }
+
+    /** Returns how long ago the stream was interrupted last. */
+    long interruptedMillis(long nowMillis) {
+        return nowMillis - interruptedAtMillis;
+    }
+
     /** Returns the time since the caller received the last event, or since the request arrived if there is none. */
     long callerIdleMillis(long nowMillis) {
         return nowMillis - (hasBegun ? lastEventAtMillis : arrivedAtMillis);
