Record the failure of an attempt where its success is recorded

What an attempt records in the history of its replica stands in Attempt now, success and failure side by side. No change of behaviour.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -204,6 +204,19 @@
         target.attemptHistory().succeeded(nowMillis - sentMillis, nowMillis);
     }
 
+    /**
+     * Records in the replica's history that it gave no answer, or that it can't be reached if nothing was sent. A replica
+     * that declines requests returns those that wait for a connection, and is not unreachable.
+     */
+    void recordFailure(boolean sent) {
+        long nowMillis = EventLoop.nowMillis();
+        if (sent) {
+            target.attemptHistory().failed(nowMillis);
+        } else if (!target.declinesRequests(nowMillis)) {
+            target.attemptHistory().unreachable(nowMillis);
+        }
+    }
+
     private void noteReceived() {
         lastReceivedMillis = EventLoop.nowMillis();
         target.answerReceived(lastReceivedMillis);
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -302,7 +302,7 @@
             return;
         }
         if (from.status() >= SERVER_ERROR) {
-            from.target().attemptHistory().failed(EventLoop.nowMillis());
+            from.recordFailure(true);
             mayHaveRun = true;
             lastFailure = "status " + from.status();
             if (!stream.hasBegun() && route.isSafeToRetry() && tryRetry()) {
@@ -351,13 +351,10 @@
     void failed(Attempt from, boolean sent, String why) {
         release(from);
         lastFailure = why;
+        from.recordFailure(sent);
         if (sent) {
-            from.target().attemptHistory().failed(EventLoop.nowMillis());
             mayHaveRun = true;
         } else {
-            if (!from.target().declinesRequests(EventLoop.nowMillis())) {
-                from.target().attemptHistory().unreachable(EventLoop.nowMillis());
-            }
             attempts--;
             connectFailures++;
         }
