--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -227,6 +227,19 @@
                 + body;
     }
 
+    /** Returns the body of a complete stream of {@link Behaviour#stream}. */
+    static String events(int last) {
+        StringBuilder all = new StringBuilder();
+        for (int number = 1; number <= last; number++) {
+            all.append("id: ")
+                    .append(number)
+                    .append("\ndata: event ")
+                    .append(number)
+                    .append("\n\n");
+        }
+        return all.toString();
+    }
+
     static Answer exchange(Socket socket, String request) throws IOException {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
