--- a/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedPathTest.java
@@ -55,6 +55,14 @@
         assertTrue(answer.head().contains("Server-Seal: seal-of-p"));
     }
 
+    @Test
+    void answerThatOnlyTheCloseOfItsConnectionEndsIsForwardedWhole() throws Exception {
+        setPlainBehaviour(Behaviour.streamUntilClose("hello"));
+        Answer answer = deployment.ask("POST", "/once/1", "a30", "", "pay");
+        assertEquals(200, answer.status());
+        assertEquals("hello", answer.body());
+    }
+
     // Guards against a non-idempotent request that runs twice, because it is retried at another replica after its
     // answer was lost. The caller gets a status that leaves open whether it has run.
     @Test
