Log the software versions of replicas and the streams that go on

The row of a replica is now read with its software version, 'forward: replica' logs it, and 'forward: stream resumed' names the attempt that the caller says began the stream, the version that began it as far as it is known, the replica and its version. The stand-in of a replica states a version. No decision reads any of it.

--- a/src/main/java/io/waxwingquay/fleet/ReplicaRecord.java
+++ b/src/main/java/io/waxwingquay/fleet/ReplicaRecord.java
@@ -10,6 +10,7 @@
  * @param id the replica's id, which may stay the same after a restart.
  * @param bornMillis start time of this incarnation by the platform's wall clock; 0 if the replica does not report it.
  * @param service the service that it belongs to.
+ * @param softwareVersion the version of its software, not of the weights that it holds; an empty text if unknown.
  * @param address the address at which it accepts requests.
  * @param zone its data centre.
  * @param slots number of requests that it runs at once.
@@ -21,6 +22,7 @@
         String id,
         long bornMillis,
         String service,
+        String softwareVersion,
         HostPort address,
         String zone,
         int slots,
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -65,8 +65,7 @@
         this.route = route;
         this.head = head;
         this.suspicion = suspicion;
-        this.stream = new StreamProgress(
-                terms.arrivedMillis(), head.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty()));
+        this.stream = new StreamProgress(terms.arrivedMillis(), head);
     }
 
     MessageCodec codec() {
@@ -282,7 +281,7 @@
         triedTargets.add(target);
         suspicion.sent(target);
         Attempt next = new Attempt(this, target);
-        stream.requestSent(next.sentMillis());
+        stream.requestSent(target.record(), next.sentMillis());
         attempt = next;
         target.requestSent(head.model(), head.adapter(), EngineRequirements.kvTokens(head), next.sentMillis());
         head.model().ifPresent(context.demandMeter()::started);
@@ -327,7 +326,7 @@
             from.recordSuccess();
             responder.beginStream(from);
         }
-        stream.eventDelivered(id, EventLoop.nowMillis());
+        stream.eventDelivered(from.target().record(), id, EventLoop.nowMillis());
         if (!responder.writeEvent(bytes)) {
             from.cancel();
             release(from);
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -65,6 +65,7 @@
      * @param sharedPromptPrefix the shared parts of the prompt, without its own last one; an empty text if there are
      *     none.
      * @param lastEventId the last event that the caller received from an earlier run of this stream.
+     * @param resumedId the id of the attempt that brought the first event of the stream that this request continues.
      * @param key the key of a client account, if there is exactly one that may be one.
      */
     record RequestHead(
@@ -76,6 +77,7 @@
             long maxOutputTokens,
             String sharedPromptPrefix,
             Optional<Long> lastEventId,
+            Optional<String> resumedId,
             Optional<AccessKey> key) {}
 
     /**
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -1,12 +1,18 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.fleet.ReplicaRecord;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** Tracks which events of a stream the caller has received, and how long it waited for them. */
 final class StreamProgress {
 
+    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
+
     private final long arrivedAtMillis;
+    private final MessageCodec.RequestHead head;
     private OptionalLong lastEventId;
+    private Optional<String> softwareVersion = Optional.empty();
     private boolean hasBegun;
     private long firstEventMillis;
     private long lastEventAtMillis;
@@ -14,12 +20,24 @@
     private long interruptedAtMillis;
     private OptionalLong firstSentAtMillis = OptionalLong.empty();
 
-    StreamProgress(long arrivedAtMillis, OptionalLong lastEventId) {
+    StreamProgress(long arrivedAtMillis, MessageCodec.RequestHead head) {
         this.arrivedAtMillis = arrivedAtMillis;
-        this.lastEventId = lastEventId;
+        this.head = head;
+        this.lastEventId = head.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty());
     }
 
-    void requestSent(long nowMillis) {
+    void requestSent(ReplicaRecord replica, long nowMillis) {
+        if (lastEventId.isPresent()) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "forward: stream resumed id={0} begun_by={1} begun_at={2} last_event={3} replica={4} software={5}",
+                    head.id(),
+                    head.resumedId().orElse(""),
+                    softwareVersion.orElse(""),
+                    Long.toString(lastEventId.getAsLong()),
+                    replica.id(),
+                    replica.softwareVersion());
+        }
         if (firstSentAtMillis.isEmpty()) {
             firstSentAtMillis = OptionalLong.of(nowMillis);
         }
@@ -44,9 +62,15 @@
         return id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong();
     }
 
-    void eventDelivered(OptionalLong id, long nowMillis) {
+    /** Returns the software version of the replica that began the stream, if that is known. */
+    Optional<String> softwareVersion() {
+        return softwareVersion;
+    }
+
+    void eventDelivered(ReplicaRecord replica, OptionalLong id, long nowMillis) {
         if (!hasBegun) {
             hasBegun = true;
+            softwareVersion = Optional.of(softwareVersion.orElse(replica.softwareVersion()));
             firstEventMillis = nowMillis - arrivedAtMillis;
             lastEventAtMillis = nowMillis;
         }
--- a/src/main/java/io/waxwingquay/forward/TargetTable.java
+++ b/src/main/java/io/waxwingquay/forward/TargetTable.java
@@ -80,9 +80,10 @@
         if (known == null || stateChanged) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "forward: replica id={0} service={1} draining={2}",
+                    "forward: replica id={0} service={1} software={2} draining={3}",
                     record.id(),
                     record.service(),
+                    record.softwareVersion(),
                     record.draining());
         }
     }
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -40,6 +40,9 @@
 
     private static final String LAST_EVENT_ID = "Last-Event-Id";
 
+    /** Id of the client's attempt that brought the first event of the stream that the request continues. */
+    private static final String RESUMES = "Resumes";
+
     /** Id of the only replica that may run the request or carry out the order; any other answers with status 421. */
     static final String TARGET_REPLICA = "Target-Replica";
 
@@ -115,6 +118,7 @@
                 tokens.length > 1 ? parseLong(tokens[1]).orElse(0L) : 0L,
                 prefix.indexOf(',') < 0 ? "" : prefix.substring(0, prefix.lastIndexOf(',')),
                 parseLong(fields.get(LAST_EVENT_ID)),
+                Optional.ofNullable(fields.get(RESUMES)).map(String::trim).filter(id -> !id.isEmpty()),
                 readKey(fields));
     }
 
--- a/src/main/java/io/waxwingquay/platform/ReplicaReader.java
+++ b/src/main/java/io/waxwingquay/platform/ReplicaReader.java
@@ -30,6 +30,7 @@
                 id,
                 JsonFields.longOr(node, "born", 0L),
                 service.get(),
+                JsonFields.text(node, "version").orElse(""),
                 address.get(),
                 JsonFields.text(node, "zone").orElse(""),
                 (int) JsonFields.longOr(node, "slots", 1L),
--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -40,6 +40,7 @@
     private final Map<String, Set<String>> adaptersByModel = new TreeMap<>();
     private final List<String> startedAttemptIds = new CopyOnWriteArrayList<>();
     private volatile Behaviour behaviour;
+    private volatile String softwareVersion = "v1";
     private volatile boolean unresponsive;
     private long acceptedOrders;
 
@@ -76,6 +77,15 @@
         behaviour = newBehaviour;
     }
 
+    /**
+     * Sets the version of the replica's software that its row states from now on.
+     *
+     * @param version the version.
+     */
+    public void softwareVersion(String version) {
+        softwareVersion = version;
+    }
+
     /**
      * Makes the replica unresponsive, as if its machine were suspended: it accepts connections and bytes, but answers
      * neither requests nor queries of its state. Requests received in this state are never answered.
@@ -107,6 +117,7 @@
         ObjectNode row = MAPPER.createObjectNode()
                 .put("service", service)
                 .put("address", address.toString())
+                .put("version", softwareVersion)
                 .put("zone", zone)
                 .put("slots", 8)
                 .put("state", state)
--- a/src/test/java/io/waxwingquay/fleet/ReplicaDirectoryTest.java
+++ b/src/test/java/io/waxwingquay/fleet/ReplicaDirectoryTest.java
@@ -148,13 +148,13 @@
 
     private static ReplicaRecord record(String id, boolean draining) {
         return new ReplicaRecord(
-                id, 1, "s", new HostPort("10.0.0.1", 80), "z", 4, draining, OptionalLong.empty(), List.of());
+                id, 1, "s", "v1", new HostPort("10.0.0.1", 80), "z", 4, draining, OptionalLong.empty(), List.of());
     }
 
     /** Returns the record of a later incarnation of the replica, under the same id. */
     private static ReplicaRecord reborn(long bornMillis) {
         return new ReplicaRecord(
-                READY.id(), bornMillis, "s", READY.address(), "z", 4, false, OptionalLong.empty(), List.of());
+                READY.id(), bornMillis, "s", "v1", READY.address(), "z", 4, false, OptionalLong.empty(), List.of());
     }
 
     private static WatchedTable.Row<ReplicaRecord> removedRow(String id) {
--- a/src/test/java/io/waxwingquay/forward/EntryUpdateWriterTest.java
+++ b/src/test/java/io/waxwingquay/forward/EntryUpdateWriterTest.java
@@ -128,7 +128,7 @@
 
     private static void list(TargetTable table, String id, String service, String host) {
         ReplicaRecord record = new ReplicaRecord(
-                id, 1, service, new HostPort(host, 80), "z", 4, false, OptionalLong.empty(), List.of());
+                id, 1, service, "v1", new HostPort(host, 80), "z", 4, false, OptionalLong.empty(), List.of());
         table.onListed(record, Optional.empty());
     }
 
--- a/src/test/java/io/waxwingquay/forward/ForwarderTest.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderTest.java
@@ -67,7 +67,7 @@
     }
 
     private static ReplicaRecord replica(String id, HostPort address) {
-        return new ReplicaRecord(id, 1, "s", address, "z", 10, false, OptionalLong.empty(), List.of());
+        return new ReplicaRecord(id, 1, "s", "v1", address, "z", 10, false, OptionalLong.empty(), List.of());
     }
 
     private static EngineNews update(HostPort engine, int entries) {
--- a/src/test/java/io/waxwingquay/forward/GatekeeperTest.java
+++ b/src/test/java/io/waxwingquay/forward/GatekeeperTest.java
@@ -97,6 +97,7 @@
                 0,
                 "",
                 Optional.empty(),
+                Optional.empty(),
                 Optional.of(AccessKey.of(key)));
     }
 
--- a/src/test/java/io/waxwingquay/forward/OverloadedModelTest.java
+++ b/src/test/java/io/waxwingquay/forward/OverloadedModelTest.java
@@ -121,7 +121,7 @@
         private SimulatedEngine(String id) {
             HostPort address = new HostPort("10.0.0.1", 80);
             ReplicaRecord record =
-                    new ReplicaRecord(id, 1, "s", address, "z", SLOTS, false, OptionalLong.empty(), List.of());
+                    new ReplicaRecord(id, 1, "s", "v1", address, "z", SLOTS, false, OptionalLong.empty(), List.of());
             target = new Target(record, new ClientPool(null, new InetSocketAddress("127.0.0.1", 1), 100));
         }
 
--- a/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
+++ b/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
@@ -4,18 +4,26 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.fleet.ReplicaRecord;
+import io.waxwingquay.platform.HeaderCodec;
+import java.util.List;
 import java.util.OptionalLong;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
 class StreamProgressTest {
 
-    private final StreamProgress stream = new StreamProgress(100, OptionalLong.empty());
+    private final StreamProgress stream = new StreamProgress(100, new HeaderCodec().readRequest(HttpFields.EMPTY));
+
+    private final ReplicaRecord replica = new ReplicaRecord(
+            "r", 1, "s", "v1", new HostPort("10.0.0.1", 80), "z", 4, false, OptionalLong.empty(), List.of());
 
     @Test
     void firstEventAndLongestPauseAreMeasured() {
-        stream.eventDelivered(OptionalLong.of(1), 130);
-        stream.eventDelivered(OptionalLong.of(2), 180);
-        stream.eventDelivered(OptionalLong.of(3), 190);
+        stream.eventDelivered(replica, OptionalLong.of(1), 130);
+        stream.eventDelivered(replica, OptionalLong.of(2), 180);
+        stream.eventDelivered(replica, OptionalLong.of(3), 190);
         assertEquals(30, stream.firstEventMillis());
         assertEquals(50, stream.longestPauseMillis());
         assertEquals(5, stream.callerIdleMillis(195));
@@ -25,7 +33,7 @@
     @Test
     void eventOfAnEarlierRunCountsAsDelivered() {
         assertFalse(stream.wasDelivered(OptionalLong.of(1)));
-        stream.eventDelivered(OptionalLong.of(2), 130);
+        stream.eventDelivered(replica, OptionalLong.of(2), 130);
         assertTrue(stream.wasDelivered(OptionalLong.of(2)));
         assertFalse(stream.wasDelivered(OptionalLong.of(3)));
         assertFalse(stream.wasDelivered(OptionalLong.empty()));
--- a/src/test/java/io/waxwingquay/forward/SuspicionTest.java
+++ b/src/test/java/io/waxwingquay/forward/SuspicionTest.java
@@ -243,7 +243,7 @@
 
     private static Target target(String id) {
         ReplicaRecord record = new ReplicaRecord(
-                id, 1, "plain", new HostPort("10.0.0.1", 80), "z", 4, false, OptionalLong.empty(), List.of());
+                id, 1, "plain", "v1", new HostPort("10.0.0.1", 80), "z", 4, false, OptionalLong.empty(), List.of());
         return new Target(record, new ClientPool(null, new InetSocketAddress("127.0.0.1", 1), 1));
     }
 }
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -216,6 +216,7 @@
                 id,
                 1,
                 "s",
+                "v1",
                 address,
                 zone,
                 10,
--- a/src/test/java/io/waxwingquay/forward/TargetTableTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTableTest.java
@@ -101,7 +101,7 @@
     }
 
     private static ReplicaRecord record(String id, long bornMillis) {
-        return new ReplicaRecord(id, bornMillis, "s", ADDRESS, "a", 10, false, OptionalLong.empty(), List.of());
+        return new ReplicaRecord(id, bornMillis, "s", "v1", ADDRESS, "a", 10, false, OptionalLong.empty(), List.of());
     }
 
     private Target target(String id) {
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -30,6 +30,7 @@
                     "id",
                     BORN_MILLIS,
                     "s",
+                    "v1",
                     new HostPort("10.0.0.1", 80),
                     "z",
                     10,
--- a/src/test/java/io/waxwingquay/residency/PreviousModelsTest.java
+++ b/src/test/java/io/waxwingquay/residency/PreviousModelsTest.java
@@ -37,6 +37,7 @@
                 id,
                 1,
                 "s",
+                "v1",
                 address,
                 "a",
                 10,
