--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.regex.Pattern;
 
 /**
  * An entry and two side processes on loopback, with stand-ins of the store, of two engines and of two plain replicas.
@@ -60,6 +61,7 @@
     final ReplicaStandin plain1 = startReplica("p1", "127.0.0.4", List.of(), Behaviour.ECHO);
     final ReplicaStandin plain2 = startReplica("p2", "127.0.0.5", List.of(), Behaviour.ECHO);
     private final HostedProcess entry;
+    private Optional<HostedProcess> secondEntry = Optional.empty();
 
     HostedDeployment() throws Exception {
         configure(1);
@@ -113,6 +115,13 @@
         Await.until(() -> dump().contains("id=" + id));
     }
 
+    /** Waits until every entry knows the software version of a replica. */
+    void awaitSoftwareVersion(String id, String version) throws Exception {
+        Pattern listed = Pattern.compile("id=" + id + ", [^\\]]*softwareVersion=" + Pattern.quote(version) + ",");
+        Await.until(() -> listed.matcher(dump()).find());
+        Await.until(() -> secondEntry.isEmpty() || listed.matcher(dumpSecond()).find());
+    }
+
     /** Starts a second entry that can't reach the store and has the first entry as a seed. */
     void startEntryWithoutStore() throws Exception {
         StoreStandin unreachableStore = StoreStandin.start(standinLoop, new HostPort(SECOND_HOST, basePort));
@@ -130,7 +139,7 @@
         HostSettings settings = entrySettings(SECOND_HOST, storeAddress, List.of("127.0.0.1"));
         CompletableFuture<HostedProcess> started = new CompletableFuture<>();
         processLoop.execute(() -> started.complete(HostedEntry.start(processLoop, settings)));
-        Await.value(started);
+        secondEntry = Optional.of(Await.value(started));
     }
 
     Answer askSecond(String path, String id) throws IOException {
