Resume a stream only at the software version that began it

A stream is now bound to the version of the replica that sent its first event; if no other replica of it takes requests, the stream is aborted at once, as its caller can only lose time. A replica that has restarted under its id since its row was read has no known version, and a stream that it begins goes on nowhere else.

StreamProgressTest and TargetTest hold the two unknown cases.

--- a/src/main/java/io/waxwingquay/forward/Choice.java
+++ b/src/main/java/io/waxwingquay/forward/Choice.java
@@ -50,4 +50,7 @@
 
     /** States that no replica that could run the request can be reached. */
     record NoReplica() implements Choice {}
+
+    /** States that no replica is left that the stream may go on at: it goes on only at the software version that began it. */
+    record NoReplicaOfVersion() implements Choice {}
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -169,7 +169,7 @@
     private boolean canRetryElsewhere(long nowMillis) {
         return mayRetry()
                 && budget().availableRetries() >= 1
-                && terms.choose(triedTargets, nowMillis) instanceof Choice.Send;
+                && terms.choose(stream, triedTargets, nowMillis) instanceof Choice.Send;
     }
 
     private RetryBudget budget() {
@@ -194,7 +194,7 @@
             notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
             return;
         }
-        Choice choice = suspicion.choose(triedTargets, excluded -> terms.choose(excluded, nowMillis));
+        Choice choice = suspicion.choose(triedTargets, excluded -> terms.choose(stream, excluded, nowMillis));
         if (choice instanceof Choice.Send send
                 && !terms.callerWaitsForAnswer(send.target(), stream.callerIdleMillis(nowMillis), nowMillis)) {
             notPlaced("its caller would leave before its answer begins", DEFAULT_RETRY_AFTER_MILLIS);
@@ -206,6 +206,9 @@
             awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
             awaitRoom(full, nowMillis);
+        } else if (choice instanceof Choice.NoReplicaOfVersion) {
+            giveUp("no other replica of software version "
+                    + stream.softwareVersion().orElse("") + " serves");
         } else if (choice instanceof Choice.AwaitIsolation) {
             recheckLater();
         } else {
@@ -326,7 +329,7 @@
             from.recordSuccess();
             responder.beginStream(from);
         }
-        stream.eventDelivered(from.target().record(), id, EventLoop.nowMillis());
+        stream.eventDelivered(from.target().softwareVersion(), id, EventLoop.nowMillis());
         if (!responder.writeEvent(bytes)) {
             from.cancel();
             release(from);
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -4,6 +4,8 @@
 import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.ServerRequest;
+import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -142,17 +144,28 @@
                 route, callerIdleMillis, target.attemptHistory().recentAnswerMillis(nowMillis));
     }
 
-    /** Chooses a replica other than the excluded ones. */
-    Choice choose(Set<Target> excluded, long nowMillis) {
+    /**
+     * Chooses a replica other than the excluded ones.
+     *
+     * @param stream the progress of the stream, which limits where it may go on.
+     */
+    Choice choose(StreamProgress stream, Set<Target> excluded, long nowMillis) {
+        if (stream.softwareVersion().isEmpty()) {
+            return chooseAmong(context.targets(service), excluded, nowMillis);
+        }
+        List<Target> ofVersion = context.targets(service).stream()
+                .filter(target -> target.softwareVersion().equals(stream.softwareVersion()))
+                .toList();
+        boolean mayGoOn = ofVersion.stream().anyMatch(target -> target.acceptsRequests() && !excluded.contains(target));
+        return mayGoOn ? chooseAmong(ofVersion, excluded, nowMillis) : new Choice.NoReplicaOfVersion();
+    }
+
+    private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, long nowMillis) {
         TargetChooser chooser = context.chooser();
         return needsModel()
                 ? chooser.chooseEngine(
-                        context.targets(service),
-                        excluded,
-                        engine.get(),
-                        EngineRequirements.of(head, context.demandMeter()),
-                        nowMillis)
-                : chooser.choosePlain(context.targets(service), excluded, nowMillis);
+                        targets, excluded, engine.get(), EngineRequirements.of(head, context.demandMeter()), nowMillis)
+                : chooser.choosePlain(targets, excluded, nowMillis);
     }
 
     /**
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -9,6 +9,8 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
+    private static final String UNKNOWN_VERSION = "";
+
     private final long arrivedAtMillis;
     private final MessageCodec.RequestHead head;
     private OptionalLong lastEventId;
@@ -62,15 +64,18 @@
         return id.isPresent() && lastEventId.isPresent() && id.getAsLong() <= lastEventId.getAsLong();
     }
 
-    /** Returns the software version of the replica that began the stream, if that is known. */
+    /**
+     * Returns the software version of the replica that began the stream, at which alone it may go on: what two versions
+     * write does not fit together. Empty before the first event; a version that no replica has if it is unknown.
+     */
     Optional<String> softwareVersion() {
         return softwareVersion;
     }
 
-    void eventDelivered(ReplicaRecord replica, OptionalLong id, long nowMillis) {
+    void eventDelivered(Optional<String> replicaSoftwareVersion, OptionalLong id, long nowMillis) {
         if (!hasBegun) {
             hasBegun = true;
-            softwareVersion = Optional.of(softwareVersion.orElse(replica.softwareVersion()));
+            softwareVersion = softwareVersion.or(() -> replicaSoftwareVersion).or(() -> Optional.of(UNKNOWN_VERSION));
             firstEventMillis = nowMillis - arrivedAtMillis;
             lastEventAtMillis = nowMillis;
         }
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -102,6 +102,16 @@
         return record.address();
     }
 
+    /**
+     * Returns the version of its software; empty if its row states none, or if it has restarted since its row was read
+     * and may run another version under the same id.
+     */
+    Optional<String> softwareVersion() {
+        boolean hasRestarted =
+                update != null && record.bornMillis() != 0 && update.getBornMillis() > record.bornMillis();
+        return Optional.of(record.softwareVersion()).filter(version -> !hasRestarted && !version.isEmpty());
+    }
+
     ClientPool pool() {
         return pool;
     }
--- a/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
+++ b/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
@@ -4,26 +4,23 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.waxwingquay.common.HostPort;
-import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.platform.HeaderCodec;
-import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
 
 class StreamProgressTest {
 
-    private final StreamProgress stream = new StreamProgress(100, new HeaderCodec().readRequest(HttpFields.EMPTY));
+    private static final Optional<String> V1 = Optional.of("v1");
 
-    private final ReplicaRecord replica = new ReplicaRecord(
-            "r", 1, "s", "v1", new HostPort("10.0.0.1", 80), "z", 4, false, OptionalLong.empty(), List.of());
+    private final StreamProgress stream = new StreamProgress(100, new HeaderCodec().readRequest(HttpFields.EMPTY));
 
     @Test
     void firstEventAndLongestPauseAreMeasured() {
-        stream.eventDelivered(replica, OptionalLong.of(1), 130);
-        stream.eventDelivered(replica, OptionalLong.of(2), 180);
-        stream.eventDelivered(replica, OptionalLong.of(3), 190);
+        stream.eventDelivered(V1, OptionalLong.of(1), 130);
+        stream.eventDelivered(V1, OptionalLong.of(2), 180);
+        stream.eventDelivered(V1, OptionalLong.of(3), 190);
         assertEquals(30, stream.firstEventMillis());
         assertEquals(50, stream.longestPauseMillis());
         assertEquals(5, stream.callerIdleMillis(195));
@@ -33,7 +30,7 @@
     @Test
     void eventOfAnEarlierRunCountsAsDelivered() {
         assertFalse(stream.wasDelivered(OptionalLong.of(1)));
-        stream.eventDelivered(replica, OptionalLong.of(2), 130);
+        stream.eventDelivered(V1, OptionalLong.of(2), 130);
         assertTrue(stream.wasDelivered(OptionalLong.of(2)));
         assertFalse(stream.wasDelivered(OptionalLong.of(3)));
         assertFalse(stream.wasDelivered(OptionalLong.empty()));
@@ -45,4 +42,20 @@
         stream.interrupted(200);
         assertEquals(40, stream.interruptedMillis(240));
     }
+
+    // Guards against a stream that goes on at another software version: it stays bound to the one that began it.
+    @Test
+    void softwareVersionIsThatOfTheFirstEvent() {
+        assertEquals(Optional.empty(), stream.softwareVersion());
+        stream.eventDelivered(V1, OptionalLong.of(1), 130);
+        stream.eventDelivered(Optional.of("v1.1"), OptionalLong.of(2), 140);
+        assertEquals(V1, stream.softwareVersion());
+    }
+
+    // Guards against a stream that goes on anywhere because the version of the replica that began it was not known.
+    @Test
+    void streamOfAnUnknownSoftwareVersionMayGoOnNowhere() {
+        stream.eventDelivered(Optional.empty(), OptionalLong.of(1), 130);
+        assertEquals(Optional.of(""), stream.softwareVersion());
+    }
 }
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -48,6 +48,16 @@
         assertEquals(8, target.expectedLoad(100));
     }
 
+    // Guards against a stream that goes on at another software version: its engine restarted under the same id, and its
+    // row still tells the version of before.
+    @Test
+    void softwareVersionIsUnknownOnceTheReplicaHasRestarted() {
+        target.update(fullUpdate(3), 0);
+        assertEquals(Optional.of("v1"), target.softwareVersion());
+        target.update(fullUpdate(4).setBornMillis(BORN_MILLIS + 1), 10);
+        assertEquals(Optional.empty(), target.softwareVersion());
+    }
+
     // Guards against an engine that runs a stream for nobody: it becomes unresponsive just before the stream is sent,
     // and the caller leaves before that is certain.
     @Test
