--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -1,14 +1,11 @@
 package io.waxwingquay.forward;
 
-import io.waxwingquay.admission.RetryBudget;
 import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
-import java.util.HashSet;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 
 /**
  * One request of a caller, from its arrival to its final response.
@@ -27,8 +24,6 @@
     /** Delay before a request that waits for room is checked again: at every tick. */
     private static final long ROOM_RECHECK_MILLIS = 0L;
 
-    private static final int MAX_CONNECT_FAILURES = 4;
-
     /** Default retry-after delay, by which most lost replicas are replaced or found again. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 400L;
 
@@ -40,11 +35,9 @@
     private final MessageCodec.RequestHead head;
     private final Suspicion suspicion;
     private final QueuedRequest queuedRequest;
-    private final Set<Target> triedTargets = new HashSet<>();
+    private final RetryRules retries;
     private ExchangeState state = ExchangeState.CHART.initial();
     private Attempt attempt;
-    private int attempts;
-    private int connectFailures;
     private boolean mayHaveRun;
     private boolean callerGone;
     private final StreamProgress stream;
@@ -66,6 +59,7 @@
         this.head = head;
         this.suspicion = suspicion;
         this.stream = new StreamProgress(terms.arrivedMillis(), head);
+        this.retries = new RetryRules(context, terms);
     }
 
     MessageCodec codec() {
@@ -118,7 +112,8 @@
         if (attempt != null
                 && route.isSafeToRetry()
                 && attempt.isStalled(route, state, nowMillis)
-                && canRetryElsewhere(nowMillis)) {
+                && !callerGone
+                && retries.canRetryElsewhere(stream, nowMillis)) {
             Attempt stalled = attempt;
             stalled.cancel();
             failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
@@ -162,24 +157,6 @@
         }
     }
 
-    /**
-     * Returns whether another replica could take the request over. A stalled attempt is given up only in that case: if
-     * all replicas are slow for a moment, the caller would get a failure though its answer was on its way.
-     */
-    private boolean canRetryElsewhere(long nowMillis) {
-        return mayRetry()
-                && budget().availableRetries() >= 1
-                && terms.choose(stream, triedTargets, nowMillis) instanceof Choice.Send;
-    }
-
-    private RetryBudget budget() {
-        return context.budget(terms.service());
-    }
-
-    private boolean mayRetry() {
-        return !callerGone && terms.hasTimeForAttempt(EventLoop.nowMillis()) && attempts < route.maxAttempts();
-    }
-
     private void choose() {
         if (!terms.isStillAuthorized() && !mayHaveRun) {
             giveUp("its client account is gone");
@@ -194,7 +171,7 @@
             notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
             return;
         }
-        Choice choice = suspicion.choose(triedTargets, excluded -> terms.choose(stream, excluded, nowMillis));
+        Choice choice = suspicion.choose(retries.triedTargets(), excluded -> terms.choose(stream, excluded, nowMillis));
         if (choice instanceof Choice.Send send
                 && !terms.callerWaitsForAnswer(send.target(), stream.callerIdleMillis(nowMillis), nowMillis)) {
             notPlaced("its caller would leave before its answer begins", DEFAULT_RETRY_AFTER_MILLIS);
@@ -277,11 +254,7 @@
             transition(ExchangeState.Event.RETRY);
         }
         transition(ExchangeState.Event.SEND);
-        if (attempts == 0) {
-            budget().recordFirstAttempt();
-        }
-        attempts++;
-        triedTargets.add(target);
+        retries.sent(target);
         suspicion.sent(target);
         Attempt next = new Attempt(this, target);
         stream.requestSent(target.record(), next.sentMillis());
@@ -357,8 +330,7 @@
         if (sent) {
             mayHaveRun = true;
         } else {
-            attempts--;
-            connectFailures++;
+            retries.notSent();
         }
         if (stream.hasBegun()) {
             stream.interrupted(EventLoop.nowMillis());
@@ -367,7 +339,7 @@
             }
             return;
         }
-        boolean resendUnsent = !sent && !callerGone && connectFailures <= MAX_CONNECT_FAILURES;
+        boolean resendUnsent = !sent && !callerGone && retries.mayResendUnsent();
         if (resendUnsent) {
             retry();
         } else if (!(sent && route.isSafeToRetry()) || !tryRetry()) {
@@ -392,10 +364,10 @@
 
     /** Retries if the route, the remaining time and the retry budget of the service allow that. */
     private boolean tryRetry() {
-        if (!mayRetry()) {
+        if (callerGone || !retries.mayRetry(EventLoop.nowMillis())) {
             return false;
         }
-        if (!budget().tryAcquire()) {
+        if (!retries.tryAcquire()) {
             lastFailure = lastFailure + ", no retry left in the budget";
             return false;
         }
@@ -495,6 +467,8 @@
         transition(ExchangeState.Event.END);
         queuedRequest.cancelRecheck();
         context.ended(
-                this, new Outcome(head, route, terms.service(), status, attempts, why, terms.arrivedMillis(), stream));
+                this,
+                new Outcome(
+                        head, route, terms.service(), status, retries.attempts(), why, terms.arrivedMillis(), stream));
     }
 }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/forward/RetryRules.java
@@ -0,0 +1,74 @@
+package io.waxwingquay.forward;
+
+import io.waxwingquay.admission.RetryBudget;
+import io.waxwingquay.manifest.Route;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Counts the attempts of one request, and decides whether another may follow. */
+final class RetryRules {
+
+    private static final int MAX_CONNECT_FAILURES = 4;
+
+    private final ForwardContext context;
+    private final RequestTerms terms;
+    private final Route route;
+    private final Set<Target> triedTargets = new HashSet<>();
+    private int attempts;
+    private int connectFailures;
+
+    RetryRules(ForwardContext context, RequestTerms terms) {
+        this.context = context;
+        this.terms = terms;
+        this.route = terms.route();
+    }
+
+    int attempts() {
+        return attempts;
+    }
+
+    Set<Target> triedTargets() {
+        return triedTargets;
+    }
+
+    void sent(Target target) {
+        if (attempts == 0) {
+            budget().recordFirstAttempt();
+        }
+        attempts++;
+        triedTargets.add(target);
+    }
+
+    /** Takes an attempt back of which nothing was sent. */
+    void notSent() {
+        attempts--;
+        connectFailures++;
+    }
+
+    /** Returns whether a request of which nothing was sent may be sent elsewhere, which is no retry. */
+    boolean mayResendUnsent() {
+        return connectFailures <= MAX_CONNECT_FAILURES;
+    }
+
+    boolean mayRetry(long nowMillis) {
+        return terms.hasTimeForAttempt(nowMillis) && attempts < route.maxAttempts();
+    }
+
+    boolean tryAcquire() {
+        return budget().tryAcquire();
+    }
+
+    /**
+     * Returns whether another replica could take the request over. A stalled attempt is given up only in that case: if
+     * all replicas are slow for a moment, the caller would get a failure though its answer was on its way.
+     */
+    boolean canRetryElsewhere(StreamProgress stream, long nowMillis) {
+        return mayRetry(nowMillis)
+                && budget().availableRetries() >= 1
+                && terms.choose(stream, triedTargets, nowMillis) instanceof Choice.Send;
+    }
+
+    private RetryBudget budget() {
+        return context.budget(terms.service());
+    }
+}
