Go on with a stream only at the software version that began it, at any entry

The software that sends the first event of a stream is its origin, which never changes. While a service has several versions, an entry reports origins to two processes beside engines, chosen by rendezvous hashing of the stream's id; those under way are reported when the second version appears, and again when these processes change. An entry that is asked to go on asks four of them and sends the rest to a replica of that version. What can't be found out is refused as not run, before it is sent: with one version known, the origin is that one, if a process that would keep a report answers that it has none. The service of a split route is chosen by the stream's id, so that its tries reach the same one.

--- a/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
+++ b/src/main/java/io/waxwingquay/fleet/ReplicaDirectory.java
@@ -245,5 +245,31 @@
          * @param record its last record.
          */
         void onRemoved(ReplicaRecord record);
+
+        /**
+         * Notifies several listeners, in their order.
+         *
+         * @param listeners the listeners.
+         */
+        record Compound(List<Listener> listeners) implements Listener {
+
+            /** {@inheritDoc} */
+            @Override
+            public void onListed(ReplicaRecord record, Optional<ReplicaRecord> before) {
+                listeners.forEach(each -> each.onListed(record, before));
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void onUnlisted(ReplicaRecord record) {
+                listeners.forEach(each -> each.onUnlisted(record));
+            }
+
+            /** {@inheritDoc} */
+            @Override
+            public void onRemoved(ReplicaRecord record) {
+                listeners.forEach(each -> each.onRemoved(record));
+            }
+        }
     }
 }
--- a/src/main/java/io/waxwingquay/forward/EngineNotifier.java
+++ b/src/main/java/io/waxwingquay/forward/EngineNotifier.java
@@ -1,9 +1,10 @@
 package io.waxwingquay.forward;
 
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.origin.StreamOrigins;
 
 /** Notifies the side processes of engines of what this entry needs. */
-public interface EngineNotifier {
+public interface EngineNotifier extends StreamOrigins.Channel {
 
     /**
      * Requests an adapter.
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
@@ -49,7 +50,8 @@
             Route route,
             MessageCodec.RequestHead head,
             Admission admission,
-            Suspicion suspicion) {
+            Suspicion suspicion,
+            Optional<String> softwareVersion) {
         this.context = context;
         this.caller = caller;
         this.responder = new CallerResponder(caller, context);
@@ -58,7 +60,7 @@
         this.route = route;
         this.head = head;
         this.suspicion = suspicion;
-        this.stream = new StreamProgress(terms.arrivedMillis(), head);
+        this.stream = new StreamProgress(terms.arrivedMillis(), head, softwareVersion);
         this.retries = new RetryRules(context, terms);
     }
 
@@ -299,6 +301,7 @@
         }
         if (!stream.hasBegun()) {
             transition(ExchangeState.Event.BEGIN);
+            context.streamBegan(head, from.target());
             from.recordSuccess();
             responder.beginStream(from);
         }
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -50,5 +50,8 @@
      */
     void rateLimitAnnounced(Target target, OptionalDouble perSecond);
 
+    /** Notes that a replica sent the first event of a stream, before that event goes to the caller. */
+    void streamBegan(MessageCodec.RequestHead head, Target target);
+
     void ended(Exchange exchange, Outcome outcome);
 }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -12,6 +12,8 @@
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.net.ServerHandler;
+import io.waxwingquay.origin.Origin;
+import io.waxwingquay.origin.StreamOrigins;
 import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.EntryNews;
 import java.net.InetSocketAddress;
@@ -36,6 +38,7 @@
     /** Share of the deployment's retry budget that is used; the rest covers outdated counts of entries. */
     private static final double BUDGET_SHARE = 0.8;
 
+    private static final int OK = 200;
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
     private final EventLoop loop;
@@ -53,6 +56,7 @@
     private final EntryUpdateWriter updateWriter;
     private final AllowanceTable allowances;
     private final Gatekeeper gatekeeper;
+    private final StreamOrigins origins;
     private final RequestIntake intake;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final ActiveRequests activeRequests;
@@ -96,7 +100,9 @@
         this.activeRequests = new ActiveRequests(loop);
         this.allowances = new AllowanceTable(settings.quotaTolerance(), this::entryCount, random, EventLoop::nowMillis);
         this.gatekeeper = new Gatekeeper(allowances, engineNotifier::spendingReportDue);
-        this.intake = new RequestIntake(codec, metrics, gatekeeper, this::jitter, this::start);
+        this.origins = new StreamOrigins(engineNotifier, loop::schedule, EventLoop::nowMillis);
+        StreamContinuation continuation = new StreamContinuation(origins, this::stableUniform);
+        this.intake = new RequestIntake(codec, metrics, gatekeeper, continuation, this::jitter, this::start);
     }
 
     /**
@@ -127,7 +133,7 @@
      * @return the listener.
      */
     public ReplicaDirectory.Listener replicaListener() {
-        return targets;
+        return new ReplicaDirectory.Listener.Compound(List.of(targets, origins.served()));
     }
 
     /**
@@ -159,9 +165,14 @@
         intake.handle(caller);
     }
 
-    private void start(ServerExchange caller, Route route, MessageCodec.RequestHead head, Admission admission) {
+    private void start(
+            ServerExchange caller,
+            Route route,
+            MessageCodec.RequestHead head,
+            Admission admission,
+            Optional<String> softwareVersion) {
         Suspicion suspicion = suspects.forRequest(codec, caller.request());
-        Exchange exchange = new Exchange(this, caller, route, head, admission, suspicion);
+        Exchange exchange = new Exchange(this, caller, route, head, admission, suspicion, softwareVersion);
         activeRequests.add(exchange);
         exchange.start();
     }
@@ -273,6 +284,15 @@
         return allowances;
     }
 
+    /**
+     * Returns what this entry knows of the origins of streams.
+     *
+     * @return the origins.
+     */
+    public StreamOrigins origins() {
+        return origins;
+    }
+
     /**
      * Returns the engines of all services.
      *
@@ -365,10 +385,21 @@
         target.rateLimitAnnounced(perSecond, entryCount(), random::nextDouble, EventLoop.nowMillis());
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public void streamBegan(MessageCodec.RequestHead head, Target target) {
+        Origin origin =
+                new Origin(target.record().service(), target.softwareVersion().orElse(Origin.UNKNOWN_VERSION));
+        origins.began(head.streamId(), origin);
+    }
+
     /** {@inheritDoc} */
     @Override
     public void ended(Exchange exchange, Outcome outcome) {
         activeRequests.remove(exchange);
+        if (outcome.status() == OK) {
+            origins.completed(outcome.head().streamId());
+        }
         long tookMillis = EventLoop.nowMillis() - outcome.arrivedMillis();
         metrics.ended(outcome.status(), tookMillis);
         LOG.log(
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -78,7 +78,26 @@
             String sharedPromptPrefix,
             Optional<Long> lastEventId,
             Optional<String> resumedId,
-            Optional<AccessKey> key) {}
+            Optional<AccessKey> key) {
+
+        /**
+         * Returns the id of the stream over all attempts of its caller.
+         *
+         * @return the id of the attempt that brought its first event, which is this one if it continues none.
+         */
+        String streamId() {
+            return resumedId.orElse(id);
+        }
+
+        /**
+         * Returns whether the caller has events of the stream already.
+         *
+         * @return whether the stream must go on as it began.
+         */
+        boolean continuesStream() {
+            return resumedId.isPresent() || lastEventId.isPresent();
+        }
+    }
 
     /**
      * The head fields that this system sets on a request to a replica.
--- a/src/main/java/io/waxwingquay/forward/RequestIntake.java
+++ b/src/main/java/io/waxwingquay/forward/RequestIntake.java
@@ -35,6 +35,7 @@
     private final MessageCodec codec;
     private final ForwardMetrics metrics;
     private final Gatekeeper gatekeeper;
+    private final StreamContinuation continuation;
     private final LongUnaryOperator jitter;
     private final Starter starter;
     private final Set<PendingRequest> pending = new HashSet<>();
@@ -47,11 +48,13 @@
             MessageCodec codec,
             ForwardMetrics metrics,
             Gatekeeper gatekeeper,
+            StreamContinuation continuation,
             LongUnaryOperator jitter,
             Starter starter) {
         this.codec = codec;
         this.metrics = metrics;
         this.gatekeeper = gatekeeper;
+        this.continuation = continuation;
         this.jitter = jitter;
         this.starter = starter;
     }
@@ -75,7 +78,7 @@
         });
     }
 
-    /** Returns the number of requests that wait for the gatekeeper. */
+    /** Returns the number of requests that wait for the gatekeeper, or for what began their streams. */
     int pendingCount() {
         return pending.size();
     }
@@ -115,14 +118,15 @@
         gatekeeper.admit(request.route, request.head, verdict -> conclude(request, verdict));
     }
 
-    /** Goes on with a request that waited for the gatekeeper, unless it has been answered or its caller has left. */
+    /** Goes on with a request that waited for the gatekeeper; one whose caller has left is dropped by the next step. */
     private void conclude(PendingRequest request, Gatekeeper.Verdict verdict) {
-        boolean isWanted = pending.remove(request);
-        if (verdict instanceof Gatekeeper.Verdict.Admitted admitted && isWanted) {
-            starter.start(request.caller, request.route, request.head, admitted.admission());
-        } else if (verdict instanceof Gatekeeper.Verdict.Admitted admitted) {
-            admitted.admission().giveBack();
-        } else if (verdict instanceof Gatekeeper.Verdict.OverQuota overQuota) {
+        if (verdict instanceof Gatekeeper.Verdict.Admitted admitted) {
+            continuation.check(
+                    request.route, request.head, next -> startIfPossible(request, admitted.admission(), next));
+            return;
+        }
+        pending.remove(request);
+        if (verdict instanceof Gatekeeper.Verdict.OverQuota overQuota) {
             metrics.overQuota();
             HttpFields fields = codec.refusalFields(Optional.of(overQuota.retryAfterMillis()));
             request.caller.respond(TOO_MANY_REQUESTS, fields, "it has not run: the quota of its account is spent");
@@ -132,6 +136,18 @@
         }
     }
 
+    private void startIfPossible(PendingRequest request, Admission admission, StreamContinuation.Verdict verdict) {
+        boolean isWanted = pending.remove(request);
+        if (isWanted && verdict instanceof StreamContinuation.Verdict.MayRun mayRun) {
+            starter.start(request.caller, request.route, request.head, admission, mayRun.softwareVersion());
+            return;
+        }
+        admission.giveBack();
+        if (isWanted) {
+            reject(request.caller, "the software version that began its stream is unknown");
+        }
+    }
+
     private void reject(ServerExchange caller, String why) {
         LOG.log(
                 System.Logger.Level.INFO,
@@ -158,8 +174,13 @@
     @FunctionalInterface
     interface Starter {
 
-        /** Starts a request. */
-        void start(ServerExchange caller, Route route, MessageCodec.RequestHead head, Admission admission);
+        /** Starts a request, which may run at one software version only if one is given. */
+        void start(
+                ServerExchange caller,
+                Route route,
+                MessageCodec.RequestHead head,
+                Admission admission,
+                Optional<String> softwareVersion);
     }
 
     /** A request that waits for the gatekeeper. */
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -45,7 +45,7 @@
         this.route = route;
         this.head = head;
         this.admission = admission;
-        this.service = route.chooseService(context.stableUniform(head.id()));
+        this.service = route.chooseService(context.stableUniform(head.streamId()));
         this.engine = context.engine(service);
         long callerTimeoutMillis = head.remainingMillis().orElse(route.timeoutMillis());
         this.deadlineAtMillis = request.arrivedMillis() + Math.min(callerTimeoutMillis, route.timeoutMillis());
--- /dev/null
+++ b/src/main/java/io/waxwingquay/forward/StreamContinuation.java
@@ -0,0 +1,70 @@
+package io.waxwingquay.forward;
+
+import io.waxwingquay.manifest.Route;
+import io.waxwingquay.origin.Origin;
+import io.waxwingquay.origin.StreamOrigins;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+
+/** Decides where a request may run of which its caller has received events already, from this entry or another one. */
+final class StreamContinuation {
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
+
+    private final StreamOrigins origins;
+    private final ToDoubleFunction<String> stableUniform;
+
+    /**
+     * Creates the decision.
+     *
+     * @param origins the origins of streams.
+     * @param stableUniform maps a text to a number from 0 up to 1, always the same.
+     */
+    StreamContinuation(StreamOrigins origins, ToDoubleFunction<String> stableUniform) {
+        this.origins = origins;
+        this.stableUniform = stableUniform;
+    }
+
+    /**
+     * Decides about a request.
+     *
+     * @param decision told of the decision, before this method returns or some milliseconds later.
+     */
+    void check(Route route, MessageCodec.RequestHead head, Consumer<Verdict> decision) {
+        if (route.kind() != Route.Kind.STREAM || !head.continuesStream()) {
+            decision.accept(new Verdict.MayRun(Optional.empty()));
+            return;
+        }
+        String service = route.chooseService(stableUniform.applyAsDouble(head.streamId()));
+        origins.find(head.resumedId(), service, origin -> decision.accept(verdict(head, service, origin)));
+    }
+
+    private static Verdict verdict(MessageCodec.RequestHead head, String service, Optional<Origin> origin) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "forward: stream taken up id={0} begun_by={1} service={2} origin={3}",
+                head.id(),
+                head.resumedId().orElse(""),
+                service,
+                origin.map(known -> known.service() + "/" + known.softwareVersion())
+                        .orElse("unknown"));
+        return origin.filter(known -> known.service().equals(service))
+                .<Verdict>map(known -> new Verdict.MayRun(Optional.of(known.softwareVersion())))
+                .orElseGet(Verdict.OriginUnknown::new);
+    }
+
+    /** The decision about a request. */
+    sealed interface Verdict {
+
+        /**
+         * It may run.
+         *
+         * @param softwareVersion the only software version at which it may run; empty if it may run at any.
+         */
+        record MayRun(Optional<String> softwareVersion) implements Verdict {}
+
+        /** It is not known what began the stream, or that is no longer served by its route. */
+        record OriginUnknown() implements Verdict {}
+    }
+}
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.forward;
 
 import io.waxwingquay.fleet.ReplicaRecord;
+import io.waxwingquay.origin.Origin;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -9,12 +10,10 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
-    private static final String UNKNOWN_VERSION = "";
-
     private final long arrivedAtMillis;
     private final MessageCodec.RequestHead head;
     private OptionalLong lastEventId;
-    private Optional<String> softwareVersion = Optional.empty();
+    private Optional<String> softwareVersion;
     private boolean hasBegun;
     private long firstEventMillis;
     private long lastEventAtMillis;
@@ -22,7 +21,13 @@
     private long interruptedAtMillis;
     private OptionalLong firstSentAtMillis = OptionalLong.empty();
 
-    StreamProgress(long arrivedAtMillis, MessageCodec.RequestHead head) {
+    /**
+     * Creates the progress of a request that was not sent yet.
+     *
+     * @param softwareVersion the version at which the stream began, if the caller has events of it already.
+     */
+    StreamProgress(long arrivedAtMillis, MessageCodec.RequestHead head, Optional<String> softwareVersion) {
+        this.softwareVersion = softwareVersion;
         this.arrivedAtMillis = arrivedAtMillis;
         this.head = head;
         this.lastEventId = head.lastEventId().map(OptionalLong::of).orElse(OptionalLong.empty());
@@ -75,7 +80,8 @@
     void eventDelivered(Optional<String> replicaSoftwareVersion, OptionalLong id, long nowMillis) {
         if (!hasBegun) {
             hasBegun = true;
-            softwareVersion = softwareVersion.or(() -> replicaSoftwareVersion).or(() -> Optional.of(UNKNOWN_VERSION));
+            softwareVersion =
+                    softwareVersion.or(() -> replicaSoftwareVersion).or(() -> Optional.of(Origin.UNKNOWN_VERSION));
             firstEventMillis = nowMillis - arrivedAtMillis;
             lastEventAtMillis = nowMillis;
         }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -21,12 +21,15 @@
 import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.EngineNews;
+import io.waxwingquay.transport.generated.OriginQuestion;
+import io.waxwingquay.transport.generated.OriginReport;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import io.waxwingquay.transport.generated.SuspectNews;
 import io.waxwingquay.transport.generated.TableVersions;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -231,6 +234,8 @@
             onTableVersions(datagram.getEngine());
         } else if (datagram.isSetSpendingReply()) {
             forwarder.allowances().replied(sender, datagram.getSpendingReply());
+        } else if (datagram.isSetOriginReply()) {
+            forwarder.origins().replied(sender, datagram.getOriginReply());
         } else if (datagram.isSetAdapterReply()) {
             forwarder.adapterReply(
                     datagram.getAdapterReply().getId(),
@@ -249,7 +254,10 @@
     }
 
     private void sendUpdates() {
-        updateSpendingReceivers();
+        Set<HostPort> sides =
+                forwarder.engineAddresses().stream().map(this::sideAddressOf).collect(Collectors.toSet());
+        forwarder.origins().processes(sides);
+        updateSpendingReceivers(sides);
         StoreVersion replicaList = replicaWatch.lastChangeVersion();
         TableVersions versions =
                 new TableVersions(configurationVersion(), replicaList.number(), replicaList.timeline());
@@ -263,15 +271,11 @@
     }
 
     /** Tells which processes add up spending; reports that did not get through are repeated here. */
-    private void updateSpendingReceivers() {
+    private void updateSpendingReceivers(Set<HostPort> sides) {
         if (forwarder.allowances().isEmpty()) {
             return;
         }
-        forwarder
-                .allowances()
-                .processes(forwarder.engineAddresses().stream()
-                        .map(this::sideAddressOf)
-                        .collect(Collectors.toSet()));
+        forwarder.allowances().processes(sides);
         sendSpendingReports();
     }
 
@@ -327,6 +331,18 @@
             peers.send(sideAddressOf(engine), PeerDatagram.adapterCall(new AdapterCall(id, model, adapter)));
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void report(HostPort process, OriginReport report) {
+            peers.send(process, PeerDatagram.originReport(report));
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void ask(HostPort process, OriginQuestion question) {
+            peers.send(process, PeerDatagram.originQuestion(question));
+        }
+
         /** {@inheritDoc} */
         @Override
         public void spendingReportDue() {
--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.fleet.WatchedTable;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.origin.OriginTable;
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.residency.EngineManager;
@@ -162,6 +163,7 @@
                 new SuspectRelay(new SharedSuspects(EventLoop::nowMillis, RandomGenerator.of("L64X128MixRandom")));
         private final SpendingTallies tallies =
                 new SpendingTallies(settings.bounds().quotaTolerance());
+        private final OriginTable origins = new OriginTable();
         private final PeerChannel channel =
                 new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::onDatagram);
 
@@ -173,6 +175,14 @@
                                 tallies.report(sender, datagram.getSpending(), EventLoop.nowMillis())));
                 return;
             }
+            if (datagram.isSetOriginReport()) {
+                origins.report(datagram.getOriginReport(), EventLoop.nowMillis());
+                return;
+            }
+            if (datagram.isSetOriginQuestion()) {
+                channel.send(sender, PeerDatagram.originReply(origins.answer(datagram.getOriginQuestion())));
+                return;
+            }
             suspectRelay.receive(datagram);
             keeper.onDatagram(sender, datagram);
         }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/origin/StreamOrigins.java
@@ -0,0 +1,310 @@
+package io.waxwingquay.origin;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.placement.RendezvousHash;
+import io.waxwingquay.transport.generated.OriginQuestion;
+import io.waxwingquay.transport.generated.OriginReply;
+import io.waxwingquay.transport.generated.OriginReport;
+import io.waxwingquay.transport.generated.StreamOrigin;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * The origins of streams, as one entry knows them or finds them out.
+ *
+ * <p>While a service has one software version, nothing is told: an entry that is asked to go on with a stream can tell
+ * its origin from the list of replicas. While it has several, the origin of each stream is reported at its first event
+ * to two processes beside engines, chosen by rendezvous hashing of the stream's id, and what was not reported before is
+ * reported when the second version appears. An entry that did not see a stream begin asks these processes.
+ *
+ * <p>What can't be found out is refused: a report or an answer that is lost costs a stream, and never joins the events
+ * of two versions.
+ */
+public final class StreamOrigins {
+
+    /** Processes that keep the origin of one stream. */
+    private static final int KEEPERS = 2;
+
+    /** Processes that are asked: a few more, as the entry that reported may have known other processes. */
+    private static final int ASKED = 4;
+
+    /** Time after which those that have not answered are asked again. */
+    static final long REPEAT_MILLIS = 40L;
+
+    /** Time for an answer, of which a round trip takes a few milliseconds. */
+    static final long TIMEOUT_MILLIS = 120L;
+
+    /** Origins in one report, which fits a datagram. */
+    private static final int MAX_ORIGINS_PER_REPORT = 12;
+
+    private final ServedVersions served;
+    private final Channel channel;
+    private final Scheduler scheduler;
+    private final LongSupplier clockMillis;
+    private final Map<String, Known> unfinished = new LinkedHashMap<>();
+    private final Map<String, Search> searches = new HashMap<>();
+    private Map<HostPort, Long> processHashes = Map.of();
+
+    /**
+     * Creates an entry's view without streams.
+     *
+     * @param channel sends messages to the processes that keep origins.
+     * @param scheduler runs tasks later.
+     * @param clockMillis the monotonic clock.
+     */
+    public StreamOrigins(Channel channel, Scheduler scheduler, LongSupplier clockMillis) {
+        this.channel = channel;
+        this.scheduler = scheduler;
+        this.clockMillis = clockMillis;
+        this.served = new ServedVersions(clockMillis, this::reportAll);
+    }
+
+    /**
+     * Returns the versions of each service, which follow the list of replicas.
+     *
+     * @return the versions.
+     */
+    public ServedVersions served() {
+        return served;
+    }
+
+    /**
+     * Sets the processes that may keep origins. Those of streams that have not ended are reported again if they change,
+     * as another process may have to keep them now.
+     *
+     * @param current their addresses.
+     */
+    public void processes(Set<HostPort> current) {
+        if (current.equals(processHashes.keySet())) {
+            return;
+        }
+        Map<HostPort, Long> hashes = new HashMap<>();
+        current.forEach(process -> hashes.put(process, RendezvousHash.hash(process.toString())));
+        processHashes = hashes;
+        unfinished.values().stream()
+                .map(known -> known.origin.service())
+                .distinct()
+                .filter(served::isMixed)
+                .toList()
+                .forEach(this::reportAll);
+    }
+
+    /**
+     * Notes that a replica sent the first event of a stream; called before that event goes to the caller.
+     *
+     * @param streamId the id of the attempt that brings the first event.
+     * @param origin the software of the replica.
+     */
+    public void began(String streamId, Origin origin) {
+        dropExpired();
+        if (streamId.isEmpty() || streamId.length() > OriginTable.MAX_ID_CHARACTERS) {
+            return;
+        }
+        unfinished.putIfAbsent(streamId, new Known(origin, clockMillis.getAsLong()));
+        boolean isKnownToAll =
+                !served.isMixed(origin.service()) && !origin.softwareVersion().equals(Origin.UNKNOWN_VERSION);
+        if (!isKnownToAll) {
+            report(List.of(origin.ofStream(streamId)));
+        }
+    }
+
+    /**
+     * Notes that a stream has come to its end, so that nobody will take it up.
+     *
+     * @param streamId the id of the attempt that brought its first event.
+     */
+    public void completed(String streamId) {
+        unfinished.remove(streamId);
+    }
+
+    /**
+     * Finds the origin of a stream that a caller takes up here.
+     *
+     * @param streamId the id of the attempt that brought its first event; empty if the caller names none.
+     * @param service the service at which it goes on.
+     * @param decision told the origin, or that it can't be found out, before this method returns or soon after.
+     */
+    public void find(Optional<String> streamId, String service, Consumer<Optional<Origin>> decision) {
+        Optional<Known> known = streamId.map(unfinished::get);
+        if (known.isPresent()) {
+            decision.accept(known.map(Known::origin));
+        } else if (streamId.isEmpty() || processHashes.isEmpty()) {
+            decision.accept(soleOrigin(service));
+        } else {
+            search(streamId.get(), service, decision);
+        }
+    }
+
+    /**
+     * Takes the answer to a question.
+     *
+     * @param process the process that answers.
+     * @param reply the answer.
+     */
+    public void replied(HostPort process, OriginReply reply) {
+        Optional.ofNullable(searches.get(reply.getStreamId())).ifPresent(search -> search.replied(process, reply));
+    }
+
+    private void search(String streamId, String service, Consumer<Optional<Origin>> decision) {
+        Search running = searches.get(streamId);
+        if (running != null) {
+            running.decisions.add(decision);
+            return;
+        }
+        Search search = new Search(streamId, service, ranked(streamId, ASKED));
+        search.decisions.add(decision);
+        searches.put(streamId, search);
+        search.ask();
+        scheduler.schedule(REPEAT_MILLIS, search::ask);
+        scheduler.schedule(TIMEOUT_MILLIS, search::timeOut);
+    }
+
+    private Optional<Origin> soleOrigin(String service) {
+        return served.sole(service).map(version -> new Origin(service, version));
+    }
+
+    private void reportAll(String service) {
+        dropExpired();
+        report(unfinished.entrySet().stream()
+                .filter(entry -> entry.getValue().origin.service().equals(service))
+                .map(entry -> entry.getValue().origin.ofStream(entry.getKey()))
+                .toList());
+    }
+
+    private void report(List<StreamOrigin> origins) {
+        Map<HostPort, List<StreamOrigin>> byKeeper = new HashMap<>();
+        origins.forEach(stated -> ranked(stated.getStreamId(), KEEPERS)
+                .forEach(keeper -> byKeeper.computeIfAbsent(keeper, address -> new ArrayList<>())
+                        .add(stated)));
+        byKeeper.forEach((keeper, stated) -> {
+            for (int from = 0; from < stated.size(); from += MAX_ORIGINS_PER_REPORT) {
+                int to = Math.min(stated.size(), from + MAX_ORIGINS_PER_REPORT);
+                channel.report(keeper, new OriginReport(List.copyOf(stated.subList(from, to))));
+            }
+        });
+    }
+
+    private List<HostPort> ranked(String streamId, int count) {
+        record Ranked(HostPort process, double score) {}
+        long streamHash = RendezvousHash.hash(streamId);
+        PriorityQueue<Ranked> lowestFirst = new PriorityQueue<>(Comparator.comparingDouble(Ranked::score));
+        processHashes.forEach((process, hash) -> {
+            lowestFirst.add(new Ranked(process, RendezvousHash.uniform(streamHash, hash)));
+            if (lowestFirst.size() > count) {
+                lowestFirst.remove();
+            }
+        });
+        return lowestFirst.stream()
+                .sorted(Comparator.comparingDouble(Ranked::score).reversed())
+                .map(Ranked::process)
+                .toList();
+    }
+
+    private void dropExpired() {
+        long expiredMillis = clockMillis.getAsLong() - OriginTable.RETENTION_MILLIS;
+        Iterator<Known> oldestFirst = unfinished.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next().sinceMillis < expiredMillis) {
+            oldestFirst.remove();
+        }
+    }
+
+    /** Sends messages to processes that keep origins. */
+    public interface Channel {
+
+        /**
+         * Reports origins.
+         *
+         * @param process the receiver.
+         * @param report the report.
+         */
+        void report(HostPort process, OriginReport report);
+
+        /**
+         * Asks for an origin.
+         *
+         * @param process the receiver.
+         * @param question the question.
+         */
+        void ask(HostPort process, OriginQuestion question);
+    }
+
+    /** Runs tasks later. */
+    @FunctionalInterface
+    public interface Scheduler {
+
+        /**
+         * Runs a task after a delay.
+         *
+         * @param delayMillis the delay.
+         * @param task the task.
+         */
+        void schedule(long delayMillis, Runnable task);
+    }
+
+    private record Known(Origin origin, long sinceMillis) {}
+
+    /** The search for the origin of one stream. */
+    private final class Search {
+
+        private final String streamId;
+        private final String service;
+        private final List<HostPort> asked;
+        private final Set<HostPort> answered = new HashSet<>();
+        private final List<Consumer<Optional<Origin>>> decisions = new ArrayList<>();
+
+        private Search(String streamId, String service, List<HostPort> asked) {
+            this.streamId = streamId;
+            this.service = service;
+            this.asked = asked;
+        }
+
+        private void ask() {
+            if (searches.get(streamId) == this) {
+                asked.stream()
+                        .filter(process -> !answered.contains(process))
+                        .forEach(process -> channel.ask(process, new OriginQuestion(streamId)));
+            }
+        }
+
+        private void replied(HostPort process, OriginReply reply) {
+            answered.add(process);
+            if (reply.isSetOrigin()) {
+                decide(Optional.of(Origin.of(reply.getOrigin())));
+            } else if (answered.containsAll(asked)) {
+                decide(unreportedOrigin());
+            }
+        }
+
+        private void timeOut() {
+            if (searches.get(streamId) == this) {
+                decide(unreportedOrigin());
+            }
+        }
+
+        /**
+         * Returns the origin of a stream that none of the processes that answer keeps. An entry that knows one version
+         * does not report; but this entry may know less than the one that did, so that one of the processes that would
+         * keep the report has to say that there is none.
+         */
+        private Optional<Origin> unreportedOrigin() {
+            boolean isUnreported = asked.stream().limit(KEEPERS).anyMatch(answered::contains);
+            return isUnreported ? soleOrigin(service) : Optional.empty();
+        }
+
+        private void decide(Optional<Origin> origin) {
+            searches.remove(streamId);
+            decisions.forEach(decision -> decision.accept(origin));
+        }
+    }
+}
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -376,6 +376,29 @@
   2: list<AccountBalance> accounts
 }
 
+/** The software that began a stream, which is named by the attempt that brought its first event. It never changes. */
+struct StreamOrigin {
+  1: string streamId,
+  2: string serviceName,
+  3: string softwareVersion
+}
+
+/** Origins that an entry tells the processes beside engines that keep them. Sent as a datagram. */
+struct OriginReport {
+  1: list<StreamOrigin> origins
+}
+
+/** An entry asks for the origin of a stream that another entry may have begun. */
+struct OriginQuestion {
+  1: string streamId
+}
+
+/** The answer, which names the origin if the process keeps it. */
+struct OriginReply {
+  1: string streamId,
+  2: optional StreamOrigin origin
+}
+
 /** One datagram between our processes on the prepared platform. */
 union PeerDatagram {
   1: EngineNews engine,
@@ -383,5 +406,8 @@
   3: AdapterCall adapterCall,
   4: AdapterReply adapterReply,
   5: SpendingReport spending,
-  6: SpendingReply spendingReply
+  6: SpendingReply spendingReply,
+  7: OriginReport originReport,
+  8: OriginQuestion originQuestion,
+  9: OriginReply originReply
 }
--- a/src/test/java/io/waxwingquay/forward/ForwarderTest.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderTest.java
@@ -9,6 +9,8 @@
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.EngineNews;
+import io.waxwingquay.transport.generated.OriginQuestion;
+import io.waxwingquay.transport.generated.OriginReport;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -110,6 +112,16 @@
             throw new IllegalStateException("no adapter is requested here");
         }
 
+        @Override
+        public void report(HostPort process, OriginReport report) {
+            throw new IllegalStateException("no stream begins here");
+        }
+
+        @Override
+        public void ask(HostPort process, OriginQuestion question) {
+            throw new IllegalStateException("no stream is taken up here");
+        }
+
         @Override
         public void spendingReportDue() {
             // nobody to notify
--- a/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
+++ b/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
@@ -14,7 +14,8 @@
 
     private static final Optional<String> V1 = Optional.of("v1");
 
-    private final StreamProgress stream = new StreamProgress(100, new HeaderCodec().readRequest(HttpFields.EMPTY));
+    private final StreamProgress stream =
+            new StreamProgress(100, new HeaderCodec().readRequest(HttpFields.EMPTY), Optional.empty());
 
     @Test
     void firstEventAndLongestPauseAreMeasured() {
