--- a/src/main/java/io/waxwingquay/origin/StreamOrigins.java
+++ b/src/main/java/io/waxwingquay/origin/StreamOrigins.java
@@ -1,13 +1,11 @@
 package io.waxwingquay.origin;
 
 import io.waxwingquay.common.HostPort;
-import io.waxwingquay.placement.RendezvousHash;
 import io.waxwingquay.transport.generated.OriginQuestion;
 import io.waxwingquay.transport.generated.OriginReply;
 import io.waxwingquay.transport.generated.OriginReport;
 import io.waxwingquay.transport.generated.StreamOrigin;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -15,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -54,7 +51,7 @@
     private final LongSupplier clockMillis;
     private final Map<String, Known> unfinished = new LinkedHashMap<>();
     private final Map<String, Search> searches = new HashMap<>();
-    private Map<HostPort, Long> processHashes = Map.of();
+    private Keepers keepers = Keepers.of(Set.of());
 
     /**
      * Creates an entry's view without streams.
@@ -86,12 +83,10 @@
      * @param current their addresses.
      */
     public void processes(Set<HostPort> current) {
-        if (current.equals(processHashes.keySet())) {
+        if (keepers.areExactly(current)) {
             return;
         }
-        Map<HostPort, Long> hashes = new HashMap<>();
-        current.forEach(process -> hashes.put(process, RendezvousHash.hash(process.toString())));
-        processHashes = hashes;
+        keepers = Keepers.of(current);
         unfinished.values().stream()
                 .map(known -> known.origin.service())
                 .distinct()
@@ -139,7 +134,7 @@
         Optional<Known> known = streamId.map(unfinished::get);
         if (known.isPresent()) {
             decision.accept(known.map(Known::origin));
-        } else if (streamId.isEmpty() || processHashes.isEmpty()) {
+        } else if (streamId.isEmpty() || keepers.isEmpty()) {
             decision.accept(soleOrigin(service));
         } else {
             search(streamId.get(), service, decision);
@@ -162,7 +157,7 @@
             running.decisions.add(decision);
             return;
         }
-        Search search = new Search(streamId, service, ranked(streamId, ASKED));
+        Search search = new Search(streamId, service, keepers.rankedFor(streamId, ASKED));
         search.decisions.add(decision);
         searches.put(streamId, search);
         search.ask();
@@ -184,7 +179,7 @@
 
     private void report(List<StreamOrigin> origins) {
         Map<HostPort, List<StreamOrigin>> byKeeper = new HashMap<>();
-        origins.forEach(stated -> ranked(stated.getStreamId(), KEEPERS)
+        origins.forEach(stated -> keepers.rankedFor(stated.getStreamId(), KEEPERS)
                 .forEach(keeper -> byKeeper.computeIfAbsent(keeper, address -> new ArrayList<>())
                         .add(stated)));
         byKeeper.forEach((keeper, stated) -> {
@@ -195,22 +190,6 @@
         });
     }
 
-    private List<HostPort> ranked(String streamId, int count) {
-        record Ranked(HostPort process, double score) {}
-        long streamHash = RendezvousHash.hash(streamId);
-        PriorityQueue<Ranked> lowestFirst = new PriorityQueue<>(Comparator.comparingDouble(Ranked::score));
-        processHashes.forEach((process, hash) -> {
-            lowestFirst.add(new Ranked(process, RendezvousHash.uniform(streamHash, hash)));
-            if (lowestFirst.size() > count) {
-                lowestFirst.remove();
-            }
-        });
-        return lowestFirst.stream()
-                .sorted(Comparator.comparingDouble(Ranked::score).reversed())
-                .map(Ranked::process)
-                .toList();
-    }
-
     private void dropExpired() {
         long expiredMillis = clockMillis.getAsLong() - OriginTable.RETENTION_MILLIS;
         Iterator<Known> oldestFirst = unfinished.values().iterator();
