Tell the quarantine of a request also while the target is not ready

The side looked at its target before the quarantine; an entry that has not heard of it learns it from that side alone, whose target has just crashed. The quarantine now comes first, but for a non-idempotent call that the side can't account for, of which it says no more than before.

AdmissionCheckTest#quarantineIsToldAlsoWhileTheTargetIsNotReady failed before (NOT_READY in place of QUARANTINED).

--- a/src/main/java/io/waxwingquay/side/AdmissionCheck.java
+++ b/src/main/java/io/waxwingquay/side/AdmissionCheck.java
@@ -23,14 +23,21 @@
         if (!inputs.serviceName().equals(submission.getServiceName())) {
             return reject(RefusalReason.MALFORMED, "this side serves only service " + inputs.serviceName());
         }
+        Optional<Rejection> claim = checkClaim(inputs, submission);
+        if (claim.isEmpty() && inputs.standing() == Standing.QUARANTINED) {
+            // Whether the target is ready does not matter: an entry that has not heard of the quarantine would send the
+            // request on to the next target.
+            return reject(
+                    RefusalReason.QUARANTINED,
+                    "requests with this fingerprint were running on two targets that crashed");
+        }
         if (inputs.leaving()) {
             return reject(RefusalReason.LEAVING, "this side is leaving");
         }
         if (!inputs.ready()) {
             return reject(RefusalReason.NOT_READY, "this side has no bundle in force, or its target is not ready");
         }
-        return checkClaim(inputs, submission)
-                .or(() -> checkStanding(inputs))
+        return claim.or(() -> checkSuspect(inputs))
                 .or(() -> checkResidency(inputs, submission))
                 .or(() -> checkCapacity(inputs, submission));
     }
@@ -54,12 +61,7 @@
         return Optional.empty();
     }
 
-    private static Optional<Rejection> checkStanding(Inputs inputs) {
-        if (inputs.standing() == Standing.QUARANTINED) {
-            return reject(
-                    RefusalReason.QUARANTINED,
-                    "requests with this fingerprint were running on two targets that crashed");
-        }
+    private static Optional<Rejection> checkSuspect(Inputs inputs) {
         if (inputs.standing() == Standing.SUSPECT && inputs.suspectActive()) {
             return reject(RefusalReason.SUSPECT_BUSY, "another suspect request is queued or running on this side");
         }
