Report the streams under way when a software version comes back

A version that left a service and came back more than 30 s later did not make it mixed anew if nothing had asked for its versions in between: the streams of the other version that were under way stayed unreported, and would have been refused to callers that take them up elsewhere. Found by reading; with steady traffic each new stream asks, so that no play could show it. ServedVersionsTest#versionThatComesBackMakesTheServiceMixedAgain failed before (told once in place of twice) and passes.

--- a/src/main/java/io/waxwingquay/origin/ServedVersions.java
+++ b/src/main/java/io/waxwingquay/origin/ServedVersions.java
@@ -58,11 +58,12 @@
     @Override
     public void onListed(ReplicaRecord record, Optional<ReplicaRecord> before) {
         before.filter(earlier -> !earlier.isSameIncarnation(record)).ifPresent(this::onRemoved);
-        Map<String, Presence> versions = byService.computeIfAbsent(record.service(), service -> new HashMap<>());
-        boolean isNew = !versions.containsKey(record.softwareVersion());
-        versions.computeIfAbsent(record.softwareVersion(), version -> new Presence())
+        boolean isNew = !versions(record.service()).contains(record.softwareVersion());
+        byService
+                .computeIfAbsent(record.service(), service -> new HashMap<>())
+                .computeIfAbsent(record.softwareVersion(), version -> new Presence())
                 .listed(record.id());
-        if (isNew && versions.size() > 1) {
+        if (isNew && isMixed(record.service())) {
             onMixed.accept(record.service());
         }
     }
--- a/src/test/java/io/waxwingquay/origin/ServedVersionsTest.java
+++ b/src/test/java/io/waxwingquay/origin/ServedVersionsTest.java
@@ -52,6 +52,17 @@
         assertEquals(Optional.of("v1.1"), served.sole("s"));
     }
 
+    // Guards against streams under way that nobody is told of when a version comes back that was gone for long.
+    @Test
+    void versionThatComesBackMakesTheServiceMixedAgain() {
+        list("a", 1, "v1");
+        list("b", 1, "v1.1");
+        served.onRemoved(record("b", 1, "v1.1"));
+        nowMillis = OriginTable.RETENTION_MILLIS + 1;
+        list("c", 2, "v1.1");
+        assertEquals(List.of("s", "s"), mixed);
+    }
+
     @Test
     void unknownVersionIsNoSoleOne() {
         list("a", 1, "");
