Let the outcome of a request write its log line

The line, letter for letter the same, and the question whether a stream was complete now stand in Outcome. SoftwareVersionTest, LossTest and OperationsTest pass.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -38,7 +38,6 @@
     /** Share of the deployment's retry budget that is used; the rest covers outdated counts of entries. */
     private static final double BUDGET_SHARE = 0.8;
 
-    private static final int OK = 200;
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
     private final EventLoop loop;
@@ -397,29 +396,12 @@
     @Override
     public void ended(Exchange exchange, Outcome outcome) {
         activeRequests.remove(exchange);
-        if (outcome.status() == OK && outcome.stream().hasBegun()) {
+        if (outcome.isCompleteStream()) {
             origins.completed(new StreamName(outcome.service(), outcome.head().streamId()));
         }
         long tookMillis = EventLoop.nowMillis() - outcome.arrivedMillis();
         metrics.ended(outcome.status(), tookMillis);
-        LOG.log(
-                System.Logger.Level.INFO,
-                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} first_ms={7} pause_ms={8}"
-                        + " waited_ms={9} objective_ms={10} pause_objective_ms={11} why={12}",
-                outcome.head().id(),
-                outcome.route().name(),
-                outcome.service(),
-                outcome.head().model().orElse("")
-                        + outcome.head().adapter().map(name -> "/" + name).orElse(""),
-                outcome.status(),
-                outcome.attempts(),
-                tookMillis,
-                outcome.stream().firstEventMillis(),
-                outcome.stream().longestPauseMillis(),
-                outcome.stream().waitedMillis(EventLoop.nowMillis()),
-                outcome.route().objectiveMillis(),
-                outcome.route().pauseObjectiveMillis(),
-                outcome.why());
+        outcome.log(EventLoop.nowMillis());
     }
 
     /** Has the side processes of engines updated soon about changes of this entry. */
--- a/src/main/java/io/waxwingquay/forward/Outcome.java
+++ b/src/main/java/io/waxwingquay/forward/Outcome.java
@@ -22,4 +22,34 @@
         int attempts,
         String why,
         long arrivedMillis,
-        StreamProgress stream) {}
+        StreamProgress stream) {
+
+    private static final int OK = 200;
+    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
+
+    /** Returns whether a stream reached its end, so that its caller has no reason to ask for more of it. */
+    boolean isCompleteStream() {
+        return status == OK && stream.hasBegun();
+    }
+
+    /** Writes the one line by which a request is found from its id. */
+    void log(long nowMillis) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} first_ms={7} pause_ms={8}"
+                        + " waited_ms={9} objective_ms={10} pause_objective_ms={11} why={12}",
+                head.id(),
+                route.name(),
+                service,
+                head.model().orElse("") + head.adapter().map(name -> "/" + name).orElse(""),
+                status,
+                attempts,
+                nowMillis - arrivedMillis,
+                stream.firstEventMillis(),
+                stream.longestPauseMillis(),
+                stream.waitedMillis(nowMillis),
+                route.objectiveMillis(),
+                route.pauseObjectiveMillis(),
+                why);
+    }
+}
