Prefer engines with a substitute of their software version

While versions mix, a stream whose engine fails goes on only at another engine of its version that holds its model, and is lost where there is none: its caller takes it up and is refused. New streams began at such sole engines as often as at others. They now count as 30 ms busier if another version has two engines with the model; with one version, or none that has two, nothing changes.

TargetChooserTest#engineWithASubstituteOfItsVersionIsPreferred failed before (v1.1, the sole one, in place of v1) and passes; the test beside it holds that full engines are not preferred.

--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -43,6 +43,9 @@
     /** Upper bound of the cost of slowness, so that an engine is not avoided for slowness more than for failures. */
     private static final double MAX_SLOWNESS_COST_MILLIS = 300.0;
 
+    /** Cost of an engine whose streams could go on nowhere if it failed, while other engines have substitutes. */
+    private static final double NO_SUBSTITUTE_COST_MILLIS = 30.0;
+
     /** Time to load an adapter into a free slot, and, in the next constant, to evict another adapter first. */
     private static final double ADAPTER_LOAD_MILLIS = 25.0;
 
@@ -130,7 +133,11 @@
                     ? new Choice.NoReplica()
                     : full(holding, engine, requirements, loadInProgressMillis(targets, model, nowMillis), nowMillis);
         }
-        Target best = cheapest(withRoom, target -> engineCostMillis(target, engine, requirements, nowMillis))
+        Set<Target> withoutSubstitute = Substitutes.lackingAmong(holding);
+        Target best = cheapest(
+                        withRoom,
+                        target -> engineCostMillis(target, engine, requirements, nowMillis)
+                                + (withoutSubstitute.contains(target) ? NO_SUBSTITUTE_COST_MILLIS : 0))
                 .orElseThrow();
         boolean present =
                 adapter.map(name -> best.holdsAdapter(model, name, nowMillis)).orElse(true);
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -40,6 +40,40 @@
         assertEquals(free, assertInstanceOf(Choice.Send.class, choice).target());
     }
 
+    // Guards against streams that end with their engine though another version could have replaced it: the only engine
+    // of
+    // its software version is taken first because it is the least busy.
+    @Test
+    void engineWithASubstituteOfItsVersionIsPreferred() {
+        Target sole = target("sole", "a", "v1.1", false);
+        sole.update(update(sole, 1, List.of()), nowMillis);
+        Target first = target("first", "a", "v1", false);
+        first.update(update(first, 2, List.of()), nowMillis);
+        Target second = target("second", "a", "v1", false);
+        second.update(update(second, 2, List.of()), nowMillis);
+        Choice choice = choose(List.of(sole, first, second), Optional.empty());
+        assertEquals(
+                "v1",
+                assertInstanceOf(Choice.Send.class, choice).target().record().softwareVersion());
+        assertEquals(
+                sole,
+                assertInstanceOf(Choice.Send.class, choose(List.of(sole, first), Optional.empty()))
+                        .target());
+    }
+
+    // Guards against engines of a version with substitutes that are filled while the only one of another is idle.
+    @Test
+    void engineWithoutASubstituteIsPreferredToFullOnes() {
+        Target sole = target("sole", "a", "v1.1", false);
+        sole.update(update(sole, 1, List.of()), nowMillis);
+        Target first = target("first", "a", "v1", false);
+        first.update(update(first, 10, List.of()), nowMillis);
+        Target second = target("second", "a", "v1", false);
+        second.update(update(second, 10, List.of()), nowMillis);
+        Choice choice = choose(List.of(sole, first, second), Optional.empty());
+        assertEquals(sole, assertInstanceOf(Choice.Send.class, choice).target());
+    }
+
     // Guards against avoiding engines with rare failures: when half the engines lose one answer in twenty, the others
     // would be full and half of their answers late, while an interrupted stream is resumed elsewhere.
     @Test
@@ -211,12 +245,16 @@
     }
 
     private static Target target(String id, String zone, boolean draining) {
+        return target(id, zone, "v1", draining);
+    }
+
+    private static Target target(String id, String zone, String softwareVersion, boolean draining) {
         HostPort address = new HostPort("10.0.0.1", 80);
         ReplicaRecord record = new ReplicaRecord(
                 id,
                 1,
                 "s",
-                "v1",
+                softwareVersion,
                 address,
                 zone,
                 10,
