--- a/src/main/java/io/waxwingquay/forward/Choice.java
+++ b/src/main/java/io/waxwingquay/forward/Choice.java
@@ -51,6 +51,6 @@
     /** States that no replica that could run the request can be reached. */
     record NoReplica() implements Choice {}
 
-    /** States that no replica is left that the stream may go on at: it goes on only at the software version that began it. */
+    /** States that no other replica has the software version that started the stream, at which alone it may be resumed. */
     record NoReplicaOfVersion() implements Choice {}
 }
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -65,7 +65,7 @@
      * @param sharedPromptPrefix the shared parts of the prompt, without its own last one; an empty text if there are
      *     none.
      * @param lastEventId the last event that the caller received from an earlier run of this stream.
-     * @param resumedId the id of the attempt that brought the first event of the stream that this request continues.
+     * @param resumedId the id of the attempt that brought the first event of the stream that this request resumes.
      * @param key the key of a client account, if there is exactly one that may be one.
      */
     record RequestHead(
@@ -83,7 +83,7 @@
         /**
          * Returns the id of the stream over all attempts of its caller.
          *
-         * @return the id of the attempt that brought its first event, which is this one if it continues none.
+         * @return the id of the attempt that brought its first event, which is this one if it resumes none.
          */
         String streamId() {
             return resumedId.orElse(id);
@@ -92,9 +92,9 @@
         /**
          * Returns whether the caller has events of the stream already.
          *
-         * @return whether the stream must go on as it began.
+         * @return whether the stream must be resumed at the software version that started it.
          */
-        boolean continuesStream() {
+        boolean resumesStream() {
             return resumedId.isPresent() || lastEventId.isPresent();
         }
     }
--- a/src/main/java/io/waxwingquay/forward/RequestIntake.java
+++ b/src/main/java/io/waxwingquay/forward/RequestIntake.java
@@ -78,7 +78,7 @@
         });
     }
 
-    /** Returns the number of requests that wait for the gatekeeper, or for what began their streams. */
+    /** Returns the number of requests that wait for the gatekeeper, or for the origin of their streams. */
     int pendingCount() {
         return pending.size();
     }
@@ -118,7 +118,7 @@
         gatekeeper.admit(request.route, request.head, verdict -> conclude(request, verdict));
     }
 
-    /** Goes on with a request that waited for the gatekeeper; one whose caller has left is dropped by the next step. */
+    /** Handles the decision of the gatekeeper; a request whose caller has left is dropped by the next step. */
     private void conclude(PendingRequest request, Gatekeeper.Verdict verdict) {
         if (verdict instanceof Gatekeeper.Verdict.Admitted admitted) {
             continuation.check(
@@ -144,7 +144,7 @@
         }
         admission.giveBack();
         if (isWanted) {
-            reject(request.caller, "the software version that began its stream is unknown");
+            reject(request.caller, "the software version that started its stream is unknown");
         }
     }
 
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -147,7 +147,7 @@
     /**
      * Chooses a replica other than the excluded ones.
      *
-     * @param stream the progress of the stream, which limits where it may go on.
+     * @param stream the progress of the stream, which limits where it may be resumed.
      */
     Choice choose(StreamProgress stream, Set<Target> excluded, long nowMillis) {
         if (stream.softwareVersion().isEmpty()) {
--- a/src/main/java/io/waxwingquay/forward/StreamContinuation.java
+++ b/src/main/java/io/waxwingquay/forward/StreamContinuation.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
-/** Decides where a request may run of which its caller has received events already, from this entry or another one. */
+/** Decides where a stream may run that its caller resumes after receiving events from this entry or another one. */
 final class StreamContinuation {
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
@@ -29,10 +29,10 @@
     /**
      * Decides about a request.
      *
-     * @param decision told of the decision, before this method returns or some milliseconds later.
+     * @param decision called with the decision, before this method returns or some milliseconds later.
      */
     void check(Route route, MessageCodec.RequestHead head, Consumer<Verdict> decision) {
-        if (route.kind() != Route.Kind.STREAM || !head.continuesStream()) {
+        if (route.kind() != Route.Kind.STREAM || !head.resumesStream()) {
             decision.accept(new Verdict.MayRun(Optional.empty()));
             return;
         }
@@ -40,14 +40,14 @@
         Consumer<Optional<String>> found = version -> decision.accept(verdict(head, service, version));
         head.resumedId()
                 .ifPresentOrElse(
-                        begunBy -> origins.find(new StreamName(service, begunBy), found),
+                        startedBy -> origins.find(new StreamName(service, startedBy), found),
                         () -> found.accept(origins.served().sole(service)));
     }
 
     private static Verdict verdict(MessageCodec.RequestHead head, String service, Optional<String> version) {
         LOG.log(
                 System.Logger.Level.INFO,
-                "forward: stream taken up id={0} begun_by={1} service={2} begun_at={3}",
+                "forward: resumed by caller id={0} started_by={1} service={2} started_at={3}",
                 head.id(),
                 head.resumedId().orElse(""),
                 service,
@@ -65,7 +65,7 @@
          */
         record MayRun(Optional<String> softwareVersion) implements Verdict {}
 
-        /** It is not known which software version began the stream. */
+        /** The software version that started the stream is unknown. */
         record OriginUnknown() implements Verdict {}
     }
 }
--- a/src/main/java/io/waxwingquay/forward/StreamProgress.java
+++ b/src/main/java/io/waxwingquay/forward/StreamProgress.java
@@ -24,7 +24,7 @@
     /**
      * Creates the progress of a request that was not sent yet.
      *
-     * @param softwareVersion the version at which the stream began, if the caller has events of it already.
+     * @param softwareVersion the version that started the stream, if the caller resumes it.
      */
     StreamProgress(long arrivedAtMillis, MessageCodec.RequestHead head, Optional<String> softwareVersion) {
         this.softwareVersion = softwareVersion;
@@ -37,7 +37,7 @@
         if (lastEventId.isPresent()) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "forward: stream resumed id={0} begun_by={1} begun_at={2} last_event={3} replica={4} software={5}",
+                    "forward: stream resumed id={0} started_by={1} started_at={2} last_event={3} replica={4} software={5}",
                     head.id(),
                     head.resumedId().orElse(""),
                     softwareVersion.orElse(""),
@@ -70,8 +70,8 @@
     }
 
     /**
-     * Returns the software version of the replica that began the stream, at which alone it may go on: what two versions
-     * write does not fit together. Empty before the first event; a version that no replica has if it is unknown.
+     * Returns the software version that started the stream, at which alone it may be resumed, as the output of two
+     * versions is incompatible. Empty before the first event; a version that no replica has if it is unknown.
      */
     Optional<String> softwareVersion() {
         return softwareVersion;
--- a/src/main/java/io/waxwingquay/forward/Substitutes.java
+++ b/src/main/java/io/waxwingquay/forward/Substitutes.java
@@ -7,13 +7,13 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 
-/** Tells which engines no other engine could replace: a stream goes on only at the software version that began it. */
+/** Finds engines whose streams no other engine could resume, as that takes the software version that started them. */
 final class Substitutes {
 
     private Substitutes() {}
 
     /**
-     * Returns the engines that are the only ones of their version, if another version has several.
+     * Returns the engines that are the only ones of their software version, if another version has several.
      *
      * @param engines the engines that could run a request.
      */
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -43,7 +43,7 @@
     /** Upper bound of the cost of slowness, so that an engine is not avoided for slowness more than for failures. */
     private static final double MAX_SLOWNESS_COST_MILLIS = 300.0;
 
-    /** Cost of an engine whose streams could go on nowhere if it failed, while other engines have substitutes. */
+    /** Cost of an engine whose streams could not be resumed if it failed, while other engines have substitutes. */
     private static final double NO_SUBSTITUTE_COST_MILLIS = 30.0;
 
     /** Time to load an adapter into a free slot, and, in the next constant, to evict another adapter first. */
--- a/src/main/java/io/waxwingquay/origin/OriginTable.java
+++ b/src/main/java/io/waxwingquay/origin/OriginTable.java
@@ -14,7 +14,7 @@
  */
 public final class OriginTable {
 
-    /** How long an origin is kept: longer than any caller goes on asking for the rest of a stream. */
+    /** How long an origin is kept: longer than any caller tries to resume a stream. */
     static final long RETENTION_MILLIS = 30_000L;
 
     /** The most origins that are kept, a few megabytes of them; the oldest are dropped. */
--- a/src/main/java/io/waxwingquay/origin/ServedVersions.java
+++ b/src/main/java/io/waxwingquay/origin/ServedVersions.java
@@ -12,7 +12,7 @@
 
 /**
  * The software versions that each service has had for as long as a stream may last, by the list of replicas. While that
- * is one, each stream of the service began at it.
+ * is one, it started each stream of the service.
  */
 public final class ServedVersions implements ReplicaDirectory.Listener {
 
@@ -24,7 +24,7 @@
      * Creates an empty history.
      *
      * @param clockMillis the monotonic clock.
-     * @param onMixed told the name of a service that has got a further version.
+     * @param onMixed called with the name of a service that has got a further version.
      */
     public ServedVersions(LongSupplier clockMillis, Consumer<String> onMixed) {
         this.clockMillis = clockMillis;
@@ -32,7 +32,7 @@
     }
 
     /**
-     * Returns whether streams of different versions may be under way or be taken up.
+     * Returns whether streams of different versions may be in progress or be resumed.
      *
      * @param service the service.
      * @return whether it has, or had a moment ago, more than one version.
@@ -71,7 +71,7 @@
     /** {@inheritDoc} */
     @Override
     public void onUnlisted(ReplicaRecord record) {
-        // Its streams may still be taken up; it counts until it is removed, and for a while after that.
+        // Its streams may still be resumed; it counts until it is removed, and for a while after that.
     }
 
     /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/origin/StreamOrigins.java
+++ b/src/main/java/io/waxwingquay/origin/StreamOrigins.java
@@ -20,17 +20,17 @@
 /**
  * The origins of streams, as one entry knows them or finds them out.
  *
- * <p>While a service has one software version, nothing is told: an entry that is asked to go on with a stream can tell
- * its origin from the list of replicas. While it has several, the origin of each stream is reported at its first event
+ * <p>While a service has one software version, nothing is sent: an entry that is asked to resume a stream knows its origin
+ * from the list of replicas. While it has several, the origin of each stream is reported at its first event
  * to two processes beside engines, chosen by rendezvous hashing of the stream's id, and what was not reported before is
- * reported when the second version appears. An entry that did not see a stream begin asks these processes.
+ * reported when the second version appears. An entry that did not start a stream asks these processes.
  *
  * <p>What can't be found out is refused: a report or an answer that is lost costs a stream, and never joins the events
  * of two versions.
  */
 public final class StreamOrigins {
 
-    /** The version of a replica that states none or has restarted since it did; a stream that began there ends there. */
+    /** The version of a replica that states none or has restarted since it did; a stream that it started can't be resumed. */
     public static final String UNKNOWN_VERSION = "";
 
     /** Processes that keep the origin of one stream. */
@@ -80,7 +80,7 @@
     }
 
     /**
-     * Sets the processes that may keep origins. Those of streams that have not ended are reported again if they change,
+     * Sets the processes that may keep origins. The origins of streams that have not ended are reported again if they change,
      * as another process may have to keep them now.
      *
      * @param current their addresses.
@@ -124,10 +124,11 @@
     }
 
     /**
-     * Finds the version that began a stream which a caller takes up here and names.
+     * Finds the software version that started a stream which a caller resumes here.
      *
      * @param stream the stream.
-     * @param decision told the version, or that it can't be found out, before this method returns or soon after.
+     * @param decision called with the version, or without one if it can't be found out, before this method returns or soon
+     *     after.
      */
     public void find(StreamName stream, Consumer<Optional<String>> decision) {
         long hash = stream.hash();
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -40,7 +40,7 @@
 
     private static final String LAST_EVENT_ID = "Last-Event-Id";
 
-    /** Id of the client's attempt that brought the first event of the stream that the request continues. */
+    /** Id of the client's attempt that brought the first event of the stream that the request resumes. */
     private static final String RESUMES = "Resumes";
 
     /** Id of the only replica that may run the request or carry out the order; any other answers with status 421. */
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -377,7 +377,7 @@
 }
 
 /**
- * The software version that began a stream, which never changes. The stream is named by a hash of its service and of the
+ * The software version that started a stream, which never changes. The stream is named by a hash of its service and of the
  * attempt that brought its first event.
  */
 struct StreamOrigin {
@@ -385,12 +385,12 @@
   2: string softwareVersion
 }
 
-/** Origins that an entry tells the processes beside engines that keep them. Sent as a datagram. */
+/** Origins that an entry reports to the processes beside engines that keep them. Sent as a datagram. */
 struct OriginReport {
   1: list<StreamOrigin> origins
 }
 
-/** An entry asks for the origin of a stream that another entry may have begun. */
+/** An entry asks for the origin of a stream that another entry may have started. */
 struct OriginQuestion {
   1: i64 stream
 }
--- a/src/test/java/io/waxwingquay/forward/ForwarderTest.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderTest.java
@@ -114,12 +114,12 @@
 
         @Override
         public void report(HostPort process, OriginReport report) {
-            throw new IllegalStateException("no stream begins here");
+            throw new IllegalStateException("no stream starts here");
         }
 
         @Override
         public void ask(HostPort process, OriginQuestion question) {
-            throw new IllegalStateException("no stream is taken up here");
+            throw new IllegalStateException("no stream is resumed here");
         }
 
         @Override
--- a/src/test/java/io/waxwingquay/forward/StreamContinuationTest.java
+++ b/src/test/java/io/waxwingquay/forward/StreamContinuationTest.java
@@ -34,7 +34,7 @@
     }
 
     @Test
-    void streamThatBeganHereMayRunAtItsVersion() {
+    void streamThatStartedHereMayRunAtItsVersion() {
         list("v1");
         list("v1.1");
         origins.began(new StreamName("s", "a1"), "v1.1");
@@ -45,9 +45,9 @@
                         HttpFields.build().put("Resumes", "a1").put("Last-Event-Id", "3")));
     }
 
-    // Guards against a caller that names no attempt and goes on at any version.
+    // Guards against a stream that is resumed at any version because its caller names no attempt.
     @Test
-    void streamWithoutANameGoesOnOnlyWhileThereIsOneVersion() {
+    void streamWithoutANameIsResumedOnlyWhileThereIsOneVersion() {
         HttpFields.Mutable nameless = HttpFields.build().put("Last-Event-Id", "3");
         list("v1");
         assertEquals(new Verdict.MayRun(Optional.of("v1")), verdict(Route.Kind.STREAM, nameless));
--- a/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
+++ b/src/test/java/io/waxwingquay/forward/StreamProgressTest.java
@@ -44,7 +44,7 @@
         assertEquals(40, stream.interruptedMillis(240));
     }
 
-    // Guards against a stream that goes on at another software version: it stays bound to the one that began it.
+    // Guards against a stream that is resumed at another software version than the one that started it.
     @Test
     void softwareVersionIsThatOfTheFirstEvent() {
         assertEquals(Optional.empty(), stream.softwareVersion());
@@ -53,9 +53,9 @@
         assertEquals(V1, stream.softwareVersion());
     }
 
-    // Guards against a stream that goes on anywhere because the version of the replica that began it was not known.
+    // Guards against a stream that is resumed anywhere because the version that started it is unknown.
     @Test
-    void streamOfAnUnknownSoftwareVersionMayGoOnNowhere() {
+    void streamOfAnUnknownSoftwareVersionCanNotBeResumed() {
         stream.eventDelivered(Optional.empty(), OptionalLong.of(1), 130);
         assertEquals(Optional.of(""), stream.softwareVersion());
     }
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -48,7 +48,8 @@
         assertEquals(8, target.expectedLoad(100));
     }
 
-    // Guards against a stream that goes on at another software version: its engine restarted under the same id, and its
+    // Guards against a stream that is resumed at another software version: its engine restarted under the same id, and
+    // its
     // row still tells the version of before.
     @Test
     void softwareVersionIsUnknownOnceTheReplicaHasRestarted() {
--- a/src/test/java/io/waxwingquay/hosted/SoftwareVersionTest.java
+++ b/src/test/java/io/waxwingquay/hosted/SoftwareVersionTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Engines of two versions of their software serve side by side, and streams are cut after some events. */
+/** Engines of two software versions serve one model, and streams are cut after some events. */
 class SoftwareVersionTest {
 
     private static final String MODEL = "Model: m\r\n";
@@ -28,9 +28,9 @@
     }
 
     // Guards against one response with events of two software versions: its engine crashed, and an engine of another
-    // version went on with it.
+    // version resumed it.
     @Test
-    void streamDoesNotGoOnAtAnotherSoftwareVersionWithinItsResponse() throws Exception {
+    void streamIsNotResumedAtAnotherSoftwareVersionWithinItsResponse() throws Exception {
         mixVersions();
         deployment.engine1.behaviour(Behaviour.stream(6, 3));
         deployment.engine2.behaviour(Behaviour.stream(6, 4));
@@ -42,26 +42,25 @@
         }
     }
 
-    // Guards against events of two software versions over a client's tries: another entry, which has not seen the
-    // stream begin, goes on with it at an engine of another version.
+    // Guards against events of two software versions over several attempts of a client: another entry, which did not
+    // start the stream, resumes it at an engine of another version.
     @Test
-    void streamDoesNotGoOnAtAnotherSoftwareVersionAtAnotherEntry() throws Exception {
+    void streamIsNotResumedAtAnotherSoftwareVersionByAnotherEntry() throws Exception {
         deployment.startSecondEntry();
         mixVersions();
         for (int number = 0; number < 8; number++) {
-            String begun = "w2-" + number;
-            Answer cut = cutStream(begun);
-            Answer rest = deployment.askSecond("/s/1", "w3-" + number, resuming(begun), "");
+            String started = "w2-" + number;
+            Answer cut = cutStream(started);
+            Answer rest = deployment.askSecond("/s/1", "w3-" + number, resuming(started), "");
             assertEquals(200, rest.status(), rest.body());
             assertEquals(seal(cut), seal(rest));
             assertEquals(HostedDeployment.events(6), cut.body() + rest.body());
         }
     }
 
-    // Guards against a stream of which nobody knows the beginning that goes on at any version, and against a refusal of
-    // it that is not true.
+    // Guards against a stream of unknown origin that is resumed at any version, and against a false "it has not run".
     @Test
-    void streamOfAnUnknownBeginningIsRefusedAndNotRun() throws Exception {
+    void streamOfUnknownOriginIsRefusedAndNotRun() throws Exception {
         mixVersions();
         Answer answer = deployment.ask("POST", "/s/1", "w4", resuming("nobody-knows"), "");
         assertEquals(503, answer.status());
@@ -100,7 +99,7 @@
                         .count();
     }
 
-    private static String resuming(String begun) {
-        return MODEL + "Last-Event-Id: 3\r\nResumes: " + begun + "\r\n";
+    private static String resuming(String started) {
+        return MODEL + "Last-Event-Id: 3\r\nResumes: " + started + "\r\n";
     }
 }
--- a/src/test/java/io/waxwingquay/origin/ServedVersionsTest.java
+++ b/src/test/java/io/waxwingquay/origin/ServedVersionsTest.java
@@ -31,7 +31,7 @@
     // Guards against a stream of a version whose last replica has just left, that is taken for one of the version that
     // remains.
     @Test
-    void versionCountsForAsLongAsItsStreamsMayBeTakenUp() {
+    void versionCountsForAsLongAsItsStreamsMayBeResumed() {
         list("a", 1, "v1");
         list("b", 1, "v1.1");
         assertEquals(List.of("s"), mixed);
@@ -52,9 +52,9 @@
         assertEquals(Optional.of("v1.1"), served.sole("s"));
     }
 
-    // Guards against streams under way that nobody is told of when a version comes back that was gone for long.
+    // Guards against streams in progress that are not reported when a version returns after a long time.
     @Test
-    void versionThatComesBackMakesTheServiceMixedAgain() {
+    void versionThatReturnsMakesTheServiceMixedAgain() {
         list("a", 1, "v1");
         list("b", 1, "v1.1");
         served.onRemoved(record("b", 1, "v1.1"));
--- a/src/test/java/io/waxwingquay/origin/StreamOriginsTest.java
+++ b/src/test/java/io/waxwingquay/origin/StreamOriginsTest.java
@@ -40,7 +40,7 @@
                 .forEach(number -> keepers.put(new HostPort("10.0.0." + number, 1), new OriginTable()));
     }
 
-    // Guards against streams that go on at another version at an entry that has not seen them begin, and against
+    // Guards against streams that another entry resumes at another version than it started at, and against
     // origins that are lost with the entry that saw them or with one of the processes that keep them.
     @Test
     void anotherEntryFindsTheOriginOfEachStream() {
@@ -50,7 +50,7 @@
         assertEquals(STREAMS, countFound(entry("v1", "v2"), V2));
     }
 
-    // Guards against a lost datagram that has a stream go on at another version: it may only cost the stream.
+    // Guards against a lost datagram that has a stream resumed at another version: it may only cost the stream.
     @Test
     void lostMessagesCostStreamsAndMixNone() {
         loss = 0.2;
@@ -61,18 +61,18 @@
         assertTrue(countFound(second, V2) > 0.8 * STREAMS);
     }
 
-    // Guards against messages about each stream of a service that has one version, in which any entry can tell.
+    // Guards against messages about each stream of a service with one version, which every entry knows.
     @Test
-    void nothingIsToldWhileThereIsOneVersion() {
+    void nothingIsSentWhileThereIsOneVersion() {
         Entry first = entry("v1");
         begin(first, STREAMS, V1);
         assertEquals(0, messages);
         assertEquals(STREAMS, countFound(entry("v1"), V1));
     }
 
-    // Guards against streams that began before the second version appeared and are refused afterwards.
+    // Guards against streams that started before the second version appeared and are refused afterwards.
     @Test
-    void streamsUnderWayAreToldWhenASecondVersionAppears() {
+    void streamsInProgressAreReportedWhenASecondVersionAppears() {
         Entry first = entry("v1");
         begin(first, STREAMS, V1);
         first.list("v2");
@@ -80,7 +80,7 @@
         assertEquals(STREAMS, countFound(entry("v1", "v2"), V1));
     }
 
-    // Guards against an entry that takes the only version that it has read of for the one that began a stream, while
+    // Guards against an entry that takes the only version that it has read of for the one that started a stream, while
     // another entry has read of a second one.
     @Test
     void entryThatHasNotReadOfTheSecondVersionBelievesTheReport() {
@@ -89,7 +89,7 @@
     }
 
     // Guards against an entry that is cut off from the processes that keep origins, and takes the only version that it
-    // has read of for the one that began a stream.
+    // has read of for the one that started a stream.
     @Test
     void entryThatIsCutOffRefuses() {
         begin(entry("v1", "v2"), STREAMS);
@@ -100,7 +100,7 @@
 
     // Guards against origins that are lost because both of the processes that kept them have left.
     @Test
-    void originsOfStreamsUnderWayMoveWithTheProcesses() {
+    void originsOfStreamsInProgressMoveWithTheProcesses() {
         Entry first = entry("v1", "v2");
         begin(first, STREAMS);
         keepers.clear();
--- a/src/test/java/io/waxwingquay/side/AdmissionCheckTest.java
+++ b/src/test/java/io/waxwingquay/side/AdmissionCheckTest.java
@@ -15,11 +15,11 @@
 
     private static final long EPOCH = 7;
 
-    // Guards against a caller that is told to send a request again which crashes targets: an entry that has not heard
-    // of
-    // the quarantine learns of it from this side alone, whose target has just crashed.
+    // Guards against a request that crashes further targets, because its caller is asked to retry: an entry that does
+    // not
+    // know of the quarantine learns of it from this side alone, whose target has just crashed.
     @Test
-    void quarantineIsToldAlsoWhileTheTargetIsNotReady() {
+    void quarantineIsReportedWhileTheTargetIsNotReady() {
         assertEquals(RefusalReason.QUARANTINED, reason(model(), Standing.QUARANTINED, false, false));
         assertEquals(RefusalReason.QUARANTINED, reason(model(), Standing.QUARANTINED, true, false));
         assertEquals(RefusalReason.QUARANTINED, reason(model(), Standing.QUARANTINED, false, true));
