--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -156,8 +156,9 @@
         List<Target> ofVersion = context.targets(service).stream()
                 .filter(target -> target.softwareVersion().equals(stream.softwareVersion()))
                 .toList();
-        boolean mayGoOn = ofVersion.stream().anyMatch(target -> target.acceptsRequests() && !excluded.contains(target));
-        return mayGoOn ? chooseAmong(ofVersion, excluded, nowMillis) : new Choice.NoReplicaOfVersion();
+        boolean mayResume =
+                ofVersion.stream().anyMatch(target -> target.acceptsRequests() && !excluded.contains(target));
+        return mayResume ? chooseAmong(ofVersion, excluded, nowMillis) : new Choice.NoReplicaOfVersion();
     }
 
     private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, long nowMillis) {
