Log the prompt parts of requests under which replicas crash

Cause: of a broken connection the log told one hash over the whole request, so that requests which share a part, and no more, could not be told from requests that share nothing. Change: the line names the attempt and the shared parts of its prompt; RequestFingerprints holds both, the codec reads ids instead of one text that nobody used. No decision changes. Checked: SuspicionTest, SuspectTrackerTest, HeaderCodecTest, GatekeeperTest, HostedPathTest.

--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -170,7 +170,7 @@
             MessageCodec.RequestHead head,
             Admission admission,
             Optional<String> softwareVersion) {
-        Suspicion suspicion = suspects.forRequest(codec, caller.request());
+        Suspicion suspicion = suspects.forRequest(RequestFingerprints.of(codec, caller.request(), head));
         Exchange exchange = new Exchange(this, caller, route, head, admission, suspicion, softwareVersion);
         activeRequests.add(exchange);
         exchange.start();
--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -62,8 +62,8 @@
      * @param adapter the requested adapter of that model.
      * @param inputTokens tokens of the prompt; 0 if not stated.
      * @param maxOutputTokens the most tokens to generate; 0 if not stated.
-     * @param sharedPromptPrefix the shared parts of the prompt, without its own last one; an empty text if there are
-     *     none.
+     * @param sharedPromptParts the ids of the parts of the prompt that other requests may share, in order; without the
+     *     last part, which belongs to the request or its session.
      * @param lastEventId the last event that the caller received from an earlier run of this stream.
      * @param resumedId the id of the attempt that brought the first event of the stream that this request resumes.
      * @param key the key of a client account, if there is exactly one that may be one.
@@ -75,7 +75,7 @@
             Optional<String> adapter,
             long inputTokens,
             long maxOutputTokens,
-            String sharedPromptPrefix,
+            List<String> sharedPromptParts,
             Optional<Long> lastEventId,
             Optional<String> resumedId,
             Optional<AccessKey> key) {
--- a/src/main/java/io/waxwingquay/forward/SuspectTracker.java
+++ b/src/main/java/io/waxwingquay/forward/SuspectTracker.java
@@ -1,11 +1,7 @@
 package io.waxwingquay.forward;
 
-import io.waxwingquay.net.ServerRequest;
-import io.waxwingquay.suspect.Fingerprint;
 import io.waxwingquay.suspect.SharedSuspects;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -52,8 +48,8 @@
         this.onChange = onChange;
     }
 
-    Suspicion forRequest(MessageCodec codec, ServerRequest request) {
-        return new Suspicion(this, () -> fingerprint(codec, request));
+    Suspicion forRequest(RequestFingerprints fingerprints) {
+        return new Suspicion(this, fingerprints);
     }
 
     static String displayName(long fingerprint) {
@@ -81,14 +77,17 @@
         runningSuspectCounts.computeIfPresent(target, (key, count) -> count > 1 ? count - 1 : null);
     }
 
-    void crashed(Target target, long fingerprint) {
+    void crashed(Target target, RequestFingerprints request) {
+        long fingerprint = request.whole();
         String incarnation = target.id() + "/" + target.record().bornMillis();
         shared.recordCrash(incarnation, fingerprint);
         LOG.log(
                 System.Logger.Level.INFO,
-                "forward: broke before an answer replica={0} suspect={1}",
+                "forward: broke before an answer replica={0} suspect={1} id={2} prompt_parts={3}",
                 target.id(),
-                displayName(fingerprint));
+                displayName(fingerprint),
+                request.attemptId(),
+                String.join(",", request.promptParts()));
         breaks.addLast(new ConnectionBreak(target, incarnation, fingerprint, nowMillis()));
         if (breaks.size() > MAX_BREAKS) {
             breaks.removeFirst();
@@ -116,18 +115,5 @@
         breaks.removeAll(disproved);
     }
 
-    private static long fingerprint(MessageCodec codec, ServerRequest request) {
-        List<byte[]> parts = new ArrayList<>();
-        parts.add(bytes(request.method()));
-        parts.add(bytes(request.target()));
-        codec.identityFields(request.fields()).forEach(text -> parts.add(bytes(text)));
-        parts.add(request.body());
-        return Fingerprint.of(parts);
-    }
-
-    private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.UTF_8);
-    }
-
     private record ConnectionBreak(Target target, String incarnation, long fingerprint, long atMillis) {}
 }
--- a/src/main/java/io/waxwingquay/forward/Suspicion.java
+++ b/src/main/java/io/waxwingquay/forward/Suspicion.java
@@ -5,7 +5,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.function.LongSupplier;
 
 /**
  * Tells whether one request may be the cause of crashes of replicas.
@@ -26,15 +25,14 @@
     private static final long ISOLATION_WAIT_MILLIS = 240L;
 
     private final SuspectTracker tracker;
-    private final LongSupplier fingerprintSupplier;
-    private OptionalLong fingerprint = OptionalLong.empty();
+    private final RequestFingerprints fingerprints;
     private OptionalLong isolatingSinceMillis = OptionalLong.empty();
     private Target runningTarget;
     private boolean cleared;
 
-    Suspicion(SuspectTracker tracker, LongSupplier fingerprintSupplier) {
+    Suspicion(SuspectTracker tracker, RequestFingerprints fingerprints) {
         this.tracker = tracker;
-        this.fingerprintSupplier = fingerprintSupplier;
+        this.fingerprints = fingerprints;
     }
 
     /**
@@ -42,7 +40,7 @@
      * crashed.
      */
     String quarantineReason() {
-        return "replicas went when they began to run it, suspect " + SuspectTracker.displayName(fingerprint());
+        return "replicas went when they began to run it, suspect " + SuspectTracker.displayName(fingerprints.whole());
     }
 
     boolean isQuarantined() {
@@ -94,7 +92,7 @@
     /** Notes that the connection broke before any part of a response. */
     void connectionBroke(Target target) {
         if (!cleared) {
-            tracker.crashed(target, fingerprint());
+            tracker.crashed(target, fingerprints);
         }
     }
 
@@ -104,7 +102,7 @@
         cleared = true;
         ended();
         if (!tracker.shared().isEmpty()) {
-            tracker.shared().recordSuccess(fingerprint());
+            tracker.shared().recordSuccess(fingerprints.whole());
         }
     }
 
@@ -112,13 +110,6 @@
     private Standing standing() {
         return cleared || tracker.shared().isEmpty()
                 ? Standing.CLEAR
-                : tracker.shared().standing(fingerprint());
-    }
-
-    private long fingerprint() {
-        if (fingerprint.isEmpty()) {
-            fingerprint = OptionalLong.of(fingerprintSupplier.getAsLong());
-        }
-        return fingerprint.getAsLong();
+                : tracker.shared().standing(fingerprints.whole());
     }
 }
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.eclipse.jetty.http.HttpFields;
 
 /** Reads and writes the platform's header fields. */
@@ -91,12 +92,14 @@
     private static final List<String> IDENTITY_FIELDS = List.of("Host", MODEL, PROMPT_PREFIX);
 
     private static final int MAX_KEY_CHARACTERS = 512;
+    private static final int MAX_PROMPT_PARTS = 16;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int TOO_MANY_REQUESTS = 429;
     private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double MAX_DELAY_SECONDS = 86_400.0;
     private static final Pattern COMMA = Pattern.compile(",");
+    private static final Pattern COLON = Pattern.compile(":");
 
     /** {@inheritDoc} */
     @Override
@@ -108,7 +111,6 @@
         Optional<String> adapter = slash < 0 ? Optional.empty() : Optional.of(model.substring(slash + 1));
         String[] tokens =
                 COMMA.split(Optional.ofNullable(fields.get(TOKEN_COUNTS)).orElse(""));
-        String prefix = Optional.ofNullable(fields.get(PROMPT_PREFIX)).orElse("");
         return new RequestHead(
                 Optional.ofNullable(fields.get(ATTEMPT_ID)).orElse(""),
                 parseLong(fields.get(DEADLINE_REMAINING)),
@@ -116,12 +118,26 @@
                 adapter,
                 parseLong(tokens[0]).orElse(0L),
                 tokens.length > 1 ? parseLong(tokens[1]).orElse(0L) : 0L,
-                prefix.indexOf(',') < 0 ? "" : prefix.substring(0, prefix.lastIndexOf(',')),
+                readSharedPromptParts(fields.get(PROMPT_PREFIX)),
                 parseLong(fields.get(LAST_EVENT_ID)),
                 Optional.ofNullable(fields.get(RESUMES)).map(String::trim).filter(id -> !id.isEmpty()),
                 readKey(fields));
     }
 
+    /** Reads the ids of all prompt parts but the last; of a longer prompt only the first ones are told apart. */
+    private static List<String> readSharedPromptParts(String prefix) {
+        if (prefix == null) {
+            return List.of();
+        }
+        String[] parts = COMMA.split(prefix);
+        return Stream.of(parts)
+                .limit(Math.max(0, Math.min(parts.length - 1, MAX_PROMPT_PARTS)))
+                .map(part -> COLON.split(part.trim(), 2)[0])
+                .filter(id -> !id.isEmpty())
+                .distinct()
+                .toList();
+    }
+
     /** Reads the key; one that is sent twice or is longer than any that is handed out identifies nobody. */
     private static Optional<AccessKey> readKey(HttpFields fields) {
         List<String> values = fields.getValuesList(KEY);
