--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -42,6 +42,7 @@
     private volatile Behaviour behaviour;
     private volatile String softwareVersion = "v1";
     private volatile boolean unresponsive;
+    private volatile long bornMillis = 1;
     private long acceptedOrders;
 
     private ReplicaStandin(String id, HostPort address, List<String> models, Behaviour behaviour) {
@@ -121,11 +122,26 @@
                 .put("zone", zone)
                 .put("slots", 8)
                 .put("state", state)
-                .put("born", 1);
+                .put("born", bornMillis);
         row.set("models", modelList());
         return row.toString();
     }
 
+    /**
+     * Returns the birth of this incarnation.
+     *
+     * @return the time in milliseconds.
+     */
+    public long bornMillis() {
+        return bornMillis;
+    }
+
+    /** Begins a new incarnation with the same models, as after a crash; its row is to be written anew. */
+    public void restart() {
+        bornMillis++;
+        acceptedOrders = 0;
+    }
+
     private void handle(ServerExchange caller) {
         if (unresponsive) {
             return;
@@ -258,6 +274,28 @@
             };
         }
 
+        /**
+         * Returns a behaviour that crashes the replica when it begins to answer a request whose prompt has a certain part
+         * that is not the last.
+         *
+         * @param promptPart the id of the part.
+         * @param otherwise the behaviour for other requests.
+         * @return the behaviour.
+         */
+        static Behaviour crashOn(String promptPart, Behaviour otherwise) {
+            return (replica, caller) -> {
+                String parts = String.valueOf(caller.request().fields().get("Prompt-Prefix"));
+                if (!("," + parts).matches(".*," + promptPart + ":\\d+,.*")) {
+                    otherwise.run(replica, caller);
+                    return;
+                }
+                caller.begin(
+                        OK, HttpFields.build(replica.responseFields(caller)).put("Content-Type", "text/event-stream"));
+                caller.abort();
+                replica.restart();
+            };
+        }
+
         /**
          * Returns a behaviour that streams text with neither a length nor chunks, and then closes the connection in
          * order. A client can tell a stream that was cut from a complete one by an incomplete last event only.
--- /dev/null
+++ b/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
@@ -0,0 +1,82 @@
+package io.waxwingquay.hosted;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.hosted.HostedDeployment.Answer;
+import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One part of a prompt crashes each engine that begins to answer on it; requests with it differ in all else. */
+class CrashingPromptPartTest {
+
+    /** The fifth crash and three requests more. */
+    private static final int MAX_STARTS = 8;
+
+    private static final String PART = "bad0";
+
+    private HostedDeployment deployment;
+
+    @BeforeEach
+    void start() throws Exception {
+        deployment = new HostedDeployment();
+        deployment.startSecondEntry();
+        deployment.engine1.behaviour(Behaviour.crashOn(PART, Behaviour.stream(2, 0)));
+        deployment.engine2.behaviour(Behaviour.crashOn(PART, Behaviour.stream(2, 0)));
+    }
+
+    @AfterEach
+    void stop() {
+        deployment.close();
+    }
+
+    // Guards against engines that crash one after the other, through any entry, under requests that share one prompt
+    // part
+    // and differ in all else.
+    @Test
+    void requestsWithAPartThatCrashesEnginesSoonReachNoEngineByAnyEntry() throws Exception {
+        int startsBefore = starts();
+        for (int number = 0; number < 10; number++) {
+            crash(number);
+        }
+        assertTrue(starts() - startsBefore <= MAX_STARTS, "started " + (starts() - startsBefore));
+        int startsAfter = starts();
+        assertEquals(503, ask(true, "late-1", "f0:100," + PART + ":50,o1:7").status());
+        assertEquals(503, ask(false, "late-2", PART + ":50,f1:100,o2:7").status());
+        assertEquals(startsAfter, starts());
+    }
+
+    // Guards against refusing sound requests that share their first part, route and model with those that crash
+    // engines.
+    @Test
+    void soundRequestsWithTheSameFirstPartAreServedByEveryEntry() throws Exception {
+        for (int number = 0; number < 6; number++) {
+            crash(number);
+            for (boolean first : new boolean[] {true, false}) {
+                Answer sound = ask(first, "sound-" + first + number, "f0:100,s" + number + ":50,o" + number + ":7");
+                assertEquals(200, sound.status(), sound.body());
+            }
+        }
+    }
+
+    /** Sends a request with the part to one of the entries, and lists the engines anew that it has crashed. */
+    private void crash(int number) throws Exception {
+        ask(number % 2 == 0, "crash-" + number, "f0:100," + PART + ":50,own" + number + ":7");
+        deployment.listIncarnation(deployment.engine1, "e1", "engines");
+        deployment.listIncarnation(deployment.engine2, "e2", "engines");
+    }
+
+    private Answer ask(boolean atFirst, String id, String parts) throws Exception {
+        String fields = "Model: m\r\nPrompt-Prefix: " + parts + "\r\n";
+        return atFirst
+                ? deployment.ask("POST", "/s/" + id, id, fields, id)
+                : deployment.askSecond("/s/" + id, id, fields, id);
+    }
+
+    private int starts() {
+        return deployment.engine1.startedAttemptIds().size()
+                + deployment.engine2.startedAttemptIds().size();
+    }
+}
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -115,6 +115,14 @@
         Await.until(() -> dump().contains("id=" + id));
     }
 
+    /** Writes the row of a replica anew, and waits until every entry knows this incarnation of it. */
+    void listIncarnation(ReplicaStandin replica, String id, String service) throws Exception {
+        register(replica, id, service, "ready");
+        Pattern listed = Pattern.compile("id=" + id + ", bornMillis=" + replica.bornMillis() + ",");
+        Await.until(() -> listed.matcher(dump()).find());
+        Await.until(() -> secondEntry.isEmpty() || listed.matcher(dumpSecond()).find());
+    }
+
     /** Waits until every entry knows the software version of a replica. */
     void awaitSoftwareVersion(String id, String version) throws Exception {
         Pattern listed = Pattern.compile("id=" + id + ", [^\\]]*softwareVersion=" + Pattern.quote(version) + ",");
