Reject requests with a prompt part under which replicas crash in turn

Cause: a crash was counted for a hash over the whole request. Requests that share one prompt part, and nothing else, began anew each time, at the price of two or three replicas. Class: what fails is identified too narrowly, so that what repeats is never seen to repeat. Change: entries count crashes for each shared prompt part too, and tell the processes beside engines, which tell all. A part is rejected once three crashes form a chain: each under a request sent when the crash before was known. A chain, and not a number, since targets that crash together (a rack with all copies of a model) prove nothing about what they ran, however late their crashes are heard of. Any answer to a request with the part, at any entry, releases it; the last crash holds for ten minutes. With a chain of two, requests with the part are isolated as suspects. One update carries at most nine parts, under 1,000 bytes.

--- a/src/main/java/io/waxwingquay/forward/RequestFingerprints.java
+++ b/src/main/java/io/waxwingquay/forward/RequestFingerprints.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.net.ServerRequest;
 import io.waxwingquay.suspect.Fingerprint;
+import io.waxwingquay.suspect.PromptPartSuspects;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +16,7 @@
     private final LongSupplier wholeSupplier;
     private final List<String> promptParts;
     private OptionalLong whole = OptionalLong.empty();
+    private long[] promptPartHashes;
 
     private RequestFingerprints(String attemptId, LongSupplier wholeSupplier, List<String> promptParts) {
         this.attemptId = attemptId;
@@ -55,6 +57,15 @@
         return promptParts;
     }
 
+    /** Returns the hashes of the parts, in the order of {@link #promptParts}; not to be changed. */
+    long[] promptPartHashes() {
+        if (promptPartHashes == null) {
+            promptPartHashes =
+                    promptParts.stream().mapToLong(PromptPartSuspects::hash).toArray();
+        }
+        return promptPartHashes;
+    }
+
     private static long hash(MessageCodec codec, ServerRequest request) {
         List<byte[]> parts = new ArrayList<>();
         parts.add(bytes(request.method()));
--- a/src/main/java/io/waxwingquay/forward/SuspectTracker.java
+++ b/src/main/java/io/waxwingquay/forward/SuspectTracker.java
@@ -77,10 +77,21 @@
         runningSuspectCounts.computeIfPresent(target, (key, count) -> count > 1 ? count - 1 : null);
     }
 
-    void crashed(Target target, RequestFingerprints request) {
+    /**
+     * Records that a replica may have crashed under a request.
+     *
+     * @param target the replica.
+     * @param request the request.
+     * @param knownChains for each of its prompt parts, the length of the chain of crashes known when it was sent.
+     */
+    void crashed(Target target, RequestFingerprints request, int[] knownChains) {
         long fingerprint = request.whole();
         String incarnation = target.id() + "/" + target.record().bornMillis();
         shared.recordCrash(incarnation, fingerprint);
+        long[] parts = request.promptPartHashes();
+        for (int index = 0; index < parts.length; index++) {
+            shared.promptParts().recordCrash(incarnation, parts[index], knownChains[index]);
+        }
         LOG.log(
                 System.Logger.Level.INFO,
                 "forward: broke before an answer replica={0} suspect={1} id={2} prompt_parts={3}",
@@ -88,7 +99,7 @@
                 displayName(fingerprint),
                 request.attemptId(),
                 String.join(",", request.promptParts()));
-        breaks.addLast(new ConnectionBreak(target, incarnation, fingerprint, nowMillis()));
+        breaks.addLast(new ConnectionBreak(target, incarnation, request, nowMillis()));
         if (breaks.size() > MAX_BREAKS) {
             breaks.removeFirst();
         }
@@ -111,9 +122,16 @@
                 .filter(each -> each.target == target)
                 .filter(each -> sentAtMillis < each.atMillis && each.atMillis < provenBeforeMillis)
                 .toList();
-        disproved.forEach(each -> shared.retractCrash(each.incarnation, each.fingerprint));
+        disproved.forEach(this::retract);
         breaks.removeAll(disproved);
     }
 
-    private record ConnectionBreak(Target target, String incarnation, long fingerprint, long atMillis) {}
+    private void retract(ConnectionBreak disproved) {
+        shared.retractCrash(disproved.incarnation, disproved.request.whole());
+        for (long part : disproved.request.promptPartHashes()) {
+            shared.promptParts().retractCrash(disproved.incarnation, part);
+        }
+    }
+
+    private record ConnectionBreak(Target target, String incarnation, RequestFingerprints request, long atMillis) {}
 }
--- a/src/main/java/io/waxwingquay/forward/Suspicion.java
+++ b/src/main/java/io/waxwingquay/forward/Suspicion.java
@@ -1,10 +1,15 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.suspect.PromptPartSuspects;
 import io.waxwingquay.suspect.SuspectRegistry.Standing;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 /**
  * Tells whether one request may be the cause of crashes of replicas.
@@ -12,6 +17,9 @@
  * <p>A request that crashes each replica that begins to run it never receives part of a response. So each attempt
  * counts whose connection broke before any part of one; two at different replicas are enough. All requests that a
  * replica ran count alike when it crashes; the harmless ones are told from the cause by their next attempt.
+ *
+ * <p>The cause may also be a part of the prompt that requests share which differ in all else. Parts are tracked by
+ * themselves, and released by any answer to a request with them.
  */
 final class Suspicion {
 
@@ -26,6 +34,7 @@
 
     private final SuspectTracker tracker;
     private final RequestFingerprints fingerprints;
+    private int[] knownChains;
     private OptionalLong isolatingSinceMillis = OptionalLong.empty();
     private Target runningTarget;
     private boolean cleared;
@@ -33,18 +42,46 @@
     Suspicion(SuspectTracker tracker, RequestFingerprints fingerprints) {
         this.tracker = tracker;
         this.fingerprints = fingerprints;
+        this.knownChains = new int[fingerprints.promptParts().size()];
     }
 
     /**
-     * Returns why the request is rejected, with the name of the suspect, which is also logged with each replica that
-     * crashed.
+     * Returns why the request is rejected, with the prompt part or the name of the suspect, which are also logged with each
+     * replica that crashed.
      */
     String quarantineReason() {
-        return "replicas went when they began to run it, suspect " + SuspectTracker.displayName(fingerprints.whole());
+        return quarantinedPart()
+                .map(part -> "replicas went when they began to run requests with its prompt part " + part)
+                .orElseGet(() -> "replicas went when they began to run it, suspect "
+                        + SuspectTracker.displayName(fingerprints.whole()));
     }
 
     boolean isQuarantined() {
-        return standing() == Standing.QUARANTINED;
+        return standing() == Standing.QUARANTINED || quarantinedPart().isPresent();
+    }
+
+    private Optional<String> quarantinedPart() {
+        return partsWhere(parts()::isQuarantined)
+                .mapToObj(fingerprints.promptParts()::get)
+                .findFirst();
+    }
+
+    private boolean isSuspect() {
+        return standing() == Standing.SUSPECT
+                || partsWhere(parts()::isSuspect).findAny().isPresent();
+    }
+
+    /** Returns the positions of the request's prompt parts that match, none once the request has proved harmless. */
+    private IntStream partsWhere(LongPredicate matches) {
+        if (cleared || parts().isEmpty()) {
+            return IntStream.empty();
+        }
+        long[] hashes = fingerprints.promptPartHashes();
+        return IntStream.range(0, hashes.length).filter(index -> matches.test(hashes[index]));
+    }
+
+    private PromptPartSuspects parts() {
+        return tracker.shared().promptParts();
     }
 
     /**
@@ -54,7 +91,7 @@
      */
     Choice choose(Set<Target> triedTargets, Function<Set<Target>, Choice> chooser) {
         Set<Target> occupied = tracker.targetsRunningSuspects();
-        if (occupied.isEmpty() || standing() != Standing.SUSPECT) {
+        if (occupied.isEmpty() || !isSuspect()) {
             return chooser.apply(triedTargets);
         }
         Set<Target> excluded = new HashSet<>(triedTargets);
@@ -75,7 +112,12 @@
     }
 
     void sent(Target target) {
-        if (standing() == Standing.SUSPECT) {
+        if (!parts().isEmpty()) {
+            knownChains = LongStream.of(fingerprints.promptPartHashes())
+                    .mapToInt(parts()::chainLength)
+                    .toArray();
+        }
+        if (isSuspect()) {
             runningTarget = target;
             tracker.suspectStarted(target);
         }
@@ -92,7 +134,7 @@
     /** Notes that the connection broke before any part of a response. */
     void connectionBroke(Target target) {
         if (!cleared) {
-            tracker.crashed(target, fingerprints);
+            tracker.crashed(target, fingerprints, knownChains);
         }
     }
 
@@ -104,6 +146,9 @@
         if (!tracker.shared().isEmpty()) {
             tracker.shared().recordSuccess(fingerprints.whole());
         }
+        if (!parts().isEmpty()) {
+            LongStream.of(fingerprints.promptPartHashes()).forEach(parts()::recordSuccess);
+        }
     }
 
     /** Returns the standing of the request; while there are no suspects, its fingerprint is not computed. */
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -24,6 +24,7 @@
 import io.waxwingquay.transport.generated.OriginQuestion;
 import io.waxwingquay.transport.generated.OriginReport;
 import io.waxwingquay.transport.generated.PeerDatagram;
+import io.waxwingquay.transport.generated.PromptPartNews;
 import io.waxwingquay.transport.generated.SuspectNews;
 import io.waxwingquay.transport.generated.TableVersions;
 import java.net.InetSocketAddress;
@@ -148,7 +149,9 @@
         adminServer.tableCopies(platform::encodedCopy);
         adminServer.dump(() -> "active=" + forwarder.activeCount() + " configuration="
                 + configurationVersion() + " engines_heard=" + forwarder.freshEngineCount()
-                + " suspects=" + suspects.countSuspected() + " missing=" + replicas.unlistedIds() + " replicas="
+                + " suspects=" + suspects.countSuspected()
+                + " quarantined_parts=" + suspects.promptParts().countQuarantined() + " missing="
+                + replicas.unlistedIds() + " replicas="
                 + replicas.replicas());
         loop.execute(this::startTasks);
     }
@@ -231,6 +234,7 @@
         if (datagram.isSetEngine()) {
             forwarder.engineUpdate(datagram.getEngine());
             suspects.merge(datagram.getEngine().getSuspects());
+            suspects.promptParts().merge(datagram.getEngine().getPromptParts());
             onTableVersions(datagram.getEngine());
         } else if (datagram.isSetSpendingReply()) {
             forwarder.allowances().replied(sender, datagram.getSpendingReply());
@@ -262,12 +266,14 @@
         TableVersions versions =
                 new TableVersions(configurationVersion(), replicaList.number(), replicaList.timeline());
         List<SuspectNews> suspectPage = suspects.nextUpdate();
+        List<PromptPartNews> promptPartPage = suspects.promptParts().nextUpdate();
         forwarder
                 .entryUpdates(settings.vmName())
                 .forEach((engine, update) -> peers.send(
                         sideAddressOf(engine),
-                        PeerDatagram.entry(
-                                update.setTables(versions).setSuspects(suspectPage.isEmpty() ? null : suspectPage))));
+                        PeerDatagram.entry(update.setTables(versions)
+                                .setSuspects(suspectPage.isEmpty() ? null : suspectPage)
+                                .setPromptParts(promptPartPage.isEmpty() ? null : promptPartPage))));
     }
 
     /** Tells which processes add up spending; reports that did not get through are repeated here. */
--- a/src/main/java/io/waxwingquay/residency/SuspectRelay.java
+++ b/src/main/java/io/waxwingquay/residency/SuspectRelay.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.PeerDatagram;
+import io.waxwingquay.transport.generated.PromptPartNews;
 import io.waxwingquay.transport.generated.SuspectNews;
 import java.util.List;
 
@@ -30,8 +31,10 @@
     public void receive(PeerDatagram datagram) {
         if (datagram.isSetEntry()) {
             suspects.merge(datagram.getEntry().getSuspects());
+            suspects.promptParts().merge(datagram.getEntry().getPromptParts());
         } else if (datagram.isSetEngine()) {
             suspects.merge(datagram.getEngine().getSuspects());
+            suspects.promptParts().merge(datagram.getEngine().getPromptParts());
         }
     }
 
@@ -44,6 +47,8 @@
         if (datagram.isSetEngine()) {
             List<SuspectNews> page = suspects.nextUpdate();
             datagram.getEngine().setSuspects(page.isEmpty() ? null : page);
+            List<PromptPartNews> parts = suspects.promptParts().nextUpdate();
+            datagram.getEngine().setPromptParts(parts.isEmpty() ? null : parts);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/io/waxwingquay/suspect/CrashChain.java
@@ -0,0 +1,104 @@
+package io.waxwingquay.suspect;
+
+import io.waxwingquay.transport.generated.PromptPartNews;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The crashes under one prompt part, each with the length of the chain of crashes that it ends. */
+final class CrashChain {
+
+    private static final int MAX_OPEN_CRASHES = 8;
+
+    /** The most absolved crashes that are remembered; a forgotten one could count again if a late update names it. */
+    private static final int MAX_ABSOLVED_CRASHES = 32;
+
+    /** The most open crashes, and, in the next constant, absolved ones, that one update names. */
+    private static final int OPEN_CRASHES_PER_UPDATE = 3;
+
+    private static final int ABSOLVED_CRASHES_PER_UPDATE = 6;
+
+    private final Map<Long, Integer> lengthByOpenCrash = new HashMap<>();
+    private final Set<Long> absolved = new LinkedHashSet<>();
+    private long expiresAtMillis;
+
+    /**
+     * Records a crash that this process has seen. One that is known already keeps its length: a target that survives and
+     * breaks single connections would otherwise extend the chain by itself.
+     */
+    void record(long crash, int length) {
+        if (!absolved.contains(crash)) {
+            lengthByOpenCrash.putIfAbsent(crash, length);
+            dropExcess();
+        }
+    }
+
+    /** Merges a crash that another process has recorded. Of two lengths the greater counts: a request was sent that late. */
+    void merge(long crash, int length) {
+        if (!absolved.contains(crash)) {
+            lengthByOpenCrash.merge(crash, length, Math::max);
+            dropExcess();
+        }
+    }
+
+    private void dropExcess() {
+        if (lengthByOpenCrash.size() > MAX_OPEN_CRASHES) {
+            ranked().skip(MAX_OPEN_CRASHES).toList().forEach(lengthByOpenCrash::remove);
+        }
+    }
+
+    void extend(long newExpiresAtMillis) {
+        expiresAtMillis = Math.max(expiresAtMillis, newExpiresAtMillis);
+    }
+
+    void absolve(Set<Long> crashes) {
+        lengthByOpenCrash.keySet().removeAll(crashes);
+        absolved.addAll(crashes);
+        absolved.stream()
+                .limit(Math.max(0, absolved.size() - MAX_ABSOLVED_CRASHES))
+                .toList()
+                .forEach(absolved::remove);
+    }
+
+    Set<Long> openCrashes() {
+        return new HashSet<>(lengthByOpenCrash.keySet());
+    }
+
+    /** Returns the length of the longest chain; 0 if no crash counts. */
+    int length() {
+        return lengthByOpenCrash.values().stream()
+                .mapToInt(Integer::intValue)
+                .max()
+                .orElse(0);
+    }
+
+    long expiresAtMillis() {
+        return expiresAtMillis;
+    }
+
+    boolean isExpired(long nowMillis) {
+        return expiresAtMillis <= nowMillis;
+    }
+
+    PromptPartNews toNews(long part, long nowMillis, long deductionMillis) {
+        Map<Long, Integer> open = ranked().limit(OPEN_CRASHES_PER_UPDATE)
+                .collect(Collectors.toMap(crash -> crash, lengthByOpenCrash::get));
+        Set<Long> latestAbsolved = absolved.stream()
+                .skip(Math.max(0, absolved.size() - ABSOLVED_CRASHES_PER_UPDATE))
+                .collect(Collectors.toSet());
+        return new PromptPartNews(part, open, latestAbsolved, expiresAtMillis - nowMillis - deductionMillis);
+    }
+
+    /** Returns the open crashes, those at the end of the longest chains first. */
+    private Stream<Long> ranked() {
+        return lengthByOpenCrash.entrySet().stream()
+                .sorted(Map.Entry.<Long, Integer>comparingByValue(Comparator.reverseOrder())
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
@@ -0,0 +1,253 @@
+package io.waxwingquay.suspect;
+
+import io.waxwingquay.transport.generated.PromptPartNews;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
+/**
+ * The prompt parts under which targets crashed, as known to a process, and the sample of them that is sent with each
+ * status update. Not thread-safe: everything runs on the event loop.
+ *
+ * <p>Many sound requests may run on a target that crashes, and many targets may crash together, so the number of crashes
+ * says little about a part. What counts is a chain: each crash happened under a request that was sent when the one before
+ * was known, and no request with the part was answered anywhere since. Targets that crash together make a chain of one,
+ * however many they are and however late their crashes are heard of.
+ *
+ * <p>The crashes of all processes form a union, and one that is absolved stays so, so a lost, repeated, late or reordered
+ * update does no harm. Every process forwards what it receives, so that a restarted process relearns what it knew before.
+ */
+public final class PromptPartSuspects {
+
+    /** Length of the chain of crashes at which requests with the part are rejected. */
+    private static final int QUARANTINE_CHAIN = 3;
+
+    /** Length of the chain of crashes at which requests with the part are isolated from each other. */
+    private static final int SUSPECT_CHAIN = 2;
+
+    private static final long RETENTION_MILLIS = 600_000L;
+
+    /** Deducted from the remaining lifetime of a record when it is sent, as with the records of whole requests. */
+    private static final long HOP_DEDUCTION_MILLIS = 500L;
+
+    private static final int MAX_PARTS = 256;
+
+    /** The most records merged from one update. */
+    private static final int MAX_MERGED_RECORDS = 32;
+
+    /** The most records with open crashes, and, in the next constant, without any, sent with one update. */
+    private static final int OPEN_RECORDS_PER_UPDATE = 6;
+
+    private static final int ABSOLVED_RECORDS_PER_UPDATE = 3;
+
+    private static final System.Logger LOG = System.getLogger("waxwingquay.suspect");
+
+    private final LongSupplier clockMillis;
+    private final RandomGenerator random;
+    private final Map<Long, CrashChain> chains = new HashMap<>();
+
+    PromptPartSuspects(LongSupplier clockMillis, RandomGenerator random) {
+        this.clockMillis = clockMillis;
+        this.random = random;
+    }
+
+    /**
+     * Returns the hash that stands for a prompt part.
+     *
+     * @param id the id of the part.
+     * @return a 64-bit hash, which is the same in every process.
+     */
+    public static long hash(String id) {
+        return Fingerprint.of(List.of(id.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /**
+     * Returns whether no records are known, which saves callers the lookup of each part.
+     *
+     * @return whether every part is clear.
+     */
+    public boolean isEmpty() {
+        return chains.isEmpty();
+    }
+
+    /**
+     * Returns the length of the longest chain of crashes under a part.
+     *
+     * @param part the hash of the part.
+     * @return the number of crashes; 0 if none counts.
+     */
+    public int chainLength(long part) {
+        CrashChain chain = chains.get(part);
+        return chain == null || chain.isExpired(clockMillis.getAsLong()) ? 0 : chain.length();
+    }
+
+    /**
+     * Returns whether requests with a part are rejected.
+     *
+     * @param part the hash of the part.
+     * @return whether it has a chain of crashes long enough.
+     */
+    public boolean isQuarantined(long part) {
+        return chainLength(part) >= QUARANTINE_CHAIN;
+    }
+
+    /**
+     * Returns whether requests with a part are isolated from each other.
+     *
+     * @param part the hash of the part.
+     * @return whether the next crash of its chain would quarantine it.
+     */
+    public boolean isSuspect(long part) {
+        return chainLength(part) == SUSPECT_CHAIN;
+    }
+
+    /**
+     * Records that a target crashed while it ran a request of which nothing was answered.
+     *
+     * @param target one incarnation of the target; the same incarnation counts once.
+     * @param part the hash of a part of the request's prompt.
+     * @param knownLength the length of the part's chain that was known when the request was sent.
+     */
+    public void recordCrash(String target, long part, int knownLength) {
+        boolean wasQuarantined = isQuarantined(part);
+        CrashChain chain = chainOf(part);
+        chain.record(SharedSuspects.crashNumber(target), Math.min(QUARANTINE_CHAIN, knownLength + 1));
+        chain.extend(clockMillis.getAsLong() + RETENTION_MILLIS);
+        dropExcess();
+        logChange(part, wasQuarantined);
+    }
+
+    /**
+     * Retracts a recorded crash that turned out not to have happened.
+     *
+     * @param target the incarnation of the target.
+     * @param part the hash of the part.
+     */
+    public void retractCrash(String target, long part) {
+        absolve(part, Set.of(SharedSuspects.crashNumber(target)));
+    }
+
+    /**
+     * Records that a request with a part was answered, or that its answer has begun: none of the crashes known so far was
+     * due to the part.
+     *
+     * @param part the hash of the part.
+     */
+    public void recordSuccess(long part) {
+        CrashChain chain = chains.get(part);
+        if (chain != null) {
+            absolve(part, chain.openCrashes());
+        }
+    }
+
+    /**
+     * Counts the quarantined parts.
+     *
+     * @return the number of parts.
+     */
+    public long countQuarantined() {
+        return chains.keySet().stream().filter(this::isQuarantined).count();
+    }
+
+    /**
+     * Merges the records of a received update.
+     *
+     * @param update the records; {@code null} if there are none.
+     */
+    public void merge(List<PromptPartNews> update) {
+        Stream.ofNullable(update)
+                .flatMap(List::stream)
+                .limit(MAX_MERGED_RECORDS)
+                .forEach(this::merge);
+        dropExcess();
+    }
+
+    private void merge(PromptPartNews received) {
+        if (received.getRemainingMillis() <= 0) {
+            return;
+        }
+        boolean wasQuarantined = isQuarantined(received.getPart());
+        long remainingMillis = Math.min(received.getRemainingMillis(), RETENTION_MILLIS);
+        CrashChain chain = chainOf(received.getPart());
+        Stream.ofNullable(received.getChainLengthByCrash())
+                .flatMap(lengths -> lengths.entrySet().stream())
+                .forEach(crash -> chain.merge(crash.getKey(), Math.min(QUARANTINE_CHAIN, crash.getValue())));
+        Stream.ofNullable(received.getAbsolved()).forEach(chain::absolve);
+        chain.extend(clockMillis.getAsLong() + remainingMillis);
+        logChange(received.getPart(), wasQuarantined);
+    }
+
+    /**
+     * Samples the records for the next update: those closest to a quarantine first, as these decide what reaches targets.
+     * Among equals the sample is random, so that all are covered within a few updates.
+     *
+     * @return a bounded number of records; empty if none are known.
+     */
+    public List<PromptPartNews> nextUpdate() {
+        if (chains.isEmpty()) {
+            return List.of();
+        }
+        long nowMillis = clockMillis.getAsLong();
+        chains.values().removeIf(chain -> chain.isExpired(nowMillis));
+        List<RankedPart> ranked = chains.entrySet().stream()
+                .map(entry -> new RankedPart(entry.getKey(), entry.getValue().length(), random.nextLong()))
+                .sorted(Comparator.comparingInt(RankedPart::length).reversed().thenComparing(RankedPart::order))
+                .toList();
+        return Stream.concat(
+                        ranked.stream().filter(part -> part.length > 0).limit(OPEN_RECORDS_PER_UPDATE),
+                        ranked.stream().filter(part -> part.length == 0).limit(ABSOLVED_RECORDS_PER_UPDATE))
+                .map(part -> chains.get(part.hash).toNews(part.hash, nowMillis, HOP_DEDUCTION_MILLIS))
+                .filter(sent -> sent.getRemainingMillis() > 0)
+                .toList();
+    }
+
+    private void absolve(long part, Set<Long> crashes) {
+        CrashChain chain = chains.get(part);
+        if (chain != null) {
+            boolean wasQuarantined = isQuarantined(part);
+            chain.absolve(crashes);
+            logChange(part, wasQuarantined);
+        }
+    }
+
+    /** Returns the chain of a part; what an expired record said no longer counts. */
+    private CrashChain chainOf(long part) {
+        long nowMillis = clockMillis.getAsLong();
+        return chains.compute(
+                part, (key, known) -> known == null || known.isExpired(nowMillis) ? new CrashChain() : known);
+    }
+
+    private void dropExcess() {
+        if (chains.size() <= MAX_PARTS) {
+            return;
+        }
+        long nowMillis = clockMillis.getAsLong();
+        chains.values().removeIf(chain -> chain.isExpired(nowMillis));
+        List<Long> dropped = chains.entrySet().stream()
+                .sorted(Map.Entry.comparingByValue(
+                        Comparator.comparingInt(CrashChain::length).thenComparing(CrashChain::expiresAtMillis)))
+                .limit(Math.max(0, chains.size() - MAX_PARTS))
+                .map(Map.Entry::getKey)
+                .toList();
+        dropped.forEach(chains::remove);
+    }
+
+    private void logChange(long part, boolean wasQuarantined) {
+        boolean isQuarantined = isQuarantined(part);
+        if (isQuarantined != wasQuarantined) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "suspect: prompt part {0} part={1}",
+                    isQuarantined ? "quarantined" : "released",
+                    Long.toHexString(part));
+        }
+    }
+
+    private record RankedPart(long hash, int length, long order) {}
+}
--- a/src/main/java/io/waxwingquay/suspect/SharedSuspects.java
+++ b/src/main/java/io/waxwingquay/suspect/SharedSuspects.java
@@ -49,6 +49,7 @@
     private final LongSupplier clockMillis;
     private final RandomGenerator random;
     private final SuspectTable table;
+    private final PromptPartSuspects promptParts;
 
     /**
      * Creates an empty set of suspects.
@@ -60,6 +61,16 @@
         this.clockMillis = clockMillis;
         this.random = random;
         this.table = SuspectTable.trustingAnswers(new MonotonicClock(clockMillis), RETENTION_MILLIS, MAX_RECORDS);
+        this.promptParts = new PromptPartSuspects(clockMillis, random);
+    }
+
+    /**
+     * Returns the prompt parts that are suspect, which are told apart from whole requests.
+     *
+     * @return the parts.
+     */
+    public PromptPartSuspects promptParts() {
+        return promptParts;
     }
 
     /**
@@ -197,8 +208,12 @@
     }
 
     private static String crashId(String target) {
-        long number = MurmurHash3.hash128x64(target.getBytes(StandardCharsets.UTF_8))[0];
-        return Long.toUnsignedString(number, Character.MAX_RADIX);
+        return Long.toUnsignedString(crashNumber(target), Character.MAX_RADIX);
+    }
+
+    /** Returns the name of the crash of one incarnation of a target. */
+    static long crashNumber(String target) {
+        return MurmurHash3.hash128x64(target.getBytes(StandardCharsets.UTF_8))[0];
     }
 
     /**
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -277,6 +277,18 @@
   4: i64 remainingMillis
 }
 
+/**
+ * A part of prompts under which replicas crashed. Each crash has a name of 64 bits and the length of the chain of crashes
+ * that it ends, each of which was known when the next request with the part was sent; absolved are those that count no
+ * more. How long the record stays is a duration.
+ */
+struct PromptPartNews {
+  1: i64 part,
+  2: map<i64, i32> chainLengthByCrash,
+  3: set<i64> absolved,
+  4: i64 remainingMillis
+}
+
 /**
  * What the process beside an engine tells every entry and the other processes of its service, several times a second
  * and at once after a change. Sent as a datagram; the next one says all of it again.
@@ -300,7 +312,8 @@
   16: list<string> modelsInUse,
   17: optional TableVersions newestTables,
   18: optional string newestTablesHost,
-  19: optional list<SuspectNews> suspects
+  19: optional list<SuspectNews> suspects,
+  20: optional list<PromptPartNews> promptParts
 }
 
 /** What one entry sees of one model. */
@@ -320,7 +333,8 @@
   6: i64 engineDigest,
   7: list<string> modelsInUse,
   8: optional TableVersions tables,
-  9: optional list<SuspectNews> suspects
+  9: optional list<SuspectNews> suspects,
+  10: optional list<PromptPartNews> promptParts
 }
 
 /** An entry needs an adapter on the engine beside the receiver. */
--- a/src/test/java/io/waxwingquay/forward/SuspicionTest.java
+++ b/src/test/java/io/waxwingquay/forward/SuspicionTest.java
@@ -160,6 +160,43 @@
         }
     }
 
+    // Guards against replicas that crash under requests which share one prompt part and differ in all else, and against
+    // blaming the parts that sound requests beside them share: the first one, or one of few requests.
+    @Test
+    void partThatCrashesReplicasIsFoundAndNoOtherPartIsQuarantined() {
+        Random random = new Random(23);
+        int crashes = 0;
+        for (int round = 0; round < 60; round++) {
+            Target target = target("r" + round);
+            Suspicion poison = withParts(round, "first", "bad0");
+            if (poison.isQuarantined()) {
+                continue;
+            }
+            List<Suspicion> bystanders = new ArrayList<>();
+            for (int number = 0; number < 12; number++) {
+                bystanders.add(withParts(1_000 + 100 * round + number, "first", "shared" + random.nextInt(30)));
+            }
+            bystanders.removeIf(Suspicion::isQuarantined);
+            assertEquals(12, bystanders.size());
+            poison.sent(target);
+            bystanders.forEach(each -> each.sent(target));
+            crashes++;
+            poison.ended();
+            poison.connectionBroke(target);
+            bystanders.forEach(Suspicion::ended);
+            bystanders.forEach(each -> each.connectionBroke(target));
+            nowMillis += 80;
+            bystanders.forEach(each -> each.answered(a, nowMillis));
+        }
+        assertEquals(3, crashes);
+        assertEquals(1, tracker.shared().promptParts().countQuarantined());
+        assertTrue(withParts(1, "other", "bad0").quarantineReason().endsWith("prompt part bad0"));
+    }
+
+    private Suspicion withParts(long fingerprint, String... parts) {
+        return new Suspicion(tracker, RequestFingerprints.of("r", fingerprint, List.of(parts)));
+    }
+
     private int crashesUntilQuarantine(List<Target> fleet, Random random) {
         List<Suspicion> bystanders = new ArrayList<>();
         List<Suspicion> pending = new ArrayList<>();
--- a/src/test/java/io/waxwingquay/residency/SuspectRelayTest.java
+++ b/src/test/java/io/waxwingquay/residency/SuspectRelayTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.suspect.SuspectRegistry.Standing;
@@ -33,6 +34,19 @@
         assertEquals(Standing.QUARANTINED, other.standing(FINGERPRINT));
     }
 
+    // Guards against engines that crash through entries which never hear of a prompt part that others have found.
+    @Test
+    void promptPartsOfOneEntryReachOthersThroughSides() {
+        entry.promptParts().recordCrash("a", FINGERPRINT, 2);
+        relay.receive(PeerDatagram.entry(
+                new EntryNews().setPromptParts(entry.promptParts().nextUpdate())));
+        SuspectRelay next = relay();
+        next.receive(attached(relay));
+        SharedSuspects other = suspects();
+        other.promptParts().merge(attached(next).getEngine().getPromptParts());
+        assertTrue(other.promptParts().isQuarantined(FINGERPRINT));
+    }
+
     @Test
     void datagramWithoutSuspectsIsUnchanged() {
         relay.receive(PeerDatagram.entry(new EntryNews()));
--- /dev/null
+++ b/src/test/java/io/waxwingquay/suspect/PromptPartSuspectsTest.java
@@ -0,0 +1,128 @@
+package io.waxwingquay.suspect;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.transport.generated.EngineNews;
+import io.waxwingquay.transport.generated.PromptPartNews;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.junit.jupiter.api.Test;
+
+class PromptPartSuspectsTest {
+
+    private static final long PART = PromptPartSuspects.hash("bad0");
+
+    private long nowMillis = 1_000;
+    private final Random random = new Random(11);
+    private final PromptPartSuspects entry1 = suspects();
+    private final PromptPartSuspects entry2 = suspects();
+
+    // Guards against entries that each count only what they saw: three targets crash in turn, through different
+    // entries.
+    @Test
+    void crashesInTurnThroughDifferentEntriesQuarantineThePart() {
+        crash(entry1, "a");
+        entry2.merge(entry1.nextUpdate());
+        crash(entry2, "b");
+        entry1.merge(entry2.nextUpdate());
+        assertTrue(entry1.isSuspect(PART));
+        crash(entry1, "c");
+        assertTrue(entry1.isQuarantined(PART));
+        PromptPartSuspects restarted = suspects();
+        restarted.merge(entry1.nextUpdate());
+        assertTrue(restarted.isQuarantined(PART));
+    }
+
+    // Guards against blaming what sound requests share for the loss of a rack: all engines with their model crash at
+    // once,
+    // seen by many entries whose news comes late.
+    @Test
+    void targetsThatCrashTogetherMakeAChainOfOne() {
+        List<PromptPartSuspects> entries = new ArrayList<>();
+        for (int number = 0; number < 20; number++) {
+            PromptPartSuspects entry = suspects();
+            entry.recordCrash("rack-" + number, PART, 0);
+            entries.add(entry);
+        }
+        for (PromptPartSuspects entry : entries) {
+            entries.forEach(other -> other.merge(entry.nextUpdate()));
+            nowMillis += 200;
+        }
+        entries.forEach(entry -> assertEquals(1, entry.chainLength(PART)));
+    }
+
+    // Guards against a quarantine by one target that lives and resets single connections.
+    @Test
+    void oneIncarnationExtendsTheChainOnce() {
+        crash(entry1, "a");
+        crash(entry1, "a");
+        crash(entry1, "b");
+        crash(entry1, "a");
+        crash(entry1, "b");
+        assertEquals(2, entry1.chainLength(PART));
+    }
+
+    // Guards against refusing a sound part for ten minutes: it was answered at another entry, and updates from before
+    // that
+    // arrive late.
+    @Test
+    void answerReleasesThePartInEveryProcessWhateverArrivesLater() {
+        List.of("a", "b", "c").forEach(target -> crash(entry1, target));
+        List<PromptPartNews> outdated = entry1.nextUpdate();
+        entry2.merge(outdated);
+        assertTrue(entry2.isQuarantined(PART));
+        entry2.recordSuccess(PART);
+        entry1.merge(entry2.nextUpdate());
+        entry1.merge(outdated);
+        entry2.merge(outdated);
+        assertFalse(entry1.isQuarantined(PART));
+        assertEquals(0, entry2.chainLength(PART));
+    }
+
+    @Test
+    void retractedCrashNoLongerCounts() {
+        List.of("a", "b", "c").forEach(target -> crash(entry1, target));
+        entry1.retractCrash("c", PART);
+        assertFalse(entry1.isQuarantined(PART));
+    }
+
+    @Test
+    void quarantineEndsTenMinutesAfterTheLastCrash() {
+        List.of("a", "b", "c").forEach(target -> crash(entry1, target));
+        nowMillis += 599_999;
+        assertTrue(entry1.isQuarantined(PART));
+        nowMillis += 1;
+        assertFalse(entry1.isQuarantined(PART));
+    }
+
+    // Guards against a quarantine that is crowded out of the updates by the sound parts of requests beside crashes.
+    @Test
+    void quarantinedPartIsInEveryUpdateAndUpdatesStaySmall() throws Exception {
+        for (int number = 0; number < 400; number++) {
+            long part = PromptPartSuspects.hash("sound" + number);
+            entry1.recordCrash("x" + number % 7, part, 0);
+            entry1.recordCrash("y" + number % 7, part, 0);
+        }
+        List.of("a", "b", "c").forEach(target -> crash(entry1, target));
+        for (int round = 0; round < 20; round++) {
+            List<PromptPartNews> update = entry1.nextUpdate();
+            assertTrue(update.stream().anyMatch(record -> record.getPart() == PART));
+            byte[] encoded =
+                    new TSerializer(new TCompactProtocol.Factory()).serialize(new EngineNews().setPromptParts(update));
+            assertTrue(encoded.length < 1_000, "bytes: " + encoded.length);
+        }
+    }
+
+    private void crash(PromptPartSuspects entry, String target) {
+        entry.recordCrash(target, PART, entry.chainLength(PART));
+    }
+
+    private PromptPartSuspects suspects() {
+        return new PromptPartSuspects(() -> nowMillis, random);
+    }
+}
