Count a crash within the first event against the request

Cause: any byte of a body counted as the start of an answer, though a part of an event proves nothing about the next one. Evidence: CrashingPromptPartTest#engineThatCrashesWithinItsFirstEventCounts was red without the change to Attempt: 20 starts where 8 may. Change: for a stream the first whole event counts; plain answers as before. After: that test, BrokenStreamTest, HostedPathTest, SoftwareVersionTest green.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -192,12 +192,17 @@
     }
 
     private void broken(boolean sent, String why) {
-        if (sent && !bodyStarted) {
+        if (sent && !hasBegunToAnswer()) {
             exchange.suspicion().connectionBroke(target);
         }
         exchange.failed(this, sent, why);
     }
 
+    /** Returns whether the replica survived the start of its answer: a part of a first event may precede a crash. */
+    private boolean hasBegunToAnswer() {
+        return streaming ? eventReceived : bodyStarted;
+    }
+
     /** Records in the replica's history that it answered, and how long that took. */
     void recordSuccess() {
         long nowMillis = EventLoop.nowMillis();
--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -279,10 +279,11 @@
          * that is not the last.
          *
          * @param promptPart the id of the part.
+         * @param written what it has written of the answer's body before it crashes, which is no whole event.
          * @param otherwise the behaviour for other requests.
          * @return the behaviour.
          */
-        static Behaviour crashOn(String promptPart, Behaviour otherwise) {
+        static Behaviour crashOn(String promptPart, String written, Behaviour otherwise) {
             return (replica, caller) -> {
                 String parts = String.valueOf(caller.request().fields().get("Prompt-Prefix"));
                 if (!("," + parts).matches(".*," + promptPart + ":\\d+,.*")) {
@@ -291,6 +292,7 @@
                 }
                 caller.begin(
                         OK, HttpFields.build(replica.responseFields(caller)).put("Content-Type", "text/event-stream"));
+                caller.write(ByteBuffer.wrap(written.getBytes(StandardCharsets.UTF_8)));
                 caller.abort();
                 replica.restart();
             };
--- a/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
+++ b/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
@@ -23,8 +23,7 @@
     void start() throws Exception {
         deployment = new HostedDeployment();
         deployment.startSecondEntry();
-        deployment.engine1.behaviour(Behaviour.crashOn(PART, Behaviour.stream(2, 0)));
-        deployment.engine2.behaviour(Behaviour.crashOn(PART, Behaviour.stream(2, 0)));
+        crashAfter("");
     }
 
     @AfterEach
@@ -48,6 +47,17 @@
         assertEquals(startsAfter, starts());
     }
 
+    // Guards against crashes that are not counted because the engine had written a part of its first event.
+    @Test
+    void engineThatCrashesWithinItsFirstEventCounts() throws Exception {
+        crashAfter("id: 1\nda");
+        int startsBefore = starts();
+        for (int number = 0; number < 10; number++) {
+            crash(number);
+        }
+        assertTrue(starts() - startsBefore <= MAX_STARTS, "started " + (starts() - startsBefore));
+    }
+
     // Guards against refusing sound requests that share their first part, route and model with those that crash
     // engines.
     @Test
@@ -61,6 +71,11 @@
         }
     }
 
+    private void crashAfter(String written) {
+        deployment.engine1.behaviour(Behaviour.crashOn(PART, written, Behaviour.stream(2, 0)));
+        deployment.engine2.behaviour(Behaviour.crashOn(PART, written, Behaviour.stream(2, 0)));
+    }
+
     /** Sends a request with the part to one of the entries, and lists the engines anew that it has crashed. */
     private void crash(int number) throws Exception {
         ask(number % 2 == 0, "crash-" + number, "f0:100," + PART + ":50,own" + number + ":7");
