Estimate the requests of other entries from their share at the engine

Cause: between two updates of an engine an entry counted, for each request of its own, one of each other entry. Class: a share that fits only while callers reach all entries alike. Change: the others are assumed to send in the proportion of their requests at the engine to its own, and never more than before; an entry with none there assumes what it did. Where callers reach all alike the proportion is the number of other entries, as before.

--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -60,6 +60,7 @@
     private long updateLifetimeMillis = MIN_FRESH_MILLIS;
     private long unresponsiveAfterMillis = UNRESPONSIVE_MILLIS;
     private int inFlight;
+    private int inFlightAtUpdate;
     private int sentSinceUpdate;
     private long tokensSinceUpdate;
     private Usage reportedUsage = new Usage(Set.of(), Set.of());
@@ -179,6 +180,7 @@
         if (!acceptsRequests()) {
             pool.failWaiting();
         }
+        inFlightAtUpdate = inFlight;
         sentSinceUpdate = 0;
         tokensSinceUpdate = 0;
     }
@@ -333,13 +335,15 @@
 
     /**
      * Returns the expected requests in the replica when one sent now arrives. All entries receive the same update and
-     * choose the same replica until the next, so each is assumed to have sent as many since as this one.
+     * choose the same replica until the next, so each is assumed to have sent since in proportion to its requests there.
      */
     int expectedLoad(long nowMillis) {
         return freshUpdate(nowMillis)
                 .map(fresh -> Math.max(
                         inFlight,
-                        fresh.getRunning() + fresh.getWaiting() + sentSinceUpdate * Math.max(1, fresh.getEntries())))
+                        fresh.getRunning()
+                                + fresh.getWaiting()
+                                + (int) Math.round(sentSinceUpdate * (1 + sentByOthersPerRequest(fresh)))))
                 .orElse(inFlight);
     }
 
@@ -357,10 +361,24 @@
                 .orElse(inFlight < slots);
     }
 
-    /** Assumes that the other entries have sent requests, since the update, at the current rate of this one. */
+    /**
+     * Returns how many requests the other entries are assumed to send for each one from here: as many as they had at the
+     * engine for each one from here, but no more than if all entries sent alike. With equal rates alone, an entry that
+     * most callers reach would take nearly idle engines for full.
+     */
+    private double sentByOthersPerRequest(EngineNews fresh) {
+        int others = Math.max(0, fresh.getEntries() - 1);
+        if (inFlightAtUpdate == 0) {
+            return others;
+        }
+        double load = fresh.getRunning() + fresh.getWaiting();
+        return Math.min(others, Math.max(0, load - inFlightAtUpdate) / inFlightAtUpdate);
+    }
+
+    /** Assumes that the other entries have sent requests, since the update, in proportion to the rate of this one. */
     private boolean hasRoomFor(EngineNews fresh, int slots, long kvTokens, long nowMillis) {
         double seconds = (nowMillis - updatedAtMillis) / MILLIS_PER_SECOND;
-        double sentByOthers = Math.max(0, fresh.getEntries() - 1) * recentSends.perSecond(nowMillis) * seconds;
+        double sentByOthers = sentByOthersPerRequest(fresh) * recentSends.perSecond(nowMillis) * seconds;
         double load = Math.max(inFlight, fresh.getRunning() + fresh.getWaiting() + sentSinceUpdate + sentByOthers);
         double usedTokens = fresh.getKvUsedTokens() + tokensSinceUpdate + sentByOthers * kvTokens;
         boolean fits = fresh.getKvTotalTokens() == 0 || usedTokens + kvTokens <= fresh.getKvTotalTokens();
