Test whole answers that end with their connection

Cause: the users' pages now say that any answer may come with neither a length nor chunks; the stand-in of a replica could do so for streams only, so the path of plain answers had no test over real sockets. Change: a behaviour of the stand-in and a test, with a caller that keeps its connection.

--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -298,6 +298,20 @@
             };
         }
 
+        /**
+         * Returns a behaviour that answers with neither a length nor chunks, and then closes the connection in order.
+         *
+         * @param text the body.
+         * @return the behaviour.
+         */
+        static Behaviour answerUntilClose(String text) {
+            return (replica, caller) -> {
+                caller.beginUntilClose(OK, replica.responseFields(caller));
+                caller.write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
+                caller.finish();
+            };
+        }
+
         /**
          * Returns a behaviour that streams text with neither a length nor chunks, and then closes the connection in
          * order. A client can tell a stream that was cut from a complete one by an incomplete last event only.
--- a/src/test/java/io/waxwingquay/hosted/BrokenStreamTest.java
+++ b/src/test/java/io/waxwingquay/hosted/BrokenStreamTest.java
@@ -6,6 +6,7 @@
 
 import io.waxwingquay.hosted.HostedDeployment.Answer;
 import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
+import java.net.Socket;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -86,6 +87,23 @@
         }
     }
 
+    // Guards against an answer that is lost or cut because it has neither a length nor chunks, also on the connection
+    // of a
+    // caller that goes on with it.
+    @Test
+    void plainAnswerThatOnlyTheCloseOfItsConnectionEndsIsWhole() throws Exception {
+        deployment.plain1.behaviour(Behaviour.answerUntilClose("booked"));
+        deployment.plain2.behaviour(Behaviour.answerUntilClose("booked"));
+        try (Socket socket = deployment.connect()) {
+            for (int number = 0; number < 3; number++) {
+                Answer answer = HostedDeployment.exchange(
+                        socket, HostedDeployment.request("POST", "/once/1", "a34-" + number, "", "x"));
+                assertEquals(200, answer.status());
+                assertEquals("booked", answer.body());
+            }
+        }
+    }
+
     private void streamUntilClose(String text) {
         deployment.engine1.behaviour(Behaviour.streamUntilClose(text));
         deployment.engine2.behaviour(Behaviour.streamUntilClose(text));
