Take and keep connections only while the event loop keeps up

Cause: every connection was taken, whatever the loop had to do. Class: a share (of callers, by the balancer) that is taken for even. Ways: take all (the standing one), or close new connections unread while a pass takes 100 ms and the loop is 85% busy, eight a pass at most, four a second at least, and announce the close of kept ones with their answers.

--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -120,7 +120,7 @@
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicaListener());
         HostPort callerAddress = required(settings.callerAddress(), "listen.front");
         HostPort readinessAddress = required(settings.readinessAddress(), "listen.ready");
-        this.server = HttpServer.listen(loop, socketAddress(callerAddress), forwarder);
+        this.server = HttpServer.listen(loop, socketAddress(callerAddress), loop.acceptWhileResponsive(), forwarder);
         HttpServer.listen(loop, socketAddress(readinessAddress), this::answerReadiness);
         this.gracefulShutdown =
                 new GracefulShutdown(loop, server, forwarder, settings.bounds().graceMillis(), EventLoop::nowMillis);
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -17,17 +17,19 @@
 
     private final EventLoop loop;
     private final ServerHandler handler;
+    private final ConnectionPolicy policy;
     private final Set<ServerConnection> connections = new HashSet<>();
     private ServerLimits limits = ServerLimits.DEFAULT;
     private boolean draining;
 
-    private HttpServer(EventLoop loop, ServerHandler handler) {
+    private HttpServer(EventLoop loop, ConnectionPolicy policy, ServerHandler handler) {
         this.loop = loop;
+        this.policy = policy;
         this.handler = handler;
     }
 
     /**
-     * Starts a server.
+     * Starts a server that takes every connection.
      *
      * @param loop the event loop on which everything runs.
      * @param address the address to listen on.
@@ -35,8 +37,22 @@
      * @return the running server.
      */
     public static HttpServer listen(EventLoop loop, InetSocketAddress address, ServerHandler handler) {
-        HttpServer server = new HttpServer(loop, handler);
-        loop.listen(address, endPoint -> new ServerConnection(endPoint, loop, server));
+        return listen(loop, address, ConnectionPolicy.ALWAYS, handler);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param loop the event loop on which everything runs.
+     * @param address the address to listen on.
+     * @param policy decides which connections are taken and kept.
+     * @param handler answers the requests.
+     * @return the running server.
+     */
+    public static HttpServer listen(
+            EventLoop loop, InetSocketAddress address, ConnectionPolicy policy, ServerHandler handler) {
+        HttpServer server = new HttpServer(loop, policy, handler);
+        loop.listen(address, policy, endPoint -> new ServerConnection(endPoint, loop, server));
         loop.execute(() -> loop.every(TIMEOUT_CHECK_MILLIS, server::checkTimeouts));
         return server;
     }
@@ -77,6 +93,11 @@
         return draining;
     }
 
+    /** Returns whether a connection stays open after the response that begins now. */
+    boolean keepsConnections() {
+        return !draining && policy.keeps(EventLoop.nowMillis());
+    }
+
     void onOpened(ServerConnection connection) {
         connections.add(connection);
     }
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -106,6 +106,10 @@
         return server.isDraining();
     }
 
+    boolean staysOpen() {
+        return server.keepsConnections();
+    }
+
     /**
      * Returns whether the connection can be closed without truncating a request or response.
      *
--- a/src/main/java/io/waxwingquay/net/ServerExchange.java
+++ b/src/main/java/io/waxwingquay/net/ServerExchange.java
@@ -16,6 +16,7 @@
     private final boolean persistent;
     private Runnable onDisconnect = () -> {};
     private State state = State.WAITING;
+    private boolean closeAnnounced;
 
     ServerExchange(ServerConnection connection, ServerRequest request, boolean persistent) {
         this.connection = connection;
@@ -62,10 +63,10 @@
             return;
         }
         state = State.ENDED;
-        boolean closesConnection = closesConnection();
+        closeAnnounced = !persistent || !connection.staysOpen();
         ByteBuffer buffer = startHead(status, fields, body.length);
         MessageHead.put(buffer, "Content-Length: " + body.length + "\r\n");
-        finishHead(buffer, closesConnection);
+        finishHead(buffer);
         if (body.length <= buffer.remaining() && !isHeadRequest()) {
             buffer.put(body);
             connection.send(buffer.flip());
@@ -73,7 +74,7 @@
             connection.send(buffer.flip());
             connection.send(ByteBuffer.wrap(isHeadRequest() ? new byte[0] : body));
         }
-        connection.onResponseComplete(closesConnection);
+        connection.onResponseComplete(closeAnnounced);
     }
 
     /**
@@ -101,7 +102,8 @@
         state = State.STREAMING;
         ByteBuffer buffer = startHead(status, fields, 0);
         MessageHead.put(buffer, "Transfer-Encoding: chunked\r\n");
-        finishHead(buffer, closesConnection());
+        closeAnnounced = !persistent || !connection.staysOpen();
+        finishHead(buffer);
         connection.send(buffer.flip());
     }
 
@@ -117,7 +119,8 @@
         }
         state = State.STREAMING_UNTIL_CLOSE;
         ByteBuffer buffer = startHead(status, fields, 0);
-        finishHead(buffer, true);
+        closeAnnounced = true;
+        finishHead(buffer);
         connection.send(buffer.flip());
     }
 
@@ -153,7 +156,7 @@
         }
         state = State.ENDED;
         connection.send(ByteBuffer.wrap(LAST_CHUNK));
-        connection.onResponseComplete(closesConnection());
+        connection.onResponseComplete(closeAnnounced || connection.isDraining());
     }
 
     /** Closes the connection, so that the response can't be mistaken for a complete one. */
@@ -184,10 +187,6 @@
         return "HEAD".equals(request.method());
     }
 
-    private boolean closesConnection() {
-        return !persistent || connection.isDraining();
-    }
-
     private ByteBuffer startHead(int status, HttpFields fields, int bodyBytes) {
         int requiredBytes = fields.stream()
                         .mapToInt(field -> field.getName().length()
@@ -201,8 +200,8 @@
         return buffer;
     }
 
-    private static void finishHead(ByteBuffer buffer, boolean closesConnection) {
-        if (closesConnection) {
+    private void finishHead(ByteBuffer buffer) {
+        if (closeAnnounced) {
             MessageHead.put(buffer, "Connection: close\r\n");
         }
         MessageHead.putEnd(buffer);
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -150,6 +150,11 @@
         secondEntry = Optional.of(Await.value(started));
     }
 
+    /** Returns the addresses at which callers reach the entries. */
+    List<HostPort> entryAddresses() {
+        return List.of(new HostPort("127.0.0.1", basePort + 2), new HostPort(SECOND_HOST, basePort + 2));
+    }
+
     Answer askSecond(String path, String id) throws IOException {
         return askSecond(path, id, "x");
     }
--- /dev/null
+++ b/src/test/java/io/waxwingquay/net/HttpServerTest.java
@@ -0,0 +1,89 @@
+package io.waxwingquay.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.testing.FreePorts;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.Test;
+
+class HttpServerTest {
+
+    private static final int CONNECTIONS = 20;
+
+    private final AtomicInteger opened = new AtomicInteger();
+    private final AtomicInteger handled = new AtomicInteger();
+
+    // Guards against a request that runs though its connection was turned away, and against a connection that is
+    // neither
+    // taken nor closed, whose caller would wait.
+    @Test
+    void requestOnAConnectionThatIsNotTakenIsNotHandled() throws Exception {
+        int port = FreePorts.adjacent(1, List.of("127.0.0.1"));
+        try (EventLoop loop = EventLoop.start("test")) {
+            ConnectionPolicy everySecond = nowMillis -> opened.getAndIncrement() % 2 == 0;
+            HttpServer.listen(loop, new InetSocketAddress("127.0.0.1", port), everySecond, exchange -> {
+                handled.incrementAndGet();
+                exchange.respond(200, HttpFields.EMPTY, "here");
+            });
+            int answered = 0;
+            for (int number = 0; number < CONNECTIONS; number++) {
+                answered += isAnswered(port) ? 1 : 0;
+            }
+            assertEquals(CONNECTIONS / 2, answered);
+            assertEquals(CONNECTIONS / 2, handled.get());
+        }
+    }
+
+    // Guards against a connection that is closed without notice, on which a caller may send its next request.
+    @Test
+    void connectionThatIsNotKeptIsAnnouncedAndClosedAfterItsResponse() throws Exception {
+        int port = FreePorts.adjacent(1, List.of("127.0.0.1"));
+        try (EventLoop loop = EventLoop.start("test")) {
+            HttpServer.listen(
+                    loop,
+                    new InetSocketAddress("127.0.0.1", port),
+                    new KeepsNone(),
+                    exchange -> exchange.respond(200, HttpFields.EMPTY, "here"));
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout(30_000);
+                socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+                assertTrue(answer.contains("Connection: close"), answer);
+                assertTrue(answer.endsWith("here"), answer);
+            }
+        }
+    }
+
+    private static boolean isAnswered(int port) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            socket.getOutputStream()
+                    .write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            return socket.getInputStream().readAllBytes().length > 0;
+        } catch (SocketException reset) {
+            return false;
+        }
+    }
+
+    private static final class KeepsNone implements ConnectionPolicy {
+
+        @Override
+        public boolean accepts(long nowMillis) {
+            return true;
+        }
+
+        @Override
+        public boolean keeps(long nowMillis) {
+            return false;
+        }
+    }
+}
