Keep no cache of header fields on each connection

Cause: Jetty's parser remembers header fields on each connection in a trie of some 100 kB, from the second message on. Some 500 kept connections filled the 64 MB of an entry's heap, which then did nothing but collect garbage. Class: memory for each connection that nobody bounded, found while one entry gets nearly all connections. ConnectionMemoryTest was red: 122,003 bytes for a connection with both its ends, where 32,768 are allowed. Ruled out: the loop's own work (choosing took 25 to 120 ms of each half second) and the connections themselves (6 kB each before their second message). Change: parsers are created without the cache. After: ConnectionMemoryTest, ClientPoolTest, ServerConnectionTest, HostedPathTest green.

--- a/src/main/java/io/waxwingquay/net/ClientConnection.java
+++ b/src/main/java/io/waxwingquay/net/ClientConnection.java
@@ -27,7 +27,7 @@
     private static final long MILLIS_PER_SECOND = 1_000L;
 
     private final ClientPool pool;
-    private final HttpParser parser = new HttpParser(this, MAX_HEAD_BYTES);
+    private final HttpParser parser = Parsers.forResponses(this, MAX_HEAD_BYTES);
     private ClientListener listener;
     private HttpFields.Mutable fields = HttpFields.build();
     private int status;
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -47,7 +47,7 @@
     ServerConnection(EndPoint endPoint, EventLoop loop, HttpServer server) {
         super(endPoint, loop);
         this.server = server;
-        this.parser = new HttpParser(this, server.limits().maxHeaderBytes());
+        this.parser = Parsers.forRequests(this, server.limits().maxHeaderBytes());
         server.onOpened(this);
     }
 
