--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -1,6 +1,5 @@
 package io.waxwingquay.forward;
 
-import io.waxwingquay.common.DecayingSum;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.ClientPool;
@@ -40,16 +39,11 @@
     /** Time after which an engine with requests from here may be unresponsive: two updates of its load. */
     private static final long DOUBT_MILLIS = 400L;
 
-    /** Half-life of the rate of requests sent from here, from which those of other entries are estimated. */
-    private static final double SEND_HALF_LIFE_MILLIS = 1_000.0;
-
-    private static final double MILLIS_PER_SECOND = 1_000.0;
-
     private final ClientPool pool;
     private final ListingStatus listingStatus = new ListingStatus();
     private final ReplicaAnnouncements announcements;
     private final AttemptHistory attemptHistory = new AttemptHistory();
-    private final DecayingSum recentSends = new DecayingSum(SEND_HALF_LIFE_MILLIS);
+    private final EngineLoadEstimate loadEstimate = new EngineLoadEstimate();
     private final Map<String, Integer> adaptersInUse = new HashMap<>();
     private final Map<String, Integer> modelsInUse = new HashMap<>();
     private ReplicaRecord record;
@@ -59,10 +53,6 @@
     private long busySinceMillis = Long.MIN_VALUE / 2;
     private long updateLifetimeMillis = MIN_FRESH_MILLIS;
     private long unresponsiveAfterMillis = UNRESPONSIVE_MILLIS;
-    private int inFlight;
-    private int inFlightAtUpdate;
-    private int sentSinceUpdate;
-    private long tokensSinceUpdate;
     private Usage reportedUsage = new Usage(Set.of(), Set.of());
     private boolean gone;
     private boolean replaced;
@@ -122,7 +112,7 @@
     }
 
     int inFlight() {
-        return inFlight;
+        return loadEstimate.inFlight();
     }
 
     /**
@@ -180,9 +170,7 @@
         if (!acceptsRequests()) {
             pool.failWaiting();
         }
-        inFlightAtUpdate = inFlight;
-        sentSinceUpdate = 0;
-        tokensSinceUpdate = 0;
+        loadEstimate.updated();
     }
 
     /** Notes that a response has begun; a replica that is about to leave announces that it closes the connection. */
@@ -247,7 +235,7 @@
             return false;
         }
         long lastHeardMillis = Math.max(updatedAtMillis, lastAnswerMillis);
-        return inFlight > 0
+        return inFlight() > 0
                 ? nowMillis - Math.max(lastHeardMillis, busySinceMillis) > UNRESPONSIVE_MILLIS
                 : nowMillis - lastHeardMillis > unresponsiveAfterMillis;
     }
@@ -333,18 +321,9 @@
                 .forEach(held -> held.getAdapters().remove(name)));
     }
 
-    /**
-     * Returns the expected requests in the replica when one sent now arrives. All entries receive the same update and
-     * choose the same replica until the next, so each is assumed to have sent since in proportion to its requests there.
-     */
+    /** Returns the expected requests in the replica when one sent now arrives. */
     int expectedLoad(long nowMillis) {
-        return freshUpdate(nowMillis)
-                .map(fresh -> Math.max(
-                        inFlight,
-                        fresh.getRunning()
-                                + fresh.getWaiting()
-                                + (int) Math.round(sentSinceUpdate * (1 + sentByOthersPerRequest(fresh)))))
-                .orElse(inFlight);
+        return freshUpdate(nowMillis).map(loadEstimate::expectedLoad).orElse(inFlight());
     }
 
     /**
@@ -357,32 +336,8 @@
      */
     boolean hasRoomFor(int slots, long kvTokens, long nowMillis) {
         return freshUpdate(nowMillis)
-                .map(fresh -> hasRoomFor(fresh, slots, kvTokens, nowMillis))
-                .orElse(inFlight < slots);
-    }
-
-    /**
-     * Returns how many requests the other entries are assumed to send for each one from here: as many as they had at the
-     * engine for each one from here, but no more than if all entries sent alike. With equal rates alone, an entry that
-     * most callers reach would take nearly idle engines for full.
-     */
-    private double sentByOthersPerRequest(EngineNews fresh) {
-        int others = Math.max(0, fresh.getEntries() - 1);
-        if (inFlightAtUpdate == 0) {
-            return others;
-        }
-        double load = fresh.getRunning() + fresh.getWaiting();
-        return Math.min(others, Math.max(0, load - inFlightAtUpdate) / inFlightAtUpdate);
-    }
-
-    /** Assumes that the other entries have sent requests, since the update, in proportion to the rate of this one. */
-    private boolean hasRoomFor(EngineNews fresh, int slots, long kvTokens, long nowMillis) {
-        double seconds = (nowMillis - updatedAtMillis) / MILLIS_PER_SECOND;
-        double sentByOthers = sentByOthersPerRequest(fresh) * recentSends.perSecond(nowMillis) * seconds;
-        double load = Math.max(inFlight, fresh.getRunning() + fresh.getWaiting() + sentSinceUpdate + sentByOthers);
-        double usedTokens = fresh.getKvUsedTokens() + tokensSinceUpdate + sentByOthers * kvTokens;
-        boolean fits = fresh.getKvTotalTokens() == 0 || usedTokens + kvTokens <= fresh.getKvTotalTokens();
-        return load < slots && fits;
+                .map(fresh -> loadEstimate.hasRoomFor(fresh, nowMillis - updatedAtMillis, slots, kvTokens, nowMillis))
+                .orElse(inFlight() < slots);
     }
 
     Map<String, Integer> adaptersInUse() {
@@ -417,20 +372,17 @@
     }
 
     void requestSent(Optional<String> model, Optional<String> adapter, long kvTokens, long nowMillis) {
-        tokensSinceUpdate += kvTokens;
-        recentSends.add(1, nowMillis);
         announcements.rateLimit().sent(nowMillis);
-        if (inFlight == 0 && !isUnresponsive(nowMillis)) {
+        if (inFlight() == 0 && !isUnresponsive(nowMillis)) {
             busySinceMillis = nowMillis;
         }
-        inFlight++;
-        sentSinceUpdate++;
+        loadEstimate.requestSent(kvTokens, nowMillis);
         model.ifPresent(name -> modelsInUse.merge(name, 1, Integer::sum));
         adapter.ifPresent(name -> adaptersInUse.merge(model.orElse("") + "/" + name, 1, Integer::sum));
     }
 
     void requestEnded(Optional<String> model, Optional<String> adapter) {
-        inFlight--;
+        loadEstimate.requestEnded();
         model.ifPresent(name -> modelsInUse.computeIfPresent(name, (key, count) -> count > 1 ? count - 1 : null));
         adapter.ifPresent(name -> adaptersInUse.computeIfPresent(
                 model.orElse("") + "/" + name, (key, count) -> count > 1 ? count - 1 : null));
--- a/src/test/java/io/waxwingquay/forward/TargetTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetTest.java
@@ -49,8 +49,7 @@
     }
 
     // Guards against a stream that is resumed at another software version: its engine restarted under the same id, and
-    // its
-    // row still tells the version of before.
+    // its row still tells the version of before.
     @Test
     void softwareVersionIsUnknownOnceTheReplicaHasRestarted() {
         target.update(fullUpdate(3), 0);
@@ -105,33 +104,6 @@
         assertFalse(target.hasRoomFor(24, 100, nowMillis + 400));
     }
 
-    // Guards against refusals for lack of room while most new connections reach this entry: with each request of its
-    // own
-    // it counted one of each other entry, which send hardly any, and half-empty engines seemed full.
-    @Test
-    void entryThatSendsNearlyAllRequestsDoesNotAssumeThatOthersSendAsMany() {
-        long nowMillis = EventLoop.nowMillis();
-        IntStream.range(0, 10).forEach(number -> send(nowMillis - 300));
-        target.update(fullUpdate(11).setEntries(25), nowMillis);
-        IntStream.range(0, 3).forEach(number -> send(nowMillis));
-        assertTrue(target.hasRoomFor(32, 100, nowMillis + 200));
-        assertTrue(target.expectedLoad(nowMillis + 200) < 20, "load " + target.expectedLoad(nowMillis + 200));
-    }
-
-    // Guards against overfilling an engine by an entry that sends a twentieth of its requests.
-    @Test
-    void entryThatSendsFewRequestsAssumesThatOthersSendTheRest() {
-        long nowMillis = EventLoop.nowMillis();
-        send(nowMillis - 300);
-        target.update(fullUpdate(20).setEntries(25), nowMillis);
-        IntStream.range(0, 2).forEach(number -> send(nowMillis));
-        assertFalse(target.hasRoomFor(32, 100, nowMillis + 400));
-    }
-
-    private void send(long nowMillis) {
-        target.requestSent(Optional.of("m"), Optional.empty(), 100, nowMillis);
-    }
-
     @Test
     void requestThatDoesNotFitInMemoryFindsNoRoom() {
         target.update(fullUpdate(3).setKvUsedTokens(900).setKvTotalTokens(1_000), 0);
