Blame the last shared prompt part before those that more requests share

Cause: until a sound request is answered, all parts of requests that crash replicas have the same chain of crashes, and all were quarantined together; then no sound request was sent any more that could have released them. Change: a crash weighs two for the last shared part and one for parts before it; a chain of six quarantines. If the last part is the cause, crashes end before the others reach that; if another is, three crashes more find it.

--- a/src/main/java/io/waxwingquay/forward/SuspectTracker.java
+++ b/src/main/java/io/waxwingquay/forward/SuspectTracker.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.suspect.PromptPartSuspects.Position;
 import io.waxwingquay.suspect.SharedSuspects;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -82,15 +83,16 @@
      *
      * @param target the replica.
      * @param request the request.
-     * @param knownChains for each of its prompt parts, the length of the chain of crashes known when it was sent.
+     * @param knownChainWeights for each of its prompt parts, the weight of the chain of crashes known when it was sent.
      */
-    void crashed(Target target, RequestFingerprints request, int[] knownChains) {
+    void crashed(Target target, RequestFingerprints request, int[] knownChainWeights) {
         long fingerprint = request.whole();
         String incarnation = target.id() + "/" + target.record().bornMillis();
         shared.recordCrash(incarnation, fingerprint);
         long[] parts = request.promptPartHashes();
         for (int index = 0; index < parts.length; index++) {
-            shared.promptParts().recordCrash(incarnation, parts[index], knownChains[index]);
+            Position position = index == parts.length - 1 ? Position.LAST : Position.EARLIER;
+            shared.promptParts().recordCrash(incarnation, parts[index], position, knownChainWeights[index]);
         }
         LOG.log(
                 System.Logger.Level.INFO,
--- a/src/main/java/io/waxwingquay/forward/Suspicion.java
+++ b/src/main/java/io/waxwingquay/forward/Suspicion.java
@@ -34,7 +34,7 @@
 
     private final SuspectTracker tracker;
     private final RequestFingerprints fingerprints;
-    private int[] knownChains;
+    private int[] knownChainWeights;
     private OptionalLong isolatingSinceMillis = OptionalLong.empty();
     private Target runningTarget;
     private boolean cleared;
@@ -42,7 +42,7 @@
     Suspicion(SuspectTracker tracker, RequestFingerprints fingerprints) {
         this.tracker = tracker;
         this.fingerprints = fingerprints;
-        this.knownChains = new int[fingerprints.promptParts().size()];
+        this.knownChainWeights = new int[fingerprints.promptParts().size()];
     }
 
     /**
@@ -113,8 +113,8 @@
 
     void sent(Target target) {
         if (!parts().isEmpty()) {
-            knownChains = LongStream.of(fingerprints.promptPartHashes())
-                    .mapToInt(parts()::chainLength)
+            knownChainWeights = LongStream.of(fingerprints.promptPartHashes())
+                    .mapToInt(parts()::chainWeight)
                     .toArray();
         }
         if (isSuspect()) {
@@ -134,7 +134,7 @@
     /** Notes that the connection broke before any part of a response. */
     void connectionBroke(Target target) {
         if (!cleared) {
-            tracker.crashed(target, fingerprints, knownChains);
+            tracker.crashed(target, fingerprints, knownChainWeights);
         }
     }
 
--- a/src/main/java/io/waxwingquay/suspect/CrashChain.java
+++ b/src/main/java/io/waxwingquay/suspect/CrashChain.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-/** The crashes under one prompt part, each with the length of the chain of crashes that it ends. */
+/** The crashes under one prompt part, each with the weight of the chain of crashes that it ends. */
 final class CrashChain {
 
     private static final int MAX_OPEN_CRASHES = 8;
@@ -23,32 +23,32 @@
 
     private static final int ABSOLVED_CRASHES_PER_UPDATE = 6;
 
-    private final Map<Long, Integer> lengthByOpenCrash = new HashMap<>();
+    private final Map<Long, Integer> weightByOpenCrash = new HashMap<>();
     private final Set<Long> absolved = new LinkedHashSet<>();
     private long expiresAtMillis;
 
     /**
-     * Records a crash that this process has seen. One that is known already keeps its length: a target that survives and
+     * Records a crash that this process has seen. One that is known already keeps its weight: a target that survives and
      * breaks single connections would otherwise extend the chain by itself.
      */
-    void record(long crash, int length) {
+    void record(long crash, int weight) {
         if (!absolved.contains(crash)) {
-            lengthByOpenCrash.putIfAbsent(crash, length);
+            weightByOpenCrash.putIfAbsent(crash, weight);
             dropExcess();
         }
     }
 
-    /** Merges a crash that another process has recorded. Of two lengths the greater counts: a request was sent that late. */
-    void merge(long crash, int length) {
+    /** Merges a crash that another process has recorded. Of two weights the greater counts: a request was sent that late. */
+    void merge(long crash, int weight) {
         if (!absolved.contains(crash)) {
-            lengthByOpenCrash.merge(crash, length, Math::max);
+            weightByOpenCrash.merge(crash, weight, Math::max);
             dropExcess();
         }
     }
 
     private void dropExcess() {
-        if (lengthByOpenCrash.size() > MAX_OPEN_CRASHES) {
-            ranked().skip(MAX_OPEN_CRASHES).toList().forEach(lengthByOpenCrash::remove);
+        if (weightByOpenCrash.size() > MAX_OPEN_CRASHES) {
+            ranked().skip(MAX_OPEN_CRASHES).toList().forEach(weightByOpenCrash::remove);
         }
     }
 
@@ -57,7 +57,7 @@
     }
 
     void absolve(Set<Long> crashes) {
-        lengthByOpenCrash.keySet().removeAll(crashes);
+        weightByOpenCrash.keySet().removeAll(crashes);
         absolved.addAll(crashes);
         absolved.stream()
                 .limit(Math.max(0, absolved.size() - MAX_ABSOLVED_CRASHES))
@@ -66,12 +66,12 @@
     }
 
     Set<Long> openCrashes() {
-        return new HashSet<>(lengthByOpenCrash.keySet());
+        return new HashSet<>(weightByOpenCrash.keySet());
     }
 
-    /** Returns the length of the longest chain; 0 if no crash counts. */
-    int length() {
-        return lengthByOpenCrash.values().stream()
+    /** Returns the weight of the heaviest chain; 0 if no crash counts. */
+    int weight() {
+        return weightByOpenCrash.values().stream()
                 .mapToInt(Integer::intValue)
                 .max()
                 .orElse(0);
@@ -87,16 +87,16 @@
 
     PromptPartNews toNews(long part, long nowMillis, long deductionMillis) {
         Map<Long, Integer> open = ranked().limit(OPEN_CRASHES_PER_UPDATE)
-                .collect(Collectors.toMap(crash -> crash, lengthByOpenCrash::get));
+                .collect(Collectors.toMap(crash -> crash, weightByOpenCrash::get));
         Set<Long> latestAbsolved = absolved.stream()
                 .skip(Math.max(0, absolved.size() - ABSOLVED_CRASHES_PER_UPDATE))
                 .collect(Collectors.toSet());
         return new PromptPartNews(part, open, latestAbsolved, expiresAtMillis - nowMillis - deductionMillis);
     }
 
-    /** Returns the open crashes, those at the end of the longest chains first. */
+    /** Returns the open crashes, those at the end of the heaviest chains first. */
     private Stream<Long> ranked() {
-        return lengthByOpenCrash.entrySet().stream()
+        return weightByOpenCrash.entrySet().stream()
                 .sorted(Map.Entry.<Long, Integer>comparingByValue(Comparator.reverseOrder())
                         .thenComparing(Map.Entry.comparingByKey()))
                 .map(Map.Entry::getKey);
--- a/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
+++ b/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -20,16 +21,20 @@
  * was known, and no request with the part was answered anywhere since. Targets that crash together make a chain of one,
  * however many they are and however late their crashes are heard of.
  *
+ * <p>All parts of a request that crashes targets have the same chain until a sound request with one of them is answered. So
+ * a crash weighs more for the last shared part, which the fewest others have, than for those before it: it is quarantined
+ * first, and the others only if crashes go on.
+ *
  * <p>The crashes of all processes form a union, and one that is absolved stays so, so a lost, repeated, late or reordered
  * update does no harm. Every process forwards what it receives, so that a restarted process relearns what it knew before.
  */
 public final class PromptPartSuspects {
 
-    /** Length of the chain of crashes at which requests with the part are rejected. */
-    private static final int QUARANTINE_CHAIN = 3;
+    /** Weight of the chain of crashes at which requests with the part are rejected. */
+    private static final int QUARANTINE_WEIGHT = 6;
 
-    /** Length of the chain of crashes at which requests with the part are isolated from each other. */
-    private static final int SUSPECT_CHAIN = 2;
+    /** Weight of the chain of crashes at which requests with the part are isolated from each other. */
+    private static final int SUSPECT_WEIGHT = 4;
 
     private static final long RETENTION_MILLIS = 600_000L;
 
@@ -51,12 +56,33 @@
     private final LongSupplier clockMillis;
     private final RandomGenerator random;
     private final Map<Long, CrashChain> chains = new HashMap<>();
+    private Listener listener = Listener.NONE;
 
     PromptPartSuspects(LongSupplier clockMillis, RandomGenerator random) {
         this.clockMillis = clockMillis;
         this.random = random;
     }
 
+    /**
+     * Sets what is notified of changes.
+     *
+     * @param newListener the listener.
+     */
+    public void listener(Listener newListener) {
+        listener = newListener;
+    }
+
+    /**
+     * Returns what is known of a part, as it is sent to other processes.
+     *
+     * @param part the hash of the part.
+     * @return the record, empty if there is none.
+     */
+    public Optional<PromptPartNews> record(long part) {
+        return Optional.ofNullable(chains.get(part))
+                .map(chain -> chain.toNews(part, clockMillis.getAsLong(), HOP_DEDUCTION_MILLIS));
+    }
+
     /**
      * Returns the hash that stands for a prompt part.
      *
@@ -77,34 +103,35 @@
     }
 
     /**
-     * Returns the length of the longest chain of crashes under a part.
+     * Returns the weight of the heaviest chain of crashes under a part.
      *
      * @param part the hash of the part.
-     * @return the number of crashes; 0 if none counts.
+     * @return the sum of the weights of its crashes; 0 if none counts.
      */
-    public int chainLength(long part) {
+    public int chainWeight(long part) {
         CrashChain chain = chains.get(part);
-        return chain == null || chain.isExpired(clockMillis.getAsLong()) ? 0 : chain.length();
+        return chain == null || chain.isExpired(clockMillis.getAsLong()) ? 0 : chain.weight();
     }
 
     /**
      * Returns whether requests with a part are rejected.
      *
      * @param part the hash of the part.
-     * @return whether it has a chain of crashes long enough.
+     * @return whether it has a chain of crashes that is heavy enough.
      */
     public boolean isQuarantined(long part) {
-        return chainLength(part) >= QUARANTINE_CHAIN;
+        return chainWeight(part) >= QUARANTINE_WEIGHT;
     }
 
     /**
      * Returns whether requests with a part are isolated from each other.
      *
      * @param part the hash of the part.
-     * @return whether the next crash of its chain would quarantine it.
+     * @return whether few more crashes would quarantine it.
      */
     public boolean isSuspect(long part) {
-        return chainLength(part) == SUSPECT_CHAIN;
+        int weight = chainWeight(part);
+        return weight >= SUSPECT_WEIGHT && weight < QUARANTINE_WEIGHT;
     }
 
     /**
@@ -112,15 +139,16 @@
      *
      * @param target one incarnation of the target; the same incarnation counts once.
      * @param part the hash of a part of the request's prompt.
-     * @param knownLength the length of the part's chain that was known when the request was sent.
+     * @param position where the part stands in the request's prompt.
+     * @param knownWeight the weight of the part's chain that was known when the request was sent.
      */
-    public void recordCrash(String target, long part, int knownLength) {
+    public void recordCrash(String target, long part, Position position, int knownWeight) {
         boolean wasQuarantined = isQuarantined(part);
         CrashChain chain = chainOf(part);
-        chain.record(SharedSuspects.crashNumber(target), Math.min(QUARANTINE_CHAIN, knownLength + 1));
+        chain.record(SharedSuspects.crashNumber(target), Math.min(QUARANTINE_WEIGHT, knownWeight + position.weight));
         chain.extend(clockMillis.getAsLong() + RETENTION_MILLIS);
         dropExcess();
-        logChange(part, wasQuarantined);
+        noteChange(part, wasQuarantined);
     }
 
     /**
@@ -175,12 +203,12 @@
         boolean wasQuarantined = isQuarantined(received.getPart());
         long remainingMillis = Math.min(received.getRemainingMillis(), RETENTION_MILLIS);
         CrashChain chain = chainOf(received.getPart());
-        Stream.ofNullable(received.getChainLengthByCrash())
-                .flatMap(lengths -> lengths.entrySet().stream())
-                .forEach(crash -> chain.merge(crash.getKey(), Math.min(QUARANTINE_CHAIN, crash.getValue())));
+        Stream.ofNullable(received.getWeightByCrash())
+                .flatMap(weights -> weights.entrySet().stream())
+                .forEach(crash -> chain.merge(crash.getKey(), Math.min(QUARANTINE_WEIGHT, crash.getValue())));
         Stream.ofNullable(received.getAbsolved()).forEach(chain::absolve);
         chain.extend(clockMillis.getAsLong() + remainingMillis);
-        logChange(received.getPart(), wasQuarantined);
+        noteChange(received.getPart(), wasQuarantined);
     }
 
     /**
@@ -196,12 +224,12 @@
         long nowMillis = clockMillis.getAsLong();
         chains.values().removeIf(chain -> chain.isExpired(nowMillis));
         List<RankedPart> ranked = chains.entrySet().stream()
-                .map(entry -> new RankedPart(entry.getKey(), entry.getValue().length(), random.nextLong()))
-                .sorted(Comparator.comparingInt(RankedPart::length).reversed().thenComparing(RankedPart::order))
+                .map(entry -> new RankedPart(entry.getKey(), entry.getValue().weight(), random.nextLong()))
+                .sorted(Comparator.comparingInt(RankedPart::weight).reversed().thenComparing(RankedPart::order))
                 .toList();
         return Stream.concat(
-                        ranked.stream().filter(part -> part.length > 0).limit(OPEN_RECORDS_PER_UPDATE),
-                        ranked.stream().filter(part -> part.length == 0).limit(ABSOLVED_RECORDS_PER_UPDATE))
+                        ranked.stream().filter(part -> part.weight > 0).limit(OPEN_RECORDS_PER_UPDATE),
+                        ranked.stream().filter(part -> part.weight == 0).limit(ABSOLVED_RECORDS_PER_UPDATE))
                 .map(part -> chains.get(part.hash).toNews(part.hash, nowMillis, HOP_DEDUCTION_MILLIS))
                 .filter(sent -> sent.getRemainingMillis() > 0)
                 .toList();
@@ -212,7 +240,10 @@
         if (chain != null) {
             boolean wasQuarantined = isQuarantined(part);
             chain.absolve(crashes);
-            logChange(part, wasQuarantined);
+            noteChange(part, wasQuarantined);
+            if (wasQuarantined && !isQuarantined(part)) {
+                listener.released(part);
+            }
         }
     }
 
@@ -231,23 +262,70 @@
         chains.values().removeIf(chain -> chain.isExpired(nowMillis));
         List<Long> dropped = chains.entrySet().stream()
                 .sorted(Map.Entry.comparingByValue(
-                        Comparator.comparingInt(CrashChain::length).thenComparing(CrashChain::expiresAtMillis)))
+                        Comparator.comparingInt(CrashChain::weight).thenComparing(CrashChain::expiresAtMillis)))
                 .limit(Math.max(0, chains.size() - MAX_PARTS))
                 .map(Map.Entry::getKey)
                 .toList();
         dropped.forEach(chains::remove);
     }
 
-    private void logChange(long part, boolean wasQuarantined) {
+    private void noteChange(long part, boolean wasQuarantined) {
         boolean isQuarantined = isQuarantined(part);
-        if (isQuarantined != wasQuarantined) {
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "suspect: prompt part {0} part={1}",
-                    isQuarantined ? "quarantined" : "released",
-                    Long.toHexString(part));
+        if (isQuarantined == wasQuarantined) {
+            return;
         }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "suspect: prompt part {0} part={1}",
+                isQuarantined ? "quarantined" : "released",
+                Long.toHexString(part));
+        if (isQuarantined) {
+            listener.quarantined(part);
+        }
+    }
+
+    /** Where a part stands among the shared parts of a prompt. */
+    public enum Position {
+        /** The last shared part. */
+        LAST(2),
+        /** A part before another shared one. */
+        EARLIER(1);
+
+        private final int weight;
+
+        Position(int weight) {
+            this.weight = weight;
+        }
+    }
+
+    /** Notified of changes in this process. */
+    public interface Listener {
+
+        /** Does nothing. */
+        Listener NONE = new Listener() {
+            /** {@inheritDoc} */
+            @Override
+            public void quarantined(long part) {}
+
+            /** {@inheritDoc} */
+            @Override
+            public void released(long part) {}
+        };
+
+        /**
+         * Called when a part becomes quarantined here, by crashes seen here or elsewhere.
+         *
+         * @param part the hash of the part.
+         */
+        void quarantined(long part);
+
+        /**
+         * Called when what was seen here releases a quarantined part; not when another process has released it.
+         *
+         * @param part the hash of the part.
+         */
+        void released(long part);
     }
 
-    private record RankedPart(long hash, int length, long order) {}
+    private record RankedPart(long hash, int weight, long order) {}
 }
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -278,13 +278,13 @@
 }
 
 /**
- * A part of prompts under which replicas crashed. Each crash has a name of 64 bits and the length of the chain of crashes
+ * A part of prompts under which replicas crashed. Each crash has a name of 64 bits and the weight of the chain of crashes
  * that it ends, each of which was known when the next request with the part was sent; absolved are those that count no
  * more. How long the record stays is a duration.
  */
 struct PromptPartNews {
   1: i64 part,
-  2: map<i64, i32> chainLengthByCrash,
+  2: map<i64, i32> weightByCrash,
   3: set<i64> absolved,
   4: i64 remainingMillis
 }
--- a/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
+++ b/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
@@ -58,6 +58,22 @@
         assertTrue(starts() - startsBefore <= MAX_STARTS, "started " + (starts() - startsBefore));
     }
 
+    // Guards against refusing what sound requests share because none of them was answered while engines crashed: the
+    // first
+    // part is rarely asked for.
+    @Test
+    void firstPartIsNotQuarantinedWithThePartAfterIt() throws Exception {
+        for (int number = 0; number < 8; number++) {
+            crash(number);
+        }
+        for (boolean first : new boolean[] {true, false}) {
+            assertEquals(
+                    503,
+                    ask(first, "bad-" + first, "f9:100," + PART + ":50,o:7").status());
+            assertEquals(200, ask(first, "sound-" + first, "f0:100,s:50,o:7").status());
+        }
+    }
+
     // Guards against refusing sound requests that share their first part, route and model with those that crash
     // engines.
     @Test
