Keep quarantined prompt parts in the platform's store

Cause: what was known of a part lived in the memory of processes only. Class: what must last kept where it can't. Found by reading, while INVARIANTS was written: what holds while all are lost had no answer. Change: an entry that quarantines a part writes a row within a second, unless another has; entries read the table when they start, and try again while the store is away. The row expires by the store's own clock ten minutes after the last crash, and goes when an answer releases the part. No call stands in a request's path: one read at each start, two calls a quarantine, one read an entry. StreamOrigins' scheduler becomes common.Delayer, which both use.

--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -18,6 +18,7 @@
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
+import io.waxwingquay.suspect.QuarantineKeeper;
 import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.EngineNews;
@@ -98,6 +99,7 @@
     private final ConfigurationListener configurationListener = new ConfigurationListener();
     private final PeerTableReader<Manifest, Long> configurationCopies;
     private final PeerTableReader<ReplicaRecord, StoreVersion> replicaCopies;
+    private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
     private boolean urgentUpdateScheduled;
     private boolean spendingReportScheduled;
     private boolean waitingCheckScheduled;
@@ -107,7 +109,6 @@
         this.loop = loop;
         this.adminServer = new HostedAdminServer(loop, new HostPort(settings.host(), settings.adminPort()));
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::onDatagram);
-        RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
         this.suspects = new SharedSuspects(EventLoop::nowMillis, random);
         this.forwarder = new Forwarder(
                 loop,
@@ -174,6 +175,7 @@
     }
 
     private void startTasks() {
+        new QuarantineKeeper(suspects.promptParts(), platform.quarantineArchive(), loop::schedule, random).start();
         configurationWatch.start();
         replicaWatch.start();
         List<HostPort> seeds = settings.seedHosts().stream()
--- a/src/main/java/io/waxwingquay/origin/StreamOrigins.java
+++ b/src/main/java/io/waxwingquay/origin/StreamOrigins.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.origin;
 
+import io.waxwingquay.common.Delayer;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.transport.generated.OriginQuestion;
 import io.waxwingquay.transport.generated.OriginReply;
@@ -50,7 +51,7 @@
 
     private final ServedVersions served;
     private final Channel channel;
-    private final Scheduler scheduler;
+    private final Delayer delayer;
     private final LongSupplier clockMillis;
     private final Map<Long, Known> unfinished = new LinkedHashMap<>();
     private final Map<Long, Search> searches = new HashMap<>();
@@ -60,12 +61,12 @@
      * Creates an entry's view without streams.
      *
      * @param channel sends messages to the processes that keep origins.
-     * @param scheduler runs tasks later.
+     * @param delayer runs tasks later.
      * @param clockMillis the monotonic clock.
      */
-    public StreamOrigins(Channel channel, Scheduler scheduler, LongSupplier clockMillis) {
+    public StreamOrigins(Channel channel, Delayer delayer, LongSupplier clockMillis) {
         this.channel = channel;
-        this.scheduler = scheduler;
+        this.delayer = delayer;
         this.clockMillis = clockMillis;
         this.served = new ServedVersions(clockMillis, this::reportAll);
     }
@@ -162,8 +163,8 @@
         search.decisions.add(decision);
         searches.put(stream, search);
         search.ask();
-        scheduler.schedule(REPEAT_MILLIS, search::ask);
-        scheduler.schedule(TIMEOUT_MILLIS, search::timeOut);
+        delayer.schedule(REPEAT_MILLIS, search::ask);
+        delayer.schedule(TIMEOUT_MILLIS, search::timeOut);
     }
 
     private void reportAll(String service) {
@@ -215,19 +216,6 @@
         void ask(HostPort process, OriginQuestion question);
     }
 
-    /** Runs tasks later. */
-    @FunctionalInterface
-    public interface Scheduler {
-
-        /**
-         * Runs a task after a delay.
-         *
-         * @param delayMillis the delay.
-         * @param task the task.
-         */
-        void schedule(long delayMillis, Runnable task);
-    }
-
     private record Known(String service, String softwareVersion, long sinceMillis) {}
 
     /** The search for the origin of one stream. */
--- a/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
+++ b/src/main/java/io/waxwingquay/platform/PreparedPlatform.java
@@ -6,6 +6,7 @@
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.residency.EngineControl;
+import io.waxwingquay.suspect.QuarantineArchive;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -95,6 +96,15 @@
         return new StoreTable<>(caller, REPLICA_TABLE, ReplicaReader::row, copies.get(REPLICA_TABLE));
     }
 
+    /**
+     * Returns the table in which quarantined prompt parts outlast all processes.
+     *
+     * @return the archive.
+     */
+    public QuarantineArchive quarantineArchive() {
+        return new QuarantineTable(store);
+    }
+
     /**
      * Returns this process's copy of a table for another process, in the store's own format.
      *
--- a/src/main/java/io/waxwingquay/standin/prepared/StoreStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/StoreStandin.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.standin.prepared;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -7,6 +8,7 @@
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import io.waxwingquay.net.ServerExchange;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -86,6 +88,18 @@
         runOnLoop(() -> write(table, key, "", true));
     }
 
+    /**
+     * Returns the number of rows in a table.
+     *
+     * @param table the table.
+     * @return how many rows are not deleted.
+     */
+    public int rowCount(String table) {
+        CompletableFuture<Integer> counted = new CompletableFuture<>();
+        loop.execute(() -> counted.complete(rowsAfter(table, 0, false).size()));
+        return counted.join();
+    }
+
     /** Discards the history of changes, so that every follower of a table has to read it again. */
     public void dropHistory() {
         runOnLoop(() -> {
@@ -162,6 +176,10 @@
             return;
         }
         Map<String, String> query = parseQuery(caller.request().target());
+        if (caller.request().path().equals("/rows-tx")) {
+            commit(caller);
+            return;
+        }
         if (caller.request().path().equals("/rows-get")) {
             respond(caller, OK, page(rowsAfter(query.get("table"), 0, false)));
             return;
@@ -176,6 +194,26 @@
         completeReadyPolls();
     }
 
+    /** Applies the writes and removals of a transaction; preconditions are not supported. */
+    private void commit(ServerExchange caller) {
+        try {
+            JsonNode transaction = MAPPER.readTree(caller.request().body());
+            transaction.path("writes").forEach(row -> write(text(row, "table"), text(row, "key"), decoded(row), false));
+            transaction.path("remove").forEach(row -> write(text(row, "table"), text(row, "key"), "", true));
+            respond(caller, OK, page(List.of()));
+        } catch (IOException failure) {
+            throw new IllegalArgumentException("cannot parse a transaction", failure);
+        }
+    }
+
+    private static String text(JsonNode row, String field) {
+        return row.path(field).asText();
+    }
+
+    private static String decoded(JsonNode row) {
+        return new String(Base64.getDecoder().decode(text(row, "value")), StandardCharsets.UTF_8);
+    }
+
     /** Answers the long polls that have changes or precede the history, and all of them if the store is unavailable. */
     private void completeReadyPolls() {
         new ArrayList<>(longPolls).forEach(poll -> {
@@ -221,7 +259,10 @@
                 node.put("value", Base64.getEncoder().encodeToString(row.value.getBytes(StandardCharsets.UTF_8)));
             }
         });
-        return page.put("has_more", false).put("ver", version).toString();
+        return page.put("has_more", false)
+                .put("ver", version)
+                .put("now_ms", EventLoop.nowMillis())
+                .toString();
     }
 
     private static Map<String, String> parseQuery(String target) {
--- a/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
+++ b/src/test/java/io/waxwingquay/hosted/CrashingPromptPartTest.java
@@ -5,6 +5,7 @@
 
 import io.waxwingquay.hosted.HostedDeployment.Answer;
 import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
+import io.waxwingquay.testing.Await;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -87,6 +88,20 @@
         }
     }
 
+    // Guards against a part that crashes engines anew after all processes that knew it are lost at once.
+    @Test
+    void quarantinedPartOutlastsTheLossOfAllProcesses() throws Exception {
+        for (int number = 0; number < 4; number++) {
+            crash(number);
+        }
+        Await.until(() -> deployment.store.rowCount("quarantine") > 0);
+        deployment.restartAllProcesses();
+        Await.until(() -> !deployment.dump().contains("quarantined_parts=0"));
+        int startsBefore = starts();
+        assertEquals(503, ask(true, "after", PART + ":50,o9:7").status());
+        assertEquals(startsBefore, starts());
+    }
+
     private void crashAfter(String written) {
         deployment.engine1.behaviour(Behaviour.crashOn(PART, written, Behaviour.stream(2, 0)));
         deployment.engine2.behaviour(Behaviour.crashOn(PART, written, Behaviour.stream(2, 0)));
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -53,14 +53,14 @@
             List.of("127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", SECOND_HOST);
 
     private final EventLoop standinLoop = EventLoop.start("outside");
-    private final EventLoop processLoop = EventLoop.start("inside");
+    private EventLoop processLoop = EventLoop.start("inside");
     private final int basePort = FreePorts.adjacent(PORT_COUNT, HOSTS);
     final StoreStandin store = StoreStandin.start(standinLoop, new HostPort("127.0.0.1", basePort));
     final ReplicaStandin engine1 = startReplica("e1", "127.0.0.2", List.of("m"), Behaviour.stream(1, 0));
     final ReplicaStandin engine2 = startReplica("e2", "127.0.0.3", List.of("m"), Behaviour.stream(1, 0));
     final ReplicaStandin plain1 = startReplica("p1", "127.0.0.4", List.of(), Behaviour.ECHO);
     final ReplicaStandin plain2 = startReplica("p2", "127.0.0.5", List.of(), Behaviour.ECHO);
-    private final HostedProcess entry;
+    private HostedProcess entry;
     private Optional<HostedProcess> secondEntry = Optional.empty();
 
     HostedDeployment() throws Exception {
@@ -69,6 +69,18 @@
         register(engine2, "e2", "engines", "ready");
         register(plain1, "p1", "plain", "ready");
         register(plain2, "p2", "plain", "ready");
+        startProcesses();
+    }
+
+    /** Ends all processes at the same moment, without notice, and starts new ones: two sides and one entry. */
+    void restartAllProcesses() throws Exception {
+        processLoop.close();
+        processLoop = EventLoop.start("inside");
+        secondEntry = Optional.empty();
+        startProcesses();
+    }
+
+    private void startProcesses() throws Exception {
         CompletableFuture<HostedProcess> started = new CompletableFuture<>();
         processLoop.execute(() -> {
             try {
