Remember a broken connection without its request

Change: it holds the hashes. No decision changes. SuspicionTest, SuspectTrackerTest, PromptPartSuspectsTest, CrashingPromptPartTest green.

--- a/src/main/java/io/waxwingquay/forward/SuspectTracker.java
+++ b/src/main/java/io/waxwingquay/forward/SuspectTracker.java
@@ -101,7 +101,7 @@
                 displayName(fingerprint),
                 request.attemptId(),
                 String.join(",", request.promptParts()));
-        breaks.addLast(new ConnectionBreak(target, incarnation, request, nowMillis()));
+        breaks.addLast(new ConnectionBreak(target, incarnation, fingerprint, parts, nowMillis()));
         if (breaks.size() > MAX_BREAKS) {
             breaks.removeFirst();
         }
@@ -129,11 +129,13 @@
     }
 
     private void retract(ConnectionBreak disproved) {
-        shared.retractCrash(disproved.incarnation, disproved.request.whole());
-        for (long part : disproved.request.promptPartHashes()) {
+        shared.retractCrash(disproved.incarnation, disproved.fingerprint);
+        for (long part : disproved.promptParts) {
             shared.promptParts().retractCrash(disproved.incarnation, part);
         }
     }
 
-    private record ConnectionBreak(Target target, String incarnation, RequestFingerprints request, long atMillis) {}
+    /** A broken connection, without the request, whose body would stay in memory for as long as the break is remembered. */
+    private record ConnectionBreak(
+            Target target, String incarnation, long fingerprint, long[] promptParts, long atMillis) {}
 }
