Retract the rest of a chain with a crash that was none

What callers would see: requests with a sound prompt part refused for ten minutes, after replicas that live have reset connections. Cause: a replica that answers after a break shows that it did not crash, and its crash is retracted; but crashes that had been counted on top of it kept the weight of the whole chain. Class: a conclusion that outlives what it rests on. Found by a test written while reading the diff. Evidence: SuspicionTest#breakThatTheReplicaSurvivedIsDiscountedForPromptPartsToo was red on the code before: three breaks, the second disproved, still quarantined. Change: with a crash its chain is retracted from there on; what is heavier may stand on it. Absolved crashes stay so, so that late news changes nothing. After: that test, the other tests of Suspicion, SuspectTracker, PromptPart*, CrashingPromptPartTest, QuarantineKeeperTest green.

--- a/src/main/java/io/waxwingquay/suspect/CrashChain.java
+++ b/src/main/java/io/waxwingquay/suspect/CrashChain.java
@@ -65,6 +65,18 @@
                 .forEach(absolved::remove);
     }
 
+    /** Returns a crash and the open ones that are heavier, which may have been counted on top of it. */
+    Set<Long> from(long crash) {
+        Integer weight = weightByOpenCrash.get(crash);
+        Set<Long> later = weight == null
+                ? new HashSet<>()
+                : weightByOpenCrash.keySet().stream()
+                        .filter(other -> weightByOpenCrash.get(other) > weight)
+                        .collect(Collectors.toCollection(HashSet::new));
+        later.add(crash);
+        return later;
+    }
+
     Set<Long> openCrashes() {
         return new HashSet<>(weightByOpenCrash.keySet());
     }
--- a/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
+++ b/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
@@ -152,13 +152,16 @@
     }
 
     /**
-     * Retracts a recorded crash that turned out not to have happened.
+     * Retracts a recorded crash that turned out not to have happened, and with it those that its chain goes on to.
      *
      * @param target the incarnation of the target.
      * @param part the hash of the part.
      */
     public void retractCrash(String target, long part) {
-        absolve(part, Set.of(SharedSuspects.crashNumber(target)));
+        CrashChain chain = chains.get(part);
+        if (chain != null) {
+            absolve(part, chain.from(SharedSuspects.crashNumber(target)));
+        }
     }
 
     /**
--- a/src/test/java/io/waxwingquay/forward/SuspicionTest.java
+++ b/src/test/java/io/waxwingquay/forward/SuspicionTest.java
@@ -126,6 +126,24 @@
         assertFalse(suspicionOf(POISON).isQuarantined());
     }
 
+    // Guards against refusing a sound prompt part because of replicas that reset connections and live, as their other
+    // responses show.
+    @Test
+    void breakThatTheReplicaSurvivedIsDiscountedForPromptPartsToo() {
+        Suspicion before = suspicionOf(HARMLESS);
+        long sentMillis = nowMillis;
+        for (Target target : List.of(a, b, c)) {
+            nowMillis += 10;
+            Suspicion broken = withParts(nowMillis, "shared");
+            broken.sent(target);
+            broken.connectionBroke(target);
+        }
+        assertTrue(withParts(1, "shared").isQuarantined());
+        nowMillis += 101;
+        before.answered(b, sentMillis);
+        assertFalse(withParts(1, "shared").isQuarantined());
+    }
+
     // Guards against clearing a real crash: the response to a request sent after the break may come from the next
     // incarnation, and one that is read right after the break may have been sent before the crash. Neither shows that
     // the replica survived.
