Add failing tests of a sound prompt part quarantined beside a crashing one

A part that ran beside three crashes of another part in turn, and was answered nowhere in between, is quarantined with it. Nothing with it is sent from then on, so no answer can release it for ten minutes. Four of the five new tests of PromptPartSuspectsTest are expected to fail here; partsWithTheSameCrashesStayQuarantined guards the cause and passes.

--- a/src/test/java/io/waxwingquay/suspect/PromptPartSuspectsTest.java
+++ b/src/test/java/io/waxwingquay/suspect/PromptPartSuspectsTest.java
@@ -17,6 +17,7 @@
 class PromptPartSuspectsTest {
 
     private static final long PART = PromptPartSuspects.hash("bad0");
+    private static final long BYSTANDER = PromptPartSuspects.hash("sound0");
 
     private long nowMillis = 1_000;
     private final Random random = new Random(11);
@@ -131,6 +132,89 @@
         }
     }
 
+    // Guards against refusing a sound part for ten minutes because it ran beside three crashes in turn and was answered
+    // nowhere in between. Another part was there at each of them and at one more.
+    @Test
+    void partWhoseCrashesAnotherOneExplainsIsReleased() {
+        crashBeside("a");
+        crashBeside("b");
+        crash(entry1, "c");
+        crashBeside("d");
+        assertTrue(entry1.isQuarantined(PART));
+        assertEquals(0, entry1.chainWeight(BYSTANDER));
+        crashBeside("e");
+        assertFalse(entry1.isQuarantined(BYSTANDER));
+    }
+
+    // The same if the sound part was quarantined first, and the other one crashed a target of its own before that, of which
+    // this process hears later.
+    @Test
+    void partThatWasQuarantinedFirstIsReleasedInEveryProcess() {
+        crash(entry2, "x");
+        List.of("a", "b", "c").forEach(this::crashBeside);
+        assertTrue(entry1.isQuarantined(BYSTANDER));
+        List<PromptPartNews> outdated = entry1.nextUpdate();
+        PromptPartSuspects entry3 = suspects();
+        entry3.merge(outdated);
+        assertTrue(entry3.isQuarantined(BYSTANDER));
+        entry1.merge(entry2.nextUpdate());
+        assertFalse(entry1.isQuarantined(BYSTANDER));
+        entry3.merge(entry1.nextUpdate());
+        entry3.merge(outdated);
+        assertFalse(entry3.isQuarantined(BYSTANDER));
+        assertTrue(entry3.isQuarantined(PART));
+    }
+
+    // Guards against a second part that crashes targets and is taken for a bystander for ever: after its release, three
+    // crashes of its own quarantine it like any other.
+    @Test
+    void releasedPartThatCrashesTargetsByItselfIsQuarantinedAfterThreeMore() {
+        crash(entry1, "x");
+        List.of("a", "b", "c").forEach(this::crashBeside);
+        assertFalse(entry1.isQuarantined(BYSTANDER));
+        List.of("f", "g").forEach(this::crashBystanderAlone);
+        assertFalse(entry1.isQuarantined(BYSTANDER));
+        crashBystanderAlone("h");
+        assertTrue(entry1.isQuarantined(BYSTANDER));
+        assertTrue(entry1.isQuarantined(PART));
+    }
+
+    // Guards against releasing the cause: with the same crashes for both parts nothing tells them apart.
+    @Test
+    void partsWithTheSameCrashesStayQuarantined() {
+        List.of("a", "b", "c").forEach(this::crashBeside);
+        assertTrue(entry1.isQuarantined(PART));
+        assertTrue(entry1.isQuarantined(BYSTANDER));
+    }
+
+    // Guards against news of a release that is crowded out of the updates by the many sound parts that were never
+    // quarantined.
+    @Test
+    void releaseFromQuarantineIsInEveryUpdate() {
+        for (int number = 0; number < 200; number++) {
+            long part = PromptPartSuspects.hash("sound" + number);
+            entry1.recordCrash("y", part, Position.LAST, 0);
+            entry1.recordSuccess(part);
+        }
+        crash(entry1, "x");
+        List.of("a", "b", "c").forEach(this::crashBeside);
+        for (int round = 0; round < 20; round++) {
+            assertTrue(entry1.nextUpdate().stream().anyMatch(record -> record.getPart() == BYSTANDER));
+        }
+    }
+
+    /** Crashes a target that ran a request with the part and one with another part. */
+    private void crashBeside(String target) {
+        int partWeight = entry1.chainWeight(PART);
+        int bystanderWeight = entry1.chainWeight(BYSTANDER);
+        entry1.recordCrash(target, BYSTANDER, Position.LAST, bystanderWeight);
+        entry1.recordCrash(target, PART, Position.LAST, partWeight);
+    }
+
+    private void crashBystanderAlone(String target) {
+        entry1.recordCrash(target, BYSTANDER, Position.LAST, entry1.chainWeight(BYSTANDER));
+    }
+
     private void crash(PromptPartSuspects entry, String target) {
         crash(entry, target, Position.LAST);
     }
