Release a quarantined prompt part whose crashes another part explains

Cause: all parts of the requests that run at a target when it crashes get the same chain of crashes. A sound part that was beside three crashes in turn is quarantined with the part that caused them; nothing with it is sent from then on, so no answer can release it.

Change: when a quarantined part has all open crashes of another part and at least one more, the other part's crashes are absolved, which every process learns with the records as before. Records of parts that were quarantined go before the other ones without open crashes, so that each update names a release. A released part that crashes targets itself is quarantined after three more crashes. Parts with the same crashes stay quarantined, as nothing tells them apart.

--- a/src/main/java/io/waxwingquay/suspect/CrashChain.java
+++ b/src/main/java/io/waxwingquay/suspect/CrashChain.java
@@ -26,21 +26,26 @@
     private final Map<Long, Integer> weightByOpenCrash = new HashMap<>();
     private final Set<Long> absolved = new LinkedHashSet<>();
     private long expiresAtMillis;
+    private long grownAtMillis;
+    private boolean wasQuarantined;
 
     /**
      * Records a crash that this process has seen. One that is known already keeps its weight: a target that survives and
      * breaks single connections would otherwise extend the chain by itself.
      */
-    void record(long crash, int weight) {
-        if (!absolved.contains(crash)) {
-            weightByOpenCrash.putIfAbsent(crash, weight);
+    void record(long crash, int weight, long nowMillis) {
+        if (!absolved.contains(crash) && weightByOpenCrash.putIfAbsent(crash, weight) == null) {
+            grownAtMillis = nowMillis;
             dropExcess();
         }
     }
 
     /** Merges a crash that another process has recorded. Of two weights the greater counts: a request was sent that late. */
-    void merge(long crash, int weight) {
+    void merge(long crash, int weight, long nowMillis) {
         if (!absolved.contains(crash)) {
+            if (!weightByOpenCrash.containsKey(crash)) {
+                grownAtMillis = nowMillis;
+            }
             weightByOpenCrash.merge(crash, weight, Math::max);
             dropExcess();
         }
@@ -89,6 +94,27 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns whether this chain has all open crashes of another one, which has some, and at least one more.
+     *
+     * @param settledMillis the latest time at which a crash of either may have been added.
+     */
+    boolean explains(CrashChain other, long settledMillis) {
+        return Math.max(grownAtMillis, other.grownAtMillis) <= settledMillis
+                && !other.weightByOpenCrash.isEmpty()
+                && weightByOpenCrash.size() > other.weightByOpenCrash.size()
+                && weightByOpenCrash.keySet().containsAll(other.weightByOpenCrash.keySet());
+    }
+
+    void markQuarantined() {
+        wasQuarantined = true;
+    }
+
+    /** Returns whether its part has been quarantined in this process. */
+    boolean wasQuarantined() {
+        return wasQuarantined;
+    }
+
     long expiresAtMillis() {
         return expiresAtMillis;
     }
--- a/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
+++ b/src/main/java/io/waxwingquay/suspect/PromptPartSuspects.java
@@ -25,6 +25,12 @@
  * a crash weighs more for the last shared part, which the fewest others have, than for those before it: it is quarantined
  * first, and the others only if crashes go on.
  *
+ * <p>A sound part may run beside several crashes of another part in turn. While it is quarantined, nothing with it is sent, so
+ * no answer could release it. It is released when a quarantined part has all of its crashes and at least one more, which
+ * explains them, and no crash of either was added for as long as news of one may take to arrive; otherwise a part that crashes
+ * targets could be released because one of its crashes is not known yet. If the released part crashes targets itself, three
+ * more crashes quarantine it again.
+ *
  * <p>The crashes of all processes form a union, and one that is absolved stays so, so a lost, repeated, late or reordered
  * update does no harm. Every process forwards what it receives, so that a restarted process relearns what it knew before.
  */
@@ -41,6 +47,9 @@
     /** Deducted from the remaining lifetime of a record when it is sent, as with the records of whole requests. */
     private static final long HOP_DEDUCTION_MILLIS = 500L;
 
+    /** Time within which a crash is known to every process. */
+    private static final long NEWS_MILLIS = 3_000L;
+
     private static final int MAX_PARTS = 256;
 
     /** The most records merged from one update. */
@@ -145,7 +154,10 @@
     public void recordCrash(String target, long part, Position position, int knownWeight) {
         boolean wasQuarantined = isQuarantined(part);
         CrashChain chain = chainOf(part);
-        chain.record(SharedSuspects.crashNumber(target), Math.min(QUARANTINE_WEIGHT, knownWeight + position.weight));
+        chain.record(
+                SharedSuspects.crashNumber(target),
+                Math.min(QUARANTINE_WEIGHT, knownWeight + position.weight),
+                clockMillis.getAsLong());
         chain.extend(clockMillis.getAsLong() + RETENTION_MILLIS);
         dropExcess();
         noteChange(part, wasQuarantined);
@@ -203,20 +215,24 @@
         if (received.getRemainingMillis() <= 0) {
             return;
         }
+        long nowMillis = clockMillis.getAsLong();
         boolean wasQuarantined = isQuarantined(received.getPart());
         long remainingMillis = Math.min(received.getRemainingMillis(), RETENTION_MILLIS);
         CrashChain chain = chainOf(received.getPart());
         Stream.ofNullable(received.getWeightByCrash())
                 .flatMap(weights -> weights.entrySet().stream())
-                .forEach(crash -> chain.merge(crash.getKey(), Math.min(QUARANTINE_WEIGHT, crash.getValue())));
+                .forEach(
+                        crash -> chain.merge(crash.getKey(), Math.min(QUARANTINE_WEIGHT, crash.getValue()), nowMillis));
         Stream.ofNullable(received.getAbsolved()).forEach(chain::absolve);
-        chain.extend(clockMillis.getAsLong() + remainingMillis);
+        chain.extend(nowMillis + remainingMillis);
         noteChange(received.getPart(), wasQuarantined);
     }
 
     /**
-     * Samples the records for the next update: those closest to a quarantine first, as these decide what reaches targets.
-     * Among equals the sample is random, so that all are covered within a few updates.
+     * Samples the records for the next update: those closest to a quarantine first, as these decide what reaches targets,
+     * and of those without open crashes the ones that were quarantined, which other processes may still reject. Among equals
+     * the sample is random, so that all are covered within a few updates. Parts whose crashes another one explains are released
+     * before that.
      *
      * @return a bounded number of records; empty if none are known.
      */
@@ -226,9 +242,14 @@
         }
         long nowMillis = clockMillis.getAsLong();
         chains.values().removeIf(chain -> chain.isExpired(nowMillis));
+        releaseExplained(nowMillis);
         List<RankedPart> ranked = chains.entrySet().stream()
-                .map(entry -> new RankedPart(entry.getKey(), entry.getValue().weight(), random.nextLong()))
-                .sorted(Comparator.comparingInt(RankedPart::weight).reversed().thenComparing(RankedPart::order))
+                .map(entry -> new RankedPart(
+                        entry.getKey(),
+                        entry.getValue().weight(),
+                        entry.getValue().wasQuarantined(),
+                        random.nextLong()))
+                .sorted(RankedPart.URGENT_FIRST)
                 .toList();
         return Stream.concat(
                         ranked.stream().filter(part -> part.weight > 0).limit(OPEN_RECORDS_PER_UPDATE),
@@ -238,6 +259,29 @@
                 .toList();
     }
 
+    /** Absolves each part whose crashes a quarantined part with more crashes explains. */
+    private void releaseExplained(long nowMillis) {
+        List<CrashChain> quarantined = chains.values().stream()
+                .filter(chain -> chain.weight() >= QUARANTINE_WEIGHT)
+                .toList();
+        if (quarantined.isEmpty()) {
+            return;
+        }
+        List<Long> explained = chains.entrySet().stream()
+                .filter(entry -> quarantined.stream()
+                        .anyMatch(cause -> cause.explains(entry.getValue(), nowMillis - NEWS_MILLIS)))
+                .map(Map.Entry::getKey)
+                .toList();
+        explained.forEach(part -> {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "suspect: prompt part explained by another one part={0} crashes={1}",
+                    Long.toHexString(part),
+                    chains.get(part).openCrashes().size());
+            absolve(part, chains.get(part).openCrashes());
+        });
+    }
+
     private void absolve(long part, Set<Long> crashes) {
         CrashChain chain = chains.get(part);
         if (chain != null) {
@@ -283,6 +327,7 @@
                 isQuarantined ? "quarantined" : "released",
                 Long.toHexString(part));
         if (isQuarantined) {
+            chains.get(part).markQuarantined();
             listener.quarantined(part);
         }
     }
@@ -330,5 +375,11 @@
         void released(long part);
     }
 
-    private record RankedPart(long hash, int weight, long order) {}
+    private record RankedPart(long hash, int weight, boolean wasQuarantined, long order) {
+
+        private static final Comparator<RankedPart> URGENT_FIRST = Comparator.comparingInt(RankedPart::weight)
+                .thenComparing(RankedPart::wasQuarantined)
+                .reversed()
+                .thenComparingLong(RankedPart::order);
+    }
 }
--- a/src/test/java/io/waxwingquay/suspect/PromptPartSuspectsTest.java
+++ b/src/test/java/io/waxwingquay/suspect/PromptPartSuspectsTest.java
@@ -136,45 +136,60 @@
     // nowhere in between. Another part was there at each of them and at one more.
     @Test
     void partWhoseCrashesAnotherOneExplainsIsReleased() {
-        crashBeside("a");
-        crashBeside("b");
-        crash(entry1, "c");
-        crashBeside("d");
-        assertTrue(entry1.isQuarantined(PART));
-        assertEquals(0, entry1.chainWeight(BYSTANDER));
-        crashBeside("e");
+        crash(entry1, "x");
+        List.of("a", "b", "c").forEach(this::crashBeside);
+        assertTrue(entry1.isQuarantined(BYSTANDER));
+        passNewsTime();
         assertFalse(entry1.isQuarantined(BYSTANDER));
+        assertTrue(entry1.isQuarantined(PART));
     }
 
-    // The same if the sound part was quarantined first, and the other one crashed a target of its own before that, of which
-    // this process hears later.
+    // The same if another process saw the crash that tells the parts apart, and the release reaches a third one along
+    // with
+    // older updates.
     @Test
-    void partThatWasQuarantinedFirstIsReleasedInEveryProcess() {
+    void releaseReachesEveryProcessWhateverArrivesLater() {
         crash(entry2, "x");
         List.of("a", "b", "c").forEach(this::crashBeside);
-        assertTrue(entry1.isQuarantined(BYSTANDER));
         List<PromptPartNews> outdated = entry1.nextUpdate();
         PromptPartSuspects entry3 = suspects();
         entry3.merge(outdated);
         assertTrue(entry3.isQuarantined(BYSTANDER));
         entry1.merge(entry2.nextUpdate());
-        assertFalse(entry1.isQuarantined(BYSTANDER));
+        passNewsTime();
         entry3.merge(entry1.nextUpdate());
         entry3.merge(outdated);
         assertFalse(entry3.isQuarantined(BYSTANDER));
         assertTrue(entry3.isQuarantined(PART));
     }
 
+    // Guards against releasing the part that crashes targets because one of its crashes is not known yet, while the
+    // part
+    // beside it has all of them.
+    @Test
+    void partWhoseCrashIsStillToBeHeardOfIsNotReleased() {
+        List.of("a", "b").forEach(this::crashBeside);
+        entry1.recordCrash("c", BYSTANDER, Position.LAST, 4);
+        nowMillis += 2_900;
+        entry1.nextUpdate();
+        entry1.recordCrash("c", PART, Position.LAST, 4);
+        assertTrue(entry1.isQuarantined(PART));
+        passNewsTime();
+        assertTrue(entry1.isQuarantined(PART));
+        assertTrue(entry1.isQuarantined(BYSTANDER));
+    }
+
     // Guards against a second part that crashes targets and is taken for a bystander for ever: after its release, three
     // crashes of its own quarantine it like any other.
     @Test
     void releasedPartThatCrashesTargetsByItselfIsQuarantinedAfterThreeMore() {
         crash(entry1, "x");
         List.of("a", "b", "c").forEach(this::crashBeside);
-        assertFalse(entry1.isQuarantined(BYSTANDER));
+        passNewsTime();
         List.of("f", "g").forEach(this::crashBystanderAlone);
         assertFalse(entry1.isQuarantined(BYSTANDER));
         crashBystanderAlone("h");
+        passNewsTime();
         assertTrue(entry1.isQuarantined(BYSTANDER));
         assertTrue(entry1.isQuarantined(PART));
     }
@@ -183,6 +198,7 @@
     @Test
     void partsWithTheSameCrashesStayQuarantined() {
         List.of("a", "b", "c").forEach(this::crashBeside);
+        passNewsTime();
         assertTrue(entry1.isQuarantined(PART));
         assertTrue(entry1.isQuarantined(BYSTANDER));
     }
@@ -198,11 +214,17 @@
         }
         crash(entry1, "x");
         List.of("a", "b", "c").forEach(this::crashBeside);
+        passNewsTime();
         for (int round = 0; round < 20; round++) {
             assertTrue(entry1.nextUpdate().stream().anyMatch(record -> record.getPart() == BYSTANDER));
         }
     }
 
+    private void passNewsTime() {
+        nowMillis += 3_000;
+        entry1.nextUpdate();
+    }
+
     /** Crashes a target that ran a request with the part and one with another part. */
     private void crashBeside(String target) {
         int partWeight = entry1.chainWeight(PART);
