Add messages and value types for slots that the process beside an engine grants

Nothing uses the messages yet.

Measured: WaitQueuesTest, AdapterSchedulerTest, OrderTrackerTest, ModelMoverTest, HeaderCodecTest and ForwarderTest pass but for the known red test.

--- a/src/main/java/io/waxwingquay/fleet/EngineReport.java
+++ b/src/main/java/io/waxwingquay/fleet/EngineReport.java
@@ -19,6 +19,7 @@
  * @param inHostMemory models whose weights are in the host's memory.
  * @param onDisk models whose weights are on the host's disk.
  * @param draining whether it is about to leave.
+ * @param runs the requests that it runs; empty if the engine does not list them.
  */
 public record EngineReport(
         long bornMillis,
@@ -32,7 +33,8 @@
         Set<String> loadingAdapters,
         Set<String> inHostMemory,
         Set<String> onDisk,
-        boolean draining) {
+        boolean draining,
+        List<RunningRequest> runs) {
 
     /**
      * Finds a model by name.
--- a/src/main/java/io/waxwingquay/forward/QueuedRequest.java
+++ b/src/main/java/io/waxwingquay/forward/QueuedRequest.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import io.waxwingquay.reservation.Rank;
 import java.util.Comparator;
 
 /** The position of a request that waits, or may wait, for a slot, and when its choice of a replica is repeated. */
@@ -7,7 +8,7 @@
 
     private final ForwardContext context;
     private final RequestTerms terms;
-    private final WaitQueues.Rank rank;
+    private final Rank rank;
     private boolean waiting;
     private long recheckAtMillis = Long.MAX_VALUE;
 
@@ -24,7 +25,7 @@
     static Comparator<QueuedRequest> checkOrder(long nowMillis) {
         return Comparator.<QueuedRequest, Boolean>comparing(request -> request.waiting)
                 .thenComparingInt(request -> request.waiting ? request.rank.accountPriority() : 0)
-                .thenComparingInt(request -> request.waiting ? request.rank.priority() : 0)
+                .thenComparingInt(request -> request.waiting ? request.rank.routePriority() : 0)
                 .thenComparingLong(request -> request.waiting ? request.terms.slackMillis(nowMillis) : 0);
     }
 
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.ClientRequest;
 import io.waxwingquay.net.ServerRequest;
+import io.waxwingquay.reservation.Rank;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -126,8 +127,8 @@
     }
 
     /** Returns the rank of the request among those that wait for the same slots. */
-    WaitQueues.Rank waitRank() {
-        return new WaitQueues.Rank(admission.priority().orElse(0), route.priority(), route.objectiveMillis());
+    Rank waitRank() {
+        return new Rank(admission.priority().orElse(0), route.priority(), route.objectiveMillis());
     }
 
     /** Returns the key of the queue of requests that wait for the same slots. */
--- a/src/main/java/io/waxwingquay/forward/WaitQueues.java
+++ b/src/main/java/io/waxwingquay/forward/WaitQueues.java
@@ -1,6 +1,6 @@
 package io.waxwingquay.forward;
 
-import java.util.Comparator;
+import io.waxwingquay.reservation.Rank;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
@@ -60,26 +60,6 @@
         return queues.computeIfAbsent(name, key -> new Queue());
     }
 
-    /**
-     * The rank of a request in its queue, the most urgent first.
-     *
-     * @param accountPriority the priority of its client account, of which the lowest comes first; 0 if it has none.
-     * @param priority the priority of its route, of which the lowest comes first.
-     * @param objectiveMillis the latency objective of its route.
-     */
-    record Rank(int accountPriority, int priority, long objectiveMillis) implements Comparable<Rank> {
-
-        private static final Comparator<Rank> ORDER = Comparator.comparingInt(Rank::accountPriority)
-                .thenComparingInt(Rank::priority)
-                .thenComparingLong(Rank::objectiveMillis);
-
-        /** {@inheritDoc} */
-        @Override
-        public int compareTo(Rank other) {
-            return ORDER.compare(this, other);
-        }
-    }
-
     private static final class Queue {
 
         private final TreeMap<Rank, Integer> waitingByRank = new TreeMap<>();
--- a/src/main/java/io/waxwingquay/platform/ReplicaReader.java
+++ b/src/main/java/io/waxwingquay/platform/ReplicaReader.java
@@ -4,6 +4,7 @@
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.fleet.ReplicaRecord;
+import io.waxwingquay.fleet.RunningRequest;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -64,7 +65,20 @@
                 announcedLeaving
                         || JsonFields.text(node, "state")
                                 .filter("draining"::equals)
-                                .isPresent());
+                                .isPresent(),
+                runs(node));
+    }
+
+    /** Reads the runs, each of which is a list of attempt id, tokens in memory, events made and priority. */
+    private static List<RunningRequest> runs(JsonNode node) {
+        return JsonFields.list(node, "runs").stream()
+                .filter(run -> run.path(0).isTextual())
+                .map(run -> new RunningRequest(
+                        run.get(0).textValue(),
+                        run.path(1).asLong(),
+                        run.path(2).asLong(),
+                        run.path(3).asInt()))
+                .toList();
     }
 
     /**
--- a/src/main/thrift/waxwingquay.thrift
+++ b/src/main/thrift/waxwingquay.thrift
@@ -313,7 +313,8 @@
   17: optional TableVersions newestTables,
   18: optional string newestTablesHost,
   19: optional list<SuspectNews> suspects,
-  20: optional list<PromptPartNews> promptParts
+  20: optional list<PromptPartNews> promptParts,
+  21: optional bool grantsSlots
 }
 
 /** What one entry sees of one model. */
@@ -415,6 +416,48 @@
   2: optional string softwareVersion
 }
 
+/**
+ * An entry asks the process beside an engine for a slot for one request, and repeats it while the request waits. Times are
+ * durations, as clocks differ.
+ */
+struct SlotRequest {
+  1: i64 id,
+  2: string attemptId,
+  3: string model,
+  4: optional string adapter,
+  5: i32 promptTokens,
+  6: i32 outputTokens,
+  7: i32 accountPriority,
+  8: i32 routePriority,
+  9: i32 objectiveMillis,
+  10: i32 pauseObjectiveMillis,
+  11: optional string account,
+  12: double accountWeight,
+  13: i32 ageMillis,
+  14: i32 maxWaitMillis
+}
+
+/** What the process beside an engine decided about a requested slot. */
+enum SlotDecision {
+  GRANTED = 1,
+  QUEUED = 2,
+  DENIED = 3
+}
+
+/** The answer to a request for a slot; the load is the number of requests in the engine and of granted slots. */
+struct SlotReply {
+  1: i64 id,
+  2: SlotDecision decision,
+  3: i32 waitMillis,
+  4: i32 load,
+  5: optional string reason
+}
+
+/** An entry no longer needs a slot that it has requested or was granted. */
+struct SlotCancel {
+  1: i64 id
+}
+
 /** One datagram between our processes on the prepared platform. */
 union PeerDatagram {
   1: EngineNews engine,
@@ -425,5 +468,8 @@
   6: SpendingReply spendingReply,
   7: OriginReport originReport,
   8: OriginQuestion originQuestion,
-  9: OriginReply originReply
+  9: OriginReply originReply,
+  10: SlotRequest slotRequest,
+  11: SlotReply slotReply,
+  12: SlotCancel slotCancel
 }
--- a/src/test/java/io/waxwingquay/forward/WaitQueuesTest.java
+++ b/src/test/java/io/waxwingquay/forward/WaitQueuesTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.manifest.Route;
+import io.waxwingquay.reservation.Rank;
 import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -12,9 +13,9 @@
 class WaitQueuesTest {
 
     private static final int ENTRIES = 33;
-    private static final WaitQueues.Rank URGENT = new WaitQueues.Rank(0, 0, 300);
-    private static final WaitQueues.Rank LIVE = new WaitQueues.Rank(0, 1, 300);
-    private static final WaitQueues.Rank RELAXED = new WaitQueues.Rank(0, 1, 5_000);
+    private static final Rank URGENT = new Rank(0, 0, 300);
+    private static final Rank LIVE = new Rank(0, 1, 300);
+    private static final Rank RELAXED = new Rank(0, 1, 5_000);
     private static final Route URGENT_ROUTE = new Route(
             "r",
             "x.test",
@@ -53,10 +54,10 @@
 
     @Test
     void priorityOfTheAccountGoesBeforeThatOfTheRoute() {
-        queues.joined("a", new WaitQueues.Rank(1, 0, 300));
-        queues.joined("a", new WaitQueues.Rank(0, 2, 5_000));
-        assertEquals(1, queues.countAhead("a", new WaitQueues.Rank(0, 2, 5_000)));
-        assertEquals(2, queues.countAhead("a", new WaitQueues.Rank(1, 0, 300)));
+        queues.joined("a", new Rank(1, 0, 300));
+        queues.joined("a", new Rank(0, 2, 5_000));
+        assertEquals(1, queues.countAhead("a", new Rank(0, 2, 5_000)));
+        assertEquals(2, queues.countAhead("a", new Rank(1, 0, 300)));
     }
 
     // Many long requests that can wait come at once and fill three engines of 16 slots, of which one becomes free each
--- a/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
+++ b/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
@@ -93,6 +93,7 @@
 
     private static EngineReport report(boolean ordering, String... adapters) {
         ReplicaRecord.ResidentModel model = new ReplicaRecord.ResidentModel("m", List.of(adapters));
-        return new EngineReport(0, 3, ordering, 0, 0, 0, 0, List.of(model), Set.of(), Set.of(), Set.of(), false);
+        return new EngineReport(
+                0, 3, ordering, 0, 0, 0, 0, List.of(model), Set.of(), Set.of(), Set.of(), false, List.of());
     }
 }
--- a/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
+++ b/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
@@ -97,8 +97,8 @@
         List<ReplicaRecord.ResidentModel> models = adaptersByModel.entrySet().stream()
                 .map(each -> new ReplicaRecord.ResidentModel(each.getKey(), List.copyOf(each.getValue())))
                 .toList();
-        EngineReport report =
-                new EngineReport(bornMillis, ordersTaken, false, 0, 0, 0, 0, models, Set.of(), Set.of(), onDisk, false);
+        EngineReport report = new EngineReport(
+                bornMillis, ordersTaken, false, 0, 0, 0, 0, models, Set.of(), Set.of(), onDisk, false, List.of());
         return CompletableFuture.supplyAsync(() -> report, loop);
     }
 
--- a/src/test/java/io/waxwingquay/residency/ModelMoverTest.java
+++ b/src/test/java/io/waxwingquay/residency/ModelMoverTest.java
@@ -133,7 +133,8 @@
         List<ReplicaRecord.ResidentModel> models = Stream.of(held)
                 .map(name -> new ReplicaRecord.ResidentModel(name, List.of()))
                 .toList();
-        EngineReport report = new EngineReport(0, 7, false, 0, 0, 0, 0, models, Set.of(), Set.of(), Set.of(), false);
+        EngineReport report =
+                new EngineReport(0, 7, false, 0, 0, 0, 0, models, Set.of(), Set.of(), Set.of(), false, List.of());
         return mover.nextOrder(report, planner, inUse, nowMillis);
     }
 }
--- a/src/test/java/io/waxwingquay/residency/OrderTrackerTest.java
+++ b/src/test/java/io/waxwingquay/residency/OrderTrackerTest.java
@@ -108,6 +108,7 @@
     }
 
     private static EngineReport report(long ordersTaken) {
-        return new EngineReport(0, ordersTaken, false, 0, 0, 0, 0, List.of(), Set.of(), Set.of(), Set.of(), false);
+        return new EngineReport(
+                0, ordersTaken, false, 0, 0, 0, 0, List.of(), Set.of(), Set.of(), Set.of(), false, List.of());
     }
 }
