Grant the slots of an engine from the process beside it

Cause: SlotBook was driven by nothing.

Change: EngineManager passes requests for slots, reports and the loss of the engine to SlotGranting, which decides while as many entries as slots send updates, until there are fewer than three quarters as many. A change is logged and sent to all at once. EngineNews.grantsSlots is left out unless true. While requests wait, and only then, the engine is polled every 25 ms. In the first 3 s of a process the book decides too, as entries may still ask by the updates of the process before it. PromptPacer and AdapterGate are the disabled ones.

--- a/src/main/java/io/waxwingquay/reservation/ReservationServer.java
+++ b/src/main/java/io/waxwingquay/reservation/ReservationServer.java
@@ -32,6 +32,15 @@
         this.sender = sender;
     }
 
+    /**
+     * Sets the number of requests that the engine runs at once.
+     *
+     * @param slots the number of slots.
+     */
+    public void configure(int slots) {
+        book.configure(slots);
+    }
+
     /**
      * Handles a request for a slot.
      *
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -4,11 +4,16 @@
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.reservation.AdapterGate;
+import io.waxwingquay.reservation.PromptPacer;
+import io.waxwingquay.reservation.ReservationServer;
+import io.waxwingquay.reservation.SlotBook;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.AdapterReply;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Optional;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 
 /** Manages one engine: polls its state, sends status updates about it, and issues orders to it one at a time. */
 public final class EngineManager {
@@ -49,6 +54,7 @@
     private boolean pollInFlight;
     private long identifyAtMillis = Long.MIN_VALUE;
     private boolean earlyPollScheduled;
+    private final SlotGranting granting;
     private final EngineUpdates updates;
 
     /**
@@ -77,7 +83,16 @@
         this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
-        this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, sender);
+        this.granting = createGranting(PromptPacer.disabled(), AdapterGate.DISABLED);
+        this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, granting::isInForce, sender);
+    }
+
+    private SlotGranting createGranting(PromptPacer pacer, AdapterGate adapters) {
+        SlotBook book =
+                new SlotBook.Default(pacer, adapters, EventLoop::nowMillis, RandomGenerator.of("L64X128MixRandom"));
+        ReservationServer server =
+                new ReservationServer(book, (entry, reply) -> sender.send(entry, PeerDatagram.slotReply(reply)));
+        return new SlotGranting(peers, server, pacer, EventLoop::nowMillis, loop::schedule, this::poll);
     }
 
     /** Starts polling; called on the loop. */
@@ -112,6 +127,7 @@
                 current.kvUsedTokens(),
                 current.executingOrder(),
                 current.modelNames()));
+        granting.logState();
     }
 
     /**
@@ -121,6 +137,7 @@
      */
     public void configure(Optional<Engine> newer) {
         engine = newer;
+        granting.configure(newer);
     }
 
     /**
@@ -169,6 +186,8 @@
             }
         } else if (datagram.isSetAdapterCall()) {
             onAdapterCall(from, datagram.getAdapterCall());
+        } else if (datagram.isSetSlotRequest() || datagram.isSetSlotCancel()) {
+            granting.onDatagram(from, datagram);
         }
     }
 
@@ -222,6 +241,7 @@
         }
         identify();
         issueNextOrder();
+        granting.onReport(newer, updates.routableModelNames(newer));
         sendUpdate();
     }
 
@@ -257,6 +277,7 @@
         if (report.isPresent()) {
             LOG.log(System.Logger.Level.WARNING, "residency: engine lost cause={0}", failure.getMessage());
             adapterScheduler.rejectAll(this::sendAdapterReply);
+            granting.onEngineLost();
         }
         report = Optional.empty();
     }
--- a/src/main/java/io/waxwingquay/residency/EngineUpdates.java
+++ b/src/main/java/io/waxwingquay/residency/EngineUpdates.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -24,6 +25,7 @@
     private final PeerUpdates peers;
     private final ModelMover mover;
     private final WeightLoadLimiter loadLimiter;
+    private final BooleanSupplier grantsSlots;
     private final EngineManager.Sender sender;
     private final UpdateSequence updateNumber = new UpdateSequence(EventLoop.nowMillis());
     private final UpdateSchedule schedule = new UpdateSchedule();
@@ -35,12 +37,14 @@
             PeerUpdates peers,
             ModelMover mover,
             WeightLoadLimiter loadLimiter,
+            BooleanSupplier grantsSlots,
             EngineManager.Sender sender) {
         this.address = address;
         this.service = service;
         this.peers = peers;
         this.mover = mover;
         this.loadLimiter = loadLimiter;
+        this.grantsSlots = grantsSlots;
         this.sender = sender;
     }
 
@@ -82,11 +86,12 @@
     private UpdateSchedule.EngineStatus status(EngineReport current, long nowMillis) {
         List<HeldModel> routable = routableModels(current);
         return new UpdateSchedule.EngineStatus(
-                routable.stream().map(HeldModel::getName).collect(Collectors.toSet()),
+                routableModelNames(current),
                 Set.copyOf(hostCachedModels(current)),
                 mover.loadingModel(),
                 loadLimiter.recentLoads(nowMillis),
                 current.draining(),
+                grantsSlots.getAsBoolean(),
                 peers.newestTables(nowMillis)
                         .map(newest -> newest.getValue().getConfiguration())
                         .orElse(0L),
@@ -125,6 +130,11 @@
                 .setEntries(peers.entryAddresses(nowMillis).size());
         peers.newestTables(nowMillis).ifPresent(newest -> update.setNewestTables(newest.getValue())
                 .setNewestTablesHost(newest.getKey().host()));
+        if (grantsSlots.getAsBoolean()) {
+            // Left out otherwise, so that updates of deployments that grant no slots are no longer than without the
+            // field.
+            update.setGrantsSlots(true);
+        }
         mover.loadingModel().ifPresent(model -> {
             update.setLoadingModel(model);
             update.setLoadingMillis(engine.map(known -> mover.remainingMillis(known, current, nowMillis))
@@ -133,6 +143,11 @@
         return update;
     }
 
+    /** Returns the names of the models that requests may be routed to. */
+    Set<String> routableModelNames(EngineReport current) {
+        return routableModels(current).stream().map(HeldModel::getName).collect(Collectors.toSet());
+    }
+
     /** Returns the models that requests may be routed to: all models held except those being evicted. */
     private List<HeldModel> routableModels(EngineReport current) {
         return current.models().stream()
--- a/src/main/java/io/waxwingquay/residency/UpdateSchedule.java
+++ b/src/main/java/io/waxwingquay/residency/UpdateSchedule.java
@@ -84,6 +84,7 @@
      * @param loadingModel the model that is loading.
      * @param recentStoreLoads loads from the weight store that started recently.
      * @param draining whether the engine is about to leave.
+     * @param grantsSlots whether its slots are granted to entries.
      * @param configurationVersion the newest configuration version that entries have.
      * @param adapters adapters that the engine holds.
      * @param requests requests that it runs or queues.
@@ -94,6 +95,7 @@
             Optional<String> loadingModel,
             int recentStoreLoads,
             boolean draining,
+            boolean grantsSlots,
             long configurationVersion,
             Set<String> adapters,
             int requests) {
@@ -108,6 +110,7 @@
                     || !loadingModel.equals(newer.loadingModel)
                     || newer.recentStoreLoads > recentStoreLoads
                     || draining != newer.draining
+                    || grantsSlots != newer.grantsSlots
                     || configurationVersion != newer.configurationVersion;
         }
     }
--- a/src/test/java/io/waxwingquay/residency/UpdateScheduleTest.java
+++ b/src/test/java/io/waxwingquay/residency/UpdateScheduleTest.java
@@ -17,7 +17,7 @@
     private static final int ACTIVE_ENTRIES = 10;
     private static final long POLL_MILLIS = 100;
     private static final EngineStatus UNCHANGED =
-            new EngineStatus(Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, 3, Set.of("m/a1"), 4);
+            new EngineStatus(Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, false, 3, Set.of("m/a1"), 4);
 
     private final UpdateSchedule schedule = new UpdateSchedule();
 
@@ -52,6 +52,19 @@
         assertEquals(Update.NONE, schedule.nextUpdate(withRequests(9), RECEIVERS, 0, 1_300));
     }
 
+    // Guards against entries that keep sending by their own estimates, or keep asking for slots, until the next
+    // periodic
+    // update.
+    @Test
+    void changeOfGrantingIsSentToAllAtOnce() {
+        nextUpdate(UNCHANGED, 0);
+        nextUpdate(UNCHANGED, 200);
+        EngineStatus granting =
+                new EngineStatus(Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, true, 3, Set.of("m/a1"), 4);
+        assertEquals(Update.FULL_TO_ALL, nextUpdate(granting, 300));
+        assertEquals(Update.NONE, nextUpdate(granting, 400));
+    }
+
     // The start of a load makes others wait for the limit and must be known immediately; a load that leaves the window
     // only frees capacity.
     @Test
@@ -96,19 +109,22 @@
     }
 
     private static EngineStatus withLoadingModel(String model) {
-        return new EngineStatus(Set.of("m"), Set.of("m", "n"), Optional.of(model), 1, false, 3, Set.of("m/a1"), 4);
+        return new EngineStatus(
+                Set.of("m"), Set.of("m", "n"), Optional.of(model), 1, false, false, 3, Set.of("m/a1"), 4);
     }
 
     private static EngineStatus withRequests(int requests) {
-        return new EngineStatus(Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, 3, Set.of("m/a1"), requests);
+        return new EngineStatus(
+                Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, false, 3, Set.of("m/a1"), requests);
     }
 
     private static EngineStatus withAdapter(String adapter) {
-        return new EngineStatus(Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, 3, Set.of(adapter), 5);
+        return new EngineStatus(
+                Set.of("m"), Set.of("m", "n"), Optional.empty(), 1, false, false, 3, Set.of(adapter), 5);
     }
 
     private static EngineStatus withStoreLoads(int storeLoads) {
         return new EngineStatus(
-                Set.of("m"), Set.of("m", "n"), Optional.empty(), storeLoads, false, 3, Set.of("m/a1"), 4);
+                Set.of("m"), Set.of("m", "n"), Optional.empty(), storeLoads, false, false, 3, Set.of("m/a1"), 4);
     }
 }
