--- a/src/main/java/io/waxwingquay/reservation/SlotBook.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotBook.java
@@ -162,12 +162,11 @@
                 waiting.get().repeat(request, nowMillis);
                 return List.of(queued(waiting.get(), nowMillis));
             }
-            if (pool.isGranted(request, nowMillis)) {
-                return List.of(granted(request));
+            Optional<RecentAnswers.End> end = recent.find(request.key(), nowMillis);
+            if (end.isPresent()) {
+                return repeated(request, end.get(), nowMillis);
             }
-            return recent.find(request.key(), nowMillis)
-                    .map(end -> repeated(request, end, nowMillis))
-                    .orElseGet(() -> submitNew(request, nowMillis));
+            return pool.isGranted(request, nowMillis) ? List.of(granted(request)) : submitNew(request, nowMillis);
         }
 
         private static List<SlotAnswer> repeated(SlotRequest request, RecentAnswers.End end, long nowMillis) {
--- a/src/main/java/io/waxwingquay/reservation/SlotRate.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotRate.java
@@ -12,7 +12,7 @@
     private static final double HALF_LIFE_MILLIS = 4_000.0;
 
     /** The number of ended requests that the prior counts as. */
-    private static final double PRIOR_ENDED = 2.0;
+    private static final double PRIOR_ENDED = 1.0;
 
     /** 50 ms for an event of 8 tokens, the usual pace before any request has ended. */
     private static final double PRIOR_MILLIS_PER_TOKEN = 50.0 / 8;
