Read the number of output tokens that callers expect

Cause: the process beside an engine is to be told how many tokens an answer is expected to have; half of the stated maximum is a poor estimate where the caller has a better one.

Change: RequestHead.lengthHintTokens, from the header Length-Hint. A negative or unreadable number counts as absent. Nothing uses it yet.

Measured: HeaderCodecTest and GatekeeperTest pass.

--- a/src/main/java/io/waxwingquay/forward/MessageCodec.java
+++ b/src/main/java/io/waxwingquay/forward/MessageCodec.java
@@ -62,6 +62,7 @@
      * @param adapter the requested adapter of that model.
      * @param inputTokens tokens of the prompt; 0 if not stated.
      * @param maxOutputTokens the most tokens to generate; 0 if not stated.
+     * @param lengthHintTokens the tokens that the caller expects to be generated; at least 0.
      * @param sharedPromptParts the ids of the parts of the prompt that other requests may share, in order; without the
      *     last part, which belongs to the request or its session.
      * @param lastEventId the last event that the caller received from an earlier run of this stream.
@@ -75,6 +76,7 @@
             Optional<String> adapter,
             long inputTokens,
             long maxOutputTokens,
+            OptionalLong lengthHintTokens,
             List<String> sharedPromptParts,
             Optional<Long> lastEventId,
             Optional<String> resumedId,
--- a/src/main/java/io/waxwingquay/platform/HeaderCodec.java
+++ b/src/main/java/io/waxwingquay/platform/HeaderCodec.java
@@ -27,6 +27,9 @@
     /** Number of prompt tokens and maximum number of tokens to generate, separated by a comma. */
     private static final String TOKEN_COUNTS = "Token-Counts";
 
+    /** Number of tokens that a client expects to be generated; neither a limit nor a promise. */
+    private static final String LENGTH_HINT = "Length-Hint";
+
     /**
      * Prompt parts as ID:TOKENS pairs in order; the last belongs to the request or its session, the others are
      * shared.
@@ -118,12 +121,21 @@
                 adapter,
                 parseLong(tokens[0]).orElse(0L),
                 tokens.length > 1 ? parseLong(tokens[1]).orElse(0L) : 0L,
+                readLengthHint(fields),
                 readSharedPromptParts(fields.get(PROMPT_PREFIX)),
                 parseLong(fields.get(LAST_EVENT_ID)),
                 Optional.ofNullable(fields.get(RESUMES)).map(String::trim).filter(id -> !id.isEmpty()),
                 readKey(fields));
     }
 
+    /** Reads the expected number of output tokens; a negative one counts as absent. */
+    private static OptionalLong readLengthHint(HttpFields fields) {
+        return parseLong(fields.get(LENGTH_HINT)).stream()
+                .mapToLong(Long::longValue)
+                .filter(tokens -> tokens >= 0)
+                .findFirst();
+    }
+
     /** Reads the ids of all prompt parts but the last; of a longer prompt only the first ones are told apart. */
     private static List<String> readSharedPromptParts(String prefix) {
         if (prefix == null) {
--- a/src/test/java/io/waxwingquay/forward/GatekeeperTest.java
+++ b/src/test/java/io/waxwingquay/forward/GatekeeperTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -95,6 +96,7 @@
                 Optional.empty(),
                 0,
                 0,
+                OptionalLong.empty(),
                 List.of(),
                 Optional.empty(),
                 Optional.empty(),
--- a/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
+++ b/src/test/java/io/waxwingquay/platform/HeaderCodecTest.java
@@ -34,6 +34,21 @@
         assertEquals(List.of("5c", "91"), ask.sharedPromptParts());
     }
 
+    // Guards against a request of which a nonsensical number of tokens is expected, and against one that is refused for
+    // it.
+    @Test
+    void readsALengthHintThatIsANumberOfTokens() {
+        assertEquals(OptionalLong.of(40), lengthHint("40"));
+        assertEquals(OptionalLong.of(0), lengthHint(" 0 "));
+        assertEquals(OptionalLong.empty(), lengthHint("-3"));
+        assertEquals(OptionalLong.empty(), lengthHint("many"));
+        assertEquals(OptionalLong.empty(), codec.readRequest(HttpFields.EMPTY).lengthHintTokens());
+    }
+
+    private OptionalLong lengthHint(String text) {
+        return codec.readRequest(HttpFields.build().put("Length-Hint", text)).lengthHintTokens();
+    }
+
     // Guards against a key or a client's own account name that reaches a replica, in any spelling of the header.
     @Test
     void replacesTheAccountAndRemovesTheKey() {
