--- a/src/main/java/io/waxwingquay/explain/EndedRequest.java
+++ b/src/main/java/io/waxwingquay/explain/EndedRequest.java
@@ -38,10 +38,11 @@
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECTION = 300;
 
-    private static final Pattern LINE = Pattern.compile("(?<at>\\d{4}-\\d\\d-\\d\\dT[\\d:.]+Z) .*forward: ended id=\\S*"
-            + " route=(?<route>\\S+) service=\\S+ model=(?<model>\\S*) status=(?<status>\\d+) sent=\\d+"
-            + " took_ms=(?<took>\\d+) first_ms=(?<first>\\d+) pause_ms=(?<pause>\\d+) waited_ms=(?<waited>\\d+)"
-            + " objective_ms=(?<objective>\\d+) pause_objective_ms=(?<pauseObjective>\\d+) why=(?<why>.*)");
+    private static final Pattern LINE = Pattern.compile(
+            "(?<at>\\d{4}-\\d\\d-\\d\\dT[\\d:.]+Z) .*forward: ended id=\\S*"
+                    + " route=(?<route>\\S+) service=\\S+ model=(?<model>\\S*) status=(?<status>\\d+) sent=\\d+"
+                    + " took_ms=(?<took>\\d+) first_ms=(?<first>\\d+) pause_ms=(?<pause>\\d+) waited_ms=(?<waited>\\d+)"
+                    + " objective_ms=(?<objective>\\d+) pause_objective_ms=(?<pauseObjective>\\d+)(?: slot_ms=\\d+ slots_asked=\\d+)? why=(?<why>.*)");
 
     private static final Pattern REFUSED_LINE =
             Pattern.compile("(?<at>\\d{4}-\\d\\d-\\d\\dT[\\d:.]+Z) .*forward: refused id=\\S* route=(?<route>\\S+)"
--- a/src/main/java/io/waxwingquay/forward/Admission.java
+++ b/src/main/java/io/waxwingquay/forward/Admission.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.forward;
 
 import io.waxwingquay.account.Account;
+import io.waxwingquay.account.Quota;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -29,6 +30,11 @@
         return account.map(Account::name);
     }
 
+    /** Returns the weight of the account among those that share slots: the rate of its quota; 1 without a quota. */
+    double weight() {
+        return account.flatMap(Account::quota).map(Quota::perSecond).orElse(1.0);
+    }
+
     /** Returns the priority class of the account, if it has one. */
     OptionalInt priority() {
         return account.map(Account::priority).orElse(OptionalInt.empty());
--- a/src/main/java/io/waxwingquay/forward/CallerResponder.java
+++ b/src/main/java/io/waxwingquay/forward/CallerResponder.java
@@ -57,9 +57,13 @@
 
     /** Rejects a request that has not run and will not run, with a retry-after delay. */
     int reject(String why, long retryAfterMillis) {
-        long jitteredMillis = context.jitter(retryAfterMillis);
+        return rejectUntil(why, context.jitter(retryAfterMillis));
+    }
+
+    /** Rejects a request that has not run and will not run, with a retry-after delay that is spread already. */
+    int rejectUntil(String why, long retryAfterMillis) {
         caller.respond(
-                UNAVAILABLE, context.codec().refusalFields(Optional.of(jitteredMillis)), "it has not run: " + why);
+                UNAVAILABLE, context.codec().refusalFields(Optional.of(retryAfterMillis)), "it has not run: " + why);
         return UNAVAILABLE;
     }
 
--- a/src/main/java/io/waxwingquay/forward/Choice.java
+++ b/src/main/java/io/waxwingquay/forward/Choice.java
@@ -19,6 +19,21 @@
      */
     record LoadAdapter(Target target) implements Choice {}
 
+    /**
+     * Asks for a slot first, which the side process of the engine grants once the adapter of the request is loaded.
+     *
+     * @param target the replica whose engine is asked.
+     */
+    record Reserve(Target target) implements Choice {}
+
+    /**
+     * States that the engines that could run the request have denied it a slot.
+     *
+     * @param denial the denial with the shortest time until a slot is expected.
+     * @param engines how many engines have denied a slot.
+     */
+    record Denied(SlotDenial denial, int engines) implements Choice {}
+
     /**
      * States that no replica holds the model.
      *
--- /dev/null
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -0,0 +1,84 @@
+package io.waxwingquay.forward;
+
+import io.waxwingquay.manifest.Route;
+import io.waxwingquay.net.EventLoop;
+import java.util.Optional;
+
+/** The attempt of a request that is in progress, if there is one, and whether any of its attempts may have run. */
+final class CurrentAttempt {
+
+    private final ForwardContext context;
+    private final MessageCodec.RequestHead head;
+    private final Suspicion suspicion;
+    private Optional<Attempt> running = Optional.empty();
+    private boolean mayHaveRun;
+
+    CurrentAttempt(ForwardContext context, MessageCodec.RequestHead head, Suspicion suspicion) {
+        this.context = context;
+        this.head = head;
+        this.suspicion = suspicion;
+    }
+
+    /** Notes an attempt that is sent now. */
+    void started(Attempt next) {
+        running = Optional.of(next);
+        next.target()
+                .requestSent(
+                        head.model(),
+                        head.adapter(),
+                        EngineRequirements.kvTokensAt(next.target(), head, next.sentMillis()),
+                        next.sentMillis());
+        head.model().ifPresent(context.demandMeter()::started);
+    }
+
+    boolean isRunning() {
+        return running.isPresent();
+    }
+
+    /** Returns whether a replica may have begun to run the request. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    /** Notes that a replica may have begun to run the request. */
+    void noteMayHaveRun() {
+        mayHaveRun = true;
+    }
+
+    /** Returns whether the replica of the running attempt may have received any of it. */
+    boolean mayHaveBeenSent() {
+        return running.filter(Attempt::mayHaveBeenSent).isPresent();
+    }
+
+    /** Cancels the attempt; a request of which nothing was sent is known not to have run. */
+    void withdraw() {
+        mayHaveRun |= mayHaveBeenSent();
+        cancel();
+    }
+
+    void cancel() {
+        running.ifPresent(attempt -> {
+            attempt.cancel();
+            release(attempt);
+        });
+    }
+
+    /** Notes that an attempt has ended. */
+    void release(Attempt ended) {
+        running = running.filter(attempt -> attempt != ended);
+        suspicion.ended();
+        ended.target().requestEnded(head.model(), head.adapter());
+        head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
+    }
+
+    /** Returns the running attempt if nothing has come for so long that another replica should take the request over. */
+    Optional<Attempt> stalled(Route route, ExchangeState state, long nowMillis) {
+        return running.filter(attempt -> attempt.isStalled(route, state, nowMillis));
+    }
+
+    /** Returns whether the engine of the running attempt may be unresponsive. */
+    boolean isDoubtful(long nowMillis) {
+        return running.filter(attempt -> attempt.target().mayBeUnresponsive(attempt.sentMillis(), nowMillis))
+                .isPresent();
+    }
+}
--- a/src/main/java/io/waxwingquay/forward/EngineNotifier.java
+++ b/src/main/java/io/waxwingquay/forward/EngineNotifier.java
@@ -2,6 +2,7 @@
 
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.origin.StreamOrigins;
+import io.waxwingquay.transport.generated.SlotRequest;
 
 /** Notifies the side processes of engines of what this entry needs. */
 public interface EngineNotifier extends StreamOrigins.Channel {
@@ -16,6 +17,22 @@
      */
     void requestAdapter(HostPort engine, long id, String model, String adapter);
 
+    /**
+     * Requests a slot of an engine, or repeats the request.
+     *
+     * @param engine the engine.
+     * @param request the request.
+     */
+    void requestSlot(HostPort engine, SlotRequest request);
+
+    /**
+     * Cancels a request for a slot, or returns the slot.
+     *
+     * @param engine the engine.
+     * @param id the id of the request.
+     */
+    void cancelSlot(HostPort engine, long id);
+
     /** Announces that the processes which add up the spending of client accounts should be told of it soon. */
     void spendingReportDue();
 
--- a/src/main/java/io/waxwingquay/forward/EngineRequirements.java
+++ b/src/main/java/io/waxwingquay/forward/EngineRequirements.java
@@ -9,20 +9,44 @@
  * @param adapter the requested adapter of that model.
  * @param kvTokens the key-value cache that it is expected to take, in tokens; 0 if that is unknown.
  * @param durationMillis how long requests for the model usually run in an engine.
+ * @param slotUse which engines are asked for slots.
  */
-record EngineRequirements(String model, Optional<String> adapter, long kvTokens, double durationMillis) {
+record EngineRequirements(
+        String model, Optional<String> adapter, long kvTokens, double durationMillis, SlotUse slotUse) {
 
     /** Share of the maximum number of output tokens that answers usually have. */
     private static final double EXPECTED_OUTPUT_SHARE = 0.5;
 
+    /** Requirements of a request that asks for slots wherever they are granted. */
+    EngineRequirements(String model, Optional<String> adapter, long kvTokens, double durationMillis) {
+        this(model, adapter, kvTokens, durationMillis, new SlotUse.WhereGranted());
+    }
+
     /** Returns the requirements of a request that names a model. */
-    static EngineRequirements of(MessageCodec.RequestHead head, DemandMeter demand) {
+    static EngineRequirements of(MessageCodec.RequestHead head, DemandMeter demand, SlotUse slotUse) {
         String model = head.model().orElseThrow();
-        return new EngineRequirements(model, head.adapter(), kvTokens(head), demand.durationMillis(model));
+        return new EngineRequirements(model, head.adapter(), kvTokens(head), demand.durationMillis(model), slotUse);
     }
 
     /** Returns the key-value cache that a request is expected to take, in tokens: its prompt and the usual output. */
     static long kvTokens(MessageCodec.RequestHead head) {
-        return head.inputTokens() + Math.round(EXPECTED_OUTPUT_SHARE * head.maxOutputTokens());
+        return head.inputTokens() + usualOutputTokens(head);
+    }
+
+    /** Returns the key-value cache that a request is expected to take at a replica, by its hint where slots are granted. */
+    static long kvTokensAt(Target target, MessageCodec.RequestHead head, long nowMillis) {
+        return target.grantsSlots(nowMillis) ? head.inputTokens() + expectedOutputTokens(head) : kvTokens(head);
+    }
+
+    /** Returns the output that is expected by the caller's hint, within the stated maximum; without a hint the usual. */
+    static long expectedOutputTokens(MessageCodec.RequestHead head) {
+        long maxTokens = head.maxOutputTokens() > 0 ? head.maxOutputTokens() : Long.MAX_VALUE;
+        return head.lengthHintTokens().isPresent()
+                ? Math.min(head.lengthHintTokens().getAsLong(), maxTokens)
+                : usualOutputTokens(head);
+    }
+
+    private static long usualOutputTokens(MessageCodec.RequestHead head) {
+        return Math.round(EXPECTED_OUTPUT_SHARE * head.maxOutputTokens());
     }
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.IntSupplier;
 
 /**
  * One request of a caller, from its arrival to its final response.
@@ -25,9 +26,6 @@
     /** Delay before a request that waits for room is checked again: at every tick. */
     private static final long ROOM_RECHECK_MILLIS = 0L;
 
-    /** Default retry-after delay, by which most lost replicas are replaced or found again. */
-    private static final long DEFAULT_RETRY_AFTER_MILLIS = 400L;
-
     private final ForwardContext context;
     private final ServerExchange caller;
     private final CallerResponder responder;
@@ -38,11 +36,11 @@
     private final QueuedRequest queuedRequest;
     private final RetryRules retries;
     private ExchangeState state = ExchangeState.CHART.initial();
-    private Attempt attempt;
-    private boolean mayHaveRun;
+    private final CurrentAttempt attempt;
+    private final SlotWait slotWait;
     private boolean callerGone;
     private final StreamProgress stream;
-    private String lastFailure = "";
+    private final RequestFailure failure;
 
     Exchange(
             ForwardContext context,
@@ -62,6 +60,13 @@
         this.suspicion = suspicion;
         this.stream = new StreamProgress(terms.arrivedMillis(), head, softwareVersion);
         this.retries = new RetryRules(context, terms);
+        this.attempt = new CurrentAttempt(context, head, suspicion);
+        this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
+        this.slotWait = new SlotWait(
+                context.slotRequester(),
+                new SlotPlacement(context.callerAge(), terms, stream, retries.triedTargets()),
+                EventLoop::nowMillis,
+                this::onSlotDecided);
     }
 
     MessageCodec codec() {
@@ -92,6 +97,7 @@
         caller.onDisconnect(this::onCallerGone);
         if (needsModel()) {
             context.demandMeter().requested(head.model().get(), EventLoop.nowMillis());
+            context.callerAge().arrived(route.name(), head.remainingMillis());
         }
         choose();
     }
@@ -101,7 +107,7 @@
             return;
         }
         if (terms.remainingMillis(nowMillis) <= 0) {
-            deadlineExceeded();
+            failure.deadlineExceeded();
             return;
         }
         if (queuedRequest.isRecheckDue(nowMillis)) {
@@ -111,87 +117,85 @@
             }
             return;
         }
-        if (attempt != null
+        Optional<Attempt> stalled = attempt.stalled(route, state, nowMillis);
+        if (stalled.isPresent()
                 && route.isSafeToRetry()
-                && attempt.isStalled(route, state, nowMillis)
                 && !callerGone
                 && retries.canRetryElsewhere(stream, nowMillis)) {
-            Attempt stalled = attempt;
-            stalled.cancel();
-            failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
-            return;
-        }
-        if (attempt != null
-                && attempt.target().mayBeUnresponsive(attempt.sentMillis(), nowMillis)
+            giveUpOn(stalled.get(), nowMillis);
+        } else if (attempt.isDoubtful(nowMillis)
                 && WaitPolicy.isCallerAboutToLeave(route, stream.callerIdleMillis(nowMillis))) {
             giveUpOnDoubtfulTarget();
         }
     }
 
+    private void giveUpOn(Attempt stalled, long nowMillis) {
+        stalled.cancel();
+        failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
+    }
+
     /**
      * Answers a request while its caller still waits: an unresponsive engine can't be told to cancel, and would run it
      * for nobody later. If the engine is healthy after all, only the little time until the caller would have left is
      * lost.
      */
     private void giveUpOnDoubtfulTarget() {
-        withdrawAttempt();
-        giveUp("its engine may stand still");
-    }
-
-    /** Cancels the attempt; a request of which nothing was sent is known not to have run. */
-    private void withdrawAttempt() {
-        mayHaveRun |= attempt != null && attempt.mayHaveBeenSent();
-        cancelAttempt();
+        attempt.withdraw();
+        failure.giveUp("its engine may stand still");
     }
 
     /** Rejects a request that waits here, while its caller can still turn to another entry. */
     void drain() {
         if (state == ExchangeState.CHOOSING || state == ExchangeState.AWAITING) {
-            giveUp("this process is about to exit");
+            failure.giveUp("this process is about to exit");
         }
     }
 
     /** Ends a request at the exit; an error response is better than a closed connection without one. */
     void terminate() {
         if (state != ExchangeState.DONE && !stream.hasBegun()) {
-            withdrawAttempt();
-            giveUp("this process exits");
+            attempt.withdraw();
+            failure.giveUp("this process exits");
         }
     }
 
     private void choose() {
-        if (!terms.isStillAuthorized() && !mayHaveRun) {
-            giveUp("its client account is gone");
+        if (!terms.isStillAuthorized() && !attempt.mayHaveRun()) {
+            failure.giveUp("its client account is gone");
             return;
         }
         long nowMillis = EventLoop.nowMillis();
         if (isResuming() && !WaitPolicy.mayResume(stream.interruptedMillis(nowMillis))) {
-            abortStream("it could not go on elsewhere");
+            failure.abortStream("it could not go on elsewhere");
             return;
         }
         if (suspicion.isQuarantined()) {
             notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
             return;
         }
-        Choice choice = suspicion.choose(retries.triedTargets(), excluded -> terms.choose(stream, excluded, nowMillis));
+        Choice choice = suspicion.choose(retries.triedTargets(), excluded -> slotWait.choose(excluded, nowMillis));
         if (choice instanceof Choice.Send send
                 && !terms.callerWaitsForAnswer(send.target(), stream.callerIdleMillis(nowMillis), nowMillis)) {
-            notPlaced("its caller would leave before its answer begins", DEFAULT_RETRY_AFTER_MILLIS);
+            notPlaced("its caller would leave before its answer begins", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         } else if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
             awaitAdapter(load.target(), nowMillis);
+        } else if (choice instanceof Choice.Reserve reserve) {
+            awaitSlot(reserve.target());
+        } else if (choice instanceof Choice.Denied denied) {
+            slotDenied(denied, nowMillis);
         } else if (choice instanceof Choice.ModelAbsent absent) {
             awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
             awaitRoom(full, nowMillis);
         } else if (choice instanceof Choice.NoReplicaOfVersion) {
-            giveUp("no other replica of software version "
+            failure.giveUp("no other replica of software version "
                     + stream.softwareVersion().orElse("") + " serves");
         } else if (choice instanceof Choice.AwaitIsolation) {
             recheckLater();
         } else {
-            notPlaced("no replica can be reached", DEFAULT_RETRY_AFTER_MILLIS);
+            notPlaced("no replica can be reached", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         }
     }
 
@@ -205,9 +209,10 @@
      */
     private void awaitAdapter(Target target, long nowMillis) {
         if (!isResuming() && !terms.mayWaitForRoom(nowMillis)) {
-            notPlaced("adapter " + head.adapter().get() + " does not come", DEFAULT_RETRY_AFTER_MILLIS);
+            notPlaced("adapter " + head.adapter().get() + " does not come", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
             return;
         }
+        slotWait.cancel();
         transition(ExchangeState.Event.AWAIT);
         context.adapterRequester()
                 .request(target, head.model().get(), head.adapter().get(), present -> {
@@ -222,6 +227,35 @@
                 });
     }
 
+    /** Waits for a slot; the side process of the engine decides whether the request can be served in time. */
+    private void awaitSlot(Target target) {
+        queuedRequest.leaveQueue();
+        transition(ExchangeState.Event.AWAIT);
+        slotWait.ask(target);
+    }
+
+    private void onSlotDecided() {
+        if (state == ExchangeState.AWAITING || isResuming()) {
+            transition(ExchangeState.Event.RETRY);
+            choose();
+        }
+    }
+
+    /** Refuses a request; the time that a side process told is spread already. */
+    private void slotDenied(Choice.Denied denied, long nowMillis) {
+        SlotDenial denial = denied.denial();
+        String why = denial.describe(head, denied.engines());
+        if (isResuming()) {
+            slotWait.forgetDenials();
+            long resumeMillis = WaitPolicy.remainingResumeMillis(stream.interruptedMillis(nowMillis));
+            recheckLater(Math.max(RECHECK_MILLIS, Math.min(denial.retryAfterMillis(), resumeMillis)));
+        } else if (denial.hasRetryTime()) {
+            notPlaced(why, () -> responder.rejectUntil(why, denial.retryAfterMillis()));
+        } else {
+            notPlaced(why, RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
+        }
+    }
+
     private void awaitModel(long readyMillis, long nowMillis) {
         context.modelMissed();
         if (isResuming() || terms.mayWaitForModel(readyMillis, nowMillis)) {
@@ -244,6 +278,7 @@
     }
 
     private void recheckLater(long delayMillis) {
+        slotWait.cancel();
         if (state == ExchangeState.CHOOSING) {
             transition(ExchangeState.Event.AWAIT);
         }
@@ -251,6 +286,7 @@
     }
 
     private void send(Target target) {
+        slotWait.sent(target);
         queuedRequest.leaveQueue();
         if (state == ExchangeState.AWAITING) {
             transition(ExchangeState.Event.RETRY);
@@ -260,9 +296,7 @@
         suspicion.sent(target);
         Attempt next = new Attempt(this, target);
         stream.requestSent(target.record(), next.sentMillis());
-        attempt = next;
-        target.requestSent(head.model(), head.adapter(), EngineRequirements.kvTokens(head), next.sentMillis());
-        head.model().ifPresent(context.demandMeter()::started);
+        attempt.started(next);
         ClientRequest request = terms.toClientRequest(target, stream.lastEventId(), EventLoop.nowMillis());
         next.call(target.pool().send(request, next));
     }
@@ -273,15 +307,15 @@
 
     /** Handles a complete response of any status. */
     void answered(Attempt from, MessageCodec.ResponseHead response, byte[] body) {
-        release(from);
+        attempt.release(from);
         if (response.didNotRun()) {
             rejected(from, response);
             return;
         }
         if (from.status() >= SERVER_ERROR) {
             from.recordFailure(true);
-            mayHaveRun = true;
-            lastFailure = "status " + from.status();
+            attempt.noteMayHaveRun();
+            failure.lastReason("status " + from.status());
             if (!stream.hasBegun() && route.isSafeToRetry() && tryRetry()) {
                 return;
             }
@@ -289,7 +323,7 @@
             from.recordSuccess();
         }
         if (stream.hasBegun()) {
-            abortStream("a resumed stream was answered with status " + from.status());
+            failure.abortStream("a resumed stream was answered with status " + from.status());
             return;
         }
         end(responder.respond(from, body), "answered by " + from.target().id());
@@ -308,14 +342,14 @@
         stream.eventDelivered(from.target().softwareVersion(), id, EventLoop.nowMillis());
         if (!responder.writeEvent(bytes)) {
             from.cancel();
-            release(from);
-            abortStream("its caller does not read the response");
+            attempt.release(from);
+            failure.abortStream("its caller does not read the response");
         }
     }
 
     /** Handles the end of a stream, which is not within an event. */
     void streamEnded(Attempt from) {
-        release(from);
+        attempt.release(from);
         String replica = from.target().id();
         String streamEnd = from.describeStreamEnd();
         if (stream.hasBegun()) {
@@ -327,18 +361,18 @@
 
     /** Handles an attempt that ended without a complete response. */
     void failed(Attempt from, boolean sent, String why) {
-        release(from);
-        lastFailure = why;
+        attempt.release(from);
+        failure.lastReason(why);
         from.recordFailure(sent);
         if (sent) {
-            mayHaveRun = true;
+            attempt.noteMayHaveRun();
         } else {
             retries.notSent();
         }
         if (stream.hasBegun()) {
             stream.interrupted(EventLoop.nowMillis());
             if (!route.isSafeToRetry() || !tryRetry()) {
-                abortStream(why);
+                failure.abortStream(why);
             }
             return;
         }
@@ -346,12 +380,12 @@
         if (resendUnsent) {
             retry();
         } else if (!(sent && route.isSafeToRetry()) || !tryRetry()) {
-            giveUp(why);
+            failure.giveUp(why);
         }
     }
 
     private void rejected(Attempt from, MessageCodec.ResponseHead response) {
-        lastFailure = "not run by " + from.target().id() + ", status " + from.status();
+        failure.lastReason("not run by " + from.target().id() + ", status " + from.status());
         if (response.misdirected()) {
             context.misdirected(from.target(), head, response);
         } else if (response.full()) {
@@ -361,7 +395,7 @@
             stream.interrupted(EventLoop.nowMillis());
         }
         if (!tryRetry()) {
-            giveUp(lastFailure);
+            failure.giveUp(failure.lastReason());
         }
     }
 
@@ -371,7 +405,7 @@
             return false;
         }
         if (!retries.tryAcquire()) {
-            lastFailure = lastFailure + ", no retry left in the budget";
+            failure.lastReason(failure.lastReason() + ", no retry left in the budget");
             return false;
         }
         retry();
@@ -384,45 +418,14 @@
     }
 
     private void notPlaced(String why, long retryAfterMillis) {
-        if (isResuming()) {
-            recheckLater();
-            return;
-        }
-        if (mayHaveRun) {
-            giveUp(lastFailure.isEmpty() ? why : lastFailure);
-            return;
-        }
-        reject(why, retryAfterMillis);
-    }
-
-    private void giveUp(String why) {
-        if (stream.hasBegun()) {
-            abortStream(why);
-        } else if (mayHaveRun) {
-            end(responder.badGateway(), why);
-        } else {
-            reject(why, DEFAULT_RETRY_AFTER_MILLIS);
-        }
-    }
-
-    private void reject(String why, long retryAfterMillis) {
-        terms.admission().giveBack();
-        end(responder.reject(why, retryAfterMillis), why);
+        notPlaced(why, () -> responder.reject(why, retryAfterMillis));
     }
 
-    private void abortStream(String why) {
-        end(responder.abort(), why);
-    }
-
-    private void deadlineExceeded() {
-        boolean wasSent = attempt != null || mayHaveRun;
-        cancelAttempt();
-        if (stream.hasBegun()) {
-            abortStream("its time is over");
-        } else if (wasSent) {
-            end(responder.gatewayTimeout(), "its time is over");
+    private void notPlaced(String why, IntSupplier reject) {
+        if (isResuming()) {
+            recheckLater();
         } else {
-            reject("its time is over", DEFAULT_RETRY_AFTER_MILLIS);
+            failure.notPlaced(why, reject);
         }
     }
 
@@ -434,44 +437,36 @@
      */
     private void onCallerGone() {
         callerGone = true;
-        if (attempt != null && attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
+        if (attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
             return;
         }
-        withdrawAttempt();
-        if (!mayHaveRun) {
+        attempt.withdraw();
+        if (!attempt.mayHaveRun()) {
             terms.admission().giveBack();
         }
         end(0, "the caller left");
     }
 
-    private void cancelAttempt() {
-        if (attempt != null) {
-            Attempt running = attempt;
-            running.cancel();
-            release(running);
-        }
-    }
-
-    private void release(Attempt ended) {
-        if (attempt == ended) {
-            attempt = null;
-        }
-        suspicion.ended();
-        ended.target().requestEnded(head.model(), head.adapter());
-        head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
-    }
-
     private void transition(ExchangeState.Event event) {
         ExchangeState.CHART.next(state, event).ifPresent(next -> state = next);
     }
 
     private void end(int status, String why) {
+        slotWait.cancel();
         queuedRequest.leaveQueue();
         transition(ExchangeState.Event.END);
         queuedRequest.cancelRecheck();
         context.ended(
                 this,
                 new Outcome(
-                        head, route, terms.service(), status, retries.attempts(), why, terms.arrivedMillis(), stream));
+                        head,
+                        route,
+                        terms.service(),
+                        status,
+                        retries.attempts(),
+                        why,
+                        terms.arrivedMillis(),
+                        stream,
+                        slotWait));
     }
 }
--- a/src/main/java/io/waxwingquay/forward/ExchangeState.java
+++ b/src/main/java/io/waxwingquay/forward/ExchangeState.java
@@ -6,7 +6,7 @@
 public enum ExchangeState {
     /** A replica is being chosen. */
     CHOOSING,
-    /** The request waits for a model or an adapter. */
+    /** The request waits for a model, an adapter or a slot. */
     AWAITING,
     /** The request was sent to a replica. */
     SENT,
@@ -25,7 +25,7 @@
 
     /** The events of a request. */
     public enum Event {
-        /** The request has to wait for a model or an adapter. */
+        /** The request has to wait for a model, an adapter or a slot. */
         AWAIT,
         /** The request is sent to a replica. */
         SEND,
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -15,6 +15,10 @@
 
     AdapterRequester adapterRequester();
 
+    SlotRequester slotRequester();
+
+    CallerAge callerAge();
+
     DemandMeter demandMeter();
 
     WaitQueues waitQueues();
--- a/src/main/java/io/waxwingquay/forward/ForwardMetrics.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardMetrics.java
@@ -19,4 +19,13 @@
 
     /** Counts a request refused because the quota of its client account is spent. */
     void overQuota();
+
+    /**
+     * Returns the counts of requests for slots.
+     *
+     * @return the counts; by default they are not kept.
+     */
+    default SlotMetrics slots() {
+        return new SlotMetrics.Disabled();
+    }
 }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -4,11 +4,9 @@
 import io.waxwingquay.admission.RetryBudget;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaDirectory;
-import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.manifest.Manifest;
 import io.waxwingquay.manifest.Route;
-import io.waxwingquay.net.ClientPool;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.net.ServerHandler;
@@ -16,10 +14,9 @@
 import io.waxwingquay.origin.StreamOrigins;
 import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.EntryNews;
-import java.net.InetSocketAddress;
+import io.waxwingquay.transport.generated.SlotReply;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,32 +29,30 @@
 /** Forwards requests of callers to replicas. Not thread-safe: everything runs on the event loop. */
 public final class Forwarder implements ServerHandler, ForwardContext, RequestDrain {
 
-    /** Share of a replica's connections used by entries; the rest is left to other clients, such as health checks. */
-    private static final double CONNECTION_SHARE = 0.9;
-
-    /** Share of the deployment's retry budget that is used; the rest covers outdated counts of entries. */
-    private static final double BUDGET_SHARE = 0.8;
+    /** Bound of the random number at which the ids of requests for slots begin; the rest is enough to count up. */
+    private static final long MAX_FIRST_SLOT_ID = Long.MAX_VALUE / 2;
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
-    private final EventLoop loop;
-    private final ForwardSettings settings;
     private final MessageCodec codec;
     private final RandomGenerator random;
     private final SuspectTracker suspects;
     private final TargetChooser chooser;
     private final AdapterRequester adapterRequester;
+    private final SlotRequester slotRequester;
+    private final CallerAge callerAge = new CallerAge();
     private final ForwardMetrics metrics;
     private final Runnable onStateChanged;
     private final DemandMeter demandMeter = new DemandMeter();
     private final WaitQueues waitQueues = new WaitQueues();
+    private final ReplicaPools pools;
     private final TargetTable targets;
     private final EntryUpdateWriter updateWriter;
     private final AllowanceTable allowances;
     private final Gatekeeper gatekeeper;
     private final StreamOrigins origins;
     private final RequestIntake intake;
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final RetryBudgets budgets;
     private final ActiveRequests activeRequests;
     private Optional<Manifest> manifest = Optional.empty();
     private final EntryCount entryCount;
@@ -81,8 +76,6 @@
             EngineNotifier engineNotifier,
             SuspectTracker suspects,
             RandomGenerator random) {
-        this.loop = loop;
-        this.settings = settings;
         this.codec = codec;
         this.metrics = metrics;
         this.suspects = suspects;
@@ -93,8 +86,16 @@
                 loop,
                 (target, call) ->
                         engineNotifier.requestAdapter(target.address(), call.id(), call.model(), call.adapter()));
+        this.slotRequester = new SlotRequester(
+                new SlotMessages(engineNotifier),
+                loop::schedule,
+                EventLoop::nowMillis,
+                metrics.slots(),
+                random.nextLong(MAX_FIRST_SLOT_ID));
+        this.budgets = new RetryBudgets(settings, this::entryCount, random);
         this.onStateChanged = engineNotifier::demandChanged;
-        this.targets = new TargetTable(this::newPool, EventLoop::nowMillis);
+        this.pools = new ReplicaPools(loop, this::manifest, this::entryCount);
+        this.targets = new TargetTable(pools::open, EventLoop::nowMillis);
         this.updateWriter = new EntryUpdateWriter(targets, demandMeter, EventLoop.nowMillis());
         this.activeRequests = new ActiveRequests(loop);
         this.allowances = new AllowanceTable(settings.quotaTolerance(), this::entryCount, random, EventLoop::nowMillis);
@@ -117,7 +118,7 @@
         updateSoon();
         gatekeeper.configure(newer);
         intake.configure(newer);
-        targets.all().forEach(target -> target.pool().maxConnections(maxConnections(target.record())));
+        targets.all().forEach(pools::limit);
         LOG.log(
                 System.Logger.Level.INFO,
                 "forward: configuration in force version={0} routes={1} accounts={2}",
@@ -203,6 +204,15 @@
         adapterRequester.answered(id, present);
     }
 
+    /**
+     * Processes the answer to a request for a slot.
+     *
+     * @param reply the answer.
+     */
+    public void slotReply(SlotReply reply) {
+        slotRequester.replied(reply);
+    }
+
     /**
      * Returns the status updates that are due now.
      *
@@ -256,6 +266,18 @@
         return adapterRequester;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public SlotRequester slotRequester() {
+        return slotRequester;
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public CallerAge callerAge() {
+        return callerAge;
+    }
+
     /** {@inheritDoc} */
     @Override
     public DemandMeter demandMeter() {
@@ -327,13 +349,7 @@
     /** {@inheritDoc} */
     @Override
     public RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(
-                service,
-                key -> RetryBudget.shared(
-                        settings.retryRatio() * BUDGET_SHARE,
-                        retryBurstPerEntry(),
-                        random.nextDouble(),
-                        EventLoop::nowMillis));
+        return budgets.ofService(service);
     }
 
     /** {@inheritDoc} */
@@ -411,24 +427,7 @@
     }
 
     private void divideSharedLimits() {
-        budgets.values().forEach(budget -> budget.limitBurst(retryBurstPerEntry()));
-        targets.all().forEach(target -> target.pool().maxConnections(maxConnections(target.record())));
-    }
-
-    private double retryBurstPerEntry() {
-        return settings.retryBurst() * BUDGET_SHARE / entryCount();
-    }
-
-    private ClientPool newPool(ReplicaRecord record) {
-        HostPort address = record.address();
-        return new ClientPool(loop, new InetSocketAddress(address.host(), address.port()), maxConnections(record));
-    }
-
-    /** Returns the number of connections of this entry; all entries together stay below what a replica accepts. */
-    private int maxConnections(ReplicaRecord record) {
-        int atReplica = manifest.map(known -> known.services().get(record.service()))
-                .map(Manifest.Service::maxConnections)
-                .orElse(record.slots());
-        return (int) Math.max(1, atReplica * CONNECTION_SHARE / entryCount());
+        budgets.divide();
+        targets.all().forEach(pools::limit);
     }
 }
--- a/src/main/java/io/waxwingquay/forward/Outcome.java
+++ b/src/main/java/io/waxwingquay/forward/Outcome.java
@@ -13,6 +13,7 @@
  * @param why what decided the outcome.
  * @param arrivedMillis when it arrived, by the monotonic clock.
  * @param stream its waiting time and the progress of its stream.
+ * @param slotWait the slots that it asked for.
  */
 record Outcome(
         MessageCodec.RequestHead head,
@@ -22,7 +23,8 @@
         int attempts,
         String why,
         long arrivedMillis,
-        StreamProgress stream) {
+        StreamProgress stream,
+        SlotWait slotWait) {
 
     private static final int OK = 200;
     private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
@@ -37,7 +39,8 @@
         LOG.log(
                 System.Logger.Level.INFO,
                 "forward: ended id={0} route={1} service={2} model={3} status={4} sent={5} took_ms={6} first_ms={7} pause_ms={8}"
-                        + " waited_ms={9} objective_ms={10} pause_objective_ms={11} why={12}",
+                        + " waited_ms={9} objective_ms={10} pause_objective_ms={11} slot_ms={12} slots_asked={13}"
+                        + " why={14}",
                 head.id(),
                 route.name(),
                 service,
@@ -50,6 +53,8 @@
                 stream.waitedMillis(nowMillis),
                 route.objectiveMillis(),
                 route.pauseObjectiveMillis(),
+                slotWait.waitedMillis(),
+                slotWait.enginesAsked(),
                 why);
     }
 }
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -122,6 +122,18 @@
         return WaitPolicy.mayEnqueue(route, waitedMillis(nowMillis), expectedWaitMillis, timeoutMillis);
     }
 
+    /** Returns how much longer the request may wait for a slot that a side process grants. */
+    long remainingSlotWaitMillis(long nowMillis) {
+        long timeoutMillis = deadlineAtMillis - request.arrivedMillis();
+        return WaitPolicy.remainingSlotWaitMillis(route, waitedMillis(nowMillis), timeoutMillis);
+    }
+
+    /** Returns the slots of an engine that are free by the last report of its load. */
+    int freeSlots(Target target, long nowMillis) {
+        return engine.map(known -> known.slots() - target.expectedLoad(nowMillis))
+                .orElse(0);
+    }
+
     long slackMillis(long nowMillis) {
         return WaitPolicy.slackMillis(route, waitedMillis(nowMillis));
     }
@@ -149,24 +161,29 @@
      * Chooses a replica other than the excluded ones.
      *
      * @param stream the progress of the stream, which limits where it may be resumed.
+     * @param slotUse which engines are asked for slots.
      */
-    Choice choose(StreamProgress stream, Set<Target> excluded, long nowMillis) {
+    Choice choose(StreamProgress stream, Set<Target> excluded, SlotUse slotUse, long nowMillis) {
         if (stream.softwareVersion().isEmpty()) {
-            return chooseAmong(context.targets(service), excluded, nowMillis);
+            return chooseAmong(context.targets(service), excluded, slotUse, nowMillis);
         }
         List<Target> ofVersion = context.targets(service).stream()
                 .filter(target -> target.softwareVersion().equals(stream.softwareVersion()))
                 .toList();
         boolean mayResume =
                 ofVersion.stream().anyMatch(target -> target.acceptsRequests() && !excluded.contains(target));
-        return mayResume ? chooseAmong(ofVersion, excluded, nowMillis) : new Choice.NoReplicaOfVersion();
+        return mayResume ? chooseAmong(ofVersion, excluded, slotUse, nowMillis) : new Choice.NoReplicaOfVersion();
     }
 
-    private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, long nowMillis) {
+    private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, SlotUse slotUse, long nowMillis) {
         TargetChooser chooser = context.chooser();
         return needsModel()
                 ? chooser.chooseEngine(
-                        targets, excluded, engine.get(), EngineRequirements.of(head, context.demandMeter()), nowMillis)
+                        targets,
+                        excluded,
+                        engine.get(),
+                        EngineRequirements.of(head, context.demandMeter(), slotUse),
+                        nowMillis)
                 : chooser.choosePlain(targets, excluded, nowMillis);
     }
 
--- a/src/main/java/io/waxwingquay/forward/RetryRules.java
+++ b/src/main/java/io/waxwingquay/forward/RetryRules.java
@@ -65,7 +65,12 @@
     boolean canRetryElsewhere(StreamProgress stream, long nowMillis) {
         return mayRetry(nowMillis)
                 && budget().availableRetries() >= 1
-                && terms.choose(stream, triedTargets, nowMillis) instanceof Choice.Send;
+                && mayTakeOver(terms.choose(stream, triedTargets, new SlotUse.WhereGranted(), nowMillis), nowMillis);
+    }
+
+    private boolean mayTakeOver(Choice choice, long nowMillis) {
+        return choice instanceof Choice.Send
+                || choice instanceof Choice.Reserve reserve && terms.freeSlots(reserve.target(), nowMillis) > 0;
     }
 
     private RetryBudget budget() {
--- a/src/main/java/io/waxwingquay/forward/Suspicion.java
+++ b/src/main/java/io/waxwingquay/forward/Suspicion.java
@@ -97,11 +97,13 @@
         Set<Target> excluded = new HashSet<>(triedTargets);
         excluded.addAll(occupied);
         Choice isolated = chooser.apply(excluded);
-        if (isolated instanceof Choice.Send || isolated instanceof Choice.LoadAdapter) {
+        if (isolated instanceof Choice.Send
+                || isolated instanceof Choice.LoadAdapter
+                || isolated instanceof Choice.Reserve) {
             return isolated;
         }
         Choice shared = chooser.apply(triedTargets);
-        if (!(shared instanceof Choice.Send)) {
+        if (!(shared instanceof Choice.Send || shared instanceof Choice.Reserve)) {
             return shared;
         }
         long nowMillis = tracker.nowMillis();
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -8,13 +8,11 @@
 import io.waxwingquay.peer.UpdateSequence;
 import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.HeldModel;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.stream.Collectors;
 
 /** One incarnation of a replica, as this entry sees it. */
 final class Target {
@@ -27,33 +25,18 @@
 
     private static final long MIN_FRESH_MILLIS = 1_500L;
 
-    /**
-     * Time after which an engine with requests from here that was not heard is unresponsive or cut off: five updates of
-     * its load, and far more than the pause between two events.
-     */
-    private static final long UNRESPONSIVE_MILLIS = 1_000L;
-
-    /** The same for an engine without requests from here, in rounds of updates, as it is heard in rounds only. */
-    private static final double UNRESPONSIVE_ROUNDS = 2.0;
-
-    /** Time after which an engine with requests from here may be unresponsive: two updates of its load. */
-    private static final long DOUBT_MILLIS = 400L;
-
     private final ClientPool pool;
     private final ListingStatus listingStatus = new ListingStatus();
     private final ReplicaAnnouncements announcements;
     private final AttemptHistory attemptHistory = new AttemptHistory();
     private final EngineLoadEstimate loadEstimate = new EngineLoadEstimate();
-    private final Map<String, Integer> adaptersInUse = new HashMap<>();
-    private final Map<String, Integer> modelsInUse = new HashMap<>();
+    private final SlotReplies slotReplies = new SlotReplies();
+    private final EngineContact contact = new EngineContact();
+    private final TargetUsage usage = new TargetUsage();
     private ReplicaRecord record;
     private EngineNews update;
     private long updatedAtMillis = Long.MIN_VALUE / 2;
-    private long lastAnswerMillis = Long.MIN_VALUE / 2;
-    private long busySinceMillis = Long.MIN_VALUE / 2;
     private long updateLifetimeMillis = MIN_FRESH_MILLIS;
-    private long unresponsiveAfterMillis = UNRESPONSIVE_MILLIS;
-    private Usage reportedUsage = new Usage(Set.of(), Set.of());
     private boolean gone;
     private boolean replaced;
 
@@ -166,6 +149,7 @@
         }
         update = newer;
         updatedAtMillis = nowMillis;
+        contact.heard(nowMillis);
         listingStatus.heard(newer.isDraining());
         if (!acceptsRequests()) {
             pool.failWaiting();
@@ -218,7 +202,7 @@
 
     /** Notes that bytes of a response have arrived. */
     void answerReceived(long nowMillis) {
-        lastAnswerMillis = nowMillis;
+        contact.heard(nowMillis);
     }
 
     /**
@@ -226,18 +210,10 @@
      *
      * <p>When a VM is unresponsive, so are its engine and the side process. What was sent to it would be answered
      * seconds later, when it continues, and requests that their callers gave up meanwhile would be run all the same.
-     * Missing updates of the side process alone are not enough: the responses of the engine count too. An engine
-     * without a request from here is heard more rarely, so its limit is longer, and the time counts from its first
-     * request on.
+     * Missing updates of the side process alone are not enough: the responses of the engine count too.
      */
     boolean isUnresponsive(long nowMillis) {
-        if (update == null) {
-            return false;
-        }
-        long lastHeardMillis = Math.max(updatedAtMillis, lastAnswerMillis);
-        return inFlight() > 0
-                ? nowMillis - Math.max(lastHeardMillis, busySinceMillis) > UNRESPONSIVE_MILLIS
-                : nowMillis - lastHeardMillis > unresponsiveAfterMillis;
+        return update != null && contact.isUnresponsive(inFlight(), nowMillis);
     }
 
     /**
@@ -248,8 +224,7 @@
      * @param nowMillis the monotonic time.
      */
     boolean mayBeUnresponsive(long sentAtMillis, long nowMillis) {
-        long lastHeardMillis = Math.max(updatedAtMillis, lastAnswerMillis);
-        return update != null && (lastHeardMillis < sentAtMillis || nowMillis - lastHeardMillis > DOUBT_MILLIS);
+        return update != null && contact.mayBeUnresponsive(sentAtMillis, nowMillis);
     }
 
     /** Returns the last status update of the side process while it is recent enough. */
@@ -261,7 +236,7 @@
     void receiverCount(int receiverCount) {
         long roundMillis = UpdateInterval.periodMillis(receiverCount);
         updateLifetimeMillis = Math.max(MIN_FRESH_MILLIS, Math.round(FRESH_ROUNDS * roundMillis));
-        unresponsiveAfterMillis = Math.max(UNRESPONSIVE_MILLIS, Math.round(UNRESPONSIVE_ROUNDS * roundMillis));
+        contact.roundMillis(roundMillis);
     }
 
     /** Returns how long an update of the side process counts. */
@@ -321,9 +296,33 @@
                 .forEach(held -> held.getAdapters().remove(name)));
     }
 
+    /**
+     * Returns whether the side process grants the slots of its engine. A side process that is silent is not asked for a
+     * while, nor one whose engine may have departed or be unresponsive.
+     */
+    boolean grantsSlots(long nowMillis) {
+        return freshUpdate(nowMillis).filter(EngineNews::isGrantsSlots).isPresent()
+                && !slotReplies.isSilent(nowMillis)
+                && !mayHaveDeparted()
+                && !isUnresponsive(nowMillis);
+    }
+
+    /** Notes a reply of the side process to a request for a slot, and the load that it stated. */
+    void slotReplied(int load, long nowMillis) {
+        slotReplies.replied(load, nowMillis);
+        contact.heard(nowMillis);
+    }
+
+    /** Notes that the side process has not replied to a request for a slot. */
+    void slotRequestsUnanswered(long nowMillis) {
+        slotReplies.silent(nowMillis);
+    }
+
     /** Returns the expected requests in the replica when one sent now arrives. */
     int expectedLoad(long nowMillis) {
-        return freshUpdate(nowMillis).map(loadEstimate::expectedLoad).orElse(inFlight());
+        return freshUpdate(nowMillis)
+                .map(fresh -> slotReplies.loadSince(updatedAtMillis).orElseGet(() -> loadEstimate.expectedLoad(fresh)))
+                .orElse(inFlight());
     }
 
     /**
@@ -341,11 +340,11 @@
     }
 
     Map<String, Integer> adaptersInUse() {
-        return adaptersInUse;
+        return usage.adapters();
     }
 
     Set<String> modelsInUse() {
-        return modelsInUse.keySet();
+        return usage.models();
     }
 
     /**
@@ -353,14 +352,7 @@
      * in use, and waits for the last request of a departing model.
      */
     boolean pollUsageChanged(long nowMillis) {
-        Usage currentUsage = new Usage(
-                Set.copyOf(adaptersInUse.keySet()),
-                modelsInUse.keySet().stream()
-                        .filter(model -> !holds(model, nowMillis))
-                        .collect(Collectors.toUnmodifiableSet()));
-        boolean changed = !currentUsage.equals(reportedUsage);
-        reportedUsage = currentUsage;
-        return changed;
+        return usage.pollChanged(model -> holds(model, nowMillis));
     }
 
     /** Returns how long the engine still loads a model; meanwhile it accepts no order for an adapter. */
@@ -374,25 +366,14 @@
     void requestSent(Optional<String> model, Optional<String> adapter, long kvTokens, long nowMillis) {
         announcements.rateLimit().sent(nowMillis);
         if (inFlight() == 0 && !isUnresponsive(nowMillis)) {
-            busySinceMillis = nowMillis;
+            contact.busySince(nowMillis);
         }
         loadEstimate.requestSent(kvTokens, nowMillis);
-        model.ifPresent(name -> modelsInUse.merge(name, 1, Integer::sum));
-        adapter.ifPresent(name -> adaptersInUse.merge(model.orElse("") + "/" + name, 1, Integer::sum));
+        usage.requestSent(model, adapter);
     }
 
     void requestEnded(Optional<String> model, Optional<String> adapter) {
         loadEstimate.requestEnded();
-        model.ifPresent(name -> modelsInUse.computeIfPresent(name, (key, count) -> count > 1 ? count - 1 : null));
-        adapter.ifPresent(name -> adaptersInUse.computeIfPresent(
-                model.orElse("") + "/" + name, (key, count) -> count > 1 ? count - 1 : null));
+        usage.requestEnded(model, adapter);
     }
-
-    /**
-     * The usage by requests from here.
-     *
-     * @param adapters the adapters, as {@code model/adapter}.
-     * @param departingModels the models in use that the engine no longer offers.
-     */
-    private record Usage(Set<String> adapters, Set<String> departingModels) {}
 }
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -5,11 +5,14 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Chooses a replica by the time that a request is expected to wait there. Deterministic except for the random source:
@@ -125,9 +128,7 @@
                 .filter(target -> !triedTargets.contains(target))
                 .filter(target -> isAvailable(target, nowMillis))
                 .toList();
-        List<Target> withRoom = available.stream()
-                .filter(target -> target.hasRoomFor(engine.slots(), requirements.kvTokens(), nowMillis))
-                .toList();
+        List<Target> withRoom = withRoom(available, engine, requirements, nowMillis);
         if (withRoom.isEmpty()) {
             return holding.stream().allMatch(triedTargets::contains)
                     ? new Choice.NoReplica()
@@ -139,11 +140,39 @@
                         target -> engineCostMillis(target, engine, requirements, nowMillis)
                                 + (withoutSubstitute.contains(target) ? NO_SUBSTITUTE_COST_MILLIS : 0))
                 .orElseThrow();
+        if (requirements.slotUse().appliesTo(best, nowMillis)) {
+            return new Choice.Reserve(best);
+        }
         boolean present =
                 adapter.map(name -> best.holdsAdapter(model, name, nowMillis)).orElse(true);
         return present ? new Choice.Send(best) : new Choice.LoadAdapter(best);
     }
 
+    /**
+     * Returns the engines that are expected to have room. If there are none, these are all that grant slots: their side
+     * processes decide, and know when there will be room.
+     */
+    private static List<Target> withRoom(
+            List<Target> available, Engine engine, EngineRequirements requirements, long nowMillis) {
+        Map<Boolean, List<Target>> byGranting = available.stream()
+                .collect(Collectors.partitioningBy(
+                        target -> requirements.slotUse().appliesTo(target, nowMillis)));
+        List<Target> withRoom = Stream.concat(
+                        byGranting.get(true).stream().filter(target -> target.expectedLoad(nowMillis) < engine.slots()),
+                        byGranting.get(false).stream()
+                                .filter(target ->
+                                        target.hasRoomFor(engine.slots(), requirements.kvTokens(), nowMillis)))
+                .toList();
+        return withRoom.isEmpty() ? byGranting.get(true) : withRoom;
+    }
+
+    /** Returns whether a request for which a slot was granted a moment ago may still be sent there. */
+    static boolean mayReceive(Target target, long nowMillis) {
+        return !target.declinesRequests(nowMillis)
+                && !target.isUnresponsive(nowMillis)
+                && isAvailable(target, nowMillis);
+    }
+
     /**
      * Returns whether this entry may send a request to the target now: it is not paused, has a connection, and wants
      * requests by its own answers.
--- a/src/main/java/io/waxwingquay/forward/WaitPolicy.java
+++ b/src/main/java/io/waxwingquay/forward/WaitPolicy.java
@@ -14,6 +14,9 @@
      */
     private static final double ROOM_WAIT_SHARE = 0.2;
 
+    /** Objective above which a route is relaxed, so that its requests may wait for a slot as long as the objective. */
+    private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
+
     /** Slack assumed for a request that is late already. */
     private static final long LATE_SLACK_MILLIS = 1_000L;
 
@@ -83,6 +86,21 @@
         return remainingMillis >= 0 ? remainingMillis : LATE_SLACK_MILLIS;
     }
 
+    /**
+     * Returns how much longer a request may wait for a slot that a side process grants; 0 or less if no longer. On a route
+     * with a relaxed objective that is up to the objective, as the side process keeps the order among all requests.
+     *
+     * @param waitedMillis how long it has waited.
+     * @param timeoutMillis the time from its arrival to its deadline.
+     */
+    static long remainingSlotWaitMillis(Route route, long waitedMillis, long timeoutMillis) {
+        long shareMillis = Math.round(timeoutMillis * ROOM_WAIT_SHARE);
+        long limitMillis = route.objectiveMillis() > RELAXED_OBJECTIVE_MILLIS
+                ? Math.max(route.objectiveMillis(), shareMillis)
+                : shareMillis;
+        return Math.min(limitMillis, maxWaitMillis(route)) - waitedMillis;
+    }
+
     private static long maxWaitMillis(Route route) {
         if (route.kind() != Route.Kind.STREAM) {
             return Long.MAX_VALUE;
@@ -117,6 +135,11 @@
         return interruptedMillis <= RESUME_TIMEOUT_MILLIS;
     }
 
+    /** Returns how much longer an interrupted stream may wait to be resumed; 0 or less if no longer. */
+    static long remainingResumeMillis(long interruptedMillis) {
+        return RESUME_TIMEOUT_MILLIS - interruptedMillis;
+    }
+
     /** Returns whether a stream that has begun is given up at its replica. */
     static boolean isStreamStalled(long silentMillis) {
         return silentMillis > STREAM_STALL_MILLIS;
--- a/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.forward.ForwardMetrics;
+import io.waxwingquay.forward.SlotMetrics;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import io.waxwingquay.net.ServerExchange;
@@ -72,6 +73,7 @@
         private final Counter unauthorized =
                 Counter.builder("forward.unauthorized").register(registry);
         private final Counter overQuota = Counter.builder("forward.over.quota").register(registry);
+        private final SlotMetrics slots = new SlotMeters(registry);
 
         /** {@inheritDoc} */
         @Override
@@ -97,6 +99,12 @@
             overQuota.increment();
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public SlotMetrics slots() {
+            return slots;
+        }
+
         private Timer timer(int status) {
             return Timer.builder("forward.requests")
                     .tag("status", Integer.toString(status))
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -7,7 +7,6 @@
 import io.waxwingquay.fleet.StoreVersion;
 import io.waxwingquay.fleet.TableWatch;
 import io.waxwingquay.fleet.WatchedTable;
-import io.waxwingquay.forward.EngineNotifier;
 import io.waxwingquay.forward.ForwardSettings;
 import io.waxwingquay.forward.Forwarder;
 import io.waxwingquay.forward.SuspectTracker;
@@ -20,10 +19,7 @@
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.suspect.QuarantineKeeper;
 import io.waxwingquay.suspect.SharedSuspects;
-import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.EngineNews;
-import io.waxwingquay.transport.generated.OriginQuestion;
-import io.waxwingquay.transport.generated.OriginReport;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import io.waxwingquay.transport.generated.PromptPartNews;
 import io.waxwingquay.transport.generated.SuspectNews;
@@ -45,15 +41,9 @@
     /** Interval at which this entry sends its demand to the side processes. */
     private static final long UPDATE_INTERVAL_MILLIS = 250L;
 
-    /** Delay before a report of what was spent of the quotas of client accounts, so that one tells of several requests. */
-    private static final long SPENDING_REPORT_DELAY_MILLIS = 1L;
-
     /** Interval at which requests that wait for the answer to such a report are looked at. */
     private static final long WAITING_CHECK_MILLIS = 30L;
 
-    /** Delay before an urgent change is sent; it also limits how often urgent changes are sent. */
-    private static final long URGENT_UPDATE_DELAY_MILLIS = 40L;
-
     /** Number of entries among which shared limits are divided until the actual number is known. */
     private static final int ASSUMED_ENTRY_COUNT = 8;
 
@@ -100,8 +90,6 @@
     private final PeerTableReader<Manifest, Long> configurationCopies;
     private final PeerTableReader<ReplicaRecord, StoreVersion> replicaCopies;
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
-    private boolean urgentUpdateScheduled;
-    private boolean spendingReportScheduled;
     private boolean waitingCheckScheduled;
 
     private HostedEntry(EventLoop loop, HostSettings settings) {
@@ -115,7 +103,8 @@
                 forwardSettings(settings),
                 new HeaderCodec(),
                 adminServer.forwardMeters(),
-                new PeerMessages(),
+                new EntryMessages(
+                        peers, this::sideAddressOf, loop::schedule, this::sendUpdates, this::sendSpendingReports),
                 new SuspectTracker(suspects, EventLoop::nowMillis, this::onSuspectsChanged),
                 random);
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicaListener());
@@ -246,6 +235,8 @@
             forwarder.adapterReply(
                     datagram.getAdapterReply().getId(),
                     datagram.getAdapterReply().isPresent());
+        } else if (datagram.isSetSlotReply()) {
+            forwarder.slotReply(datagram.getSlotReply());
         }
     }
 
@@ -331,51 +322,6 @@
                 settings.bounds().quotaTolerance());
     }
 
-    private final class PeerMessages implements EngineNotifier {
-
-        /** {@inheritDoc} */
-        @Override
-        public void requestAdapter(HostPort engine, long id, String model, String adapter) {
-            peers.send(sideAddressOf(engine), PeerDatagram.adapterCall(new AdapterCall(id, model, adapter)));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void report(HostPort process, OriginReport report) {
-            peers.send(process, PeerDatagram.originReport(report));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void ask(HostPort process, OriginQuestion question) {
-            peers.send(process, PeerDatagram.originQuestion(question));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void spendingReportDue() {
-            if (!spendingReportScheduled) {
-                spendingReportScheduled = true;
-                loop.schedule(SPENDING_REPORT_DELAY_MILLIS, () -> {
-                    spendingReportScheduled = false;
-                    sendSpendingReports();
-                });
-            }
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void demandChanged() {
-            if (!urgentUpdateScheduled) {
-                urgentUpdateScheduled = true;
-                loop.schedule(URGENT_UPDATE_DELAY_MILLIS, () -> {
-                    urgentUpdateScheduled = false;
-                    sendUpdates();
-                });
-            }
-        }
-    }
-
     /** Applies each newer configuration; the table may hold an older one after the store was restored from a copy. */
     private final class ConfigurationListener implements TableWatch.Listener<Manifest> {
 
--- a/src/test/java/io/waxwingquay/explain/LossTest.java
+++ b/src/test/java/io/waxwingquay/explain/LossTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LossTest {
 
@@ -18,6 +19,11 @@
                 "503 | 0 | 0 | 0 | model m is in no engine | MODEL_ABSENT",
                 "503 | 900 | 0 | 0 | adapter a1 does not come | ADAPTER_ABSENT",
                 "503 | 4 | 0 | 0 | no room | NO_ROOM",
+                "503 | 4 | 0 | 0 | no room, slot denied by 3 engines | NO_ROOM",
+                "503 | 4 | 0 | 0 | no room for its prompt, slot denied by 1 engine | NO_ROOM",
+                "503 | 4 | 0 | 0 | adapter a1 does not come, slot denied by 1 engine | ADAPTER_ABSENT",
+                "503 | 4 | 0 | 0 | model m is in no engine, slot denied by 1 engine | MODEL_ABSENT",
+                "503 | 4 | 0 | 0 | its engine leaves, slot denied by 1 engine | REFUSED_OTHERWISE",
                 "503 | 4 | 0 | 0 | no replica can be reached | REFUSED_OTHERWISE",
                 "0 | 400 | 0 | 0 | the caller left | CALLER_LEFT",
                 "504 | 0 | 0 | 0 | its time is over | TIME_OVER",
@@ -52,16 +58,19 @@
         assertEquals(Loss.OVER_QUOTA, Loss.of(request));
     }
 
-    @Test
-    void parsesAnEntryLogLine() {
+    // Guards against logs of which nothing is counted, as the line has fields that the parser does not know.
+    @ParameterizedTest
+    @ValueSource(strings = {"", " slot_ms=12 slots_asked=2"})
+    void parsesAnEntryLogLineWithAndWithoutTheWaitForSlots(String slotFields) {
         EndedRequest request = EndedRequest.parse(
                         "  1.5 front-1 2026-08-28T10:41:26.058Z INFO  forward: ended id=d4 route=r-1"
                                 + " service=s model=m/a1 status=200 sent=1 took_ms=2058 first_ms=90 pause_ms=30 waited_ms=7"
-                                + " objective_ms=500 pause_objective_ms=250 why=streamed by e1")
+                                + " objective_ms=500 pause_objective_ms=250" + slotFields + " why=streamed by e1")
                 .orElseThrow();
         assertEquals("m/a1", request.model());
         assertEquals(7, request.entryWaitMillis());
         assertEquals(90, request.firstEventMillis());
+        assertEquals("streamed by e1", request.reason());
         assertTrue(EndedRequest.parse("INFO  residency: state running=0").isEmpty());
     }
 }
--- a/src/test/java/io/waxwingquay/forward/ForwarderTest.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderTest.java
@@ -11,6 +11,7 @@
 import io.waxwingquay.transport.generated.EngineNews;
 import io.waxwingquay.transport.generated.OriginQuestion;
 import io.waxwingquay.transport.generated.OriginReport;
+import io.waxwingquay.transport.generated.SlotRequest;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -112,6 +113,16 @@
             throw new IllegalStateException("no adapter is requested here");
         }
 
+        @Override
+        public void requestSlot(HostPort engine, SlotRequest request) {
+            throw new IllegalStateException("no slot is requested here");
+        }
+
+        @Override
+        public void cancelSlot(HostPort engine, long id) {
+            throw new IllegalStateException("no slot is cancelled here");
+        }
+
         @Override
         public void report(HostPort process, OriginReport report) {
             throw new IllegalStateException("no stream starts here");
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -231,6 +231,33 @@
         assertInstanceOf(Choice.Full.class, choose(List.of(full), Optional.empty()));
     }
 
+    // Guards against a refusal by an entry's own estimate where the side process decides, and against asking a full
+    // engine
+    // while another has room.
+    @Test
+    void fullEngineThatGrantsSlotsIsAskedAfterThoseWithRoom() {
+        Target full = target("full", "a", false);
+        full.update(update(full, 40, List.of()).setGrantsSlots(true), nowMillis);
+        Target withRoom = target("room", "b", false);
+        withRoom.update(update(withRoom, 9, List.of()).setGrantsSlots(true), nowMillis);
+        assertEquals(new Choice.Reserve(full), choose(List.of(full), Optional.of("a1")));
+        assertEquals(new Choice.Reserve(withRoom), choose(List.of(full, withRoom), Optional.empty()));
+        withRoom.slotReplied(10, nowMillis);
+        full.slotReplied(3, nowMillis);
+        assertEquals(new Choice.Reserve(full), choose(List.of(full, withRoom), Optional.empty()));
+    }
+
+    // Guards against a wait for a slot that nobody grants: the update is too old, or the engine may have departed.
+    @Test
+    void slotIsRequestedOnlyOfASideProcessThatIsHeard() {
+        Target engine = target("e", "a", false);
+        engine.update(update(engine, 1, List.of()).setGrantsSlots(true), nowMillis);
+        assertInstanceOf(Choice.Reserve.class, choose(List.of(engine), Optional.empty()));
+        assertFalse(engine.grantsSlots(nowMillis + 1_501));
+        engine.markUnlisted();
+        assertInstanceOf(Choice.Send.class, choose(List.of(engine), Optional.empty()));
+    }
+
     private Choice choose(List<Target> targets, Optional<String> adapter) {
         return chooser.chooseEngine(targets, Set.of(), ENGINE, new EngineRequirements("m", adapter, 0, 800), nowMillis);
     }
--- a/src/test/java/io/waxwingquay/forward/WaitPolicyTest.java
+++ b/src/test/java/io/waxwingquay/forward/WaitPolicyTest.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.forward;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -44,6 +45,17 @@
         assertFalse(WaitPolicy.mayWaitForModel(patient, 0, 6_400, 12_000));
     }
 
+    // Guards against a relaxed request that is refused while its caller could wait, and against one that is held beyond
+    // the
+    // time after which its caller leaves.
+    @Test
+    void relaxedRequestMayWaitForASlotAsLongAsItsObjective() {
+        assertEquals(8_002, WaitPolicy.remainingSlotWaitMillis(stream(8_002), 0, 20_005));
+        assertEquals(3_501, WaitPolicy.remainingSlotWaitMillis(stream(1_502), 500, 20_005));
+        assertEquals(1_300, WaitPolicy.remainingSlotWaitMillis(stream(402), 500, 12_062));
+        assertEquals(-100, WaitPolicy.remainingSlotWaitMillis(stream(402), 900, 4_000));
+    }
+
     // Guards against a stream that is held beyond the two seconds without an event after which its caller leaves. If a
     // model takes longer to load, the caller is told when to retry, and finds the model loaded then.
     @Test
@@ -101,4 +113,20 @@
         return new Route(
                 "r", "x.test", "/", kind, 4_000, 300, 150, 0, List.of(new Route.Share("s", 1)), 2, true, false);
     }
+
+    private static Route stream(long objectiveMillis) {
+        return new Route(
+                "r",
+                "x.test",
+                "/",
+                Route.Kind.STREAM,
+                20_000,
+                objectiveMillis,
+                200,
+                0,
+                List.of(new Route.Share("s", 1)),
+                2,
+                true,
+                false);
+    }
 }
