--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -5,6 +5,7 @@
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.reservation.AdapterGate;
+import io.waxwingquay.pace.PacePromptPacer;
 import io.waxwingquay.reservation.PromptPacer;
 import io.waxwingquay.reservation.ReservationServer;
 import io.waxwingquay.reservation.SlotBook;
@@ -83,7 +84,7 @@
         this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
-        this.granting = createGranting(PromptPacer.disabled(), AdapterGate.DISABLED);
+        this.granting = createGranting(new PacePromptPacer(), AdapterGate.DISABLED);
         this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, granting::isInForce, sender);
     }
 
