Test requests that wait for slots through an entry

Cause: the unit tests of SlotRequester and SlotWait do not show that an entry sends a request only after the grant.

Change: a stand-in of a side that grants slots, with an entry and an engine over sockets: a queued and then granted request is sent once, a denied one is refused with the time told, a silent side has the request sent by estimate, and a caller that leaves cancels its call. A suspect that asks for a slot first is isolated like one that is sent at once.

--- a/src/test/java/io/waxwingquay/forward/SuspicionTest.java
+++ b/src/test/java/io/waxwingquay/forward/SuspicionTest.java
@@ -92,6 +92,16 @@
         assertEquals(new Choice.Send(c), choose(harmless, a));
     }
 
+    // Guards against two suspects that crash a replica together because one of them asks for a slot before it is sent.
+    @Test
+    void suspectAsksForASlotOnlyWhereItWouldBeIsolated() {
+        Suspicion poison = suspect(POISON, a);
+        Suspicion harmless = suspect(HARMLESS, a);
+        poison.sent(b);
+        assertEquals(new Choice.Reserve(c), harmless.choose(Set.of(a), this::reserveFirst));
+        assertInstanceOf(Choice.AwaitIsolation.class, harmless.choose(Set.of(a, c), this::reserveFirst));
+    }
+
     // Guards against a wait that outlasts the caller when the other suspect runs for long.
     @Test
     void suspectSharesAReplicaAfterTheIsolationWait() {
@@ -286,6 +296,14 @@
                 .orElseGet(Choice.NoReplica::new));
     }
 
+    private Choice reserveFirst(Set<Target> excluded) {
+        return List.of(a, b, c).stream()
+                .filter(each -> !excluded.contains(each))
+                .findFirst()
+                .<Choice>map(Choice.Reserve::new)
+                .orElseGet(Choice.NoReplica::new);
+    }
+
     private Suspicion suspect(long fingerprint, Target crashed) {
         Suspicion suspicion = suspicionOf(fingerprint);
         suspicion.connectionBroke(crashed);
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -54,7 +54,7 @@
 
     private final EventLoop standinLoop = EventLoop.start("outside");
     private EventLoop processLoop = EventLoop.start("inside");
-    private final int basePort = FreePorts.adjacent(PORT_COUNT, HOSTS);
+    final int basePort = FreePorts.adjacent(PORT_COUNT, HOSTS);
     final StoreStandin store = StoreStandin.start(standinLoop, new HostPort("127.0.0.1", basePort));
     final ReplicaStandin engine1 = startReplica("e1", "127.0.0.2", List.of("m"), Behaviour.stream(1, 0));
     final ReplicaStandin engine2 = startReplica("e2", "127.0.0.3", List.of("m"), Behaviour.stream(1, 0));
@@ -286,7 +286,7 @@
         standinLoop.close();
     }
 
-    private ReplicaStandin startReplica(String id, String host, List<String> models, Behaviour behaviour) {
+    ReplicaStandin startReplica(String id, String host, List<String> models, Behaviour behaviour) {
         return ReplicaStandin.start(standinLoop, id, new HostPort(host, basePort + 1), models, behaviour);
     }
 
--- /dev/null
+++ b/src/test/java/io/waxwingquay/hosted/SlotGrantTest.java
@@ -0,0 +1,111 @@
+package io.waxwingquay.hosted;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.common.HostPort;
+import io.waxwingquay.standin.prepared.ReplicaStandin;
+import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
+import io.waxwingquay.testing.Await;
+import io.waxwingquay.transport.generated.SlotDecision;
+import io.waxwingquay.transport.generated.SlotReply;
+import io.waxwingquay.transport.generated.SlotRequest;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** An entry whose only engine has a side that grants slots. */
+class SlotGrantTest {
+
+    private static final String HOST = "127.0.0.6";
+    private static final String MODEL = "Model: m\r\nToken-Counts: 10,100\r\nLength-Hint: 30\r\n";
+
+    private HostedDeployment deployment;
+    private ReplicaStandin engine;
+    private GrantingSide side;
+
+    @AfterEach
+    void stop() {
+        side.close();
+        deployment.close();
+    }
+
+    // Guards against a request that is sent before its slot is granted, or twice after it is granted twice.
+    @Test
+    void requestIsSentOnceWhenItsQueuedSlotIsGranted() throws Exception {
+        start(request -> Optional.of(
+                side.requests.size() < 3
+                        ? reply(request, SlotDecision.QUEUED, 150)
+                        : reply(request, SlotDecision.GRANTED, 0)));
+        assertEquals(200, ask("q1").status());
+        assertEquals(List.of("q1"), engine.startedAttemptIds());
+        assertEquals(3, side.requests.size());
+        SlotRequest first = side.requests.get(0);
+        assertEquals("q1", first.getAttemptId());
+        assertEquals(10, first.getPromptTokens());
+        assertEquals(30, first.getOutputTokens());
+        assertEquals(1.0, first.getAccountWeight());
+        assertTrue(side.requests.get(2).getMaxWaitMillis() < first.getMaxWaitMillis());
+        assertTrue(side.requests.get(2).getAgeMillis() > first.getAgeMillis());
+        assertEquals(List.of(), side.cancelledIds);
+    }
+
+    // Guards against a refused request that is held or sent, and against a time other than the one that the side told.
+    @Test
+    void deniedRequestIsRefusedWithTheTimeThatTheSideTold() throws Exception {
+        start(request -> Optional.of(reply(request, SlotDecision.DENIED, 730).setReason("room")));
+        HostedDeployment.Answer refused = ask("d1");
+        assertEquals(503, refused.status());
+        assertTrue(refused.head().contains("Retry-After: 0.730"), refused.head());
+        assertTrue(refused.body().startsWith("it has not run: no room"), refused.body());
+        assertEquals(List.of(), engine.startedAttemptIds());
+    }
+
+    // Guards against requests that nobody serves because a side does not reply.
+    @Test
+    void silentSideHasRequestsSentByEstimate() throws Exception {
+        start(request -> Optional.empty());
+        assertEquals(200, ask("s1").status());
+        assertEquals(3, side.requests.size());
+    }
+
+    // Guards against a slot that is kept for a caller that has left.
+    @Test
+    void callerThatLeavesCancelsItsRequestForASlot() throws Exception {
+        start(request -> Optional.of(reply(request, SlotDecision.QUEUED, 150)));
+        try (Socket caller = deployment.connect()) {
+            caller.getOutputStream()
+                    .write(HostedDeployment.request("POST", "/quick/1", "l1", MODEL, "x")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            Await.until(() -> !side.requests.isEmpty());
+        }
+        Await.until(() -> side.cancelledIds.contains(side.requests.get(0).getId()));
+        assertEquals(List.of(), engine.startedAttemptIds());
+    }
+
+    private void start(Function<SlotRequest, Optional<SlotReply>> decisions) throws Exception {
+        deployment = new HostedDeployment();
+        engine = deployment.startReplica("e3", HOST, List.of("m"), Behaviour.stream(1, 0));
+        side = new GrantingSide(
+                new HostPort(HOST, deployment.basePort + 5),
+                new HostPort("127.0.0.1", deployment.basePort + 5),
+                new HostPort(HOST, deployment.basePort + 1),
+                decisions);
+        deployment.list(engine, "e3", "engines");
+        deployment.unlist("e1");
+        deployment.unlist("e2");
+        Await.until(() -> deployment.dump().contains("engines_heard=1"));
+    }
+
+    private HostedDeployment.Answer ask(String id) throws Exception {
+        return deployment.ask("POST", "/quick/1", id, MODEL, "x");
+    }
+
+    private static SlotReply reply(SlotRequest request, SlotDecision decision, int waitMillis) {
+        return new SlotReply(request.getId(), decision, waitMillis, 1);
+    }
+}
