Compare retries at told times with a fixed delay over the same arrivals

Cause: the two simulations drew arrivals and run times from one stream, so they had different callers and their grants could not be compared.

Change: arrivals and run times have streams of their own; the test also requires as many grants, since times that are long enough would always find a slot.

--- a/src/test/java/io/waxwingquay/reservation/RetrySpreadTest.java
+++ b/src/test/java/io/waxwingquay/reservation/RetrySpreadTest.java
@@ -24,28 +24,30 @@
     private static final double BURST_PER_STEP = 0.018;
     private static final int BURST_CALLERS = 5;
     private static final int MAX_REFUSALS = 6;
+    private static final int MIN_REFUSED = 100;
+
+    /** Times that are long enough would always find a slot, so the slots must be used about as well. */
+    private static final double MIN_GRANTED_SHARE = 0.98;
 
     // Guards against refused callers that are refused again, as they return together or when there is no slot for them:
-    // their share must be lower than with a delay of 400 to 600 ms that knows nothing of the engine.
+    // their share must be less than half of that with a delay of 400 to 600 ms that knows nothing of the engine.
     @ParameterizedTest
     @ValueSource(ints = {25, 320})
     void fewerCallersAreRefusedTwiceThanWithAFixedDelay(int entries) {
-        double told = new Simulation(entries, LongUnaryOperator.identity()).shareRefusedTwice();
+        Simulation told = new Simulation(entries, LongUnaryOperator.identity());
         SplittableRandom random = new SplittableRandom(11);
-        double fixed = new Simulation(entries, each -> 400 + random.nextInt(201)).shareRefusedTwice();
-        System.getLogger("waxwingquay.reservation")
-                .log(
-                        System.Logger.Level.INFO,
-                        "reservation: refused twice entries={0} told={1} fixed={2}",
-                        entries,
-                        told,
-                        fixed);
-        assertTrue(told < fixed, "told=" + told + " fixed=" + fixed);
+        Simulation fixed = new Simulation(entries, each -> 400 + random.nextInt(201));
+        told.run();
+        fixed.run();
+        String result = "told " + told.describe() + ", fixed " + fixed.describe();
+        assertTrue(told.shareRefusedTwice() < fixed.shareRefusedTwice() / 2, result);
+        assertTrue(told.granted >= fixed.granted * MIN_GRANTED_SHARE, result);
     }
 
     private static final class Simulation {
 
-        private final SplittableRandom random = new SplittableRandom(5);
+        private final SplittableRandom arrivals;
+        private final SplittableRandom runs;
         private final SlotBookFixture engine = new SlotBookFixture(SLOTS);
         private final PriorityQueue<Attempt> due = new PriorityQueue<>();
         private final Map<Long, Attempt> asking = new HashMap<>();
@@ -55,17 +57,21 @@
         private long nextId;
         private int refusedOnce;
         private int refusedTwice;
+        private int granted;
+        private int callers;
 
         private Simulation(int entries, LongUnaryOperator delay) {
             this.entries = entries;
+            this.arrivals = new SplittableRandom(entries);
+            this.runs = arrivals.split();
             this.delay = delay;
         }
 
-        private double shareRefusedTwice() {
+        private void run() {
             long startMillis = engine.nowMillis;
             while (engine.nowMillis < startMillis + END_MILLIS) {
                 engine.nowMillis += STEP_MILLIS;
-                if (random.nextDouble() < BURST_PER_STEP) {
+                if (arrivals.nextDouble() < BURST_PER_STEP) {
                     arrive();
                 }
                 while (!due.isEmpty() && due.peek().atMillis <= engine.nowMillis) {
@@ -75,11 +81,19 @@
                     runAndReport();
                 }
             }
-            assertTrue(refusedOnce > 100);
+            assertTrue(refusedOnce > MIN_REFUSED);
+        }
+
+        private double shareRefusedTwice() {
             return (double) refusedTwice / refusedOnce;
         }
 
+        private String describe() {
+            return "refused " + refusedOnce + ", twice " + refusedTwice + ", granted " + granted + " of " + callers;
+        }
+
         private void arrive() {
+            callers += BURST_CALLERS;
             for (int caller = 0; caller < BURST_CALLERS; caller++) {
                 due.add(new Attempt(engine.nowMillis, engine.nowMillis, 0));
             }
@@ -90,7 +104,7 @@
             asking.put(id, attempt);
             SlotRequest template = SlotBookFixture.request(
                     id, SlotBookFixture.LIVE, "", engine.nowMillis - attempt.firstMillis, MAX_WAIT_MILLIS);
-            handle(engine.book.submit(from(new HostPort("10.0.1." + random.nextInt(entries), 7382), template)));
+            handle(engine.book.submit(from(new HostPort("10.0.1." + runs.nextInt(entries), 7382), template)));
         }
 
         private static SlotRequest from(HostPort entry, SlotRequest request) {
@@ -113,7 +127,8 @@
             for (SlotAnswer answer : answers) {
                 if (answer.decision() instanceof SlotDecision.Granted) {
                     asking.remove(answer.key().id());
-                    endMillis.put(answer.attemptId(), engine.nowMillis + 700 + random.nextInt(1_200));
+                    granted++;
+                    endMillis.put(answer.attemptId(), engine.nowMillis + 700 + runs.nextInt(1_200));
                 } else if (answer.decision() instanceof SlotDecision.Denied denied) {
                     refuse(asking.remove(answer.key().id()), denied.retryAfterMillis());
                 }
