Bound what an entry holds for callers and sends to an engine

Cause: unsent output was bounded for each caller only, request bodies and buffered responses not at all together, so that many slow callers could exhaust the heap of an entry; and nothing bounded the bodies that entries send to one engine.

Change: net.BufferBudget counts unsent output, request bodies and buffered responses of an entry against a quarter of the heap. Above half of it net.BackPressure pauses the source of the longest output, for 2 s at most, then or above the whole it cuts off the slowest caller; requests with a body are refused with 503 above seven eighths. A paused response does not count as silence of its engine. forward.BodyShare bounds the bodies that this entry has at one engine. Writes that the kernel accepts at once no longer nest one call for each event that waits.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -1,10 +1,12 @@
 package io.waxwingquay.forward;
 
 import io.waxwingquay.manifest.Route;
+import io.waxwingquay.net.BufferBudget;
 import io.waxwingquay.net.ClientCall;
 import io.waxwingquay.net.ClientListener;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.MessageHead;
+import io.waxwingquay.net.PausableSource;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.OptionalLong;
@@ -13,7 +15,7 @@
 import org.eclipse.jetty.http.HttpHeaderValue;
 
 /** One attempt: a request as sent to one replica, and the response of that replica. */
-final class Attempt implements ClientListener {
+final class Attempt implements ClientListener, PausableSource {
 
     /**
      * The most bytes of a response that are buffered. A response is held until it is complete, so that an incomplete
@@ -21,6 +23,12 @@
      */
     private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
 
+    /** A shorter response or event is held also while there is no room for it: it soon ends, and few are that long. */
+    private static final int SMALL_BYTES = 16_384;
+
+    /** Time after a pause in which what has arrived meanwhile is read; silence until then is no sign of a failure. */
+    private static final long RESUME_GRACE_MILLIS = 400L;
+
     private static final int OK = 200;
     private static final int SERVER_ERROR = 500;
 
@@ -29,6 +37,7 @@
     private final long sentMillis = EventLoop.nowMillis();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private final EventSplitter splitter = new EventSplitter(this::onEvent);
+    private final BufferBudget.Holding holding;
     private ClientCall call;
     private int status;
     private HttpFields fields = HttpFields.EMPTY;
@@ -39,10 +48,13 @@
     private boolean eventReceived;
     private boolean provedHarmless;
     private long lastReceivedMillis = sentMillis;
+    private boolean paused;
+    private long resumedMillis = Long.MIN_VALUE / 2;
 
     Attempt(Exchange exchange, Target target) {
         this.exchange = exchange;
         this.target = target;
+        this.holding = exchange.caller().openHolding();
     }
 
     Target target() {
@@ -60,6 +72,9 @@
 
     /** Returns whether nothing has come for so long that another replica should take the request over. */
     boolean isStalled(Route route, ExchangeState state, long nowMillis) {
+        if (paused) {
+            return false;
+        }
         long silentMillis = nowMillis - lastReceivedMillis;
         return state == ExchangeState.STREAMING
                 ? WaitPolicy.isStreamStalled(silentMillis)
@@ -67,6 +82,33 @@
                         route, silentMillis, target.attemptHistory().answerMillis());
     }
 
+    /** Returns whether the replica may be unresponsive; its silence means nothing while its response is not read. */
+    boolean mayBeUnresponsive(long nowMillis) {
+        return !paused
+                && nowMillis - resumedMillis > RESUME_GRACE_MILLIS
+                && target.mayBeUnresponsive(sentMillis, nowMillis);
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void pause() {
+        if (!finished) {
+            paused = true;
+            call.pauseReading();
+        }
+    }
+
+    /** {@inheritDoc} */
+    @Override
+    public void resume() {
+        if (paused) {
+            paused = false;
+            resumedMillis = EventLoop.nowMillis();
+            lastReceivedMillis = resumedMillis;
+            call.resumeReading();
+        }
+    }
+
     HttpFields fields() {
         return fields;
     }
@@ -101,7 +143,7 @@
     /** Cancels the attempt; closing the connection makes the replica stop its work. */
     void cancel() {
         if (!finished) {
-            finished = true;
+            finish();
             if (call != null) {
                 call.cancel();
             }
@@ -142,15 +184,37 @@
         bodyStarted = true;
         if (streaming) {
             splitter.feed(bytes);
+            hold(splitter.pendingBytes());
             return;
         }
-        if (body.size() + bytes.remaining() > MAX_RESPONSE_BYTES) {
+        if (hold(body.size() + bytes.remaining())) {
+            byte[] part = new byte[bytes.remaining()];
+            bytes.get(part);
+            body.write(part, 0, part.length);
+        }
+    }
+
+    /** Counts what is held of the response; aborts the attempt if that is too much, and returns whether it goes on. */
+    private boolean hold(int bytes) {
+        if (finished) {
+            return false;
+        }
+        if (bytes > MAX_RESPONSE_BYTES) {
             abort("a response of more than " + MAX_RESPONSE_BYTES + " bytes");
-            return;
+            return false;
+        }
+        holding.set(0);
+        if (bytes > SMALL_BYTES && !exchange.caller().makeRoom(bytes)) {
+            abort("no memory left to hold its response");
+            return false;
         }
-        byte[] part = new byte[bytes.remaining()];
-        bytes.get(part);
-        body.write(part, 0, part.length);
+        holding.set(bytes);
+        return true;
+    }
+
+    private void finish() {
+        finished = true;
+        holding.close();
     }
 
     /** {@inheritDoc} */
@@ -159,7 +223,7 @@
         if (finished) {
             return;
         }
-        finished = true;
+        finish();
         if (streaming && isStreamCut()) {
             broken(true, "its stream was cut" + describeStreamEnd());
             return;
@@ -186,7 +250,7 @@
     @Override
     public void onFailure(boolean sent, String why) {
         if (!finished) {
-            finished = true;
+            finish();
             broken(sent, why);
         }
     }
--- a/src/main/java/io/waxwingquay/forward/EventSplitter.java
+++ b/src/main/java/io/waxwingquay/forward/EventSplitter.java
@@ -47,6 +47,11 @@
         return pending.size() == 0;
     }
 
+    /** Returns how many bytes of an event are held whose end has not been read. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /** Returns the bytes of an event whose end has not been read. */
     byte[] incompleteEvent() {
         return pending.toByteArray();
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -64,6 +64,10 @@
         this.retries = new RetryRules(context, terms);
     }
 
+    ServerExchange caller() {
+        return caller;
+    }
+
     MessageCodec codec() {
         return context.codec();
     }
@@ -122,7 +126,7 @@
             return;
         }
         if (attempt != null
-                && attempt.target().mayBeUnresponsive(attempt.sentMillis(), nowMillis)
+                && attempt.mayBeUnresponsive(nowMillis)
                 && WaitPolicy.isCallerAboutToLeave(route, stream.callerIdleMillis(nowMillis))) {
             giveUpOnDoubtfulTarget();
         }
@@ -262,6 +266,7 @@
         stream.requestSent(target.record(), next.sentMillis());
         attempt = next;
         target.requestSent(head.model(), head.adapter(), EngineRequirements.kvTokens(head), next.sentMillis());
+        target.bodyShare().sent(terms.bodyBytes());
         head.model().ifPresent(context.demandMeter()::started);
         ClientRequest request = terms.toClientRequest(target, stream.lastEventId(), EventLoop.nowMillis());
         next.call(target.pool().send(request, next));
@@ -306,6 +311,7 @@
             responder.beginStream(from);
         }
         stream.eventDelivered(from.target().softwareVersion(), id, EventLoop.nowMillis());
+        caller.source(from);
         if (!responder.writeEvent(bytes)) {
             from.cancel();
             release(from);
@@ -435,13 +441,14 @@
     private void onCallerGone() {
         callerGone = true;
         if (attempt != null && attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
+            caller.retainRequest();
             return;
         }
         withdrawAttempt();
         if (!mayHaveRun) {
             terms.admission().giveBack();
         }
-        end(0, "the caller left");
+        end(0, caller.isCutOff() ? "its caller does not read the response" : "the caller left");
     }
 
     private void cancelAttempt() {
@@ -458,6 +465,7 @@
         }
         suspicion.ended();
         ended.target().requestEnded(head.model(), head.adapter());
+        ended.target().bodyShare().ended(terms.bodyBytes());
         head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
     }
 
@@ -467,6 +475,7 @@
 
     private void end(int status, String why) {
         queuedRequest.leaveQueue();
+        caller.releaseRequest();
         transition(ExchangeState.Event.END);
         queuedRequest.cancelRecheck();
         context.ended(
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.eclipse.jetty.http.HttpFields;
 
 /** The terms of one request, which are the same for all its attempts: what it requests, its route and its deadline. */
@@ -18,6 +20,9 @@
     /** Objective above which a request has the lower priority of two on routes of the same priority. */
     private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
 
+    /** Time after which an engine that has too many bodies from here is expected to take one more. */
+    private static final long BODY_WAIT_MILLIS = 150L;
+
     private static final int LOWEST_PRIORITY = 9;
 
     /** Engine priorities for the routes of one priority class of accounts; engines have ten, so that two classes fit. */
@@ -165,11 +170,31 @@
     private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, long nowMillis) {
         TargetChooser chooser = context.chooser();
         return needsModel()
-                ? chooser.chooseEngine(
-                        targets, excluded, engine.get(), EngineRequirements.of(head, context.demandMeter()), nowMillis)
+                ? chooseEngine(targets, excluded, nowMillis)
                 : chooser.choosePlain(targets, excluded, nowMillis);
     }
 
+    /** Chooses an engine that may get the body; where only the body is in the way, the request waits as for a slot. */
+    private Choice chooseEngine(Collection<Target> targets, Set<Target> excluded, long nowMillis) {
+        Set<Target> withoutBodyRoom = targets.stream()
+                .filter(target -> !excluded.contains(target))
+                .filter(target -> !target.bodyShare().hasRoomFor(bodyBytes(), context.entryCount()))
+                .collect(Collectors.toSet());
+        Set<Target> all =
+                Stream.concat(excluded.stream(), withoutBodyRoom.stream()).collect(Collectors.toSet());
+        Choice choice = context.chooser()
+                .chooseEngine(
+                        targets, all, engine.get(), EngineRequirements.of(head, context.demandMeter()), nowMillis);
+        return choice instanceof Choice.NoReplica && !withoutBodyRoom.isEmpty()
+                ? new Choice.Full(BODY_WAIT_MILLIS, 0, OptionalLong.empty())
+                : choice;
+    }
+
+    /** Returns the length of the request's body. */
+    long bodyBytes() {
+        return request.body().length;
+    }
+
     /**
      * Creates the request to send to a replica now.
      *
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -43,6 +43,7 @@
     private final ListingStatus listingStatus = new ListingStatus();
     private final ReplicaAnnouncements announcements;
     private final AttemptHistory attemptHistory = new AttemptHistory();
+    private final BodyShare bodyShare = new BodyShare();
     private final EngineLoadEstimate loadEstimate = new EngineLoadEstimate();
     private final Map<String, Integer> adaptersInUse = new HashMap<>();
     private final Map<String, Integer> modelsInUse = new HashMap<>();
@@ -111,6 +112,10 @@
         return attemptHistory;
     }
 
+    BodyShare bodyShare() {
+        return bodyShare;
+    }
+
     int inFlight() {
         return loadEstimate.inFlight();
     }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -12,9 +12,11 @@
 import io.waxwingquay.forward.Forwarder;
 import io.waxwingquay.forward.SuspectTracker;
 import io.waxwingquay.manifest.Manifest;
+import io.waxwingquay.net.BufferBudget;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import io.waxwingquay.net.ServerExchange;
+import io.waxwingquay.net.ServerMemory;
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
@@ -80,6 +82,9 @@
 
     private static final long COPY_CHECK_MILLIS = 200L;
 
+    /** Retry-after delay of a request whose body this entry has no memory for; its caller soon reaches another entry. */
+    private static final long MEMORY_RETRY_AFTER_MILLIS = 200L;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
@@ -104,7 +109,7 @@
     private boolean spendingReportScheduled;
     private boolean waitingCheckScheduled;
 
-    private HostedEntry(EventLoop loop, HostSettings settings) {
+    private HostedEntry(EventLoop loop, HostSettings settings, BufferBudget bufferBudget) {
         this.settings = settings;
         this.loop = loop;
         this.adminServer = new HostedAdminServer(loop, new HostPort(settings.host(), settings.adminPort()));
@@ -121,7 +126,12 @@
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicaListener());
         HostPort callerAddress = required(settings.callerAddress(), "listen.front");
         HostPort readinessAddress = required(settings.readinessAddress(), "listen.ready");
-        this.server = HttpServer.listen(loop, socketAddress(callerAddress), loop.acceptWhileResponsive(), forwarder);
+        this.server = HttpServer.listen(
+                loop,
+                socketAddress(callerAddress),
+                loop.acceptWhileResponsive(),
+                new ServerMemory(bufferBudget, this::memoryRefusalFields),
+                forwarder);
         HttpServer.listen(loop, socketAddress(readinessAddress), this::answerReadiness);
         this.gracefulShutdown =
                 new GracefulShutdown(loop, server, forwarder, settings.bounds().graceMillis(), EventLoop::nowMillis);
@@ -148,7 +158,8 @@
                 replicaWatch::version,
                 replicaWatch::adopt);
         adminServer.tableCopies(platform::encodedCopy);
-        adminServer.dump(() -> "active=" + forwarder.activeCount() + " configuration="
+        adminServer.dump(() -> "active=" + forwarder.activeCount() + " held_bytes=" + bufferBudget.heldBytes()
+                + " configuration="
                 + configurationVersion() + " engines_heard=" + forwarder.freshEngineCount()
                 + " suspects=" + suspects.countSuspected()
                 + " quarantined_parts=" + suspects.promptParts().countQuarantined() + " missing="
@@ -165,7 +176,19 @@
      * @return the running process.
      */
     public static HostedEntry start(EventLoop loop, HostSettings settings) {
-        return new HostedEntry(loop, settings);
+        return start(loop, settings, BufferBudget.ofHeapShare());
+    }
+
+    /**
+     * Starts the process with a budget for what it holds for callers; called on the loop.
+     *
+     * @param loop the event loop on which everything runs.
+     * @param settings the settings of the process.
+     * @param bufferBudget the budget.
+     * @return the running process.
+     */
+    static HostedEntry start(EventLoop loop, HostSettings settings, BufferBudget bufferBudget) {
+        return new HostedEntry(loop, settings, bufferBudget);
     }
 
     /** {@inheritDoc} */
@@ -197,6 +220,10 @@
                 settings.dataCentre());
     }
 
+    private HttpFields memoryRefusalFields() {
+        return forwarder.codec().refusalFields(Optional.of(forwarder.jitter(MEMORY_RETRY_AFTER_MILLIS)));
+    }
+
     private void onSuspectsChanged() {
         forwarder.updateSoon();
     }
--- a/src/main/java/io/waxwingquay/net/ClientCall.java
+++ b/src/main/java/io/waxwingquay/net/ClientCall.java
@@ -8,6 +8,15 @@
     /** Cancels the request and closes its connection, at which most peers stop working on it. No callback follows. */
     void cancel();
 
+    /**
+     * Stops reading the response, which stays with the server and in the kernel. Neither its end nor a failure of the
+     * connection is noticed meanwhile.
+     */
+    void pauseReading();
+
+    /** Continues to read the response. */
+    void resumeReading();
+
     /**
      * Returns whether the request has been handed to a connection.
      *
--- a/src/main/java/io/waxwingquay/net/ClientConnection.java
+++ b/src/main/java/io/waxwingquay/net/ClientConnection.java
@@ -16,6 +16,9 @@
 
     private static final int MAX_HEAD_BYTES = 32_768;
     private static final int OUTPUT_SLACK_BYTES = 256;
+    /** Longer bodies are not copied while the server is slow to accept them, as their callers' copies are kept anyway. */
+    private static final int MAX_COPIED_BODY_BYTES = 32_768;
+
     private static final int FIRST_FINAL_STATUS = 200;
 
     /** Safety margin before the peer's own idle timeout, within which the connection is not reused. */
@@ -35,6 +38,7 @@
     private boolean mayHaveBeenSent;
     private boolean responseComplete;
     private boolean unusable;
+    private boolean paused;
     private long idleSinceMillis = EventLoop.nowMillis();
     private Optional<Long> idleLimitMillis = Optional.empty();
 
@@ -86,7 +90,9 @@
         responseComplete = false;
         parser.reset();
         parser.setHeadResponse("HEAD".equals(request.method()));
-        int requiredBytes = request.target().length() + request.body().length + OUTPUT_SLACK_BYTES;
+        boolean sendsBodyApart = request.body().length > MAX_COPIED_BODY_BYTES;
+        int requiredBytes =
+                request.target().length() + (sendsBodyApart ? 0 : request.body().length) + OUTPUT_SLACK_BYTES;
         for (HttpField field : request.fields()) {
             requiredBytes +=
                     field.getName().length() + String.valueOf(field.getValue()).length() + 4;
@@ -100,8 +106,32 @@
             MessageHead.put(buffer, "Content-Length: " + request.body().length + "\r\n");
         }
         MessageHead.putEnd(buffer);
-        buffer.put(request.body());
-        mayHaveBeenSent = send(buffer.flip());
+        if (sendsBodyApart) {
+            mayHaveBeenSent = send(buffer.flip());
+            mayHaveBeenSent |= sendUncopied(ByteBuffer.wrap(request.body()));
+        } else {
+            buffer.put(request.body());
+            mayHaveBeenSent = send(buffer.flip());
+        }
+    }
+
+    void pauseReading(ClientListener expected) {
+        if (listener == expected) {
+            paused = true;
+        }
+    }
+
+    void resumeReading(ClientListener expected) {
+        if (listener == expected && paused) {
+            paused = false;
+            awaitInput();
+        }
+    }
+
+    /** A paused response stays unread; a connection without a request is always read, to notice its end. */
+    @Override
+    boolean acceptsInput() {
+        return !paused;
     }
 
     void cancel(ClientListener expected) {
@@ -147,6 +177,7 @@
     private void finishResponse(boolean hasSurplusBytes) {
         ClientListener completed = listener;
         listener = null;
+        paused = false;
         boolean closesConnection = hasSurplusBytes
                 || isWriteInProgress()
                 || version != HttpVersion.HTTP_1_1
--- a/src/main/java/io/waxwingquay/net/ClientPool.java
+++ b/src/main/java/io/waxwingquay/net/ClientPool.java
@@ -176,6 +176,22 @@
             }
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void pauseReading() {
+            if (connection != null) {
+                connection.pauseReading(listener);
+            }
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void resumeReading() {
+            if (connection != null) {
+                connection.resumeReading(listener);
+            }
+        }
+
         /** Notifies the listener in a later task, as it may request another connection from this pool. */
         private void failLater() {
             if (!cancelled) {
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -18,13 +18,17 @@
     private final EventLoop loop;
     private final ServerHandler handler;
     private final ConnectionPolicy policy;
+    private final ServerMemory memory;
+    private final BackPressure backPressure;
     private final Set<ServerConnection> connections = new HashSet<>();
     private ServerLimits limits = ServerLimits.DEFAULT;
     private boolean draining;
 
-    private HttpServer(EventLoop loop, ConnectionPolicy policy, ServerHandler handler) {
+    private HttpServer(EventLoop loop, ConnectionPolicy policy, ServerMemory memory, ServerHandler handler) {
         this.loop = loop;
         this.policy = policy;
+        this.memory = memory;
+        this.backPressure = new BackPressure(memory.budget(), EventLoop::nowMillis, loop::schedule);
         this.handler = handler;
     }
 
@@ -41,7 +45,7 @@
     }
 
     /**
-     * Starts a server.
+     * Starts a server whose use of memory is not limited.
      *
      * @param loop the event loop on which everything runs.
      * @param address the address to listen on.
@@ -51,7 +55,26 @@
      */
     public static HttpServer listen(
             EventLoop loop, InetSocketAddress address, ConnectionPolicy policy, ServerHandler handler) {
-        HttpServer server = new HttpServer(loop, policy, handler);
+        return listen(loop, address, policy, ServerMemory.unlimited(), handler);
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param loop the event loop on which everything runs.
+     * @param address the address to listen on.
+     * @param policy decides which connections are taken and kept.
+     * @param memory the memory that it may use for its callers.
+     * @param handler answers the requests.
+     * @return the running server.
+     */
+    public static HttpServer listen(
+            EventLoop loop,
+            InetSocketAddress address,
+            ConnectionPolicy policy,
+            ServerMemory memory,
+            ServerHandler handler) {
+        HttpServer server = new HttpServer(loop, policy, memory, handler);
         loop.listen(address, policy, endPoint -> new ServerConnection(endPoint, loop, server));
         loop.execute(() -> loop.every(TIMEOUT_CHECK_MILLIS, server::checkTimeouts));
         return server;
@@ -89,6 +112,14 @@
         return limits;
     }
 
+    ServerMemory memory() {
+        return memory;
+    }
+
+    BackPressure backPressure() {
+        return backPressure;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/src/main/java/io/waxwingquay/net/LoopConnection.java
+++ b/src/main/java/io/waxwingquay/net/LoopConnection.java
@@ -21,11 +21,20 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.net");
 
+    /** Heap that a queued buffer takes beside its bytes, which matters for the short events of a stream. */
+    private static final int QUEUED_BUFFER_OVERHEAD_BYTES = 80;
+
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
     private final EventLoop loop;
     private final Callback readCallback = new ReadCallback();
     private final Queue<ByteBuffer> pendingWrites = new ArrayDeque<>();
+    private ByteBuffer currentWrite = NOTHING;
     private boolean writeInProgress;
+    private boolean startingWrites;
     private long unsentBytes;
+    private long queuedBytes;
+    private long writtenBytes;
     private boolean inputEnded;
 
     LoopConnection(EndPoint endPoint, EventLoop loop) {
@@ -142,6 +151,12 @@
     /** Called when all pending writes have been handed to the kernel. */
     void onWritesComplete() {}
 
+    /** Called when bytes were queued, as the peer does not accept them yet. */
+    void onWriteQueued() {}
+
+    /** Called when the peer has accepted some of the queued bytes. */
+    void onWriteAccepted() {}
+
     /** {@inheritDoc} */
     @Override
     public void onClose(Throwable cause) {
@@ -170,10 +185,41 @@
                 return bytes.remaining() < before;
             }
         }
+        enqueue(copyOf(bytes));
+        return true;
+    }
+
+    /**
+     * Sends bytes without a copy of those that the peer does not accept yet.
+     *
+     * @param bytes the bytes to send; not changed from now on.
+     * @return whether at least one of these bytes was sent or may be sent later.
+     */
+    final boolean sendUncopied(ByteBuffer bytes) {
+        if (!getEndPoint().isOpen()) {
+            return false;
+        }
         enqueue(bytes);
         return true;
     }
 
+    /** Drops the output that the peer has not accepted, and closes the connection with a reset. */
+    final void discardOutput() {
+        pendingWrites.clear();
+        queuedBytes = 0;
+        closeWithReset();
+    }
+
+    /** Returns how many bytes the peer has accepted of those that were queued, in all. */
+    final long acceptedBytes() {
+        return writtenBytes + currentWrite.position();
+    }
+
+    /** Returns how many bytes of the heap the output that waits for the peer takes. */
+    final long queuedBytes() {
+        return queuedBytes;
+    }
+
     /** Returns how many bytes the peer has not accepted yet. */
     final long unsentBytes() {
         return unsentBytes;
@@ -189,20 +235,47 @@
         return writeInProgress;
     }
 
-    private void enqueue(ByteBuffer bytes) {
+    private static ByteBuffer copyOf(ByteBuffer bytes) {
         ByteBuffer copy = ByteBuffer.allocate(bytes.remaining());
         copy.put(bytes).flip();
-        unsentBytes += copy.remaining();
-        pendingWrites.add(copy);
+        return copy;
+    }
+
+    private void enqueue(ByteBuffer bytes) {
+        unsentBytes += bytes.remaining();
+        queuedBytes += heapBytes(bytes.remaining());
+        pendingWrites.add(bytes);
         writeNext();
+        if (writeInProgress) {
+            onWriteQueued();
+        }
+    }
+
+    private static long heapBytes(int size) {
+        return size + QUEUED_BUFFER_OVERHEAD_BYTES;
     }
 
+    /**
+     * Starts writes until one waits for the peer. A write that the kernel accepts completely ends within the call that
+     * starts it; starting the next one from there would nest one call for each event that a slow caller has waiting.
+     */
     private void writeNext() {
-        ByteBuffer next = writeInProgress ? null : pendingWrites.poll();
-        if (next == null) {
+        if (startingWrites) {
             return;
         }
+        startingWrites = true;
+        while (!writeInProgress && !pendingWrites.isEmpty()) {
+            startWrite(pendingWrites.poll());
+        }
+        startingWrites = false;
+        if (!writeInProgress && getEndPoint().isOpen()) {
+            onWritesComplete();
+        }
+    }
+
+    private void startWrite(ByteBuffer next) {
         writeInProgress = true;
+        currentWrite = next;
         int size = next.remaining();
         getEndPoint()
                 .write(
@@ -213,12 +286,12 @@
 
     private void onWritten(int size) {
         writeInProgress = false;
+        currentWrite = NOTHING;
         unsentBytes -= size;
-        if (pendingWrites.isEmpty()) {
-            onWritesComplete();
-        } else {
-            writeNext();
-        }
+        queuedBytes -= heapBytes(size);
+        writtenBytes += size;
+        onWriteAccepted();
+        writeNext();
     }
 
     private void onWriteFailure(Throwable cause) {
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
@@ -26,9 +27,12 @@
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int BAD_REQUEST = 400;
     private static final int REQUEST_TIMEOUT = 408;
+    private static final int UNAVAILABLE = 503;
+    private static final System.Logger LOG = System.getLogger("waxwingquay.net");
 
     private final HttpServer server;
     private final HttpParser parser;
+    private final CallerBuffers buffers;
     private final ByteArrayOutputStream pipelined = new ByteArrayOutputStream(0);
     private HttpFields.Mutable fields = HttpFields.build();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -47,6 +51,7 @@
     ServerConnection(EndPoint endPoint, EventLoop loop, HttpServer server) {
         super(endPoint, loop);
         this.server = server;
+        this.buffers = new CallerBuffers(this, server.memory().budget(), server.backPressure());
         this.parser = Parsers.forRequests(this, server.limits().maxHeaderBytes());
         server.onOpened(this);
     }
@@ -77,6 +82,7 @@
     @Override
     void onInputEnd(Throwable cause) {
         server.onClosed(this);
+        buffers.close();
         if (exchange != null) {
             ServerExchange abandoned = exchange;
             exchange = null;
@@ -85,8 +91,19 @@
         getEndPoint().close();
     }
 
+    @Override
+    void onWriteQueued() {
+        buffers.outputQueued();
+    }
+
+    @Override
+    void onWriteAccepted() {
+        buffers.outputChanged();
+    }
+
     @Override
     void onWritesComplete() {
+        buffers.outputComplete();
         if (!requestStarted) {
             phaseStartMillis = EventLoop.nowMillis();
         }
@@ -102,6 +119,18 @@
                 : ByteBuffer.allocate(bytes + OUTPUT_SLACK_BYTES);
     }
 
+    CallerBuffers buffers() {
+        return buffers;
+    }
+
+    BufferBudget budget() {
+        return server.memory().budget();
+    }
+
+    boolean makeRoom(long bytes) {
+        return server.backPressure().makeRoom(bytes);
+    }
+
     boolean isDraining() {
         return server.isDraining();
     }
@@ -124,6 +153,7 @@
     /** Called when the exchange is complete; the next request may already be buffered. */
     void onResponseComplete(boolean closesConnection) {
         exchange = null;
+        buffers.source(Optional.empty());
         phaseStartMillis = EventLoop.nowMillis();
         if (closesConnection) {
             closeAfterWrites();
@@ -203,6 +233,7 @@
         while (pipelined.size() > 0 && exchange == null && !closing) {
             ByteBuffer buffered = ByteBuffer.wrap(pipelined.toByteArray());
             pipelined.reset();
+            countInput();
             parse(buffered);
         }
     }
@@ -211,23 +242,58 @@
         byte[] copy = BufferUtil.toArray(bytes);
         bytes.position(bytes.limit());
         pipelined.write(copy, 0, copy.length);
+        countInput();
+    }
+
+    private void countInput() {
+        buffers.inputBytes(pipelined.size() + body.size());
     }
 
     private void resetMessage() {
         parser.reset();
         fields = HttpFields.build();
-        body = new ByteArrayOutputStream(0);
+        dropBody();
         requestStarted = false;
     }
 
+    private void dropBody() {
+        body = new ByteArrayOutputStream(0);
+        countInput();
+    }
+
     private void reject(int status, String reason) {
+        reject(status, HttpFields.EMPTY, reason);
+    }
+
+    private void reject(int status, HttpFields responseFields, String reason) {
         if (rejected) {
             return;
         }
         rejected = true;
+        dropBody();
         ServerRequest unreadRequest = new ServerRequest("", "", HttpFields.EMPTY, new byte[0], EventLoop.nowMillis());
         exchange = new ServerExchange(this, unreadRequest, false);
-        exchange.respond(status, HttpFields.EMPTY, reason);
+        exchange.respond(status, responseFields, reason);
+    }
+
+    /**
+     * Rejects a request whose body the budget has no room for. None of it has been handled, so that the caller may send
+     * it again, to another entry.
+     */
+    private void rejectForMemory() {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "net: request with a body refused, no memory for it held_bytes={0}",
+                Long.toString(budget().heldBytes()));
+        reject(UNAVAILABLE, server.memory().refusalFields().get(), "it has not run: no memory for its body");
+    }
+
+    private void rejectTooLong() {
+        reject(PAYLOAD_TOO_LARGE, "the body is longer than " + server.limits().maxBodyBytes() + " bytes");
+    }
+
+    private boolean hasBody() {
+        return parser.getContentLength() > 0 || fields.contains(HttpHeader.TRANSFER_ENCODING);
     }
 
     private void closeAfterWrites() {
@@ -268,9 +334,11 @@
     @Override
     public boolean headerComplete() {
         if (parser.getContentLength() > server.limits().maxBodyBytes()) {
-            reject(
-                    PAYLOAD_TOO_LARGE,
-                    "the body is longer than " + server.limits().maxBodyBytes() + " bytes");
+            rejectTooLong();
+            return true;
+        }
+        if (hasBody() && !budget().hasRoomForRequest(Math.max(1, parser.getContentLength()))) {
+            rejectForMemory();
             return true;
         }
         if (fields.contains(HttpHeader.EXPECT, HttpHeaderValue.CONTINUE.asString())) {
@@ -283,14 +351,17 @@
     @Override
     public boolean content(ByteBuffer content) {
         if (body.size() + content.remaining() > server.limits().maxBodyBytes()) {
-            reject(
-                    PAYLOAD_TOO_LARGE,
-                    "the body is longer than " + server.limits().maxBodyBytes() + " bytes");
+            rejectTooLong();
+            return true;
+        }
+        if (!budget().hasRoomForRequest(content.remaining())) {
+            rejectForMemory();
             return true;
         }
         byte[] part = BufferUtil.toArray(content);
         content.position(content.limit());
         body.write(part, 0, part.length);
+        countInput();
         return false;
     }
 
@@ -309,6 +380,7 @@
         boolean persistent = version == HttpVersion.HTTP_1_1
                 && !fields.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
         ServerRequest request = new ServerRequest(method, target, fields, body.toByteArray(), EventLoop.nowMillis());
+        dropBody();
         exchange = new ServerExchange(this, request, persistent);
         server.handle(exchange);
         return true;
--- a/src/main/java/io/waxwingquay/net/ServerExchange.java
+++ b/src/main/java/io/waxwingquay/net/ServerExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 
 /**
@@ -14,14 +15,18 @@
     private final ServerConnection connection;
     private final ServerRequest request;
     private final boolean persistent;
+    private final BufferBudget.Holding requestHolding;
     private Runnable onDisconnect = () -> {};
     private State state = State.WAITING;
     private boolean closeAnnounced;
+    private boolean requestRetained;
 
     ServerExchange(ServerConnection connection, ServerRequest request, boolean persistent) {
         this.connection = connection;
         this.request = request;
         this.persistent = persistent;
+        this.requestHolding = connection.budget().open();
+        this.requestHolding.set(request.body().length);
     }
 
     /**
@@ -62,7 +67,7 @@
         if (state != State.WAITING) {
             return;
         }
-        state = State.ENDED;
+        end();
         closeAnnounced = !persistent || !connection.staysOpen();
         ByteBuffer buffer = startHead(status, fields, body.length);
         MessageHead.put(buffer, "Content-Length: " + body.length + "\r\n");
@@ -147,14 +152,14 @@
     /** Ends a response that was started as a complete one. */
     public void finish() {
         if (state == State.STREAMING_UNTIL_CLOSE) {
-            state = State.ENDED;
+            end();
             connection.onResponseComplete(true);
             return;
         }
         if (state != State.STREAMING) {
             return;
         }
-        state = State.ENDED;
+        end();
         connection.send(ByteBuffer.wrap(LAST_CHUNK));
         connection.onResponseComplete(closeAnnounced || connection.isDraining());
     }
@@ -162,7 +167,7 @@
     /** Closes the connection, so that the response can't be mistaken for a complete one. */
     public void abort() {
         if (state != State.ENDED) {
-            state = State.ENDED;
+            end();
             connection.close();
         }
     }
@@ -176,13 +181,71 @@
         return connection.unsentBytes();
     }
 
+    /**
+     * Sets where the parts of the response come from, which is paused while too much waits for slow callers.
+     *
+     * @param source the source, instead of the one before.
+     */
+    public void source(PausableSource source) {
+        if (state != State.ENDED) {
+            connection.buffers().source(Optional.of(source));
+        }
+    }
+
+    /**
+     * Returns whether the connection was closed because the caller reads too slowly while too much waits for slow
+     * callers.
+     *
+     * @return whether the caller was cut off.
+     */
+    public boolean isCutOff() {
+        return connection.buffers().isCutOff();
+    }
+
+    /**
+     * Opens a holding for bytes that are held for this request elsewhere.
+     *
+     * @return a holding of 0 bytes.
+     */
+    public BufferBudget.Holding openHolding() {
+        return connection.budget().open();
+    }
+
+    /**
+     * Makes room for bytes that are to be held for this request, at the expense of callers that read slowly.
+     *
+     * @param bytes the number of further bytes.
+     * @return whether the budget has room for them.
+     */
+    public boolean makeRoom(long bytes) {
+        return connection.makeRoom(bytes);
+    }
+
+    /** Has the request's body counted until {@link #releaseRequest}, as it is still used after the caller has left. */
+    public void retainRequest() {
+        requestRetained = true;
+    }
+
+    /** Notes that the request's body is not used any more. */
+    public void releaseRequest() {
+        requestHolding.close();
+    }
+
     void disconnected() {
         if (state != State.ENDED) {
             state = State.ENDED;
             onDisconnect.run();
+            if (!requestRetained) {
+                releaseRequest();
+            }
         }
     }
 
+    private void end() {
+        state = State.ENDED;
+        releaseRequest();
+    }
+
     private boolean isHeadRequest() {
         return "HEAD".equals(request.method());
     }
