--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -4,6 +4,7 @@
 
 import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.net.BufferBudget;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.standin.prepared.ReplicaStandin;
 import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
@@ -60,10 +61,16 @@
     final ReplicaStandin engine2 = startReplica("e2", "127.0.0.3", List.of("m"), Behaviour.stream(1, 0));
     final ReplicaStandin plain1 = startReplica("p1", "127.0.0.4", List.of(), Behaviour.ECHO);
     final ReplicaStandin plain2 = startReplica("p2", "127.0.0.5", List.of(), Behaviour.ECHO);
+    private final BufferBudget bufferBudget;
     private HostedProcess entry;
     private Optional<HostedProcess> secondEntry = Optional.empty();
 
     HostedDeployment() throws Exception {
+        this(BufferBudget.disabled());
+    }
+
+    HostedDeployment(BufferBudget bufferBudget) throws Exception {
+        this.bufferBudget = bufferBudget;
         configure(1);
         register(engine1, "e1", "engines", "ready");
         register(engine2, "e2", "engines", "ready");
@@ -86,8 +93,8 @@
             try {
                 HostedSide.start(processLoop, sideSettings("127.0.0.2"));
                 HostedSide.start(processLoop, sideSettings("127.0.0.3"));
-                started.complete(
-                        HostedEntry.start(processLoop, entrySettings("127.0.0.1", store.address(), List.of())));
+                started.complete(HostedEntry.start(
+                        processLoop, entrySettings("127.0.0.1", store.address(), List.of()), bufferBudget));
             } catch (RuntimeException failure) {
                 started.completeExceptionally(failure);
             }
@@ -274,6 +281,13 @@
         return all.toString();
     }
 
+    /** Returns the bytes that the first entry holds for its callers. */
+    long heldBytes() throws Exception {
+        CompletableFuture<Long> held = new CompletableFuture<>();
+        processLoop.execute(() -> held.complete(bufferBudget.heldBytes()));
+        return Await.value(held);
+    }
+
     static Answer exchange(Socket socket, String request) throws IOException {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
