--- a/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -10,13 +10,15 @@
     private final ForwardContext context;
     private final MessageCodec.RequestHead head;
     private final Suspicion suspicion;
+    private final long bodyBytes;
     private Optional<Attempt> running = Optional.empty();
     private boolean mayHaveRun;
 
-    CurrentAttempt(ForwardContext context, MessageCodec.RequestHead head, Suspicion suspicion) {
+    CurrentAttempt(ForwardContext context, RequestTerms terms, Suspicion suspicion) {
         this.context = context;
-        this.head = head;
+        this.head = terms.head();
         this.suspicion = suspicion;
+        this.bodyBytes = terms.bodyBytes();
     }
 
     /** Notes an attempt that is sent now. */
@@ -28,6 +30,7 @@
                         head.adapter(),
                         EngineRequirements.kvTokensAt(next.target(), head, next.sentMillis()),
                         next.sentMillis());
+        next.target().bodyShare().sent(bodyBytes);
         head.model().ifPresent(context.demandMeter()::started);
     }
 
@@ -68,6 +71,7 @@
         running = running.filter(attempt -> attempt != ended);
         suspicion.ended();
         ended.target().requestEnded(head.model(), head.adapter());
+        ended.target().bodyShare().ended(bodyBytes);
         head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
     }
 
@@ -78,7 +82,6 @@
 
     /** Returns whether the engine of the running attempt may be unresponsive. */
     boolean isDoubtful(long nowMillis) {
-        return running.filter(attempt -> attempt.target().mayBeUnresponsive(attempt.sentMillis(), nowMillis))
-                .isPresent();
+        return running.filter(attempt -> attempt.mayBeUnresponsive(nowMillis)).isPresent();
     }
 }
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -60,7 +60,7 @@
         this.suspicion = suspicion;
         this.stream = new StreamProgress(terms.arrivedMillis(), head, softwareVersion);
         this.retries = new RetryRules(context, terms);
-        this.attempt = new CurrentAttempt(context, head, suspicion);
+        this.attempt = new CurrentAttempt(context, terms, suspicion);
         this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
         this.slotWait = new SlotWait(
                 context.slotRequester(),
@@ -69,6 +69,10 @@
                 this::onSlotDecided);
     }
 
+    ServerExchange caller() {
+        return caller;
+    }
+
     MessageCodec codec() {
         return context.codec();
     }
@@ -340,6 +344,7 @@
             responder.beginStream(from);
         }
         stream.eventDelivered(from.target().softwareVersion(), id, EventLoop.nowMillis());
+        caller.source(from);
         if (!responder.writeEvent(bytes)) {
             from.cancel();
             attempt.release(from);
@@ -438,13 +443,14 @@
     private void onCallerGone() {
         callerGone = true;
         if (attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
+            caller.retainRequest();
             return;
         }
         attempt.withdraw();
         if (!attempt.mayHaveRun()) {
             terms.admission().giveBack();
         }
-        end(0, "the caller left");
+        end(0, caller.isCutOff() ? "its caller does not read the response" : "the caller left");
     }
 
     private void transition(ExchangeState.Event event) {
@@ -454,6 +460,7 @@
     private void end(int status, String why) {
         slotWait.cancel();
         queuedRequest.leaveQueue();
+        caller.releaseRequest();
         transition(ExchangeState.Event.END);
         queuedRequest.cancelRecheck();
         context.ended(
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -29,6 +29,7 @@
     private final ListingStatus listingStatus = new ListingStatus();
     private final ReplicaAnnouncements announcements;
     private final AttemptHistory attemptHistory = new AttemptHistory();
+    private final BodyShare bodyShare = new BodyShare();
     private final EngineLoadEstimate loadEstimate = new EngineLoadEstimate();
     private final SlotReplies slotReplies = new SlotReplies();
     private final EngineContact contact = new EngineContact();
@@ -94,6 +95,10 @@
         return attemptHistory;
     }
 
+    BodyShare bodyShare() {
+        return bodyShare;
+    }
+
     int inFlight() {
         return loadEstimate.inFlight();
     }
