Load the adapters of requests for slots by claims on the engine's places

Cause: AdapterScheduler knows only calls of entries. Requests that wait for a slot of the engine need their adapter loaded before the slot is granted, and kept until an entry reports it as in use. Each order of a chain waits for its answer and the poll that follows it, not for the next periodic poll; but if a poll was in flight when an order was answered, its report was made before the order, and the next order by it was refused with a conflict.

Change: AdapterPlaces implements reservation.AdapterGate. AdapterScheduler evicts nothing that is claimed and loads these adapters first. EngineManager hands out the gate and, only while such a request waits, polls once more after an order instead of ordering by the earlier report. Calls of entries are scheduled as before.

--- a/src/main/java/io/waxwingquay/residency/AdapterScheduler.java
+++ b/src/main/java/io/waxwingquay/residency/AdapterScheduler.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Schedules the loading of adapters that entries have asked for, and the eviction of other adapters to free slots, for
@@ -32,12 +33,23 @@
     /** The maximum number of adapters that load at the same time. */
     private static final int MAX_LOADING_ADAPTERS = 4;
 
+    private final AdapterPlaces places;
     private final Map<AdapterName, Waiters> waitersByAdapter = new LinkedHashMap<>();
     private final Map<AdapterName, Long> lastUsedMillis = new HashMap<>();
 
+    /**
+     * Creates a scheduler without calls.
+     *
+     * @param places the adapters that requests for slots of the engine need.
+     */
+    AdapterScheduler(AdapterPlaces places) {
+        this.places = places;
+    }
+
     void addCall(HostPort entry, AdapterCall call, long nowMillis) {
         AdapterName name = new AdapterName(call.getModel(), call.getAdapter());
         lastUsedMillis.put(name, nowMillis);
+        places.called(name, nowMillis);
         Waiters waiters = waitersByAdapter.computeIfAbsent(name, key -> new Waiters(nowMillis, new ArrayList<>()));
         Caller caller = new Caller(entry, call.getId());
         if (!waiters.callers.contains(caller)) {
@@ -60,7 +72,7 @@
             Map.Entry<AdapterName, Waiters> entry = each.next();
             AdapterName name = entry.getKey();
             Optional<Boolean> loaded =
-                    report.model(name.model).map(model -> model.adapters().contains(name.adapter));
+                    report.model(name.model()).map(model -> model.adapters().contains(name.adapter()));
             if (report.executingOrder() || loaded.isEmpty() || loaded.get()) {
                 each.remove();
                 entry.getValue().reply(sender, loaded.orElse(false));
@@ -74,7 +86,8 @@
     }
 
     /**
-     * Returns the next order that loads a requested adapter or evicts another one for it.
+     * Returns the next order that loads a requested adapter or evicts another one for it. Adapters that requests for slots
+     * need come first: they are never more than the places, and each is loaded within milliseconds.
      *
      * @param engine the specification of the engine.
      * @param report the state reported by the engine.
@@ -86,9 +99,8 @@
             Engine engine, EngineReport report, int reservedSlots, Set<String> inUse, long nowMillis) {
         waitersByAdapter.values().removeIf(waiters -> nowMillis - waiters.sinceMillis > CALL_TIMEOUT_MILLIS);
         inUse.forEach(text -> lastUsedMillis.put(AdapterName.parse(text), nowMillis));
-        Optional<AdapterName> nextToLoad = waitersByAdapter.keySet().stream()
-                .filter(name -> !report.loadingAdapters().contains(name.toString()))
-                .findFirst();
+        Optional<AdapterName> neededForSlot = places.nextToLoad(report, nowMillis);
+        Optional<AdapterName> nextToLoad = neededForSlot.or(() -> nextCalled(report));
         int availableSlots = engine.adapterSlots() - reservedSlots;
         if (nextToLoad.isEmpty()
                 || availableSlots <= 0
@@ -98,19 +110,36 @@
         if (report.usedAdapterSlots() < availableSlots) {
             return nextToLoad.map(name -> order(true, name, report));
         }
-        return leastRecentlyUsed(report, nowMillis).map(name -> order(false, name, report));
+        // A call of an entry states no claim, so a recently used adapter may be about to be used by another entry. For
+        // slots all needs are known, and what is neither in use nor claimed is idle.
+        Predicate<AdapterName> isEvictable = neededForSlot.isPresent()
+                ? name -> !inUse.contains(name.toString())
+                : name -> nowMillis - lastUsedMillis(name) > RECENT_USE_MILLIS;
+        return leastRecentlyUsed(report, isEvictable, nowMillis).map(name -> order(false, name, report));
     }
 
-    private Optional<AdapterName> leastRecentlyUsed(EngineReport report, long nowMillis) {
+    private Optional<AdapterName> nextCalled(EngineReport report) {
+        return waitersByAdapter.keySet().stream()
+                .filter(name -> !report.loadingAdapters().contains(name.toString()))
+                .findFirst();
+    }
+
+    private Optional<AdapterName> leastRecentlyUsed(
+            EngineReport report, Predicate<AdapterName> isEvictable, long nowMillis) {
         return report.models().stream()
                 .flatMap(model -> model.adapters().stream().map(adapter -> new AdapterName(model.name(), adapter)))
                 .filter(name -> !waitersByAdapter.containsKey(name))
-                .filter(name -> nowMillis - lastUsedMillis.getOrDefault(name, Long.MIN_VALUE / 2) > RECENT_USE_MILLIS)
-                .min(Comparator.comparingLong(name -> lastUsedMillis.getOrDefault(name, Long.MIN_VALUE / 2)));
+                .filter(name -> !places.isClaimed(name, nowMillis))
+                .filter(isEvictable)
+                .min(Comparator.comparingLong(this::lastUsedMillis));
+    }
+
+    private long lastUsedMillis(AdapterName name) {
+        return lastUsedMillis.getOrDefault(name, Long.MIN_VALUE / 2);
     }
 
     private static EngineControl.Order order(boolean load, AdapterName name, EngineReport report) {
-        return new EngineControl.Order(load, name.model, Optional.of(name.adapter), report.ordersTaken());
+        return new EngineControl.Order(load, name.model(), Optional.of(name.adapter()), report.ordersTaken());
     }
 
     /** Sends the replies to adapter calls. */
@@ -120,20 +149,6 @@
         void send(HostPort entry, long id, boolean loaded);
     }
 
-    private record AdapterName(String model, String adapter) {
-
-        static AdapterName parse(String text) {
-            int slash = text.indexOf('/');
-            return new AdapterName(text.substring(0, slash), text.substring(slash + 1));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public String toString() {
-            return model + "/" + adapter;
-        }
-    }
-
     private record Caller(HostPort entry, long id) {}
 
     private record Waiters(long sinceMillis, List<Caller> callers) {
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -4,11 +4,13 @@
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.reservation.AdapterGate;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.AdapterReply;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Manages one engine: polls its state, sends status updates about it, and issues orders to it one at a time. */
 public final class EngineManager {
@@ -38,7 +40,8 @@
     private final EngineControl control;
     private final Sender sender;
     private final WeightLoadLimiter loadLimiter;
-    private final AdapterScheduler adapterScheduler = new AdapterScheduler();
+    private final AdapterPlaces adapterPlaces = new AdapterPlaces(this::adapterState, this::issueNextOrderSoon);
+    private final AdapterScheduler adapterScheduler = new AdapterScheduler(adapterPlaces);
     private final PeerUpdates peers;
     private final OrderTracker orders;
     private Optional<Engine> engine = Optional.empty();
@@ -47,6 +50,8 @@
     private final ModelMover mover = new ModelMover();
     private final EnginePlanner planner;
     private boolean pollInFlight;
+    private boolean pollAgain;
+    private boolean reportOutdated;
     private long identifyAtMillis = Long.MIN_VALUE;
     private boolean earlyPollScheduled;
     private final EngineUpdates updates;
@@ -123,6 +128,15 @@
         engine = newer;
     }
 
+    /**
+     * Returns the gate that loads the adapters of requests for slots of the engine.
+     *
+     * @return the gate, to be used on the loop.
+     */
+    public AdapterGate adapterGate() {
+        return adapterPlaces;
+    }
+
     /**
      * Sets the models that the previous incarnation of the engine held.
      *
@@ -195,11 +209,16 @@
         pollInFlight = true;
         control.report().whenComplete((newer, failure) -> {
             pollInFlight = false;
+            reportOutdated = pollAgain;
             if (failure == null) {
                 onReport(newer);
             } else {
                 onReportFailed(failure);
             }
+            if (pollAgain) {
+                pollAgain = false;
+                poll();
+            }
         });
     }
 
@@ -261,9 +280,30 @@
         report = Optional.empty();
     }
 
+    /** Returns the state that decides which adapters can be loaded. */
+    private Optional<AdapterPlaces.EngineState> adapterState(long nowMillis) {
+        return report.flatMap(current -> engine.map(known -> new AdapterPlaces.EngineState(
+                current,
+                known.adapterSlots() - orders.reservedAdapterSlots(current),
+                () -> peers.adaptersInUse(nowMillis).stream()
+                        .map(AdapterName::parse)
+                        .collect(Collectors.toSet()))));
+    }
+
+    /** Issues the next order after the current task, which may be a decision about slots. */
+    private void issueNextOrderSoon() {
+        loop.execute(this::issueNextOrder);
+    }
+
+    /** Returns whether a request for a slot waits for its adapter. */
+    private boolean isAdapterNeeded() {
+        return report.filter(current -> adapterPlaces.hasWaiting(current, EventLoop.nowMillis()))
+                .isPresent();
+    }
+
     /** Issues the next order, if there is one. */
     private void issueNextOrder() {
-        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer()) {
+        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer() || reportOutdated) {
             return;
         }
         EngineReport current = report.get();
@@ -282,9 +322,10 @@
     private void scheduleEarlyPoll() {
         boolean isMoving = mover.loadingModel().isPresent()
                 && report.filter(EngineReport::executingOrder).isEmpty();
-        if ((adapterScheduler.hasWaiters() || isMoving) && !earlyPollScheduled) {
+        boolean isAdapterAwaited = adapterScheduler.hasWaiters() || isAdapterNeeded();
+        if ((isAdapterAwaited || isMoving) && !earlyPollScheduled) {
             earlyPollScheduled = true;
-            loop.schedule(adapterScheduler.hasWaiters() ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS, () -> {
+            loop.schedule(isAdapterAwaited ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS, () -> {
                 earlyPollScheduled = false;
                 poll();
             });
@@ -302,7 +343,9 @@
     }
 
     private void issue(EngineControl.Order order) {
+        adapterPlaces.issued(order, EventLoop.nowMillis());
         orders.issue(order, answer -> {
+            adapterPlaces.answered(order, answer, EventLoop.nowMillis());
             mover.onAnswer(order, answer, EventLoop.nowMillis());
             LOG.log(
                     System.Logger.Level.INFO,
@@ -312,10 +355,23 @@
                     order.adapter().orElse(""),
                     order.expectedOrdersTaken(),
                     answer);
-            poll();
+            pollAfterOrder();
         });
     }
 
+    /**
+     * Polls the engine after an order, so that the next order follows at once.
+     *
+     * <p>Failure: a poll is in flight when the order is answered, and reports the state before it. Symptom: the next order
+     * states a count that has passed and is refused, while a request waits for its adapter. So the engine is polled once
+     * more, and nothing is ordered by the earlier report.
+     */
+    private void pollAfterOrder() {
+        reportOutdated = isAdapterNeeded();
+        pollAgain = reportOutdated && pollInFlight;
+        poll();
+    }
+
     private void sendAdapterReply(HostPort entry, long id, boolean present) {
         sender.send(entry, PeerDatagram.adapterReply(new AdapterReply(id, present)));
     }
--- a/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
+++ b/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
@@ -20,7 +20,8 @@
     private static final HostPort ENTRY = new HostPort("10.0.0.1", 7380);
     private static final Engine ENGINE = new Engine(8, 1_000, 200, 2, 1, List.of());
 
-    private final AdapterScheduler scheduler = new AdapterScheduler();
+    private final AdapterScheduler scheduler =
+            new AdapterScheduler(new AdapterPlaces(nowMillis -> Optional.empty(), () -> {}));
     private final List<String> replies = new ArrayList<>();
 
     @Test
--- a/src/test/java/io/waxwingquay/residency/EngineManagerTest.java
+++ b/src/test/java/io/waxwingquay/residency/EngineManagerTest.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.residency;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import io.waxwingquay.common.HostPort;
@@ -91,6 +92,45 @@
         assertFalse(engine.wasOvercommitted());
     }
 
+    // Guards against a request for a slot whose adapter is never loaded, as the places hold adapters that are not
+    // needed.
+    @Test
+    void adaptersOfRequestsForSlotsReplaceEachOther() throws Exception {
+        engine.begin(2, "m");
+        EngineManager manager = startEngineManager();
+        for (int number = 1; number <= 2 * ADAPTER_SLOTS; number++) {
+            String adapter = "a" + number;
+            prepareUntil(manager, List.of(adapter), () -> engine.holds("m", adapter));
+        }
+        assertFalse(engine.wasOvercommitted());
+    }
+
+    // Guards against an order that is refused, as it follows a report that was made before the last order and arrives
+    // after it: it delays the adapter of a waiting request.
+    @Test
+    void nothingIsOrderedByAReportFromBeforeTheLastOrder() throws Exception {
+        engine.begin(2, "m");
+        EngineManager manager = startEngineManager();
+        Await.until(engine::isIdentified);
+        long reports = engine.reports();
+        engine.holdReports();
+        Await.until(() -> engine.reports() > reports);
+        prepareUntil(manager, List.of("a1", "a2"), () -> engine.holds("m", "a1"));
+        engine.releaseReports();
+        prepareUntil(manager, List.of("a1", "a2"), () -> engine.holds("m", "a2"));
+        assertEquals(0, engine.conflicts());
+    }
+
+    private void prepareUntil(EngineManager manager, List<String> adapters, Await.Condition condition)
+            throws Exception {
+        Await.until(() -> {
+            loops.get(0)
+                    .execute(() -> adapters.forEach(
+                            adapter -> manager.adapterGate().prepare("m", adapter, EventLoop.nowMillis())));
+            return condition.holds();
+        });
+    }
+
     /** Waits until no more orders come, as the call for the adapter has timed out. */
     private void awaitQuiet() throws Exception {
         int before;
@@ -122,6 +162,12 @@
     }
 
     private Driver startManager() {
+        EngineManager manager = startEngineManager();
+        EventLoop loop = loops.get(loops.size() - 1);
+        return datagram -> loop.execute(() -> manager.onDatagram(ENTRY, datagram));
+    }
+
+    private EngineManager startEngineManager() {
         EventLoop loop = EventLoop.start("manager");
         loops.add(loop);
         engine.answerOn(loop);
@@ -131,7 +177,7 @@
             manager.configure(Optional.of(specification()));
             manager.start();
         });
-        return datagram -> loop.execute(() -> manager.onDatagram(ENTRY, datagram));
+        return manager;
     }
 
     private static Engine specification() {
--- a/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
+++ b/src/test/java/io/waxwingquay/residency/LateOrderEngine.java
@@ -32,6 +32,8 @@
     private long reports;
     private boolean answering = true;
     private boolean overcommitted;
+    private int conflicts;
+    private CompletableFuture<Boolean> reportsReleased = CompletableFuture.completedFuture(true);
     private String id = "i-1";
     private boolean identified;
 
@@ -90,6 +92,21 @@
         return overcommitted;
     }
 
+    /** Has reports made from now on arrive only after {@link #releaseReports}. */
+    synchronized void holdReports() {
+        reportsReleased = new CompletableFuture<>();
+    }
+
+    /** Lets the reports arrive that were made meanwhile. */
+    synchronized void releaseReports() {
+        reportsReleased.complete(true);
+    }
+
+    /** Returns the number of orders that stated another count of accepted orders than the current one. */
+    synchronized int conflicts() {
+        return conflicts;
+    }
+
     /** {@inheritDoc} */
     @Override
     public synchronized CompletableFuture<EngineReport> report() {
@@ -99,7 +116,7 @@
                 .toList();
         EngineReport report = new EngineReport(
                 bornMillis, ordersTaken, false, 0, 0, 0, 0, models, Set.of(), Set.of(), onDisk, false, List.of());
-        return CompletableFuture.supplyAsync(() -> report, loop);
+        return reportsReleased.thenApplyAsync(released -> report, loop);
     }
 
     /** {@inheritDoc} */
@@ -119,6 +136,7 @@
             return CompletableFuture.supplyAsync(() -> Answer.UNKNOWN, timeout);
         }
         boolean isExpected = isExpected(order, replicaId);
+        conflicts += isExpected ? 0 : 1;
         if (isExpected) {
             execute(order);
             executeLateOrders();
