Choose engines that grant slots by random pairs and adapter affinity

Cause: all entries choose the engine that appears cheapest by the same reports, which are up to 775 ms old, so requests reach it in bursts. 15 ms of affinity against up to 400 ms for load scatter the requests of an adapter, and adapters evict each other. 4 ms for another data centre prefers the own one hardly at all.

Change: TargetChooser passes the choice to an EngineSelection. LeastCost is the choice of before, and the only one while no candidate's valid update says grantsSlots. WeightedPair draws two engines and takes the cheaper one; AdapterAffinity prefers engines that have the adapter, then two engines by rendezvous hashing, twice as many while those are too loaded. Engines that grant slots are not left out when they seem full here, as their side processes decide that. EngineCost takes over the costs; by the reported load they assume nothing of other entries.

--- a/src/main/java/io/waxwingquay/forward/EngineLoadEstimate.java
+++ b/src/main/java/io/waxwingquay/forward/EngineLoadEstimate.java
@@ -54,6 +54,18 @@
         return Math.max(inFlight, update.getRunning() + update.getWaiting() + sentByAll);
     }
 
+    /**
+     * Returns the requests in the engine by its last update, with the change of those from here since. Unlike
+     * {@link #expectedLoad} it assumes nothing of other entries, which do not choose the same engine where slots are
+     * granted.
+     *
+     * @param update the last update.
+     */
+    int reportedLoad(EngineNews update) {
+        int changeSinceUpdate = inFlight - inFlightAtUpdate;
+        return Math.max(inFlight, update.getRunning() + update.getWaiting() + changeSinceUpdate);
+    }
+
     /**
      * Returns whether one more request is expected to find a slot and memory. The other entries are assumed to have sent
      * requests, since the update, in proportion to the rate of this one.
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -326,6 +326,11 @@
         return freshUpdate(nowMillis).map(loadEstimate::expectedLoad).orElse(inFlight());
     }
 
+    /** Returns the requests in the replica by its last update, with the change of those from here since. */
+    int reportedLoad(long nowMillis) {
+        return freshUpdate(nowMillis).map(loadEstimate::reportedLoad).orElse(inFlight());
+    }
+
     /**
      * Returns whether the engine is expected to have a slot and memory for one more request. If it has not, another
      * request is preempted and recomputed, or this one queues in the engine, where nobody can tell whether it runs.
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -1,6 +1,5 @@
 package io.waxwingquay.forward;
 
-import io.waxwingquay.fleet.LatenessCurve;
 import io.waxwingquay.manifest.Engine;
 import java.util.Collection;
 import java.util.Comparator;
@@ -17,44 +16,12 @@
  */
 final class TargetChooser {
 
-    /**
-     * Cost of a replica in another data centre, which takes a round trip and priced bytes; it is chosen when it is less
-     * busy by this.
-     */
-    private static final double OTHER_ZONE_COST_MILLIS = 4.0;
-
     /** Factor on the cost of a replica of a plain service for a failure share of one. */
     private static final double FAILURE_COST_FACTOR = 12.0;
 
     /** Assumed answer time of a replica that has not answered yet. */
     private static final double INITIAL_ANSWER_MILLIS = 20.0;
 
-    /** Cost of a fully used engine: at full batch the tokens of a short answer take about this much longer in all. */
-    private static final double FULL_BATCH_COST_MILLIS = 60.0;
-
-    /** Cost of a late answer, and, in the next constant, of a failed one, against a millisecond of one in time. */
-    private static final double LATE_COST_MILLIS = 400.0;
-
-    private static final double FAILURE_COST_MILLIS = 600.0;
-
-    /** Share of an engine's time to the first event that counts as cost; most of that time is due to the prompts. */
-    private static final double SLOWNESS_SHARE = 0.5;
-
-    /** Upper bound of the cost of slowness, so that an engine is not avoided for slowness more than for failures. */
-    private static final double MAX_SLOWNESS_COST_MILLIS = 300.0;
-
-    /** Cost of an engine whose streams could not be resumed if it failed, while other engines have substitutes. */
-    private static final double NO_SUBSTITUTE_COST_MILLIS = 30.0;
-
-    /** Time to load an adapter into a free slot, and, in the next constant, to evict another adapter first. */
-    private static final double ADAPTER_LOAD_MILLIS = 25.0;
-
-    private static final double ADAPTER_EVICTION_MILLIS = 40.0;
-    private static final double ADAPTER_SLOTS_BUSY_COST_MILLIS = 1_000.0;
-
-    /** Largest difference in cost by which entries prefer the same replica for an adapter that no replica holds yet. */
-    private static final double MAX_AFFINITY_COST_MILLIS = 15.0;
-
     /**
      * Time that a load is expected to take, beyond that of the model itself, when no replica reports one in progress.
      */
@@ -63,12 +30,18 @@
     /** Time after which a full replica is expected to have a slot: that of a few short answers. */
     private static final long FULL_WAIT_MILLIS = 150L;
 
-    private final String zone;
+    private final EngineCost engineCost;
     private final RandomGenerator random;
+    private final EngineSelection leastCost;
+    private final EngineSelection weightedPair;
+    private final EngineSelection adapterAffinity;
 
     TargetChooser(String zone, RandomGenerator random) {
-        this.zone = zone;
+        this.engineCost = new EngineCost(zone);
         this.random = random;
+        this.leastCost = new EngineSelection.LeastCost(engineCost, random);
+        this.weightedPair = new WeightedPair(engineCost, random);
+        this.adapterAffinity = new AdapterAffinity(engineCost, random);
     }
 
     /**
@@ -126,24 +99,30 @@
                 .filter(target -> isAvailable(target, nowMillis))
                 .toList();
         List<Target> withRoom = available.stream()
-                .filter(target -> target.hasRoomFor(engine.slots(), requirements.kvTokens(), nowMillis))
+                .filter(target -> EngineCost.isGranting(target, nowMillis)
+                        || target.hasRoomFor(engine.slots(), requirements.kvTokens(), nowMillis))
                 .toList();
         if (withRoom.isEmpty()) {
             return holding.stream().allMatch(triedTargets::contains)
                     ? new Choice.NoReplica()
                     : full(holding, engine, requirements, loadInProgressMillis(targets, model, nowMillis), nowMillis);
         }
-        Set<Target> withoutSubstitute = Substitutes.lackingAmong(holding);
-        Target best = cheapest(
-                        withRoom,
-                        target -> engineCostMillis(target, engine, requirements, nowMillis)
-                                + (withoutSubstitute.contains(target) ? NO_SUBSTITUTE_COST_MILLIS : 0))
-                .orElseThrow();
+        Target best = selectionFor(withRoom, requirements, nowMillis)
+                .select(new EngineSelection.Query(
+                        withRoom, triedTargets, engine, requirements, Substitutes.lackingAmong(holding), nowMillis));
         boolean present =
                 adapter.map(name -> best.holdsAdapter(model, name, nowMillis)).orElse(true);
         return present ? new Choice.Send(best) : new Choice.LoadAdapter(best);
     }
 
+    /** Returns the strategy for engines: where slots are granted, entries need not avoid full engines by themselves. */
+    EngineSelection selectionFor(List<Target> engines, EngineRequirements requirements, long nowMillis) {
+        if (engines.stream().noneMatch(target -> EngineCost.isGranting(target, nowMillis))) {
+            return leastCost;
+        }
+        return requirements.adapter().isPresent() ? adapterAffinity : weightedPair;
+    }
+
     /**
      * Returns whether this entry may send a request to the target now: it is not paused, has a connection, and wants
      * requests by its own answers.
@@ -203,43 +182,7 @@
         return answerMillis
                         * (1 + utilisation)
                         * (1 + FAILURE_COST_FACTOR * target.attemptHistory().failureShare(nowMillis))
-                + zoneCostMillis(target);
-    }
-
-    private double engineCostMillis(Target target, Engine engine, EngineRequirements requirements, long nowMillis) {
-        double utilisation = target.expectedLoad(nowMillis) / (double) engine.slots();
-        double slownessMillis = Math.min(
-                MAX_SLOWNESS_COST_MILLIS,
-                SLOWNESS_SHARE * target.attemptHistory().recentAnswerMillis(nowMillis));
-        double baseMillis = FULL_BATCH_COST_MILLIS * utilisation
-                + LATE_COST_MILLIS * LatenessCurve.lateShare(utilisation)
-                + FAILURE_COST_MILLIS * target.attemptHistory().failureShare(nowMillis)
-                + slownessMillis;
-        double adapterMillis = requirements
-                .adapter()
-                .map(name -> adapterCostMillis(target, engine, requirements.model(), name, nowMillis))
-                .orElse(0.0);
-        return baseMillis + adapterMillis + zoneCostMillis(target);
-    }
-
-    private double adapterCostMillis(Target target, Engine engine, String model, String adapter, long nowMillis) {
-        if (target.holdsAdapter(model, adapter, nowMillis)) {
-            return 0;
-        }
-        long loadingMillis = target.remainingLoadMillis(nowMillis);
-        if (loadingMillis > 0) {
-            return ADAPTER_EVICTION_MILLIS + loadingMillis;
-        }
-        double affinityMillis = MAX_AFFINITY_COST_MILLIS * stableUniform(target.id(), adapter);
-        if (target.adaptersInUse().size() >= engine.adapterSlots()) {
-            return ADAPTER_SLOTS_BUSY_COST_MILLIS + affinityMillis;
-        }
-        boolean hasFreeSlot = target.loadedAdapterCount(nowMillis) < engine.adapterSlots();
-        return (hasFreeSlot ? ADAPTER_LOAD_MILLIS : ADAPTER_EVICTION_MILLIS) + affinityMillis;
-    }
-
-    private double zoneCostMillis(Target target) {
-        return target.record().zone().equals(zone) ? 0 : OTHER_ZONE_COST_MILLIS;
+                + engineCost.zoneMillis(target);
     }
 
     private Optional<Target> cheapest(List<Target> targets, ToDoubleFunction<Target> costMillis) {
@@ -296,10 +239,4 @@
                 Math.max(slotIntervalMillis, rateLimitDelayMillis),
                 copyReadyMillis);
     }
-
-    /** Returns a number from 0 up to 1 that is always the same for the same pair. */
-    private static double stableUniform(String first, String second) {
-        int mixed = (first + '/' + second).hashCode() * 0x9E3779B1;
-        return (mixed >>> 8) / (double) (1 << 24);
-    }
 }
--- a/src/main/java/io/waxwingquay/placement/RendezvousHash.java
+++ b/src/main/java/io/waxwingquay/placement/RendezvousHash.java
@@ -36,8 +36,14 @@
         return ((mixed >>> DROPPED_BITS) + 1) / (TWO_TO_53 + 1);
     }
 
-    /** Returns the score of a pair, which grows with the uniform number and the weight; the highest score wins. */
-    static double score(double uniform, double weight) {
+    /**
+     * Returns the score of a pair, which grows with the uniform number and the weight; the highest score wins.
+     *
+     * @param uniform the number to which {@link #uniform} maps the pair.
+     * @param weight the weight of the process.
+     * @return the score.
+     */
+    public static double score(double uniform, double weight) {
         return -weight / Math.log(uniform);
     }
 
--- a/src/test/java/io/waxwingquay/forward/EngineLoadEstimateTest.java
+++ b/src/test/java/io/waxwingquay/forward/EngineLoadEstimateTest.java
@@ -40,6 +40,15 @@
         assertEquals(45, estimate.expectedLoad(update));
     }
 
+    // Guards against taking an engine for full, and another data centre for cheaper, after each request from here.
+    @Test
+    void reportedLoadAssumesNothingOfOtherEntries() {
+        EngineNews update = updateAfter(0, 20);
+        send(2, UPDATE_MILLIS);
+        estimate.requestEnded();
+        assertEquals(21, estimate.reportedLoad(update));
+    }
+
     @Test
     void endedRequestsNoLongerCountWithoutAnUpdate() {
         send(2, UPDATE_MILLIS);
--- a/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
+++ b/src/test/java/io/waxwingquay/forward/TargetChooserTest.java
@@ -215,6 +215,30 @@
         assertEquals(busy, assertInstanceOf(Choice.LoadAdapter.class, choice).target());
     }
 
+    // Guards against bursts: one engine that grants slots is enough to choose at random, as the updates of others may
+    // be
+    // late.
+    @Test
+    void strategyDependsOnWhetherSlotsAreGranted() {
+        Target first = target("first", "a", false);
+        first.update(update(first, 1, List.of()), nowMillis);
+        Target second = target("second", "a", false);
+        second.update(update(second, 1, List.of()), nowMillis);
+        List<Target> both = List.of(first, second);
+        assertInstanceOf(EngineSelection.LeastCost.class, selectionFor(both, Optional.of("a1")));
+        second.update(update(second, 1, List.of()).setNumber(2).setGrantsSlots(true), nowMillis);
+        assertInstanceOf(WeightedPair.class, selectionFor(both, Optional.empty()));
+        assertInstanceOf(AdapterAffinity.class, selectionFor(both, Optional.of("a1")));
+    }
+
+    // Guards against a request that waits here, out of the order of all entries, for a slot that an engine would grant.
+    @Test
+    void fullEngineThatGrantsSlotsMayBeChosen() {
+        Target granting = target("granting", "a", false);
+        granting.update(update(granting, 40, List.of()).setGrantsSlots(true), nowMillis);
+        assertFalse(choose(List.of(granting), Optional.empty()) instanceof Choice.Full);
+    }
+
     @Test
     void reportsWhenAnAbsentModelIsExpected() {
         Target other = target("other", "a", false);
@@ -235,6 +259,10 @@
         return chooser.chooseEngine(targets, Set.of(), ENGINE, new EngineRequirements("m", adapter, 0, 800), nowMillis);
     }
 
+    private EngineSelection selectionFor(List<Target> targets, Optional<String> adapter) {
+        return chooser.selectionFor(targets, new EngineRequirements("m", adapter, 0, 800), nowMillis);
+    }
+
     private static EngineNews update(Target target, int running, List<String> adapters) {
         return new EngineNews()
                 .setEngineAddress(target.address().toString())
