--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -23,6 +23,9 @@
     /** Interval between two checks of a request that waits for a model or an adapter. */
     private static final long RECHECK_MILLIS = 30L;
 
+    /** Interval at which engines are asked again that had no place for the adapter of a request. */
+    private static final long ADAPTER_RECHECK_MILLIS = 60L;
+
     /** Delay before a request that waits for room is checked again: at every tick. */
     private static final long ROOM_RECHECK_MILLIS = 0L;
 
@@ -249,7 +252,10 @@
     private void slotDenied(Choice.Denied denied, long nowMillis) {
         SlotDenial denial = denied.denial();
         String why = denial.describe(head, denied.engines());
-        if (isResuming()) {
+        if (denial.isShort() && !isResuming() && terms.remainingSlotWaitMillis(nowMillis) > 0) {
+            slotWait.forgetDenials();
+            recheckLater(ADAPTER_RECHECK_MILLIS);
+        } else if (isResuming()) {
             slotWait.forgetDenials();
             long resumeMillis = WaitPolicy.remainingResumeMillis(stream.interruptedMillis(nowMillis));
             recheckLater(Math.max(RECHECK_MILLIS, Math.min(denial.retryAfterMillis(), resumeMillis)));
--- a/src/main/java/io/waxwingquay/forward/SlotDenial.java
+++ b/src/main/java/io/waxwingquay/forward/SlotDenial.java
@@ -26,6 +26,16 @@
                 Optional.ofNullable(reply.getReason()).orElse(""));
     }
 
+    /** Returns whether the engine was lost or is about to leave, which says nothing about the other engines. */
+    boolean isEngineLost() {
+        return reason.equals(LEAVING);
+    }
+
+    /** Returns whether the reason usually passes within some ten milliseconds: a place for an adapter becomes free. */
+    boolean isShort() {
+        return reason.equals(ADAPTER);
+    }
+
     boolean hasRetryTime() {
         return retryAfterMillis > 0;
     }
--- a/src/main/java/io/waxwingquay/forward/SlotReplies.java
+++ b/src/main/java/io/waxwingquay/forward/SlotReplies.java
@@ -8,7 +8,14 @@
     /** How long a side process that did not reply is asked for no slot. */
     private static final long SILENCE_MILLIS = 2_000L;
 
+    /**
+     * How long no slot is asked for after the side process had lost its engine. A crashed engine is away for seconds; the
+     * next request that is denied prolongs the time.
+     */
+    private static final long ENGINE_LOST_MILLIS = 500L;
+
     private int load;
+    private long engineLostUntilMillis = Long.MIN_VALUE;
     private long repliedAtMillis = Long.MIN_VALUE;
     private long silentUntilMillis = Long.MIN_VALUE;
 
@@ -28,6 +35,15 @@
         silentUntilMillis = nowMillis + SILENCE_MILLIS;
     }
 
+    /** Notes that the side process has replied that its engine was lost or is about to leave. */
+    void engineLost(long nowMillis) {
+        engineLostUntilMillis = nowMillis + ENGINE_LOST_MILLIS;
+    }
+
+    boolean isEngineLost(long nowMillis) {
+        return nowMillis < engineLostUntilMillis;
+    }
+
     boolean isSilent(long nowMillis) {
         return nowMillis < silentUntilMillis;
     }
--- a/src/main/java/io/waxwingquay/forward/SlotWait.java
+++ b/src/main/java/io/waxwingquay/forward/SlotWait.java
@@ -173,7 +173,12 @@
     /** {@inheritDoc} */
     @Override
     public void denied(SlotRequester.Call call, SlotDenial denial) {
-        denials.put(call.target(), denial);
+        if (denial.isEngineLost()) {
+            // It is not chosen for a while, and does not count among the engines that may deny a slot.
+            call.target().engineLost(clockMillis.getAsLong());
+        } else {
+            denials.put(call.target(), denial);
+        }
         ended(call);
     }
 
--- a/src/main/java/io/waxwingquay/forward/Target.java
+++ b/src/main/java/io/waxwingquay/forward/Target.java
@@ -318,6 +318,16 @@
         contact.heard(nowMillis);
     }
 
+    /** Notes that the side process has lost its engine, or that the engine is about to leave. */
+    void engineLost(long nowMillis) {
+        slotReplies.engineLost(nowMillis);
+    }
+
+    /** Returns whether its side process has lately replied that it has lost the engine. */
+    boolean isEngineLost(long nowMillis) {
+        return slotReplies.isEngineLost(nowMillis);
+    }
+
     /** Notes that the side process has not replied to a request for a slot. */
     void slotRequestsUnanswered(long nowMillis) {
         slotReplies.silent(nowMillis);
@@ -330,6 +340,13 @@
                 .orElse(inFlight());
     }
 
+    /** Returns the requests in the replica by its last update, with the change of those from here since. */
+    int reportedLoad(long nowMillis) {
+        return freshUpdate(nowMillis)
+                .map(fresh -> slotReplies.loadSince(updatedAtMillis).orElseGet(() -> loadEstimate.reportedLoad(fresh)))
+                .orElse(inFlight());
+    }
+
     /**
      * Returns whether the engine is expected to have a slot and memory for one more request. If it has not, another
      * request is preempted and recomputed, or this one queues in the engine, where nobody can tell whether it runs.
--- a/src/main/java/io/waxwingquay/forward/WaitPolicy.java
+++ b/src/main/java/io/waxwingquay/forward/WaitPolicy.java
@@ -14,6 +14,9 @@
      */
     private static final double ROOM_WAIT_SHARE = 0.2;
 
+    /** The same for a relaxed route, whose requests wait for a slot in the order that the side process keeps. */
+    private static final double RELAXED_WAIT_SHARE = 0.4;
+
     /** Objective above which a route is relaxed, so that its requests may wait for a slot as long as the objective. */
     private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
 
@@ -94,10 +97,9 @@
      * @param timeoutMillis the time from its arrival to its deadline.
      */
     static long remainingSlotWaitMillis(Route route, long waitedMillis, long timeoutMillis) {
-        long shareMillis = Math.round(timeoutMillis * ROOM_WAIT_SHARE);
         long limitMillis = route.objectiveMillis() > RELAXED_OBJECTIVE_MILLIS
-                ? Math.max(route.objectiveMillis(), shareMillis)
-                : shareMillis;
+                ? Math.max(route.objectiveMillis(), Math.round(timeoutMillis * RELAXED_WAIT_SHARE))
+                : Math.round(timeoutMillis * ROOM_WAIT_SHARE);
         return Math.min(limitMillis, maxWaitMillis(route)) - waitedMillis;
     }
 
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /** Manages one engine: polls its state, sends status updates about it, and issues orders to it one at a time. */
 public final class EngineManager {
@@ -44,7 +45,8 @@
     private final EngineControl control;
     private final Sender sender;
     private final WeightLoadLimiter loadLimiter;
-    private final AdapterScheduler adapterScheduler = new AdapterScheduler();
+    private final AdapterPlaces adapterPlaces = new AdapterPlaces(this::adapterState, this::issueNextOrderSoon);
+    private final AdapterScheduler adapterScheduler = new AdapterScheduler(adapterPlaces);
     private final PeerUpdates peers;
     private final OrderTracker orders;
     private Optional<Engine> engine = Optional.empty();
@@ -53,6 +55,8 @@
     private final ModelMover mover = new ModelMover();
     private final EnginePlanner planner;
     private boolean pollInFlight;
+    private boolean pollAgain;
+    private boolean reportOutdated;
     private long identifyAtMillis = Long.MIN_VALUE;
     private boolean earlyPollScheduled;
     private final SlotGranting granting;
@@ -84,7 +88,7 @@
         this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
-        this.granting = createGranting(new PacePromptPacer(), AdapterGate.DISABLED);
+        this.granting = createGranting(new PacePromptPacer(), adapterPlaces);
         this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, granting::isInForce, sender);
     }
 
@@ -141,6 +145,15 @@
         granting.configure(newer);
     }
 
+    /**
+     * Returns the gate that loads the adapters of requests for slots of the engine.
+     *
+     * @return the gate, to be used on the loop.
+     */
+    public AdapterGate adapterGate() {
+        return adapterPlaces;
+    }
+
     /**
      * Sets the models that the previous incarnation of the engine held.
      *
@@ -215,11 +228,16 @@
         pollInFlight = true;
         control.report().whenComplete((newer, failure) -> {
             pollInFlight = false;
+            reportOutdated = pollAgain;
             if (failure == null) {
                 onReport(newer);
             } else {
                 onReportFailed(failure);
             }
+            if (pollAgain) {
+                pollAgain = false;
+                poll();
+            }
         });
     }
 
@@ -283,9 +301,30 @@
         report = Optional.empty();
     }
 
+    /** Returns the state that decides which adapters can be loaded. */
+    private Optional<AdapterPlaces.EngineState> adapterState(long nowMillis) {
+        return report.flatMap(current -> engine.map(known -> new AdapterPlaces.EngineState(
+                current,
+                known.adapterSlots() - orders.reservedAdapterSlots(current),
+                () -> peers.adaptersInUse(nowMillis).stream()
+                        .map(AdapterName::parse)
+                        .collect(Collectors.toSet()))));
+    }
+
+    /** Issues the next order after the current task, which may be a decision about slots. */
+    private void issueNextOrderSoon() {
+        loop.execute(this::issueNextOrder);
+    }
+
+    /** Returns whether a request for a slot waits for its adapter. */
+    private boolean isAdapterNeeded() {
+        return report.filter(current -> adapterPlaces.hasWaiting(current, EventLoop.nowMillis()))
+                .isPresent();
+    }
+
     /** Issues the next order, if there is one. */
     private void issueNextOrder() {
-        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer()) {
+        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer() || reportOutdated) {
             return;
         }
         EngineReport current = report.get();
@@ -304,9 +343,10 @@
     private void scheduleEarlyPoll() {
         boolean isMoving = mover.loadingModel().isPresent()
                 && report.filter(EngineReport::executingOrder).isEmpty();
-        if ((adapterScheduler.hasWaiters() || isMoving) && !earlyPollScheduled) {
+        boolean isAdapterAwaited = adapterScheduler.hasWaiters() || isAdapterNeeded();
+        if ((isAdapterAwaited || isMoving) && !earlyPollScheduled) {
             earlyPollScheduled = true;
-            loop.schedule(adapterScheduler.hasWaiters() ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS, () -> {
+            loop.schedule(isAdapterAwaited ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS, () -> {
                 earlyPollScheduled = false;
                 poll();
             });
@@ -324,7 +364,9 @@
     }
 
     private void issue(EngineControl.Order order) {
+        adapterPlaces.issued(order, EventLoop.nowMillis());
         orders.issue(order, answer -> {
+            adapterPlaces.answered(order, answer, EventLoop.nowMillis());
             mover.onAnswer(order, answer, EventLoop.nowMillis());
             LOG.log(
                     System.Logger.Level.INFO,
@@ -334,10 +376,23 @@
                     order.adapter().orElse(""),
                     order.expectedOrdersTaken(),
                     answer);
-            poll();
+            pollAfterOrder();
         });
     }
 
+    /**
+     * Polls the engine after an order, so that the next order follows at once.
+     *
+     * <p>Failure: a poll is in flight when the order is answered, and reports the state before it. Symptom: the next order
+     * states a count that has passed and is refused, while a request waits for its adapter. So the engine is polled once
+     * more, and nothing is ordered by the earlier report.
+     */
+    private void pollAfterOrder() {
+        reportOutdated = isAdapterNeeded();
+        pollAgain = reportOutdated && pollInFlight;
+        poll();
+    }
+
     private void sendAdapterReply(HostPort entry, long id, boolean present) {
         sender.send(entry, PeerDatagram.adapterReply(new AdapterReply(id, present)));
     }
