Test that a paused stream is not moved and a retained body stays counted

Cause: neither the silence of an engine that is not read nor the body of a request that outlives its caller was tested.

Change: SlowCallersTest counts the runs of streams whose callers stop reading, and the bytes held for a request that may run only once after its caller left.

--- a/src/test/java/io/waxwingquay/hosted/SlowCallersTest.java
+++ b/src/test/java/io/waxwingquay/hosted/SlowCallersTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.hosted.HostedDeployment.Answer;
+import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
 import io.waxwingquay.testing.Await;
 import java.io.ByteArrayOutputStream;
@@ -16,10 +17,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -72,6 +76,7 @@
         }
         assertEquals(FAST_ROUNDS, countStarted("fast-"));
         Await.until(() -> deployment.dump().contains("active=0"));
+        assertEquals(STOPPED_CALLERS, countStarted("stopped-"), "moved to another engine while paused");
         for (Socket socket : stopped) {
             assertFalse(readAll(socket).endsWith("\r\n0\r\n\r\n"));
         }
@@ -106,6 +111,26 @@
         Await.until(() -> deployment.heldBytes() == 0 && deployment.dump().contains("active=0"));
     }
 
+    // Guards against a body that is no longer counted though its request, which may run only once, goes on without its
+    // caller, and against one that stays counted after that.
+    @Test
+    void bodyOfARequestThatOutlivesItsCallerIsCountedUntilItsEnd() throws Exception {
+        Queue<ServerExchange> running = new ConcurrentLinkedQueue<>();
+        Behaviour holding = (replica, caller) -> running.add(caller);
+        deployment.plain1.behaviour(holding);
+        deployment.plain2.behaviour(holding);
+        try (Socket socket = deployment.connect()) {
+            write(socket, HostedDeployment.request("POST", "/once/1", "once", "", "x".repeat(SLOW_BODY_BYTES)));
+            Await.until(() -> !running.isEmpty());
+        }
+        // Two answers of the loop: in the meantime it has noticed that the caller has left.
+        deployment.dump();
+        deployment.dump();
+        assertEquals(SLOW_BODY_BYTES, deployment.heldBytes());
+        deployment.schedule(0, () -> running.remove().respond(200, HttpFields.EMPTY, "done"));
+        Await.until(() -> deployment.heldBytes() == 0);
+    }
+
     // Guards against bodies that come slowly and together exhaust the memory of an entry, and against a refused
     // request that has run.
     @Test
