--- a/src/main/java/io/waxwingquay/forward/EngineSelection.java
+++ b/src/main/java/io/waxwingquay/forward/EngineSelection.java
@@ -76,4 +76,17 @@
                     .orElseThrow();
         }
     }
+
+    /** Creates a strategy. */
+    @FunctionalInterface
+    interface Factory {
+
+        /**
+         * Creates a strategy.
+         *
+         * @param cost estimates the costs of engines.
+         * @param random the source of randomness.
+         */
+        EngineSelection create(EngineCost cost, RandomGenerator random);
+    }
 }
--- a/src/main/java/io/waxwingquay/forward/TargetChooser.java
+++ b/src/main/java/io/waxwingquay/forward/TargetChooser.java
@@ -40,11 +40,20 @@
     private final EngineSelection adapterAffinity;
 
     TargetChooser(String zone, RandomGenerator random) {
-        this.engineCost = new EngineCost(zone);
+        this(new EngineCost(zone), random, WeightedPair::new, AdapterAffinity::new);
+    }
+
+    /** Creates a chooser with other strategies for engines whose slots are granted, with and without an adapter. */
+    TargetChooser(
+            EngineCost engineCost,
+            RandomGenerator random,
+            EngineSelection.Factory whereGranted,
+            EngineSelection.Factory withAdapter) {
+        this.engineCost = engineCost;
         this.random = random;
         this.leastCost = new EngineSelection.LeastCost(engineCost, random);
-        this.weightedPair = new WeightedPair(engineCost, random);
-        this.adapterAffinity = new AdapterAffinity(engineCost, random);
+        this.weightedPair = whereGranted.create(engineCost, random);
+        this.adapterAffinity = withAdapter.create(engineCost, random);
     }
 
     /**
