--- a/src/main/java/io/waxwingquay/residency/GrantingRule.java
+++ b/src/main/java/io/waxwingquay/residency/GrantingRule.java
@@ -4,7 +4,11 @@
 
 /**
  * Decides whether a side grants the slots of its engine: from as many entries as slots, when the share of each entry is no
- * longer a whole slot, until there are fewer than three quarters as many. A single entry that comes or goes changes nothing.
+ * longer a whole slot, until there have been fewer than three quarters as many for some time. A single entry that comes or
+ * goes changes nothing.
+ *
+ * <p>Failure: updates of many entries are lost or late while they are busy. Symptom: if their number counted at once, some
+ * engines of a service would no longer grant slots, just when it is overloaded, and all entries would overfill these.
  */
 final class GrantingRule {
 
@@ -13,7 +17,11 @@
 
     private static final int OFF_DENOMINATOR = 4;
 
+    /** Time for which there have to be too few entries; granting slots to few entries does no harm meanwhile. */
+    static final long OFF_AFTER_MILLIS = 30_000L;
+
     private OptionalInt slots = OptionalInt.empty();
+    private long enoughAtMillis;
     private boolean inForce;
 
     /** Sets the number of slots; empty if it is not known. */
@@ -28,11 +36,17 @@
     /**
      * Takes the number of entries that send updates.
      *
+     * @param nowMillis the monotonic time.
      * @return whether the decision changed.
      */
-    boolean update(int entries) {
+    boolean update(int entries, long nowMillis) {
         boolean before = inForce;
-        inForce = entries > 0 && slots.isPresent() && isEnough(entries, slots.getAsInt());
+        if (entries > 0 && slots.isPresent() && isEnough(entries, slots.getAsInt())) {
+            inForce = true;
+            enoughAtMillis = nowMillis;
+        } else if (slots.isEmpty() || nowMillis - enoughAtMillis >= OFF_AFTER_MILLIS) {
+            inForce = false;
+        }
         return inForce != before;
     }
 
--- a/src/main/java/io/waxwingquay/residency/SlotGranting.java
+++ b/src/main/java/io/waxwingquay/residency/SlotGranting.java
@@ -122,8 +122,9 @@
     }
 
     private void updateRule() {
-        int entries = peers.entryAddresses(clock.getAsLong()).size();
-        if (rule.update(entries)) {
+        long nowMillis = clock.getAsLong();
+        int entries = peers.entryAddresses(nowMillis).size();
+        if (rule.update(entries, nowMillis)) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "reservation: granting changes in_force={0} entries={1}",
