--- a/src/main/java/io/waxwingquay/forward/SlotPlacement.java
+++ b/src/main/java/io/waxwingquay/forward/SlotPlacement.java
@@ -8,6 +8,12 @@
 /** What one request states when it asks for a slot, and the replicas that it may choose. */
 final class SlotPlacement implements SlotWait.Placement {
 
+    /**
+     * The rank of a stream that its caller has begun to read. It comes first, as it is lost if it is not resumed within
+     * about a second.
+     */
+    private static final Rank RESUMED = new Rank(-1, -1, 0);
+
     private final CallerAge callerAge;
     private final RequestTerms terms;
     private final StreamProgress stream;
@@ -46,7 +52,7 @@
     @Override
     public SlotRequest slotRequest(long nowMillis) {
         MessageCodec.RequestHead head = terms.head();
-        Rank rank = terms.waitRank();
+        Rank rank = isResuming() ? RESUMED : terms.waitRank();
         SlotRequest request = new SlotRequest()
                 .setAttemptId(head.id())
                 .setModel(head.model().orElseThrow())
@@ -64,6 +70,10 @@
         return request;
     }
 
+    private boolean isResuming() {
+        return stream.hasBegun() || terms.head().resumesStream();
+    }
+
     private long ageMillis(long nowMillis) {
         long beforeMillis =
                 callerAge.ageMillis(terms.route().name(), terms.head().remainingMillis());
