Space the updates of a round on narrow links

Cause: an entry sends its demand to all engines at once, some 3 kB each. On a link of 7 to 10 Mbit/s that is a tenth of a second of queue, up to three times a second while models are missed; datagrams are lost when a link is full.

--- a/src/main/java/io/waxwingquay/hosted/HostSettings.java
+++ b/src/main/java/io/waxwingquay/hosted/HostSettings.java
@@ -47,6 +47,7 @@
      * @param loadWindowMillis the window in which loads from the weight store are counted.
      * @param loadBurstFactor the factor by which loads in one window may exceed the permitted rate.
      * @param quotaTolerance how far all entries together may exceed the quota of a client account.
+     * @param linkBytesPerSecond the bandwidth of the VM's link.
      */
     public record Bounds(
             long drainMillis,
@@ -55,5 +56,6 @@
             double retryBudgetSlack,
             long loadWindowMillis,
             double loadBurstFactor,
-            QuotaTolerance quotaTolerance) {}
+            QuotaTolerance quotaTolerance,
+            double linkBytesPerSecond) {}
 }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -16,12 +16,14 @@
 import io.waxwingquay.net.HttpServer;
 import io.waxwingquay.net.ServerExchange;
 import io.waxwingquay.net.ServerMemory;
+import io.waxwingquay.peer.DatagramPacer;
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.suspect.QuarantineKeeper;
 import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.EngineNews;
+import io.waxwingquay.transport.generated.EntryNews;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import io.waxwingquay.transport.generated.PromptPartNews;
 import io.waxwingquay.transport.generated.SuspectNews;
@@ -86,6 +88,7 @@
     private final ReplicaDirectory replicas;
     private final SharedSuspects suspects;
     private final PeerChannel peers;
+    private final DatagramPacer roundPacer;
     private final HostedAdminServer adminServer;
     private final GracefulShutdown gracefulShutdown;
     private final PreparedPlatform platform;
@@ -102,6 +105,8 @@
         this.loop = loop;
         this.adminServer = new HostedAdminServer(loop, new HostPort(settings.host(), settings.adminPort()));
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::onDatagram);
+        this.roundPacer = new DatagramPacer(
+                settings.bounds().linkBytesPerSecond(), loop::schedule, EventLoop::nowMillis, peers::send);
         this.suspects = new SharedSuspects(EventLoop::nowMillis, random);
         this.forwarder = new Forwarder(
                 loop,
@@ -287,13 +292,22 @@
                 new TableVersions(configurationVersion(), replicaList.number(), replicaList.timeline());
         List<SuspectNews> suspectPage = suspects.nextUpdate();
         List<PromptPartNews> promptPartPage = suspects.promptParts().nextUpdate();
-        forwarder
-                .entryUpdates(settings.vmName())
-                .forEach((engine, update) -> peers.send(
-                        sideAddressOf(engine),
-                        PeerDatagram.entry(update.setTables(versions)
-                                .setSuspects(suspectPage.isEmpty() ? null : suspectPage)
-                                .setPromptParts(promptPartPage.isEmpty() ? null : promptPartPage))));
+        forwarder.entryUpdates(settings.vmName()).forEach((engine, update) -> {
+            update.setTables(versions)
+                    .setSuspects(suspectPage.isEmpty() ? null : suspectPage)
+                    .setPromptParts(promptPartPage.isEmpty() ? null : promptPartPage);
+            send(sideAddressOf(engine), update);
+        });
+    }
+
+    /** Sends an update of what is in use at once, and one of a round as fast as the link permits. */
+    private void send(HostPort side, EntryNews update) {
+        byte[] encoded = peers.encode(PeerDatagram.entry(update));
+        if (update.isSetDemand()) {
+            roundPacer.send(side, encoded);
+        } else {
+            peers.send(side, encoded);
+        }
     }
 
     /** Tells which processes add up spending; reports that did not get through are repeated here. */
--- a/src/main/java/io/waxwingquay/platform/SettingsFile.java
+++ b/src/main/java/io/waxwingquay/platform/SettingsFile.java
@@ -25,6 +25,10 @@
     public static final String VARIABLE = "WAXWINGQUAY_CONFIG";
 
     private static final long MILLIS_PER_SECOND = 1_000L;
+    private static final double BYTES_PER_MEGABIT = 125_000.0;
+
+    /** A link so wide that updates are never spaced, where the platform states none. */
+    private static final double DEFAULT_LINK_MEGABITS = 1_000.0;
 
     private final JsonNode root;
     private final List<Problem> problems = new ArrayList<>();
@@ -90,7 +94,13 @@
                 requiredNumber(node, "budget_slack"),
                 (long) (JsonFields.doubleOr(node, "ceiling_window_s", 5.0) * MILLIS_PER_SECOND),
                 JsonFields.doubleOr(node, "ceiling_over", 1.0),
-                quotaTolerance(node));
+                quotaTolerance(node),
+                linkBytesPerSecond());
+    }
+
+    /** Reads the bandwidth of the VM's link, which the platform states in megabits per second. */
+    private double linkBytesPerSecond() {
+        return JsonFields.doubleOr(root.path("limits"), "link_mbps", DEFAULT_LINK_MEGABITS) * BYTES_PER_MEGABIT;
     }
 
     /** Reads the tolerance of quotas, which deployments without client accounts do not state. */
--- a/src/test/java/io/waxwingquay/command/HostedRoleTest.java
+++ b/src/test/java/io/waxwingquay/command/HostedRoleTest.java
@@ -56,6 +56,6 @@
                 new HostPort(LOOPBACK, 1),
                 true,
                 List.of(),
-                new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, QuotaTolerance.NONE));
+                new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, QuotaTolerance.NONE, 125e6));
     }
 }
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -339,7 +339,7 @@
     }
 
     private static HostSettings.Bounds bounds() {
-        return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, new QuotaTolerance(8_000, 0.1, 20));
+        return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, new QuotaTolerance(8_000, 0.1, 20), 125e6);
     }
 
     /**
