Take slots granted to a rank as evidence of its rate

The rate of a less urgent rank was the difference of two estimates. With equally many urgent grants it fell to a tenth of all slots, and requests were denied although slots became free for their rank all the time.

The slots granted to the rank and to less urgent ones are now a lower bound of its rate.

SlotCapacityTest#slotsGrantedToARankShowItsRate fails before the change (0.0012 slots per ms) and passes with it.

--- a/src/main/java/io/waxwingquay/reservation/RankRates.java
+++ b/src/main/java/io/waxwingquay/reservation/RankRates.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.reservation;
 
 import io.waxwingquay.common.DecayingSum;
+import java.util.Collection;
 import java.util.TreeMap;
 
 /** The recent rates of events of each rank. */
@@ -33,11 +34,16 @@
 
     /** Returns the events of more urgent ranks per millisecond. */
     double perMilliAbove(Rank rank, long nowMillis) {
-        double perSecond = 0;
-        for (Rate rate : rates.headMap(rank, false).values()) {
-            perSecond += rate.perSecond(nowMillis);
-        }
-        return perSecond / MILLIS_PER_SECOND;
+        return perMilli(rates.headMap(rank, false).values(), nowMillis);
+    }
+
+    /** Returns the events of a rank and less urgent ones per millisecond. */
+    double perMilliFrom(Rank rank, long nowMillis) {
+        return perMilli(rates.tailMap(rank, true).values(), nowMillis);
+    }
+
+    private static double perMilli(Collection<Rate> rates, long nowMillis) {
+        return rates.stream().mapToDouble(rate -> rate.perSecond(nowMillis)).sum() / MILLIS_PER_SECOND;
     }
 
     /** Returns the number of ranks that are kept. */
--- a/src/main/java/io/waxwingquay/reservation/SlotCapacity.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotCapacity.java
@@ -58,9 +58,14 @@
         return Math.min(slots / MAX_HEADROOM_DIVISOR, needed);
     }
 
-    /** Returns the slots per millisecond that become free for a rank, without those that more urgent ranks take. */
+    /**
+     * Returns the slots per millisecond that become free for a rank, without those that more urgent ranks take. Slots that
+     * were granted to it or to less urgent ranks show that at least as many are left for it, also when the difference of
+     * the two estimates says less.
+     */
     double perMilli(Rank rank, int slots, long nowMillis) {
         double all = rate.perMilli(slots, nowMillis);
-        return Math.max(all * MIN_RATE_SHARE, all - grants.perMilliAbove(rank, nowMillis));
+        double left = Math.max(all - grants.perMilliAbove(rank, nowMillis), grants.perMilliFrom(rank, nowMillis));
+        return Math.min(all, Math.max(all * MIN_RATE_SHARE, left));
     }
 }
--- a/src/test/java/io/waxwingquay/reservation/RankRatesTest.java
+++ b/src/test/java/io/waxwingquay/reservation/RankRatesTest.java
@@ -20,6 +20,16 @@
         assertEquals(0, rates.perMilliAbove(SlotBookFixture.RELAXED, RankRates.SILENT_MILLIS));
     }
 
+    @Test
+    void countsARankWithTheLessUrgentOnes() {
+        rates.add(SlotBookFixture.URGENT, 0);
+        rates.add(SlotBookFixture.LIVE, 0);
+        rates.add(SlotBookFixture.RELAXED, 0);
+        double one = rates.perMilliFrom(SlotBookFixture.RELAXED, 0);
+        assertTrue(one > 0);
+        assertEquals(2 * one, rates.perMilliFrom(SlotBookFixture.LIVE, 0), 1e-12);
+    }
+
     // Guards against memory that grows with the ranks that entries send.
     @Test
     void boundsTheRanks() {
--- a/src/test/java/io/waxwingquay/reservation/SlotCapacityTest.java
+++ b/src/test/java/io/waxwingquay/reservation/SlotCapacityTest.java
@@ -24,6 +24,19 @@
         assertEquals(0, capacity.headroom(RELAXED, SLOTS, RankRates.SILENT_MILLIS));
     }
 
+    // Guards against a rank that is denied by the least rate although slots become free for it all the time.
+    @Test
+    void slotsGrantedToARankShowItsRate() {
+        for (int each = 0; each < 40; each++) {
+            capacity.granted(URGENT, each * 100L);
+            capacity.granted(URGENT, each * 100L);
+            capacity.granted(RELAXED, each * 100L);
+        }
+        double all = capacity.perMilli(URGENT, 24, 4_000);
+        double relaxed = capacity.perMilli(RELAXED, 24, 4_000);
+        assertTrue(relaxed > 0.006 && relaxed < all, () -> "slots per ms " + relaxed);
+    }
+
     // Guards against an expected wait of relaxed requests that leaves out the slots that urgent ones take meanwhile.
     @Test
     void urgentGrantsSlowDownLaterRanks() {
