Do not poll an engine again right after a report

The timer for waiting requests polled the engine every 25 ms in addition to the polls every 4 ms while an adapter loads. It now skips its poll if a report is younger than 8 ms.

SlotGrantingTest#doesNotPollAfterAFreshReport fails before the change and passes with it. A test that no request waits on after granting has ended passes before and after.

--- a/src/main/java/io/waxwingquay/residency/SlotGranting.java
+++ b/src/main/java/io/waxwingquay/residency/SlotGranting.java
@@ -21,6 +21,9 @@
     /** The interval at which a free slot is looked for while requests wait. */
     static final long WAITING_MILLIS = 25L;
 
+    /** A report that is younger shows about what a further poll would. */
+    private static final long FRESH_MILLIS = 8L;
+
     /**
      * The time after the start in which entries may not all have sent an update, but may still know from the previous
      * process that slots are granted.
@@ -41,6 +44,7 @@
     private Availability availability = Availability.UNKNOWN;
     private boolean timerSet;
     private long loggedCount;
+    private long reportedAtMillis;
 
     /**
      * Creates the component without slots.
@@ -104,6 +108,7 @@
 
     /** Takes a fresh report of the engine, with the models that requests may be routed to. */
     void onReport(EngineReport report, Set<String> routableModels) {
+        reportedAtMillis = clock.getAsLong();
         availability = report.draining() ? Availability.LEAVING : Availability.SERVING;
         updateRule();
         if (!isDeciding()) {
@@ -160,13 +165,18 @@
         timer.schedule(WAITING_MILLIS, () -> {
             timerSet = false;
             server.advance();
-            if (server.hasWaiting()) {
+            if (server.hasWaiting() && !isReportFresh()) {
                 poll.run();
             }
             watchWaiting();
         });
     }
 
+    /** Returns whether the engine was polled lately for another reason, as it is every few milliseconds for adapters. */
+    private boolean isReportFresh() {
+        return clock.getAsLong() - reportedAtMillis < FRESH_MILLIS;
+    }
+
     /** Whether the engine can take requests. */
     private enum Availability {
         /** It has not reported yet. */
--- a/src/test/java/io/waxwingquay/residency/SlotGrantingTest.java
+++ b/src/test/java/io/waxwingquay/residency/SlotGrantingTest.java
@@ -92,6 +92,41 @@
         assertEquals(0, timers.size());
     }
 
+    // Guards against polls in addition to those that are made for other reasons, as while an adapter loads.
+    @Test
+    void doesNotPollAfterAFreshReport() {
+        start(SLOTS);
+        report(SLOTS, false);
+        request(1);
+        nowMillis += SlotGranting.WAITING_MILLIS - 4;
+        report(SLOTS, false);
+        nowMillis += 4;
+        timers.remove(0).run();
+        assertEquals(0, polls);
+        runTimer();
+        assertEquals(1, polls);
+    }
+
+    // Guards against requests that wait on after granting has ended: each is granted as it is repeated, or dropped.
+    @Test
+    void noRequestWaitsOnAfterGrantingHasEnded() {
+        start(SLOTS);
+        nowMillis = SlotGranting.STARTING_MILLIS;
+        report(SLOTS, false);
+        request(1);
+        request(2);
+        granting.configure(Optional.empty());
+        report(SLOTS, false);
+        assertFalse(granting.isInForce());
+        request(1);
+        assertEquals(SlotDecision.GRANTED, last().getDecision());
+        assertEquals(1, last().getId());
+        for (int round = 0; round < 10; round++) {
+            runTimer();
+        }
+        assertEquals(0, timers.size());
+    }
+
     // Guards against a waiting request that is not told of the slot that a report shows as free.
     @Test
     void reportThatShowsAFreeSlotGrantsIt() {
