Free retry times of cancelled denials and count queued grants once

A request denied by three engines booked a retry time at each of them, and its caller uses one. A cancel of a denied request now frees its booking.

A granted request that is queued in the engine counted twice, by its lease and by the report, which does not name queued requests. These are now taken for the oldest leases that can have reached the engine.

SlotBookTest#cancelledDenialFreesItsRetryTime (retry after 9,575 ms) and #grantedRequestsThatTheEngineQueuesCountOnce (load 8 instead of 7) fail before the change. All tests of the package reservation and SlotGrantingTest pass with it.

--- a/src/main/java/io/waxwingquay/reservation/Grants.java
+++ b/src/main/java/io/waxwingquay/reservation/Grants.java
@@ -14,6 +14,9 @@
     /** Enough for a datagram and a request between data centres alongside a busy event loop. */
     static final long LEASE_MILLIS = 250L;
 
+    /** The least time from a grant until the engine can have the request: the reply to the entry, and the request. */
+    static final long TRANSIT_MILLIS = 3L;
+
     private final Map<SlotRequest.Key, Lease> leases = new LinkedHashMap<>();
     private final Map<String, SlotRequest> running = new HashMap<>();
 
@@ -39,17 +42,21 @@
         return leases.containsKey(key);
     }
 
-    /** Returns the number of leases. */
-    int leased() {
-        return leases.size();
+    /** Returns the number of leases, without those whose requests the last report counts as queued in the engine. */
+    int unreported() {
+        return (int) leases.values().stream().filter(lease -> !lease.isQueued).count();
     }
 
     /**
-     * Takes the attempts that a report lists as running, which count by the report from now on.
+     * Takes the attempts that a report lists as running, which count by the report from now on. It does not name the queued
+     * ones, so these are taken for the oldest leases that can have reached the engine.
      *
+     * @param attemptIds the running attempts.
+     * @param queued the number of requests that are queued in the engine.
+     * @param nowMillis the monotonic time.
      * @return the requests whose leases ended because they run.
      */
-    List<SlotRequest> observe(Set<String> attemptIds) {
+    List<SlotRequest> observe(Set<String> attemptIds, int queued, long nowMillis) {
         running.keySet().retainAll(attemptIds);
         List<SlotRequest> started = new ArrayList<>();
         leases.values().removeIf(lease -> {
@@ -60,9 +67,18 @@
             }
             return isRunning;
         });
+        noteQueued(queued, nowMillis);
         return started;
     }
 
+    private void noteQueued(int queued, long nowMillis) {
+        int left = queued;
+        for (Lease lease : leases.values()) {
+            lease.isQueued = left > 0 && nowMillis - lease.sinceMillis >= TRANSIT_MILLIS;
+            left -= lease.isQueued ? 1 : 0;
+        }
+    }
+
     /** Forgets all slots, as the engine restarted or was lost. */
     void clear() {
         leases.clear();
@@ -75,7 +91,16 @@
         running.values().forEach(request -> shares.addHeld(request.account(), request.accountWeight()));
     }
 
-    private record Lease(SlotRequest request, long sinceMillis) {
+    private static final class Lease {
+
+        private final SlotRequest request;
+        private final long sinceMillis;
+        private boolean isQueued;
+
+        private Lease(SlotRequest request, long sinceMillis) {
+            this.request = request;
+            this.sinceMillis = sinceMillis;
+        }
 
         private boolean isOver(long nowMillis) {
             return nowMillis - sinceMillis >= LEASE_MILLIS;
--- a/src/main/java/io/waxwingquay/reservation/RecentAnswers.java
+++ b/src/main/java/io/waxwingquay/reservation/RecentAnswers.java
@@ -21,17 +21,17 @@
 
     /** Records that a granted request runs. */
     void started(SlotRequest.Key key, long nowMillis) {
-        put(key, new End(Optional.of(new SlotDecision.Granted()), nowMillis));
+        put(key, new End(Optional.of(new SlotDecision.Granted()), Optional.empty(), nowMillis));
     }
 
     /** Records a denial. */
-    void denied(SlotRequest.Key key, SlotDecision.Denied decision, long nowMillis) {
-        put(key, new End(Optional.of(decision), nowMillis));
+    void denied(SlotRequest.Key key, SlotDecision.Denied decision, RetryTimes.Retry retry, long nowMillis) {
+        put(key, new End(Optional.of(decision), Optional.of(retry), nowMillis));
     }
 
     /** Records that the entry no longer needs a slot. */
     void cancelled(SlotRequest.Key key, long nowMillis) {
-        put(key, new End(Optional.empty(), nowMillis));
+        put(key, new End(Optional.empty(), Optional.empty(), nowMillis));
     }
 
     /** Returns how a request ended; empty if that is not known. */
@@ -57,9 +57,10 @@
      * How a request ended.
      *
      * @param decision what it was answered; empty if it was cancelled.
+     * @param retry the retry time of a denied request.
      * @param sinceMillis the time of its end.
      */
-    record End(Optional<SlotDecision> decision, long sinceMillis) {
+    record End(Optional<SlotDecision> decision, Optional<RetryTimes.Retry> retry, long sinceMillis) {
 
         private boolean isOld(long nowMillis) {
             return nowMillis - sinceMillis >= RETENTION_MILLIS;
--- a/src/main/java/io/waxwingquay/reservation/RetryTimes.java
+++ b/src/main/java/io/waxwingquay/reservation/RetryTimes.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.LongStream;
@@ -35,8 +37,15 @@
     }
 
     /** Returns a time that depends on no slot. */
-    long unbookedMillis() {
-        return UNBOOKED_MILLIS + random.nextLong(UNBOOKED_MILLIS / 2);
+    Retry unbooked(Rank rank) {
+        return new Retry(rank, OptionalLong.empty(), UNBOOKED_MILLIS + random.nextLong(UNBOOKED_MILLIS / 2));
+    }
+
+    /** Frees the place of a caller that will not retry at its time; ignored if it has none or its time is over. */
+    void release(Retry retry) {
+        Optional.ofNullable(bookingsByRank.get(retry.rank))
+                .ifPresent(bookings -> retry.bucket.ifPresent(
+                        bucket -> bookings.computeIfPresent(bucket, (each, count) -> count > 1 ? count - 1 : null)));
     }
 
     /**
@@ -46,9 +55,9 @@
      * @param placesPerMilli the slots that become free for the rank.
      * @param earliestMillis the time from now until the first of them is left by the requests that wait.
      * @param nowMillis the monotonic time.
-     * @return the time until the retry.
+     * @return the time of the retry.
      */
-    long book(Rank rank, double placesPerMilli, long earliestMillis, long nowMillis) {
+    Retry book(Rank rank, double placesPerMilli, long earliestMillis, long nowMillis) {
         expire(nowMillis);
         TreeMap<Long, Integer> bookings = bookingsByRank.computeIfAbsent(rank, each -> new TreeMap<>());
         double placesPerBucket = placesPerMilli * BUCKET_MILLIS;
@@ -60,11 +69,12 @@
             if (!free.isEmpty()) {
                 long chosen = free.get(random.nextInt(free.size()));
                 bookings.merge(chosen, 1, Integer::sum);
-                return withinBucket(chosen, nowMillis);
+                return new Retry(rank, OptionalLong.of(chosen), withinBucket(chosen, nowMillis));
             }
             start += span;
         }
-        return withinBucket(latestBucket - random.nextInt(SPAN_BUCKETS), nowMillis);
+        long unbooked = latestBucket - random.nextInt(SPAN_BUCKETS);
+        return new Retry(rank, OptionalLong.empty(), withinBucket(unbooked, nowMillis));
     }
 
     /** Returns the number of bookings that have not ended. */
@@ -107,4 +117,13 @@
     private static long bucket(long millis) {
         return Math.floorDiv(millis, BUCKET_MILLIS);
     }
+
+    /**
+     * The time at which a denied caller retries.
+     *
+     * @param rank the rank of its request.
+     * @param bucket the bucket in which its place is booked; empty if none is.
+     * @param delayMillis the time from the denial until the retry.
+     */
+    record Retry(Rank rank, OptionalLong bucket, long delayMillis) {}
 }
--- a/src/main/java/io/waxwingquay/reservation/SlotBook.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotBook.java
@@ -26,7 +26,8 @@
     List<SlotAnswer> submit(SlotRequest request);
 
     /**
-     * Cancels a request for a slot, or returns the slot. Ignored if it is not known.
+     * Cancels a request for a slot, returns the slot, or frees the booked retry time of a denied request. Ignored if the
+     * request is not known.
      *
      * @param key the request.
      */
@@ -221,9 +222,11 @@
         /** {@inheritDoc} */
         @Override
         public void cancel(SlotRequest.Key key) {
+            long nowMillis = clock.getAsLong();
             queue.remove(key);
             pool.release(key);
-            recent.cancelled(key, clock.getAsLong());
+            recent.find(key, nowMillis).flatMap(RecentAnswers.End::retry).ifPresent(retryTimes::release);
+            recent.cancelled(key, nowMillis);
         }
 
         /** {@inheritDoc} */
@@ -319,12 +322,12 @@
 
         private SlotAnswer deny(SlotRequest request, Reason reason, long expectedMillis, long nowMillis) {
             queue.remove(request.key());
-            long retryMillis = reason == Reason.LEAVING || reason == Reason.MODEL
-                    ? retryTimes.unbookedMillis()
+            RetryTimes.Retry retry = reason == Reason.LEAVING || reason == Reason.MODEL
+                    ? retryTimes.unbooked(request.rank())
                     : retryTimes.book(
                             request.rank(), pool.perMilli(request.rank(), nowMillis), expectedMillis, nowMillis);
-            SlotDecision.Denied denied = new SlotDecision.Denied(retryMillis, reason);
-            recent.denied(request.key(), denied, nowMillis);
+            SlotDecision.Denied denied = new SlotDecision.Denied(retry.delayMillis(), reason);
+            recent.denied(request.key(), denied, retry, nowMillis);
             LOG.log(
                     System.Logger.Level.INFO,
                     "reservation: denied attempt={0} reason={1} load={2} rank={3} wait_ms={4} retry_ms={5}",
@@ -333,7 +336,7 @@
                     pool.load(nowMillis),
                     request.rank(),
                     expectedMillis,
-                    retryMillis);
+                    retry.delayMillis());
             return answer(request, denied);
         }
 
--- a/src/main/java/io/waxwingquay/reservation/SlotPool.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotPool.java
@@ -114,7 +114,7 @@
         observedMillis = nowMillis;
         capacity.observed(report.runningAttemptIds(), nowMillis);
         grants.expire(nowMillis);
-        return grants.observe(report.runningAttemptIds());
+        return grants.observe(report.runningAttemptIds(), report.waiting(), nowMillis);
     }
 
     /** Refuses all requests until the next report. Grants stay valid, as the same incarnation may be heard again. */
@@ -127,7 +127,7 @@
         grants.expire(nowMillis);
         int reported =
                 occupancy.map(report -> report.running() + report.waiting()).orElse(0);
-        return reported + grants.leased();
+        return reported + grants.unreported();
     }
 
     private int usableSlots() {
--- a/src/test/java/io/waxwingquay/reservation/SlotBookFixture.java
+++ b/src/test/java/io/waxwingquay/reservation/SlotBookFixture.java
@@ -19,6 +19,7 @@
     final Set<String> running = new TreeSet<>();
     long nowMillis = 1_000_000L;
     long bornMillis = 7;
+    int queued;
     boolean accepting = true;
     Set<String> models = Set.of("m");
     final SlotBook book;
@@ -35,7 +36,7 @@
 
     List<SlotAnswer> report() {
         return book.observe(new EngineOccupancy(
-                bornMillis, accepting, running.size(), 0, 0, 0, Set.copyOf(new HashSet<>(running)), models));
+                bornMillis, accepting, running.size(), queued, 0, 0, Set.copyOf(new HashSet<>(running)), models));
     }
 
     /** Occupies a number of slots by requests that were not granted here. */
--- a/src/test/java/io/waxwingquay/reservation/SlotBookTest.java
+++ b/src/test/java/io/waxwingquay/reservation/SlotBookTest.java
@@ -137,6 +137,45 @@
         assertEquals(first.retryAfterMillis() - 10, again.retryAfterMillis());
     }
 
+    // Guards against retry times that stay booked at each of the engines that denied a request: the caller uses only
+    // one.
+    @Test
+    void cancelledDenialFreesItsRetryTime() {
+        engine.occupy(SLOTS);
+        for (int id = 0; id < 60; id++) {
+            assertInstanceOf(Denied.class, engine.decide(request(id, LIVE, "", 0, 1)));
+            engine.book.cancel(new SlotRequest.Key(ENTRY, id));
+        }
+        Denied denied = (Denied) engine.decide(request(60, LIVE, "", 0, 1));
+        assertTrue(denied.retryAfterMillis() < 1_000, () -> "retry after " + denied.retryAfterMillis());
+    }
+
+    // Guards against a granted request that counts twice while it is queued in the engine, by its lease and by the
+    // report.
+    @Test
+    void grantedRequestsThatTheEngineQueuesCountOnce() {
+        engine.occupy(SLOTS - 2);
+        assertInstanceOf(Granted.class, engine.decide(request(1, LIVE)));
+        engine.nowMillis += Grants.TRANSIT_MILLIS;
+        engine.queued = 1;
+        engine.report();
+        assertEquals(SLOTS - 1, engine.book.load());
+        assertInstanceOf(Granted.class, engine.decide(request(2, LIVE)));
+        assertEquals(SLOTS, engine.book.load());
+        assertInstanceOf(Queued.class, engine.decide(request(3, LIVE)));
+    }
+
+    // Guards against a request of another sender that is queued in the engine and taken for one that is still on its
+    // way.
+    @Test
+    void queuedRequestsOfOthersCountBesideFreshGrants() {
+        engine.occupy(SLOTS - 2);
+        assertInstanceOf(Granted.class, engine.decide(request(1, LIVE)));
+        engine.queued = 1;
+        engine.report();
+        assertEquals(SLOTS, engine.book.load());
+    }
+
     // Guards against slots and places in the queue that an entry holds after it is gone.
     @Test
     void grantsAndSilentRequestsExpire() {
