Move polling and identification out of EngineManager

Polling, with one poll in flight and the rule for outdated reports, moves to EnginePoller, asking for the engine's id to EngineIdentifier, and the creation of the slot book to SlotGranting. Behaviour does not change.

All tests of the package residency pass.

--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -6,15 +6,11 @@
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.pace.PacePromptPacer;
 import io.waxwingquay.reservation.AdapterGate;
-import io.waxwingquay.reservation.PromptPacer;
-import io.waxwingquay.reservation.ReservationServer;
-import io.waxwingquay.reservation.SlotBook;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.AdapterReply;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Optional;
 import java.util.Set;
-import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /** Manages one engine: polls its state, sends status updates about it, and issues orders to it one at a time. */
@@ -33,16 +29,12 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
-    /** The interval at which an engine that has not named its id is asked again. */
-    private static final long IDENTIFY_MILLIS = 1_000L;
-
     /** The interval at which the engine's state is logged. */
     private static final long STATE_LOG_MILLIS = 2_000L;
 
     private final EventLoop loop;
     private final HostPort address;
     private final String service;
-    private final EngineControl control;
     private final Sender sender;
     private final WeightLoadLimiter loadLimiter;
     private final AdapterPlaces adapterPlaces = new AdapterPlaces(this::adapterState, this::issueNextOrderSoon);
@@ -54,11 +46,8 @@
     private Optional<EngineReport> lastReport = Optional.empty();
     private final ModelMover mover = new ModelMover();
     private final EnginePlanner planner;
-    private boolean pollInFlight;
-    private boolean pollAgain;
-    private boolean reportOutdated;
-    private long identifyAtMillis = Long.MIN_VALUE;
-    private boolean earlyPollScheduled;
+    private final EngineIdentifier identifier;
+    private final EnginePoller poller;
     private final SlotGranting granting;
     private final EngineUpdates updates;
 
@@ -83,23 +72,23 @@
         this.address = address;
         this.service = service;
         this.peers = new PeerUpdates(service);
-        this.control = control;
         this.sender = sender;
         this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
-        this.granting = createGranting(new PacePromptPacer(), adapterPlaces);
+        this.identifier = new EngineIdentifier(control, orders, EventLoop::nowMillis);
+        this.poller = new EnginePoller(control, loop::schedule, new Reports());
+        this.granting = SlotGranting.withBook(
+                peers,
+                new PacePromptPacer(),
+                adapterPlaces,
+                EventLoop::nowMillis,
+                loop::schedule,
+                poller::poll,
+                sender);
         this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, granting::isInForce, sender);
     }
 
-    private SlotGranting createGranting(PromptPacer pacer, AdapterGate adapters) {
-        SlotBook book =
-                new SlotBook.Default(pacer, adapters, EventLoop::nowMillis, RandomGenerator.of("L64X128MixRandom"));
-        ReservationServer server =
-                new ReservationServer(book, (entry, reply) -> sender.send(entry, PeerDatagram.slotReply(reply)));
-        return new SlotGranting(peers, server, pacer, EventLoop::nowMillis, loop::schedule, this::poll);
-    }
-
     /** Starts polling; called on the loop. */
     public void start() {
         planner.start(EventLoop.nowMillis());
@@ -109,7 +98,7 @@
 
     private void pollPeriodically() {
         loop.schedule(isIdle() ? IDLE_POLL_MILLIS : POLL_MILLIS, this::pollPeriodically);
-        poll();
+        poller.poll();
     }
 
     private boolean isIdle() {
@@ -221,26 +210,6 @@
         issueNextOrder();
     }
 
-    private void poll() {
-        if (pollInFlight) {
-            return;
-        }
-        pollInFlight = true;
-        control.report().whenComplete((newer, failure) -> {
-            pollInFlight = false;
-            reportOutdated = pollAgain;
-            if (failure == null) {
-                onReport(newer);
-            } else {
-                onReportFailed(failure);
-            }
-            if (pollAgain) {
-                pollAgain = false;
-                poll();
-            }
-        });
-    }
-
     private void onReport(EngineReport newer) {
         boolean restarted = lastReport.map(known -> hasRestarted(known, newer)).orElse(true);
         lastReport = Optional.of(newer);
@@ -256,34 +225,16 @@
         report = Optional.of(newer);
         orders.onReport(newer, restarted);
         if (restarted) {
-            identifyAtMillis = Long.MIN_VALUE;
+            identifier.restarted();
+        }
+        if (engine.isPresent()) {
+            identifier.identify();
         }
-        identify();
         issueNextOrder();
         granting.onReport(newer, updates.routableModelNames(newer));
         sendUpdate();
     }
 
-    /** Asks for the id of the engine's current incarnation while it is unknown. */
-    private void identify() {
-        long nowMillis = EventLoop.nowMillis();
-        if (engine.isEmpty() || orders.isIdentified() || nowMillis < identifyAtMillis) {
-            return;
-        }
-        identifyAtMillis = nowMillis + IDENTIFY_MILLIS;
-        control.identify().whenComplete((id, failure) -> {
-            if (failure == null) {
-                orders.onIdentified(id);
-                LOG.log(System.Logger.Level.INFO, "residency: engine identified id={0}", id);
-            } else {
-                LOG.log(
-                        System.Logger.Level.WARNING,
-                        "residency: engine not identified cause={0}",
-                        failure.getMessage());
-            }
-        });
-    }
-
     /** A restarted engine has another start time; if it reports none, it is empty and has accepted no order. */
     private static boolean hasRestarted(EngineReport before, EngineReport current) {
         boolean isEmptied = current.models().isEmpty() && !before.models().isEmpty();
@@ -324,7 +275,7 @@
 
     /** Issues the next order, if there is one. */
     private void issueNextOrder() {
-        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer() || reportOutdated) {
+        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer() || poller.isOutdated()) {
             return;
         }
         EngineReport current = report.get();
@@ -344,12 +295,8 @@
         boolean isMoving = mover.loadingModel().isPresent()
                 && report.filter(EngineReport::executingOrder).isEmpty();
         boolean isAdapterAwaited = adapterScheduler.hasWaiters() || isAdapterNeeded();
-        if ((isAdapterAwaited || isMoving) && !earlyPollScheduled) {
-            earlyPollScheduled = true;
-            loop.schedule(isAdapterAwaited ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS, () -> {
-                earlyPollScheduled = false;
-                poll();
-            });
+        if (isAdapterAwaited || isMoving) {
+            poller.pollEarly(isAdapterAwaited ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS);
         }
     }
 
@@ -380,17 +327,13 @@
         });
     }
 
-    /**
-     * Polls the engine after an order, so that the next order follows at once.
-     *
-     * <p>Failure: a poll is in flight when the order is answered, and reports the state before it. Symptom: the next order
-     * states a count that has passed and is refused, while a request waits for its adapter. So the engine is polled once
-     * more, and nothing is ordered by the earlier report.
-     */
+    /** Polls the engine after an order, so that the next order follows at once. */
     private void pollAfterOrder() {
-        reportOutdated = isAdapterNeeded();
-        pollAgain = reportOutdated && pollInFlight;
-        poll();
+        if (isAdapterNeeded()) {
+            poller.pollAnew();
+        } else {
+            poller.poll();
+        }
     }
 
     private void sendAdapterReply(HostPort entry, long id, boolean present) {
@@ -401,6 +344,22 @@
         report.ifPresent(current -> updates.sendDue(current, engine, EventLoop.nowMillis()));
     }
 
+    /** Takes the results of polls. */
+    private final class Reports implements EnginePoller.Listener {
+
+        /** {@inheritDoc} */
+        @Override
+        public void onReport(EngineReport newer) {
+            EngineManager.this.onReport(newer);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onReportFailed(Throwable failure) {
+            EngineManager.this.onReportFailed(failure);
+        }
+    }
+
     /** Sends datagrams to other processes. */
     public interface Sender {
 
--- a/src/main/java/io/waxwingquay/residency/SlotGranting.java
+++ b/src/main/java/io/waxwingquay/residency/SlotGranting.java
@@ -5,14 +5,17 @@
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.fleet.RunningRequest;
 import io.waxwingquay.manifest.Engine;
+import io.waxwingquay.reservation.AdapterGate;
 import io.waxwingquay.reservation.EngineOccupancy;
 import io.waxwingquay.reservation.PromptPacer;
 import io.waxwingquay.reservation.ReservationServer;
+import io.waxwingquay.reservation.SlotBook;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /** Grants the slots of one engine to entries while there are enough of them, and otherwise lets them send as they like. */
@@ -72,6 +75,32 @@
         this.startedMillis = clock.getAsLong();
     }
 
+    /**
+     * Creates the component with an empty book of slots.
+     *
+     * @param peers counts the entries.
+     * @param pacer spaces the prompts.
+     * @param adapters has adapters loaded.
+     * @param clock the monotonic time.
+     * @param timer runs a task later.
+     * @param poll polls the engine.
+     * @param sender sends the replies.
+     * @return the component.
+     */
+    static SlotGranting withBook(
+            PeerUpdates peers,
+            PromptPacer pacer,
+            AdapterGate adapters,
+            LongSupplier clock,
+            Delayer timer,
+            Runnable poll,
+            EngineManager.Sender sender) {
+        SlotBook book = new SlotBook.Default(pacer, adapters, clock, RandomGenerator.of("L64X128MixRandom"));
+        ReservationServer server =
+                new ReservationServer(book, (entry, reply) -> sender.send(entry, PeerDatagram.slotReply(reply)));
+        return new SlotGranting(peers, server, pacer, clock, timer, poll);
+    }
+
     /** Sets the engine's specification; empty if it is not known. */
     void configure(Optional<Engine> engine) {
         slotsKnown = engine.isPresent();
