Drop old adapter calls when a new one arrives

Calls for an engine that was lost were dropped only with the next order, which a lost engine never gets, so the memory grew with the calls. Two fields of EngineManager that were only assigned are removed.

AdapterSchedulerTest#forgetsOldCallsOfALostEngine fails before the change.

--- a/src/main/java/io/waxwingquay/residency/AdapterPlaces.java
+++ b/src/main/java/io/waxwingquay/residency/AdapterPlaces.java
@@ -99,9 +99,14 @@
 
     /** Records that an entry called for an adapter without requesting a slot. */
     void called(AdapterName name, long nowMillis) {
+        dropExpiredCalls(nowMillis);
         calledAtMillis.put(name, nowMillis);
     }
 
+    private void dropExpiredCalls(long nowMillis) {
+        calledAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > CALL_CLAIM_MILLIS);
+    }
+
     /**
      * Returns the adapter to load next for a request that waits for a slot.
      *
@@ -182,7 +187,7 @@
         preparedAtMillis
                 .entrySet()
                 .removeIf(entry -> nowMillis - entry.getValue() > claimMillis(entry.getKey(), report));
-        calledAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > CALL_CLAIM_MILLIS);
+        dropExpiredCalls(nowMillis);
         refusedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > REFUSAL_MILLIS);
     }
 
--- a/src/main/java/io/waxwingquay/residency/AdapterScheduler.java
+++ b/src/main/java/io/waxwingquay/residency/AdapterScheduler.java
@@ -47,6 +47,7 @@
     }
 
     void addCall(HostPort entry, AdapterCall call, long nowMillis) {
+        dropTimedOut(nowMillis);
         AdapterName name = new AdapterName(call.getModel(), call.getAdapter());
         lastUsedMillis.put(name, nowMillis);
         places.called(name, nowMillis);
@@ -97,7 +98,7 @@
      */
     Optional<EngineControl.Order> nextOrder(
             Engine engine, EngineReport report, int reservedSlots, Set<String> inUse, long nowMillis) {
-        waitersByAdapter.values().removeIf(waiters -> nowMillis - waiters.sinceMillis > CALL_TIMEOUT_MILLIS);
+        dropTimedOut(nowMillis);
         inUse.forEach(text -> lastUsedMillis.put(AdapterName.parse(text), nowMillis));
         Optional<AdapterName> neededForSlot = places.nextToLoad(report, nowMillis);
         Optional<AdapterName> nextToLoad = neededForSlot.or(() -> nextCalled(report));
@@ -118,6 +119,10 @@
         return leastRecentlyUsed(report, isEvictable, nowMillis).map(name -> order(false, name, report));
     }
 
+    private void dropTimedOut(long nowMillis) {
+        waitersByAdapter.values().removeIf(waiters -> nowMillis - waiters.sinceMillis > CALL_TIMEOUT_MILLIS);
+    }
+
     private Optional<AdapterName> nextCalled(EngineReport report) {
         return waitersByAdapter.keySet().stream()
                 .filter(name -> !report.loadingAdapters().contains(name.toString()))
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -33,10 +33,8 @@
     private static final long STATE_LOG_MILLIS = 2_000L;
 
     private final EventLoop loop;
-    private final HostPort address;
     private final String service;
     private final Sender sender;
-    private final WeightLoadLimiter loadLimiter;
     private final AdapterPlaces adapterPlaces = new AdapterPlaces(this::adapterState, this::issueNextOrderSoon);
     private final AdapterScheduler adapterScheduler = new AdapterScheduler(adapterPlaces);
     private final PeerUpdates peers;
@@ -69,11 +67,9 @@
             Sender sender,
             WeightLoadLimiter loadLimiter) {
         this.loop = loop;
-        this.address = address;
         this.service = service;
         this.peers = new PeerUpdates(service);
         this.sender = sender;
-        this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
         this.identifier = new EngineIdentifier(control, orders, EventLoop::nowMillis);
--- a/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
+++ b/src/test/java/io/waxwingquay/residency/AdapterSchedulerTest.java
@@ -35,6 +35,15 @@
         assertFalse(scheduler.hasWaiters());
     }
 
+    // Guards against memory that grows with the calls for an engine that was lost for good and is not ordered anything.
+    @Test
+    void forgetsOldCallsOfALostEngine() {
+        addCall(1, "a1");
+        scheduler.addCall(ENTRY, new AdapterCall(2, "m", "a2"), 60_000);
+        replyToWaiters(report(false, "a1", "a2"));
+        assertEquals(List.of("2 true"), replies);
+    }
+
     // Guards against evicting an adapter in use: the engine would wait for its request and refuse others meanwhile.
     @Test
     void evictsIdleAdapterForRequestedOne() {
