--- a/src/main/java/io/waxwingquay/residency/SlotGranting.java
+++ b/src/main/java/io/waxwingquay/residency/SlotGranting.java
@@ -5,14 +5,17 @@
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.fleet.RunningRequest;
 import io.waxwingquay.manifest.Engine;
+import io.waxwingquay.reservation.AdapterGate;
 import io.waxwingquay.reservation.EngineOccupancy;
 import io.waxwingquay.reservation.PromptPacer;
 import io.waxwingquay.reservation.ReservationServer;
+import io.waxwingquay.reservation.SlotBook;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /** Grants the slots of one engine to entries while there are enough of them, and otherwise lets them send as they like. */
@@ -21,6 +24,9 @@
     /** The interval at which a free slot is looked for while requests wait. */
     static final long WAITING_MILLIS = 25L;
 
+    /** A report that is younger shows about what a further poll would. */
+    private static final long FRESH_MILLIS = 8L;
+
     /**
      * The time after the start in which entries may not all have sent an update, but may still know from the previous
      * process that slots are granted.
@@ -41,6 +47,7 @@
     private Availability availability = Availability.UNKNOWN;
     private boolean timerSet;
     private long loggedCount;
+    private long reportedAtMillis;
 
     /**
      * Creates the component without slots.
@@ -68,6 +75,32 @@
         this.startedMillis = clock.getAsLong();
     }
 
+    /**
+     * Creates the component with an empty book of slots.
+     *
+     * @param peers counts the entries.
+     * @param pacer spaces the prompts.
+     * @param adapters has adapters loaded.
+     * @param clock the monotonic time.
+     * @param timer runs a task later.
+     * @param poll polls the engine.
+     * @param sender sends the replies.
+     * @return the component.
+     */
+    static SlotGranting withBook(
+            PeerUpdates peers,
+            PromptPacer pacer,
+            AdapterGate adapters,
+            LongSupplier clock,
+            Delayer timer,
+            Runnable poll,
+            EngineManager.Sender sender) {
+        SlotBook book = new SlotBook.Default(pacer, adapters, clock, RandomGenerator.of("L64X128MixRandom"));
+        ReservationServer server =
+                new ReservationServer(book, (entry, reply) -> sender.send(entry, PeerDatagram.slotReply(reply)));
+        return new SlotGranting(peers, server, pacer, clock, timer, poll);
+    }
+
     /** Sets the engine's specification; empty if it is not known. */
     void configure(Optional<Engine> engine) {
         slotsKnown = engine.isPresent();
@@ -104,6 +137,7 @@
 
     /** Takes a fresh report of the engine, with the models that requests may be routed to. */
     void onReport(EngineReport report, Set<String> routableModels) {
+        reportedAtMillis = clock.getAsLong();
         availability = report.draining() ? Availability.LEAVING : Availability.SERVING;
         updateRule();
         if (!isDeciding()) {
@@ -161,13 +195,18 @@
         timer.schedule(WAITING_MILLIS, () -> {
             timerSet = false;
             server.advance();
-            if (server.hasWaiting()) {
+            if (server.hasWaiting() && !isReportFresh()) {
                 poll.run();
             }
             watchWaiting();
         });
     }
 
+    /** Returns whether the engine was polled lately for another reason, as it is every few milliseconds for adapters. */
+    private boolean isReportFresh() {
+        return clock.getAsLong() - reportedAtMillis < FRESH_MILLIS;
+    }
+
     /** Whether the engine can take requests. */
     private enum Availability {
         /** It has not reported yet. */
