Cancel slots and booked places that requests do not use

Cause: each side that denied a slot kept the place that it had booked with its time, also when the caller was told another time or the request was sent elsewhere. A slot stayed taken until its grant expired when the connection to the engine failed, or when the request ended before it had a connection. A grant was used without a check of the bytes of bodies at the engine, or of the software version of a stream that is resumed. An engine without a free connection could be asked again immediately after each grant.

Change: SlotDenials cancels the places that are not used, SlotWait returns the slot of an attempt that was not sent and excludes engines whose grants were returned until the request has paused. A body counts at an engine only until the engine begins its answer.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -172,6 +172,9 @@
             response.refusesForMillis().ifPresent(millis -> target.announcedRefusal(millis, EventLoop.nowMillis()));
         }
         streaming = status == OK && exchange.isStream() && !response.didNotRun();
+        if (!streaming) {
+            exchange.answerBegan(this);
+        }
     }
 
     /** {@inheritDoc} */
@@ -295,6 +298,7 @@
         if (!finished) {
             eventReceived = true;
             markHarmless();
+            exchange.answerBegan(this);
             exchange.eventReceived(this, bytes, id);
         }
     }
--- a/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -10,14 +10,25 @@
     private final ForwardContext context;
     private final MessageCodec.RequestHead head;
     private final Suspicion suspicion;
+    private final Runnable onUnsent;
     private final long bodyBytes;
     private Optional<Attempt> running = Optional.empty();
+    private boolean bodyHeld;
     private boolean mayHaveRun;
 
-    CurrentAttempt(ForwardContext context, RequestTerms terms, Suspicion suspicion) {
+    /**
+     * Creates the state of a request that was not sent.
+     *
+     * @param context the forwarder.
+     * @param terms the terms of the request.
+     * @param suspicion whether the request may crash replicas.
+     * @param onUnsent run when an attempt is cancelled of which nothing was sent.
+     */
+    CurrentAttempt(ForwardContext context, RequestTerms terms, Suspicion suspicion, Runnable onUnsent) {
         this.context = context;
         this.head = terms.head();
         this.suspicion = suspicion;
+        this.onUnsent = onUnsent;
         this.bodyBytes = terms.bodyBytes();
     }
 
@@ -31,6 +42,7 @@
                         EngineRequirements.kvTokensAt(next.target(), head, next.sentMillis()),
                         next.sentMillis());
         next.target().bodyShare().sent(bodyBytes);
+        bodyHeld = true;
         head.model().ifPresent(context.demandMeter()::started);
     }
 
@@ -61,17 +73,33 @@
 
     void cancel() {
         running.ifPresent(attempt -> {
+            boolean unsent = !attempt.mayHaveBeenSent();
             attempt.cancel();
             release(attempt);
+            if (unsent) {
+                onUnsent.run();
+            }
         });
     }
 
+    /** Notes that a replica has begun its answer: it has read the body, which need not count any longer. */
+    void answerBegan(Attempt from) {
+        releaseBody(from);
+    }
+
+    private void releaseBody(Attempt from) {
+        if (bodyHeld) {
+            bodyHeld = false;
+            from.target().bodyShare().ended(bodyBytes);
+        }
+    }
+
     /** Notes that an attempt has ended. */
     void release(Attempt ended) {
         running = running.filter(attempt -> attempt != ended);
         suspicion.ended();
         ended.target().requestEnded(head.model(), head.adapter());
-        ended.target().bodyShare().ended(bodyBytes);
+        releaseBody(ended);
         head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
     }
 
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -63,13 +63,13 @@
         this.suspicion = suspicion;
         this.stream = new StreamProgress(terms.arrivedMillis(), head, softwareVersion);
         this.retries = new RetryRules(context, terms);
-        this.attempt = new CurrentAttempt(context, terms, suspicion);
-        this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
         this.slotWait = new SlotWait(
                 context.slotRequester(),
                 new SlotPlacement(context.callerAge(), terms, stream, retries.triedTargets()),
                 EventLoop::nowMillis,
                 this::onSlotDecided);
+        this.attempt = new CurrentAttempt(context, terms, suspicion, slotWait::unsent);
+        this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
     }
 
     ServerExchange caller() {
@@ -256,11 +256,14 @@
             slotWait.forgetDenials();
             recheckLater(ADAPTER_RECHECK_MILLIS);
         } else if (isResuming()) {
-            slotWait.forgetDenials();
+            slotWait.useShortestDenial();
             long resumeMillis = WaitPolicy.remainingResumeMillis(stream.interruptedMillis(nowMillis));
             recheckLater(Math.max(RECHECK_MILLIS, Math.min(denial.retryAfterMillis(), resumeMillis)));
         } else if (denial.hasRetryTime()) {
-            notPlaced(why, () -> responder.rejectUntil(why, denial.retryAfterMillis()));
+            notPlaced(why, () -> {
+                slotWait.useShortestDenial();
+                return responder.rejectUntil(why, denial.retryAfterMillis());
+            });
         } else {
             notPlaced(why, RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         }
@@ -339,6 +342,10 @@
         end(responder.respond(from, body), "answered by " + from.target().id());
     }
 
+    void answerBegan(Attempt from) {
+        attempt.answerBegan(from);
+    }
+
     void eventReceived(Attempt from, byte[] bytes, OptionalLong id) {
         if (stream.wasDelivered(id)) {
             return;
@@ -379,6 +386,7 @@
             attempt.noteMayHaveRun();
         } else {
             retries.notSent();
+            slotWait.unsent();
         }
         if (stream.hasBegun()) {
             stream.interrupted(EventLoop.nowMillis());
@@ -465,6 +473,7 @@
 
     private void end(int status, String why) {
         slotWait.cancel();
+        slotWait.forgetDenials();
         queuedRequest.leaveQueue();
         caller.releaseRequest();
         transition(ExchangeState.Event.END);
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -191,7 +191,7 @@
     private Choice chooseEngine(Collection<Target> targets, Set<Target> excluded, SlotUse slotUse, long nowMillis) {
         Set<Target> withoutBodyRoom = targets.stream()
                 .filter(target -> !excluded.contains(target))
-                .filter(target -> !target.bodyShare().hasRoomFor(bodyBytes(), context.entryCount()))
+                .filter(target -> !hasRoomForBody(target))
                 .collect(Collectors.toSet());
         Set<Target> all =
                 Stream.concat(excluded.stream(), withoutBodyRoom.stream()).collect(Collectors.toSet());
@@ -207,6 +207,11 @@
                 : choice;
     }
 
+    /** Returns whether this entry may send the request's body to a replica, beside those that it has there. */
+    boolean hasRoomForBody(Target target) {
+        return target.bodyShare().hasRoomFor(bodyBytes(), context.entryCount());
+    }
+
     /** Returns the length of the request's body. */
     long bodyBytes() {
         return request.body().length;
--- a/src/main/java/io/waxwingquay/forward/SlotPlacement.java
+++ b/src/main/java/io/waxwingquay/forward/SlotPlacement.java
@@ -36,6 +36,14 @@
         return terms.choose(stream, all, use, nowMillis);
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public boolean mayReceive(Target target, long nowMillis) {
+        boolean mayResume =
+                stream.softwareVersion().isEmpty() || target.softwareVersion().equals(stream.softwareVersion());
+        return mayResume && TargetChooser.mayReceive(target, nowMillis) && terms.hasRoomForBody(target);
+    }
+
     /** {@inheritDoc} */
     @Override
     public int freeSlots(Target target, long nowMillis) {
--- a/src/main/java/io/waxwingquay/forward/SlotWait.java
+++ b/src/main/java/io/waxwingquay/forward/SlotWait.java
@@ -2,7 +2,6 @@
 
 import io.waxwingquay.transport.generated.SlotRequest;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,13 +25,21 @@
 
     private static final int MIN_FREE_SLOTS = 2;
 
+    /** Time after which an engine whose grant could not be used is expected to take a request. */
+    private static final long UNUSABLE_WAIT_MILLIS = 150L;
+
     private final SlotRequester requester;
     private final Placement placement;
     private final LongSupplier clockMillis;
     private final Runnable onDecided;
     private final Map<Target, SlotRequester.Call> open = new LinkedHashMap<>();
-    private final Map<Target, SlotDenial> denials = new LinkedHashMap<>();
+    private final SlotDenials denials;
+
+    /** Engines whose grants could not be used since the request paused last; asking them again at once would repeat that. */
+    private final Set<Target> unusable = new HashSet<>();
+
     private Optional<SlotRequester.Call> granted = Optional.empty();
+    private Optional<SlotRequester.Call> inUse = Optional.empty();
     private SlotUse use = new SlotUse.WhereGranted();
     private OptionalLong askedAtMillis = OptionalLong.empty();
     private OptionalLong queuedAtMillis = OptionalLong.empty();
@@ -49,6 +56,7 @@
      */
     SlotWait(SlotRequester requester, Placement placement, LongSupplier clockMillis, Runnable onDecided) {
         this.requester = requester;
+        this.denials = new SlotDenials(requester);
         this.placement = placement;
         this.clockMillis = clockMillis;
         this.onDecided = onDecided;
@@ -64,7 +72,7 @@
     Choice choose(Set<Target> excluded, long nowMillis) {
         return granted.map(SlotRequester.Call::target)
                 .filter(target -> !excluded.contains(target))
-                .filter(target -> TargetChooser.mayReceive(target, nowMillis))
+                .filter(target -> placement.mayReceive(target, nowMillis))
                 .<Choice>map(Choice.Send::new)
                 .orElseGet(() -> chooseOther(excluded, nowMillis));
     }
@@ -73,27 +81,32 @@
         if (denials.size() >= MAX_ENGINES) {
             return denied();
         }
+        Set<Target> unusableNow = unusableTargets();
         Set<Target> all = new HashSet<>(excluded);
-        all.addAll(denials.keySet());
+        all.addAll(denials.targets());
+        all.addAll(unusableNow);
         Choice choice = placement.choose(all, use, nowMillis);
+        if (!unusableNow.isEmpty() && choice instanceof Choice.NoReplica) {
+            choice = new Choice.Full(UNUSABLE_WAIT_MILLIS, 0, OptionalLong.empty());
+        }
         boolean noneLeft = choice instanceof Choice.Full || choice instanceof Choice.NoReplica;
         return noneLeft && !denials.isEmpty() ? denied() : choice;
     }
 
-    /** Returns the refusal with the shortest time that an engine told. */
+    /** Returns the engines whose grants were returned, or have to be, since the request paused last. */
+    private Set<Target> unusableTargets() {
+        Set<Target> targets = new HashSet<>(unusable);
+        granted.ifPresent(call -> targets.add(call.target()));
+        return targets;
+    }
+
     private Choice denied() {
-        SlotDenial first = denials.values().stream()
-                .min(Comparator.comparing(SlotDenial::hasRetryTime)
-                        .reversed()
-                        .thenComparingLong(SlotDenial::retryAfterMillis))
-                .orElseThrow();
-        return new Choice.Denied(first, denials.size());
+        return new Choice.Denied(denials.shortest(), denials.size());
     }
 
     /** Asks an engine for a slot, and returns an earlier grant that could not be used. */
     void ask(Target target) {
-        granted.ifPresent(requester::cancel);
-        granted = Optional.empty();
+        returnGranted();
         if (askedAtMillis.isEmpty()) {
             askedAtMillis = OptionalLong.of(clockMillis.getAsLong());
         }
@@ -103,24 +116,44 @@
 
     /** Notes that the request is sent to a replica; a slot that was granted there is in use from now on. */
     void sent(Target target) {
+        inUse = granted.filter(call -> call.target() == target);
         granted = granted.filter(call -> call.target() != target);
         cancel();
-        denials.clear();
+        denials.cancelAll();
         use = new SlotUse.WhereGranted();
     }
 
     /** Cancels all calls and returns a granted slot, as the request no longer waits for one. */
     void cancel() {
-        granted.ifPresent(requester::cancel);
-        granted = Optional.empty();
+        returnGranted();
+        unusable.clear();
         cancelOpen();
         askedAtMillis.ifPresent(sinceMillis -> waitedMillis += clockMillis.getAsLong() - sinceMillis);
         askedAtMillis = OptionalLong.empty();
     }
 
-    /** Forgets the denials, so that engines are asked again. */
+    /** Returns the slot of the last attempt, of which nothing was sent. */
+    void unsent() {
+        inUse.ifPresent(requester::cancel);
+        inUse = Optional.empty();
+    }
+
+    /** Forgets the denials, so that engines are asked again, and cancels the places that were booked with them. */
     void forgetDenials() {
-        denials.clear();
+        denials.cancelAll();
+    }
+
+    /** Forgets the denials, as the request or its caller comes back at the shortest time that was told. */
+    void useShortestDenial() {
+        denials.useShortest();
+    }
+
+    private void returnGranted() {
+        granted.ifPresent(call -> {
+            unusable.add(call.target());
+            requester.cancel(call);
+        });
+        granted = Optional.empty();
     }
 
     /** Returns how long the request has waited for slots in all. */
@@ -163,7 +196,8 @@
             return;
         }
         Set<Target> asked = new HashSet<>(open.keySet());
-        asked.addAll(denials.keySet());
+        asked.addAll(denials.targets());
+        asked.addAll(unusable);
         if (placement.choose(asked, use, nowMillis) instanceof Choice.Reserve other
                 && placement.freeSlots(other.target(), nowMillis) >= MIN_FREE_SLOTS) {
             ask(other.target());
@@ -177,7 +211,7 @@
             // It is not chosen for a while, and does not count among the engines that may deny a slot.
             call.target().engineLost(clockMillis.getAsLong());
         } else {
-            denials.put(call.target(), denial);
+            denials.add(call, denial);
         }
         ended(call);
     }
@@ -219,6 +253,9 @@
          */
         Choice choose(Set<Target> excluded, SlotUse use, long nowMillis);
 
+        /** Returns whether a request for which a slot was granted a moment ago may still be sent there. */
+        boolean mayReceive(Target target, long nowMillis);
+
         /** Returns the slots of an engine that are free by the last report of its load. */
         int freeSlots(Target target, long nowMillis);
 
--- a/src/test/java/io/waxwingquay/forward/SlotWaitTest.java
+++ b/src/test/java/io/waxwingquay/forward/SlotWaitTest.java
@@ -6,6 +6,7 @@
 
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.transport.generated.SlotRequest;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -26,6 +27,7 @@
             new EngineCost("z"), new Random(1), EngineSelection.LeastCost::new, EngineSelection.LeastCost::new);
     private final SlotWait wait =
             new SlotWait(fixture.requester, this, () -> fixture.nowMillis, () -> decided = Optional.of(next()));
+    private final Set<Target> withoutRoom = new HashSet<>();
     private Optional<Choice> decided = Optional.empty();
 
     @Test
@@ -88,6 +90,59 @@
         assertEquals(List.of(501L, 502L), fixture.cancelledIds);
     }
 
+    // Guards against places at the side processes that stay booked though no caller comes back for them.
+    @Test
+    void placesWhoseTimesAreNotToldAreCancelled() {
+        ask();
+        fixture.deny(fixture.lastId(first), 900);
+        ask();
+        fixture.deny(fixture.lastId(second), 300);
+        ask();
+        fixture.deny(fixture.lastId(third), 600);
+        wait.useShortestDenial();
+        wait.forgetDenials();
+        assertEquals(List.of(501L, 503L), fixture.cancelledIds);
+    }
+
+    // Guards against a place that stays booked for a request that another engine has taken.
+    @Test
+    void placeOfADenialIsCancelledWhenTheRequestIsSentElsewhere() {
+        ask();
+        fixture.deny(fixture.lastId(first), 900);
+        ask();
+        fixture.grant(fixture.lastId(second));
+        wait.sent(second);
+        assertEquals(List.of(501L), fixture.cancelledIds);
+    }
+
+    // Guards against a slot that stays taken until its grant expires, as the connection to the engine failed or the
+    // caller left before one was open.
+    @Test
+    void slotOfAnAttemptThatWasNotSentIsReturnedOnce() {
+        ask();
+        fixture.grant(fixture.lastId(first));
+        wait.sent(first);
+        wait.unsent();
+        wait.unsent();
+        assertEquals(List.of(501L), fixture.cancelledIds);
+    }
+
+    // Guards against requests for slots without a pause where grants can't be used, as no connection or no room for the
+    // body is left.
+    @Test
+    void engineWhoseGrantCouldNotBeUsedIsAskedAgainOnlyAfterAPause() {
+        withoutRoom.addAll(List.of(first, second, third, fourth));
+        for (Target target : List.of(first, second, third, fourth)) {
+            ask();
+            fixture.grant(fixture.lastId(target));
+        }
+        assertInstanceOf(Choice.Full.class, decided.orElseThrow());
+        assertEquals(4, fixture.requests.size());
+        wait.cancel();
+        assertEquals(List.of(501L, 502L, 503L, 504L), fixture.cancelledIds);
+        assertInstanceOf(Choice.Reserve.class, next());
+    }
+
     // Guards against a partition in which a request waits 180 ms for one side process after the other.
     @Test
     void requestGoesOnByEstimatesAfterASilentSide() {
@@ -181,6 +236,11 @@
         return chooser.chooseEngine(List.of(first, second, third, fourth), excluded, ENGINE, requirements, nowMillis);
     }
 
+    @Override
+    public boolean mayReceive(Target target, long nowMillis) {
+        return !withoutRoom.contains(target) && TargetChooser.mayReceive(target, nowMillis);
+    }
+
     @Override
     public int freeSlots(Target target, long nowMillis) {
         return ENGINE.slots() - target.expectedLoad(nowMillis);
