Test returned slots and released bodies through an entry

Cause: the return of a slot whose engine can't be reached, the release of a body when the engine begins its answer, and the end of the wait for a place for an adapter were tested in parts only.

Change: three tests on loopback.

--- a/src/test/java/io/waxwingquay/hosted/EngineBodiesTest.java
+++ b/src/test/java/io/waxwingquay/hosted/EngineBodiesTest.java
@@ -9,14 +9,18 @@
 import io.waxwingquay.testing.Await;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -73,6 +77,21 @@
         }
     }
 
+    // Guards against requests that wait, or are refused, for bodies that the engine has read long before: a stream runs
+    // for seconds after its first event.
+    @Test
+    void bodyOfAStreamThatHasBegunLeavesRoomForOthers() throws Exception {
+        deployment.unlist("e2");
+        String body = "x".repeat(300_000);
+        FirstStreamWaits behaviour = new FirstStreamWaits();
+        deployment.engine1.behaviour(behaviour);
+        CompletableFuture<Integer> first =
+                call(() -> deployment.ask("POST", "/s/1", "w1", MODEL, body).status());
+        Await.until(() -> behaviour.waiting.get() != null);
+        assertEquals(200, deployment.ask("POST", "/s/1", "w2", MODEL, body).status());
+        assertEquals(200, Await.value(first));
+    }
+
     private HoldingBehaviour hold(ReplicaStandin engine) {
         HoldingBehaviour behaviour = new HoldingBehaviour();
         engine.behaviour(behaviour);
@@ -109,4 +128,22 @@
             });
         }
     }
+
+    /** Begins the first stream with an event, and ends it when the next request comes. */
+    private static final class FirstStreamWaits implements Behaviour {
+
+        private final AtomicReference<ServerExchange> waiting = new AtomicReference<>();
+
+        @Override
+        public void run(ReplicaStandin replica, ServerExchange caller) {
+            if (waiting.compareAndSet(null, caller)) {
+                caller.begin(
+                        200, HttpFields.build(replica.responseFields(caller)).put("Content-Type", "text/event-stream"));
+                caller.write(ByteBuffer.wrap("id: 1\ndata: event 1\n\n".getBytes(StandardCharsets.UTF_8)));
+            } else {
+                waiting.get().finish();
+                Behaviour.stream(1, 0).run(replica, caller);
+            }
+        }
+    }
 }
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -122,6 +122,14 @@
         store.put("servers", id, replica.row(service, "z", state));
     }
 
+    /** Writes a row of a replica with another address than its own, and waits until the entry knows it. */
+    void listAt(HostPort address, ReplicaStandin replica, String id, String service) throws Exception {
+        String row = replica.row(service, "z", "ready");
+        store.put(
+                "servers", id, row.replace(new HostPort(address.host(), basePort + 1).toString(), address.toString()));
+        Await.until(() -> dump().contains("id=" + id));
+    }
+
     /** Drops the row of a replica, and waits until the entry no longer uses it. */
     void unlist(String id) throws Exception {
         store.remove("servers", id);
--- a/src/test/java/io/waxwingquay/hosted/SlotGrantTest.java
+++ b/src/test/java/io/waxwingquay/hosted/SlotGrantTest.java
@@ -12,6 +12,7 @@
 import io.waxwingquay.transport.generated.SlotRequest;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -24,6 +25,11 @@
     private static final String HOST = "127.0.0.6";
     private static final String MODEL = "Model: m\r\nToken-Counts: 10,100\r\nLength-Hint: 30\r\n";
 
+    /** The port of the engine, and one at which nothing listens, from the first port of the deployment. */
+    private static final int ENGINE_PORT = 1;
+
+    private static final int UNUSED_PORT = 7;
+
     private HostedDeployment deployment;
     private ReplicaStandin engine;
     private GrantingSide side;
@@ -87,15 +93,42 @@
         assertEquals(List.of(), engine.startedAttemptIds());
     }
 
+    // Guards against a request that waits beyond its time for a place for its adapter, and against a refusal that does
+    // not name the adapter.
+    @Test
+    void adapterThatNeverHasAPlaceEndsInARefusalThatNamesIt() throws Exception {
+        start(request -> Optional.of(reply(request, SlotDecision.DENIED, 0).setReason("adapter")));
+        HostedDeployment.Answer refused = deployment.ask("POST", "/quick/1", "a1", "Model: m/a\r\n", "x");
+        assertEquals(503, refused.status());
+        assertTrue(refused.body().startsWith("it has not run: adapter a does not come"), refused.body());
+        assertEquals(List.of(), engine.startedAttemptIds());
+        List<Integer> waits =
+                side.requests.stream().map(SlotRequest::getMaxWaitMillis).toList();
+        assertTrue(waits.size() > 2, "asked: " + waits);
+        assertEquals(waits.stream().sorted(Comparator.reverseOrder()).toList(), waits);
+    }
+
+    // Guards against a slot that stays taken until its grant expires although the engine can't be reached.
+    @Test
+    void slotIsReturnedWhenTheEngineCannotBeReached() throws Exception {
+        startAt(UNUSED_PORT, request -> Optional.of(reply(request, SlotDecision.GRANTED, 0)));
+        assertEquals(503, ask("u1").status());
+        Await.until(() -> side.cancelledIds.contains(side.requests.get(0).getId()));
+    }
+
     private void start(Function<SlotRequest, Optional<SlotReply>> decisions) throws Exception {
+        startAt(ENGINE_PORT, decisions);
+    }
+
+    private void startAt(int port, Function<SlotRequest, Optional<SlotReply>> decisions) throws Exception {
         deployment = new HostedDeployment();
         engine = deployment.startReplica("e3", HOST, List.of("m"), Behaviour.stream(1, 0));
         side = new GrantingSide(
                 new HostPort(HOST, deployment.basePort + 5),
                 new HostPort("127.0.0.1", deployment.basePort + 5),
-                new HostPort(HOST, deployment.basePort + 1),
+                new HostPort(HOST, deployment.basePort + port),
                 decisions);
-        deployment.list(engine, "e3", "engines");
+        deployment.listAt(new HostPort(HOST, deployment.basePort + port), engine, "e3", "engines");
         deployment.unlist("e1");
         deployment.unlist("e2");
         Await.until(() -> deployment.dump().contains("engines_heard=1"));
