--- a/src/main/java/io/waxwingquay/residency/SlotGranting.java
+++ b/src/main/java/io/waxwingquay/residency/SlotGranting.java
@@ -33,7 +33,7 @@
      */
     static final long STARTING_MILLIS = 3_000L;
 
-    private static final System.Logger LOG = System.getLogger("waxwingquay.reservation");
+    private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
     private final PeerUpdates peers;
     private final ReservationServer server;
@@ -161,7 +161,7 @@
         if (rule.update(entries, nowMillis)) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "reservation: granting changes in_force={0} entries={1}",
+                    "residency: granting changes in_force={0} entries={1}",
                     rule.isInForce(),
                     entries);
         }
@@ -178,11 +178,7 @@
         long granted = server.grantedCount() - loggedCount;
         loggedCount = server.grantedCount();
         if (granted > 0) {
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "reservation: state granted={0} waiting={1}",
-                    granted,
-                    server.hasWaiting());
+            LOG.log(System.Logger.Level.INFO, "residency: slots granted={0} waiting={1}", granted, server.hasWaiting());
         }
     }
 
