Let no request hold back or reserve slots that it cannot use

A large prompt that had waited for half of its objective blocked all requests behind it, also while its own adapter was not loaded. Urgent requests that were refused for their model or adapter counted as arrivals for which slots are kept free.

A prompt now holds back others only once its adapter is loaded, and only requests that the engine can serve count as arrivals.

SlotBookTest#largePromptWithoutItsAdapterHoldsBackNone and #keepsNoSlotForRequestsThatTheEngineCannotServe fail before the change.

--- a/src/main/java/io/waxwingquay/reservation/SlotBook.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotBook.java
@@ -177,11 +177,11 @@
         }
 
         private List<SlotAnswer> submitNew(SlotRequest request, long nowMillis) {
-            pool.requested(request, nowMillis);
             Optional<Reason> refusal = pool.refusal(request, nowMillis);
             if (refusal.isPresent()) {
                 return List.of(deny(request, refusal.get(), 0, nowMillis));
             }
+            pool.requested(request, nowMillis);
             WaitingRequest waiting = queue.add(request, nowMillis);
             List<SlotAnswer> answers = grantFree(nowMillis);
             if (queue.size() > MAX_WAITING) {
--- a/src/main/java/io/waxwingquay/reservation/SlotPool.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotPool.java
@@ -53,7 +53,7 @@
         grants.release(key);
     }
 
-    /** Records a new request. */
+    /** Records a new request that the engine can serve. */
     void requested(SlotRequest request, long nowMillis) {
         capacity.requested(request, nowMillis);
     }
@@ -210,12 +210,10 @@
                 return Optional.empty();
             }
             for (WaitingRequest waiting : queue.inOrder(rank, shares)) {
-                if (promptDelayMillis(waiting.request(), nowMillis) == 0) {
-                    if (readiness(waiting.request(), nowMillis) == AdapterGate.Readiness.READY) {
-                        return Optional.of(waiting.request());
-                    }
-                } else if (holdsBackOthers(waiting, nowMillis)) {
-                    return Optional.empty();
+                boolean isDelayed = promptDelayMillis(waiting.request(), nowMillis) > 0;
+                boolean isPassedBy = isDelayed && !holdsBackOthers(waiting, nowMillis);
+                if (!isPassedBy && readiness(waiting.request(), nowMillis) == AdapterGate.Readiness.READY) {
+                    return isDelayed ? Optional.empty() : Optional.of(waiting.request());
                 }
             }
         }
--- a/src/test/java/io/waxwingquay/reservation/SlotBookTest.java
+++ b/src/test/java/io/waxwingquay/reservation/SlotBookTest.java
@@ -79,8 +79,7 @@
     }
 
     // Guards against one hot account that holds and requests everything: small ones get their part at once, and what
-    // they
-    // leave is used.
+    // they leave is used.
     @Test
     void accountsBelowTheirShareComeFirstAndNothingIsLeftUnused() {
         LongStream.range(0, 30).forEach(id -> engine.book.submit(request(id, RELAXED, "hot", 5_000, 60_000)));
@@ -251,6 +250,30 @@
         assertInstanceOf(Granted.class, paced.decide(request(5, URGENT)));
     }
 
+    // Guards against a large prompt that holds back all others although its adapter is not loaded.
+    @Test
+    void largePromptWithoutItsAdapterHoldsBackNone() {
+        SlotBookFixture paced = new SlotBookFixture(
+                SLOTS, new LargePromptsWait(), (model, adapter, nowMillis) -> AdapterGate.Readiness.LOADING);
+        paced.book.submit(withPrompt(request(1, LIVE), 10_000, Optional.of("slow")));
+        paced.nowMillis += LIVE.objectiveMillis() / 2 + 1;
+        assertInstanceOf(Granted.class, paced.decide(request(2, LIVE)));
+    }
+
+    // Guards against slots kept free for urgent requests that this engine refuses for another reason than its load.
+    @Test
+    void keepsNoSlotForRequestsThatTheEngineCannotServe() {
+        engine.models = Set.of("other");
+        engine.report();
+        for (int id = 0; id < 10; id++) {
+            engine.book.submit(request(id, URGENT));
+            engine.nowMillis += 50;
+        }
+        engine.models = Set.of("m");
+        engine.occupy(SLOTS - 1);
+        assertInstanceOf(Granted.class, engine.decide(request(20, RELAXED)));
+    }
+
     // Guards against memory that grows with the requests: beyond the bound the last in order is denied.
     @Test
     void boundsTheWaitingRequests() {
