--- a/src/main/java/io/waxwingquay/reservation/SlotBook.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotBook.java
@@ -266,7 +266,7 @@
             removeSilent(nowMillis);
             List<SlotAnswer> answers = new ArrayList<>(denyRefused(nowMillis));
             answers.addAll(grantFree(nowMillis));
-            answers.addAll(denyHopeless(nowMillis));
+            answers.addAll(denyExpectedTooLate(nowMillis));
             return answers;
         }
 
@@ -285,11 +285,11 @@
         }
 
         /** Denies the requests that are no longer expected to get a slot in their time. */
-        private List<SlotAnswer> denyHopeless(long nowMillis) {
+        private List<SlotAnswer> denyExpectedTooLate(long nowMillis) {
             List<SlotAnswer> denials = new ArrayList<>();
             int ahead = 0;
             for (WaitingRequest waiting : queue.inOrder(pool.shares())) {
-                if (isHopeless(waiting, ahead, nowMillis)) {
+                if (isExpectedTooLate(waiting, ahead, nowMillis)) {
                     denials.add(deny(waiting, nowMillis));
                 } else {
                     ahead++;
@@ -299,7 +299,7 @@
         }
 
         /** An estimate that is wrong by half the usual time between two free slots ends no wait that has begun. */
-        private boolean isHopeless(WaitingRequest waiting, int ahead, long nowMillis) {
+        private boolean isExpectedTooLate(WaitingRequest waiting, int ahead, long nowMillis) {
             long remainingMillis = waiting.remainingMillis(nowMillis);
             if (remainingMillis <= 0 || !pool.isKnown()) {
                 return remainingMillis <= 0;
