--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.function.IntSupplier;
 
 /**
  * One request of a caller, from its arrival to its final response.
@@ -20,15 +19,6 @@
     private static final int SERVER_ERROR = 500;
     private static final byte[] NO_BODY = {};
 
-    /** Interval between two checks of a request that waits for a model or an adapter. */
-    private static final long RECHECK_MILLIS = 30L;
-
-    /** Interval at which engines are asked again that had no place for the adapter of a request. */
-    private static final long ADAPTER_RECHECK_MILLIS = 60L;
-
-    /** Delay before a request that waits for room is checked again: at every tick. */
-    private static final long ROOM_RECHECK_MILLIS = 0L;
-
     private final ForwardContext context;
     private final ServerExchange caller;
     private final CallerResponder responder;
@@ -44,6 +34,7 @@
     private boolean callerGone;
     private final StreamProgress stream;
     private final RequestFailure failure;
+    private final RequestWaits waits;
 
     Exchange(
             ForwardContext context,
@@ -70,6 +61,11 @@
                 this::onSlotDecided);
         this.attempt = new CurrentAttempt(context, terms, suspicion, slotWait::unsent);
         this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
+        this.waits = new RequestWaits(
+                new RequestWaits.Parts(context, terms, stream, queuedRequest, slotWait, responder, failure),
+                () -> state,
+                this::transition,
+                this::choose);
     }
 
     ServerExchange caller() {
@@ -177,32 +173,33 @@
             return;
         }
         if (suspicion.isQuarantined()) {
-            notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
+            waits.notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
             return;
         }
         Choice choice = suspicion.choose(retries.triedTargets(), excluded -> slotWait.choose(excluded, nowMillis));
         if (choice instanceof Choice.Send send
                 && !terms.callerWaitsForAnswer(send.target(), stream.callerIdleMillis(nowMillis), nowMillis)) {
-            notPlaced("its caller would leave before its answer begins", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
+            waits.notPlaced(
+                    "its caller would leave before its answer begins", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         } else if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
-            awaitAdapter(load.target(), nowMillis);
+            waits.awaitAdapter(load.target(), nowMillis);
         } else if (choice instanceof Choice.Reserve reserve) {
-            awaitSlot(reserve.target());
+            waits.awaitSlot(reserve.target());
         } else if (choice instanceof Choice.Denied denied) {
-            slotDenied(denied, nowMillis);
+            waits.slotDenied(denied, nowMillis);
         } else if (choice instanceof Choice.ModelAbsent absent) {
-            awaitModel(absent.readyMillis(), nowMillis);
+            waits.awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
-            awaitRoom(full, nowMillis);
+            waits.awaitRoom(full, nowMillis);
         } else if (choice instanceof Choice.NoReplicaOfVersion) {
             failure.giveUp("no other replica of software version "
                     + stream.softwareVersion().orElse("") + " serves");
         } else if (choice instanceof Choice.AwaitIsolation) {
-            recheckLater();
+            waits.recheckLater();
         } else {
-            notPlaced("no replica can be reached", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
+            waits.notPlaced("no replica can be reached", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         }
     }
 
@@ -210,92 +207,8 @@
         return state == ExchangeState.RESUMING;
     }
 
-    /**
-     * Waits for the adapter, but only while the request can be served in time. If the side process is unresponsive
-     * along with its engine, the request would be held until its caller leaves, without being sent anywhere.
-     */
-    private void awaitAdapter(Target target, long nowMillis) {
-        if (!isResuming() && !terms.mayWaitForRoom(nowMillis)) {
-            notPlaced("adapter " + head.adapter().get() + " does not come", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
-            return;
-        }
-        slotWait.cancel();
-        transition(ExchangeState.Event.AWAIT);
-        context.adapterRequester()
-                .request(target, head.model().get(), head.adapter().get(), present -> {
-                    if (state == ExchangeState.AWAITING || isResuming()) {
-                        if (present) {
-                            transition(ExchangeState.Event.RETRY);
-                            choose();
-                        } else {
-                            recheckLater();
-                        }
-                    }
-                });
-    }
-
-    /** Waits for a slot; the side process of the engine decides whether the request can be served in time. */
-    private void awaitSlot(Target target) {
-        queuedRequest.leaveQueue();
-        transition(ExchangeState.Event.AWAIT);
-        slotWait.ask(target);
-    }
-
     private void onSlotDecided() {
-        if (state == ExchangeState.AWAITING || isResuming()) {
-            transition(ExchangeState.Event.RETRY);
-            choose();
-        }
-    }
-
-    /** Refuses a request; the time that a side process told is spread already. */
-    private void slotDenied(Choice.Denied denied, long nowMillis) {
-        SlotDenial denial = denied.denial();
-        String why = denial.describe(head, denied.engines());
-        if (denial.isShort() && !isResuming() && terms.remainingSlotWaitMillis(nowMillis) > 0) {
-            slotWait.forgetDenials();
-            recheckLater(ADAPTER_RECHECK_MILLIS);
-        } else if (isResuming()) {
-            slotWait.useShortestDenial();
-            long resumeMillis = WaitPolicy.remainingResumeMillis(stream.interruptedMillis(nowMillis));
-            recheckLater(Math.max(RECHECK_MILLIS, Math.min(denial.retryAfterMillis(), resumeMillis)));
-        } else if (denial.hasRetryTime()) {
-            notPlaced(why, () -> {
-                slotWait.useShortestDenial();
-                return responder.rejectUntil(why, denial.retryAfterMillis());
-            });
-        } else {
-            notPlaced(why, RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
-        }
-    }
-
-    private void awaitModel(long readyMillis, long nowMillis) {
-        context.modelMissed();
-        if (isResuming() || terms.mayWaitForModel(readyMillis, nowMillis)) {
-            recheckLater();
-        } else {
-            notPlaced("model " + head.model().get() + " is in no engine", readyMillis);
-        }
-    }
-
-    private void awaitRoom(Choice.Full full, long nowMillis) {
-        if (queuedRequest.enqueueFor(full, nowMillis) || isResuming()) {
-            recheckLater(ROOM_RECHECK_MILLIS);
-        } else {
-            notPlaced("no room", queuedRequest.expectedWaitMillis(full));
-        }
-    }
-
-    private void recheckLater() {
-        recheckLater(RECHECK_MILLIS);
-    }
-
-    private void recheckLater(long delayMillis) {
-        slotWait.cancel();
-        if (state == ExchangeState.CHOOSING) {
-            transition(ExchangeState.Event.AWAIT);
-        }
-        queuedRequest.recheckIn(delayMillis, EventLoop.nowMillis());
+        waits.chooseAgain();
     }
 
     private void send(Target target) {
@@ -342,6 +255,7 @@
         end(responder.respond(from, body), "answered by " + from.target().id());
     }
 
+    /** Notes that a replica has begun its answer. */
     void answerBegan(Attempt from) {
         attempt.answerBegan(from);
     }
@@ -436,18 +350,6 @@
         choose();
     }
 
-    private void notPlaced(String why, long retryAfterMillis) {
-        notPlaced(why, () -> responder.reject(why, retryAfterMillis));
-    }
-
-    private void notPlaced(String why, IntSupplier reject) {
-        if (isResuming()) {
-            recheckLater();
-        } else {
-            failure.notPlaced(why, reject);
-        }
-    }
-
     /**
      * Ends a request whose caller has left, so that replicas don't spend their time on answers that nobody reads while
      * others wait. Closing the connection ends the work. A request that may not run twice is left to finish, as its
