--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -105,8 +105,7 @@
         this.loop = loop;
         this.adminServer = new HostedAdminServer(loop, new HostPort(settings.host(), settings.adminPort()));
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::onDatagram);
-        this.roundPacer = new DatagramPacer(
-                settings.bounds().linkBytesPerSecond(), loop::schedule, EventLoop::nowMillis, peers::send);
+        this.roundPacer = createRoundPacer();
         this.suspects = new SharedSuspects(EventLoop::nowMillis, random);
         this.forwarder = new Forwarder(
                 loop,
@@ -282,6 +281,11 @@
         }
     }
 
+    private DatagramPacer createRoundPacer() {
+        return new DatagramPacer(
+                settings.bounds().linkBytesPerSecond(), loop::schedule, EventLoop::nowMillis, peers::send);
+    }
+
     private void sendUpdates() {
         Set<HostPort> sides =
                 forwarder.engineAddresses().stream().map(this::sideAddressOf).collect(Collectors.toSet());
