Restart a crashing stand-in before its connection breaks

Behaviour.crashOn closed the connection first; the test then wrote the row with the time of birth of the incarnation before, and waited for that of the next one. Change: the stand-in begins its next incarnation before it closes the connection.

--- a/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
+++ b/src/main/java/io/waxwingquay/standin/prepared/ReplicaStandin.java
@@ -293,8 +293,9 @@
                 caller.begin(
                         OK, HttpFields.build(replica.responseFields(caller)).put("Content-Type", "text/event-stream"));
                 caller.write(ByteBuffer.wrap(written.getBytes(StandardCharsets.UTF_8)));
-                caller.abort();
+                // Whoever sees the connection break may ask for the new incarnation at once.
                 replica.restart();
+                caller.abort();
             };
         }
 
