Give streams at engines that grant slots 1.5 s of silence, and shorten Exchange

Cause: with the change before, a stream that hangs at an engine which is heard was never resumed elsewhere, though replicas may hang while their health is good. ForwarderTest uses ForwarderFixture, with the same values and the same expectation.

--- a/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -7,6 +7,9 @@
 /** The attempt of a request that is in progress, if there is one, and whether any of its attempts may have run. */
 final class CurrentAttempt {
 
+    /** Silence of a stream at an engine that grants slots after which another one resumes it; callers leave after 2 s. */
+    private static final long GRANTED_STALL_MILLIS = 1_500L;
+
     private final ForwardContext context;
     private final MessageCodec.RequestHead head;
     private final Suspicion suspicion;
@@ -103,9 +106,16 @@
         head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
     }
 
-    /** Returns the running attempt if nothing has come for so long that another replica should take the request over. */
+    /**
+     * Returns the running attempt if nothing has come for so long that another replica should take the request over. A
+     * stream at an engine that grants slots and is heard is given longer: the engine holds no more requests than slots, so
+     * the stream most likely goes on, and elsewhere it has to wait for a slot first.
+     */
     Optional<Attempt> stalled(Route route, ExchangeState state, long nowMillis) {
-        return running.filter(attempt -> attempt.isStalled(route, state, nowMillis));
+        return running.filter(attempt -> attempt.isStalled(route, state, nowMillis))
+                .filter(attempt -> state != ExchangeState.STREAMING
+                        || !attempt.target().grantsSlots(nowMillis)
+                        || nowMillis - attempt.lastReceivedMillis() > GRANTED_STALL_MILLIS);
     }
 
     /** Returns whether the engine of the running attempt may be unresponsive. */
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -124,7 +124,6 @@
         if (stalled.isPresent()
                 && route.isSafeToRetry()
                 && !callerGone
-                && !isQueuedAgain(stalled.get(), nowMillis)
                 && retries.canRetryElsewhere(stream, nowMillis)) {
             giveUpOn(stalled.get(), nowMillis);
         } else if (attempt.isDoubtful(nowMillis)
@@ -138,14 +137,6 @@
         failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
     }
 
-    /**
-     * Returns whether a stalled stream most likely goes on where it is: its engine is heard, and holds no more requests than
-     * slots. It may not find a slot elsewhere within the time in which it can be resumed.
-     */
-    private static boolean isQueuedAgain(Attempt stalled, long nowMillis) {
-        return stalled.target().grantsSlots(nowMillis);
-    }
-
     /**
      * Answers a request while its caller still waits: an unresponsive engine can't be told to cancel, and would run it
      * for nobody later. If the engine is healthy after all, only the little time until the caller would have left is
--- a/src/test/java/io/waxwingquay/forward/ForwarderFixture.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderFixture.java
@@ -14,13 +14,14 @@
 final class ForwarderFixture {
 
     static final int ASSUMED_ENTRY_COUNT = 8;
+    static final double RETRY_BURST = 100;
 
     private ForwarderFixture() {}
 
     static Forwarder forwarder(EventLoop loop, MessageCodec codec, RandomGenerator random) {
         return new Forwarder(
                 loop,
-                new ForwardSettings("z", 0.2, 100, ASSUMED_ENTRY_COUNT, QuotaTolerance.NONE),
+                new ForwardSettings("z", 0.2, RETRY_BURST, ASSUMED_ENTRY_COUNT, QuotaTolerance.NONE),
                 codec,
                 new UncountedMetrics(),
                 new SilentNotifier(),
--- a/src/test/java/io/waxwingquay/forward/ForwarderTest.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderTest.java
@@ -2,16 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
 import io.waxwingquay.fleet.ReplicaRecord;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.platform.HeaderCodec;
-import io.waxwingquay.suspect.SharedSuspects;
 import io.waxwingquay.transport.generated.EngineNews;
-import io.waxwingquay.transport.generated.OriginQuestion;
-import io.waxwingquay.transport.generated.OriginReport;
-import io.waxwingquay.transport.generated.SlotRequest;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -24,7 +19,7 @@
 
     private static final HostPort FIRST_ENGINE = new HostPort("127.0.0.1", 1);
     private static final HostPort SECOND_ENGINE = new HostPort("127.0.0.2", 1);
-    private static final double RETRY_BURST = 100;
+    private static final double RETRY_BURST = ForwarderFixture.RETRY_BURST;
 
     private final EventLoop loop = EventLoop.start("test");
 
@@ -56,14 +51,7 @@
     }
 
     private Forwarder forwarder() {
-        Forwarder forwarder = new Forwarder(
-                loop,
-                new ForwardSettings("z", 0.2, RETRY_BURST, 8, QuotaTolerance.NONE),
-                new HeaderCodec(),
-                new UncountedMetrics(),
-                new SilentNotifier(),
-                new SuspectTracker(new SharedSuspects(() -> 0, new Random(3)), () -> 0, () -> {}),
-                new Random(5));
+        Forwarder forwarder = ForwarderFixture.forwarder(loop, new HeaderCodec(), new Random(5));
         forwarder.replicaListener().onListed(replica("a", FIRST_ENGINE), Optional.empty());
         forwarder.replicaListener().onListed(replica("b", SECOND_ENGINE), Optional.empty());
         return forwarder;
@@ -82,65 +70,4 @@
                 .setModels(List.of())
                 .setEntries(entries);
     }
-
-    private static final class UncountedMetrics implements ForwardMetrics {
-
-        @Override
-        public void ended(int status, long tookMillis) {
-            // not counted here
-        }
-
-        @Override
-        public void unrouted() {
-            // not counted here
-        }
-
-        @Override
-        public void unauthorized() {
-            // not counted here
-        }
-
-        @Override
-        public void overQuota() {
-            // not counted here
-        }
-    }
-
-    private static final class SilentNotifier implements EngineNotifier {
-
-        @Override
-        public void requestAdapter(HostPort engine, long id, String model, String adapter) {
-            throw new IllegalStateException("no adapter is requested here");
-        }
-
-        @Override
-        public void requestSlot(HostPort engine, SlotRequest request) {
-            throw new IllegalStateException("no slot is requested here");
-        }
-
-        @Override
-        public void cancelSlot(HostPort engine, long id) {
-            throw new IllegalStateException("no slot is cancelled here");
-        }
-
-        @Override
-        public void report(HostPort process, OriginReport report) {
-            throw new IllegalStateException("no stream starts here");
-        }
-
-        @Override
-        public void ask(HostPort process, OriginQuestion question) {
-            throw new IllegalStateException("no stream is resumed here");
-        }
-
-        @Override
-        public void spendingReportDue() {
-            // nobody to notify
-        }
-
-        @Override
-        public void demandChanged() {
-            // nobody to notify
-        }
-    }
 }
