Poll an engine every 50 ms while requests wait, and log queued ones at level DEBUG

Change: 50 ms in place of 25 ms; a queued request is no line at level INFO, as the entry logs its wait.

--- a/src/main/java/io/waxwingquay/reservation/SlotBook.java
+++ b/src/main/java/io/waxwingquay/reservation/SlotBook.java
@@ -210,7 +210,7 @@
                 return deny(waiting, nowMillis);
             }
             LOG.log(
-                    System.Logger.Level.INFO,
+                    System.Logger.Level.DEBUG,
                     "reservation: queued attempt={0} load={1} rank={2} wait_ms={3}",
                     waiting.request().attemptId(),
                     pool.load(nowMillis),
--- a/src/main/java/io/waxwingquay/residency/AdapterPlaces.java
+++ b/src/main/java/io/waxwingquay/residency/AdapterPlaces.java
@@ -19,7 +19,7 @@
 
     /**
      * Time after which an adapter that is not loaded and was not asked for again is not needed any more. The slot book
-     * asks for the adapters of waiting requests every 25 ms.
+     * asks for the adapters of waiting requests every 50 ms.
      */
     private static final long WAITING_CLAIM_MILLIS = 250L;
 
--- a/src/main/java/io/waxwingquay/residency/SlotGranting.java
+++ b/src/main/java/io/waxwingquay/residency/SlotGranting.java
@@ -22,7 +22,7 @@
 final class SlotGranting {
 
     /** The interval at which a free slot is looked for while requests wait. */
-    static final long WAITING_MILLIS = 25L;
+    static final long WAITING_MILLIS = 50L;
 
     /** A report that is younger shows about what a further poll would. */
     private static final long FRESH_MILLIS = 8L;
