Grant slots only where streams have three priority classes

Change: a side grants its engine's slots only where the configuration ranks the streams of the service in three priority classes or more: then relaxed work competes with live work and the order among entries matters. Measured: ManifestTest, EngineManagerTest, SlotGrantingTest and HostedPathTest pass.

--- a/src/main/java/io/waxwingquay/hosted/HostedSide.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedSide.java
@@ -34,6 +34,9 @@
      */
     private static final long CONFIGURATION_CHECK_MILLIS = 1_000L;
 
+    /** Priority classes of streams from which the slots of engines are granted: urgent, live and relaxed work. */
+    private static final int MIN_PRIORITY_CLASSES = 3;
+
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
 
     private final HostSettings settings;
@@ -153,10 +156,22 @@
             configurationKnown = true;
             configurationVersion = manifest.version();
             healthPath = Optional.ofNullable(manifest.services().get(service)).flatMap(Manifest.Service::healthPath);
-            keeper.configure(manifest.engine(service));
+            configureEngine(manifest);
         }));
     }
 
+    /**
+     * Configures the engine. Its slots are granted only where the operator ranks the streams of the service in several
+     * classes: the order among requests of different entries matters when relaxed work competes with live work.
+     */
+    private void configureEngine(Manifest manifest) {
+        if (manifest.streamPriorityClasses(service) >= MIN_PRIORITY_CLASSES) {
+            keeper.configure(manifest.engine(service));
+        } else {
+            keeper.configureWithoutGranting(manifest.engine(service));
+        }
+    }
+
     private final class PeerSender implements EngineManager.Sender {
 
         private final SuspectRelay suspectRelay =
--- a/src/main/java/io/waxwingquay/manifest/Manifest.java
+++ b/src/main/java/io/waxwingquay/manifest/Manifest.java
@@ -40,6 +40,22 @@
         return Optional.ofNullable(services.get(service)).flatMap(Service::engine);
     }
 
+    /**
+     * Counts the priority classes of the streams of a service.
+     *
+     * @param service the service's name.
+     * @return the number of different priorities among the routes of streams that the service may receive.
+     */
+    public long streamPriorityClasses(String service) {
+        return routes.stream()
+                .filter(route -> route.kind() == Route.Kind.STREAM)
+                .filter(route -> route.shares().stream()
+                        .anyMatch(share -> share.service().equals(service)))
+                .mapToInt(Route::priority)
+                .distinct()
+                .count();
+    }
+
     /**
      * A service.
      *
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -121,15 +121,25 @@
     }
 
     /**
-     * Sets the engine's specification.
+     * Sets the engine's specification; its slots are granted when there are enough entries.
      *
      * @param newer the specification in the configuration in force.
      */
     public void configure(Optional<Engine> newer) {
-        engine = newer;
+        configureWithoutGranting(newer);
         granting.configure(newer);
     }
 
+    /**
+     * Sets the engine's specification where its slots are not granted.
+     *
+     * @param newer the specification in the configuration in force.
+     */
+    public void configureWithoutGranting(Optional<Engine> newer) {
+        engine = newer;
+        granting.configure(Optional.empty());
+    }
+
     /**
      * Returns the gate that loads the adapters of requests for slots of the engine.
      *
