--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -19,15 +19,6 @@
     private static final int SERVER_ERROR = 500;
     private static final byte[] NO_BODY = {};
 
-    /** Interval between two checks of a request that waits for a model or an adapter. */
-    private static final long RECHECK_MILLIS = 30L;
-
-    /** Delay before a request that waits for room is checked again: at every tick. */
-    private static final long ROOM_RECHECK_MILLIS = 0L;
-
-    /** Default retry-after delay, by which most lost replicas are replaced or found again. */
-    private static final long DEFAULT_RETRY_AFTER_MILLIS = 400L;
-
     private final ForwardContext context;
     private final ServerExchange caller;
     private final CallerResponder responder;
@@ -38,11 +29,12 @@
     private final QueuedRequest queuedRequest;
     private final RetryRules retries;
     private ExchangeState state = ExchangeState.CHART.initial();
-    private Attempt attempt;
-    private boolean mayHaveRun;
+    private final CurrentAttempt attempt;
+    private final SlotWait slotWait;
     private boolean callerGone;
     private final StreamProgress stream;
-    private String lastFailure = "";
+    private final RequestFailure failure;
+    private final RequestWaits waits;
 
     Exchange(
             ForwardContext context,
@@ -62,6 +54,22 @@
         this.suspicion = suspicion;
         this.stream = new StreamProgress(terms.arrivedMillis(), head, softwareVersion);
         this.retries = new RetryRules(context, terms);
+        this.slotWait = new SlotWait(
+                context.slotRequester(),
+                new SlotPlacement(context.callerAge(), terms, stream, retries.triedTargets()),
+                EventLoop::nowMillis,
+                this::onSlotDecided);
+        this.attempt = new CurrentAttempt(context, terms, suspicion, slotWait::unsent);
+        this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
+        this.waits = new RequestWaits(
+                new RequestWaits.Parts(context, terms, stream, queuedRequest, slotWait, responder, failure),
+                () -> state,
+                this::transition,
+                this::choose);
+    }
+
+    ServerExchange caller() {
+        return caller;
     }
 
     MessageCodec codec() {
@@ -92,6 +100,7 @@
         caller.onDisconnect(this::onCallerGone);
         if (needsModel()) {
             context.demandMeter().requested(head.model().get(), EventLoop.nowMillis());
+            context.callerAge().arrived(route.name(), head.remainingMillis());
         }
         choose();
     }
@@ -101,7 +110,7 @@
             return;
         }
         if (terms.remainingMillis(nowMillis) <= 0) {
-            deadlineExceeded();
+            failure.deadlineExceeded();
             return;
         }
         if (queuedRequest.isRecheckDue(nowMillis)) {
@@ -111,87 +120,86 @@
             }
             return;
         }
-        if (attempt != null
+        Optional<Attempt> stalled = attempt.stalled(route, state, nowMillis);
+        if (stalled.isPresent()
                 && route.isSafeToRetry()
-                && attempt.isStalled(route, state, nowMillis)
                 && !callerGone
                 && retries.canRetryElsewhere(stream, nowMillis)) {
-            Attempt stalled = attempt;
-            stalled.cancel();
-            failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
-            return;
-        }
-        if (attempt != null
-                && attempt.target().mayBeUnresponsive(attempt.sentMillis(), nowMillis)
+            giveUpOn(stalled.get(), nowMillis);
+        } else if (attempt.isDoubtful(nowMillis)
                 && WaitPolicy.isCallerAboutToLeave(route, stream.callerIdleMillis(nowMillis))) {
             giveUpOnDoubtfulTarget();
         }
     }
 
+    private void giveUpOn(Attempt stalled, long nowMillis) {
+        stalled.cancel();
+        failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
+    }
+
     /**
      * Answers a request while its caller still waits: an unresponsive engine can't be told to cancel, and would run it
      * for nobody later. If the engine is healthy after all, only the little time until the caller would have left is
      * lost.
      */
     private void giveUpOnDoubtfulTarget() {
-        withdrawAttempt();
-        giveUp("its engine may stand still");
-    }
-
-    /** Cancels the attempt; a request of which nothing was sent is known not to have run. */
-    private void withdrawAttempt() {
-        mayHaveRun |= attempt != null && attempt.mayHaveBeenSent();
-        cancelAttempt();
+        attempt.withdraw();
+        failure.giveUp("its engine may stand still");
     }
 
     /** Rejects a request that waits here, while its caller can still turn to another entry. */
     void drain() {
         if (state == ExchangeState.CHOOSING || state == ExchangeState.AWAITING) {
-            giveUp("this process is about to exit");
+            failure.giveUp("this process is about to exit");
         }
     }
 
     /** Ends a request at the exit; an error response is better than a closed connection without one. */
     void terminate() {
         if (state != ExchangeState.DONE && !stream.hasBegun()) {
-            withdrawAttempt();
-            giveUp("this process exits");
+            attempt.withdraw();
+            failure.giveUp("this process exits");
         }
     }
 
     private void choose() {
-        if (!terms.isStillAuthorized() && !mayHaveRun) {
-            giveUp("its client account is gone");
+        if (!terms.isStillAuthorized() && !attempt.mayHaveRun()) {
+            failure.giveUp("its client account is gone");
             return;
         }
         long nowMillis = EventLoop.nowMillis();
         if (isResuming() && !WaitPolicy.mayResume(stream.interruptedMillis(nowMillis))) {
-            abortStream("it could not go on elsewhere");
+            failure.abortStream("it could not go on elsewhere");
             return;
         }
         if (suspicion.isQuarantined()) {
-            notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
+            waits.notPlaced(suspicion.quarantineReason(), Suspicion.RETRY_AFTER_MILLIS);
             return;
         }
-        Choice choice = suspicion.choose(retries.triedTargets(), excluded -> terms.choose(stream, excluded, nowMillis));
+        Choice choice = suspicion.choose(retries.triedTargets(), excluded -> slotWait.choose(excluded, nowMillis));
         if (choice instanceof Choice.Send send
                 && !terms.callerWaitsForAnswer(send.target(), stream.callerIdleMillis(nowMillis), nowMillis)) {
-            notPlaced("its caller would leave before its answer begins", DEFAULT_RETRY_AFTER_MILLIS);
+            waits.notPlaced(
+                    "its caller would leave before its answer begins", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         } else if (choice instanceof Choice.Send send) {
             send(send.target());
         } else if (choice instanceof Choice.LoadAdapter load) {
-            awaitAdapter(load.target(), nowMillis);
+            waits.awaitAdapter(load.target(), nowMillis);
+        } else if (choice instanceof Choice.Reserve reserve) {
+            waits.awaitSlot(reserve.target());
+        } else if (choice instanceof Choice.Denied denied) {
+            waits.slotDenied(denied, nowMillis);
         } else if (choice instanceof Choice.ModelAbsent absent) {
-            awaitModel(absent.readyMillis(), nowMillis);
+            waits.awaitModel(absent.readyMillis(), nowMillis);
         } else if (choice instanceof Choice.Full full) {
-            awaitRoom(full, nowMillis);
+            waits.awaitRoom(full, nowMillis);
         } else if (choice instanceof Choice.NoReplicaOfVersion) {
-            giveUp("no other replica of software version "
+            failure.giveUp("no other replica of software version "
                     + stream.softwareVersion().orElse("") + " serves");
         } else if (choice instanceof Choice.AwaitIsolation) {
-            recheckLater();
+            waits.recheckLater();
         } else {
-            notPlaced("no replica can be reached", DEFAULT_RETRY_AFTER_MILLIS);
+            waits.notPlaced("no replica can be reached", RequestFailure.DEFAULT_RETRY_AFTER_MILLIS);
         }
     }
 
@@ -199,58 +207,12 @@
         return state == ExchangeState.RESUMING;
     }
 
-    /**
-     * Waits for the adapter, but only while the request can be served in time. If the side process is unresponsive
-     * along with its engine, the request would be held until its caller leaves, without being sent anywhere.
-     */
-    private void awaitAdapter(Target target, long nowMillis) {
-        if (!isResuming() && !terms.mayWaitForRoom(nowMillis)) {
-            notPlaced("adapter " + head.adapter().get() + " does not come", DEFAULT_RETRY_AFTER_MILLIS);
-            return;
-        }
-        transition(ExchangeState.Event.AWAIT);
-        context.adapterRequester()
-                .request(target, head.model().get(), head.adapter().get(), present -> {
-                    if (state == ExchangeState.AWAITING || isResuming()) {
-                        if (present) {
-                            transition(ExchangeState.Event.RETRY);
-                            choose();
-                        } else {
-                            recheckLater();
-                        }
-                    }
-                });
-    }
-
-    private void awaitModel(long readyMillis, long nowMillis) {
-        context.modelMissed();
-        if (isResuming() || terms.mayWaitForModel(readyMillis, nowMillis)) {
-            recheckLater();
-        } else {
-            notPlaced("model " + head.model().get() + " is in no engine", readyMillis);
-        }
-    }
-
-    private void awaitRoom(Choice.Full full, long nowMillis) {
-        if (queuedRequest.enqueueFor(full, nowMillis) || isResuming()) {
-            recheckLater(ROOM_RECHECK_MILLIS);
-        } else {
-            notPlaced("no room", queuedRequest.expectedWaitMillis(full));
-        }
-    }
-
-    private void recheckLater() {
-        recheckLater(RECHECK_MILLIS);
-    }
-
-    private void recheckLater(long delayMillis) {
-        if (state == ExchangeState.CHOOSING) {
-            transition(ExchangeState.Event.AWAIT);
-        }
-        queuedRequest.recheckIn(delayMillis, EventLoop.nowMillis());
+    private void onSlotDecided() {
+        waits.chooseAgain();
     }
 
     private void send(Target target) {
+        slotWait.sent(target);
         queuedRequest.leaveQueue();
         if (state == ExchangeState.AWAITING) {
             transition(ExchangeState.Event.RETRY);
@@ -260,9 +222,7 @@
         suspicion.sent(target);
         Attempt next = new Attempt(this, target);
         stream.requestSent(target.record(), next.sentMillis());
-        attempt = next;
-        target.requestSent(head.model(), head.adapter(), EngineRequirements.kvTokens(head), next.sentMillis());
-        head.model().ifPresent(context.demandMeter()::started);
+        attempt.started(next);
         ClientRequest request = terms.toClientRequest(target, stream.lastEventId(), EventLoop.nowMillis());
         next.call(target.pool().send(request, next));
     }
@@ -273,15 +233,15 @@
 
     /** Handles a complete response of any status. */
     void answered(Attempt from, MessageCodec.ResponseHead response, byte[] body) {
-        release(from);
+        attempt.release(from);
         if (response.didNotRun()) {
             rejected(from, response);
             return;
         }
         if (from.status() >= SERVER_ERROR) {
             from.recordFailure(true);
-            mayHaveRun = true;
-            lastFailure = "status " + from.status();
+            attempt.noteMayHaveRun();
+            failure.lastReason("status " + from.status());
             if (!stream.hasBegun() && route.isSafeToRetry() && tryRetry()) {
                 return;
             }
@@ -289,12 +249,17 @@
             from.recordSuccess();
         }
         if (stream.hasBegun()) {
-            abortStream("a resumed stream was answered with status " + from.status());
+            failure.abortStream("a resumed stream was answered with status " + from.status());
             return;
         }
         end(responder.respond(from, body), "answered by " + from.target().id());
     }
 
+    /** Notes that a replica has begun its answer. */
+    void answerBegan(Attempt from) {
+        attempt.answerBegan(from);
+    }
+
     void eventReceived(Attempt from, byte[] bytes, OptionalLong id) {
         if (stream.wasDelivered(id)) {
             return;
@@ -306,16 +271,17 @@
             responder.beginStream(from);
         }
         stream.eventDelivered(from.target().softwareVersion(), id, EventLoop.nowMillis());
+        caller.source(from);
         if (!responder.writeEvent(bytes)) {
             from.cancel();
-            release(from);
-            abortStream("its caller does not read the response");
+            attempt.release(from);
+            failure.abortStream("its caller does not read the response");
         }
     }
 
     /** Handles the end of a stream, which is not within an event. */
     void streamEnded(Attempt from) {
-        release(from);
+        attempt.release(from);
         String replica = from.target().id();
         String streamEnd = from.describeStreamEnd();
         if (stream.hasBegun()) {
@@ -327,18 +293,19 @@
 
     /** Handles an attempt that ended without a complete response. */
     void failed(Attempt from, boolean sent, String why) {
-        release(from);
-        lastFailure = why;
+        attempt.release(from);
+        failure.lastReason(why);
         from.recordFailure(sent);
         if (sent) {
-            mayHaveRun = true;
+            attempt.noteMayHaveRun();
         } else {
             retries.notSent();
+            slotWait.unsent();
         }
         if (stream.hasBegun()) {
             stream.interrupted(EventLoop.nowMillis());
             if (!route.isSafeToRetry() || !tryRetry()) {
-                abortStream(why);
+                failure.abortStream(why);
             }
             return;
         }
@@ -346,12 +313,12 @@
         if (resendUnsent) {
             retry();
         } else if (!(sent && route.isSafeToRetry()) || !tryRetry()) {
-            giveUp(why);
+            failure.giveUp(why);
         }
     }
 
     private void rejected(Attempt from, MessageCodec.ResponseHead response) {
-        lastFailure = "not run by " + from.target().id() + ", status " + from.status();
+        failure.lastReason("not run by " + from.target().id() + ", status " + from.status());
         if (response.misdirected()) {
             context.misdirected(from.target(), head, response);
         } else if (response.full()) {
@@ -361,7 +328,7 @@
             stream.interrupted(EventLoop.nowMillis());
         }
         if (!tryRetry()) {
-            giveUp(lastFailure);
+            failure.giveUp(failure.lastReason());
         }
     }
 
@@ -371,7 +338,7 @@
             return false;
         }
         if (!retries.tryAcquire()) {
-            lastFailure = lastFailure + ", no retry left in the budget";
+            failure.lastReason(failure.lastReason() + ", no retry left in the budget");
             return false;
         }
         retry();
@@ -383,49 +350,6 @@
         choose();
     }
 
-    private void notPlaced(String why, long retryAfterMillis) {
-        if (isResuming()) {
-            recheckLater();
-            return;
-        }
-        if (mayHaveRun) {
-            giveUp(lastFailure.isEmpty() ? why : lastFailure);
-            return;
-        }
-        reject(why, retryAfterMillis);
-    }
-
-    private void giveUp(String why) {
-        if (stream.hasBegun()) {
-            abortStream(why);
-        } else if (mayHaveRun) {
-            end(responder.badGateway(), why);
-        } else {
-            reject(why, DEFAULT_RETRY_AFTER_MILLIS);
-        }
-    }
-
-    private void reject(String why, long retryAfterMillis) {
-        terms.admission().giveBack();
-        end(responder.reject(why, retryAfterMillis), why);
-    }
-
-    private void abortStream(String why) {
-        end(responder.abort(), why);
-    }
-
-    private void deadlineExceeded() {
-        boolean wasSent = attempt != null || mayHaveRun;
-        cancelAttempt();
-        if (stream.hasBegun()) {
-            abortStream("its time is over");
-        } else if (wasSent) {
-            end(responder.gatewayTimeout(), "its time is over");
-        } else {
-            reject("its time is over", DEFAULT_RETRY_AFTER_MILLIS);
-        }
-    }
-
     /**
      * Ends a request whose caller has left, so that replicas don't spend their time on answers that nobody reads while
      * others wait. Closing the connection ends the work. A request that may not run twice is left to finish, as its
@@ -434,31 +358,15 @@
      */
     private void onCallerGone() {
         callerGone = true;
-        if (attempt != null && attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
+        if (attempt.mayHaveBeenSent() && route.kind() == Route.Kind.UNSAFE) {
+            caller.retainRequest();
             return;
         }
-        withdrawAttempt();
-        if (!mayHaveRun) {
+        attempt.withdraw();
+        if (!attempt.mayHaveRun()) {
             terms.admission().giveBack();
         }
-        end(0, "the caller left");
-    }
-
-    private void cancelAttempt() {
-        if (attempt != null) {
-            Attempt running = attempt;
-            running.cancel();
-            release(running);
-        }
-    }
-
-    private void release(Attempt ended) {
-        if (attempt == ended) {
-            attempt = null;
-        }
-        suspicion.ended();
-        ended.target().requestEnded(head.model(), head.adapter());
-        head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
+        end(0, caller.isCutOff() ? "its caller does not read the response" : "the caller left");
     }
 
     private void transition(ExchangeState.Event event) {
@@ -466,12 +374,23 @@
     }
 
     private void end(int status, String why) {
+        slotWait.cancel();
+        slotWait.forgetDenials();
         queuedRequest.leaveQueue();
+        caller.releaseRequest();
         transition(ExchangeState.Event.END);
         queuedRequest.cancelRecheck();
         context.ended(
                 this,
                 new Outcome(
-                        head, route, terms.service(), status, retries.attempts(), why, terms.arrivedMillis(), stream));
+                        head,
+                        route,
+                        terms.service(),
+                        status,
+                        retries.attempts(),
+                        why,
+                        terms.arrivedMillis(),
+                        stream,
+                        slotWait));
     }
 }
--- a/src/main/java/io/waxwingquay/forward/RequestTerms.java
+++ b/src/main/java/io/waxwingquay/forward/RequestTerms.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.eclipse.jetty.http.HttpFields;
 
 /** The terms of one request, which are the same for all its attempts: what it requests, its route and its deadline. */
@@ -18,6 +20,9 @@
     /** Objective above which a request has the lower priority of two on routes of the same priority. */
     private static final long RELAXED_OBJECTIVE_MILLIS = 1_000L;
 
+    /** Time after which an engine that has too many bodies from here is expected to take one more. */
+    private static final long BODY_WAIT_MILLIS = 150L;
+
     private static final int LOWEST_PRIORITY = 9;
 
     /** Engine priorities for the routes of one priority class of accounts; engines have ten, so that two classes fit. */
@@ -122,6 +127,18 @@
         return WaitPolicy.mayEnqueue(route, waitedMillis(nowMillis), expectedWaitMillis, timeoutMillis);
     }
 
+    /** Returns how much longer the request may wait for a slot that a side process grants. */
+    long remainingSlotWaitMillis(long nowMillis) {
+        long timeoutMillis = deadlineAtMillis - request.arrivedMillis();
+        return WaitPolicy.remainingSlotWaitMillis(route, waitedMillis(nowMillis), timeoutMillis);
+    }
+
+    /** Returns the slots of an engine that are free by the last report of its load. */
+    int freeSlots(Target target, long nowMillis) {
+        return engine.map(known -> known.slots() - target.expectedLoad(nowMillis))
+                .orElse(0);
+    }
+
     long slackMillis(long nowMillis) {
         return WaitPolicy.slackMillis(route, waitedMillis(nowMillis));
     }
@@ -149,27 +166,57 @@
      * Chooses a replica other than the excluded ones.
      *
      * @param stream the progress of the stream, which limits where it may be resumed.
+     * @param slotUse which engines are asked for slots.
      */
-    Choice choose(StreamProgress stream, Set<Target> excluded, long nowMillis) {
+    Choice choose(StreamProgress stream, Set<Target> excluded, SlotUse slotUse, long nowMillis) {
         if (stream.softwareVersion().isEmpty()) {
-            return chooseAmong(context.targets(service), excluded, nowMillis);
+            return chooseAmong(context.targets(service), excluded, slotUse, nowMillis);
         }
         List<Target> ofVersion = context.targets(service).stream()
                 .filter(target -> target.softwareVersion().equals(stream.softwareVersion()))
                 .toList();
         boolean mayResume =
                 ofVersion.stream().anyMatch(target -> target.acceptsRequests() && !excluded.contains(target));
-        return mayResume ? chooseAmong(ofVersion, excluded, nowMillis) : new Choice.NoReplicaOfVersion();
+        return mayResume ? chooseAmong(ofVersion, excluded, slotUse, nowMillis) : new Choice.NoReplicaOfVersion();
     }
 
-    private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, long nowMillis) {
+    private Choice chooseAmong(Collection<Target> targets, Set<Target> excluded, SlotUse slotUse, long nowMillis) {
         TargetChooser chooser = context.chooser();
         return needsModel()
-                ? chooser.chooseEngine(
-                        targets, excluded, engine.get(), EngineRequirements.of(head, context.demandMeter()), nowMillis)
+                ? chooseEngine(targets, excluded, slotUse, nowMillis)
                 : chooser.choosePlain(targets, excluded, nowMillis);
     }
 
+    /** Chooses an engine that may get the body; where only the body is in the way, the request waits as for a slot. */
+    private Choice chooseEngine(Collection<Target> targets, Set<Target> excluded, SlotUse slotUse, long nowMillis) {
+        Set<Target> withoutBodyRoom = targets.stream()
+                .filter(target -> !excluded.contains(target))
+                .filter(target -> !hasRoomForBody(target))
+                .collect(Collectors.toSet());
+        Set<Target> all =
+                Stream.concat(excluded.stream(), withoutBodyRoom.stream()).collect(Collectors.toSet());
+        Choice choice = context.chooser()
+                .chooseEngine(
+                        targets,
+                        all,
+                        engine.get(),
+                        EngineRequirements.of(head, context.demandMeter(), slotUse),
+                        nowMillis);
+        return choice instanceof Choice.NoReplica && !withoutBodyRoom.isEmpty()
+                ? new Choice.Full(BODY_WAIT_MILLIS, 0, OptionalLong.empty())
+                : choice;
+    }
+
+    /** Returns whether this entry may send the request's body to a replica, beside those that it has there. */
+    boolean hasRoomForBody(Target target) {
+        return target.bodyShare().hasRoomFor(bodyBytes(), context.entryCount());
+    }
+
+    /** Returns the length of the request's body. */
+    long bodyBytes() {
+        return request.body().length;
+    }
+
     /**
      * Creates the request to send to a replica now.
      *
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -7,23 +7,23 @@
 import io.waxwingquay.fleet.StoreVersion;
 import io.waxwingquay.fleet.TableWatch;
 import io.waxwingquay.fleet.WatchedTable;
-import io.waxwingquay.forward.EngineNotifier;
 import io.waxwingquay.forward.ForwardSettings;
 import io.waxwingquay.forward.Forwarder;
 import io.waxwingquay.forward.SuspectTracker;
 import io.waxwingquay.manifest.Manifest;
+import io.waxwingquay.net.BufferBudget;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.net.HttpServer;
 import io.waxwingquay.net.ServerExchange;
+import io.waxwingquay.net.ServerMemory;
+import io.waxwingquay.peer.DatagramPacer;
 import io.waxwingquay.peer.PeerChannel;
 import io.waxwingquay.platform.HeaderCodec;
 import io.waxwingquay.platform.PreparedPlatform;
 import io.waxwingquay.suspect.QuarantineKeeper;
 import io.waxwingquay.suspect.SharedSuspects;
-import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.EngineNews;
-import io.waxwingquay.transport.generated.OriginQuestion;
-import io.waxwingquay.transport.generated.OriginReport;
+import io.waxwingquay.transport.generated.EntryNews;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import io.waxwingquay.transport.generated.PromptPartNews;
 import io.waxwingquay.transport.generated.SuspectNews;
@@ -45,15 +45,9 @@
     /** Interval at which this entry sends its demand to the side processes. */
     private static final long UPDATE_INTERVAL_MILLIS = 250L;
 
-    /** Delay before a report of what was spent of the quotas of client accounts, so that one tells of several requests. */
-    private static final long SPENDING_REPORT_DELAY_MILLIS = 1L;
-
     /** Interval at which requests that wait for the answer to such a report are looked at. */
     private static final long WAITING_CHECK_MILLIS = 30L;
 
-    /** Delay before an urgent change is sent; it also limits how often urgent changes are sent. */
-    private static final long URGENT_UPDATE_DELAY_MILLIS = 40L;
-
     /** Number of entries among which shared limits are divided until the actual number is known. */
     private static final int ASSUMED_ENTRY_COUNT = 8;
 
@@ -80,6 +74,9 @@
 
     private static final long COPY_CHECK_MILLIS = 200L;
 
+    /** Retry-after delay of a request whose body this entry has no memory for; its caller soon reaches another entry. */
+    private static final long MEMORY_RETRY_AFTER_MILLIS = 200L;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
@@ -91,6 +88,7 @@
     private final ReplicaDirectory replicas;
     private final SharedSuspects suspects;
     private final PeerChannel peers;
+    private final DatagramPacer roundPacer;
     private final HostedAdminServer adminServer;
     private final GracefulShutdown gracefulShutdown;
     private final PreparedPlatform platform;
@@ -100,28 +98,33 @@
     private final PeerTableReader<Manifest, Long> configurationCopies;
     private final PeerTableReader<ReplicaRecord, StoreVersion> replicaCopies;
     private final RandomGenerator random = RandomGenerator.of("L64X128MixRandom");
-    private boolean urgentUpdateScheduled;
-    private boolean spendingReportScheduled;
     private boolean waitingCheckScheduled;
 
-    private HostedEntry(EventLoop loop, HostSettings settings) {
+    private HostedEntry(EventLoop loop, HostSettings settings, BufferBudget bufferBudget) {
         this.settings = settings;
         this.loop = loop;
         this.adminServer = new HostedAdminServer(loop, new HostPort(settings.host(), settings.adminPort()));
         this.peers = new PeerChannel(loop, new HostPort(settings.host(), settings.peerPort()), this::onDatagram);
+        this.roundPacer = createRoundPacer();
         this.suspects = new SharedSuspects(EventLoop::nowMillis, random);
         this.forwarder = new Forwarder(
                 loop,
                 forwardSettings(settings),
                 new HeaderCodec(),
                 adminServer.forwardMeters(),
-                new PeerMessages(),
+                new EntryMessages(
+                        peers, this::sideAddressOf, loop::schedule, this::sendUpdates, this::sendSpendingReports),
                 new SuspectTracker(suspects, EventLoop::nowMillis, this::onSuspectsChanged),
                 random);
         this.replicas = new ReplicaDirectory(EventLoop::nowMillis, forwarder.replicaListener());
         HostPort callerAddress = required(settings.callerAddress(), "listen.front");
         HostPort readinessAddress = required(settings.readinessAddress(), "listen.ready");
-        this.server = HttpServer.listen(loop, socketAddress(callerAddress), loop.acceptWhileResponsive(), forwarder);
+        this.server = HttpServer.listen(
+                loop,
+                socketAddress(callerAddress),
+                loop.acceptWhileResponsive(),
+                new ServerMemory(bufferBudget, this::memoryRefusalFields),
+                forwarder);
         HttpServer.listen(loop, socketAddress(readinessAddress), this::answerReadiness);
         this.gracefulShutdown =
                 new GracefulShutdown(loop, server, forwarder, settings.bounds().graceMillis(), EventLoop::nowMillis);
@@ -148,7 +151,8 @@
                 replicaWatch::version,
                 replicaWatch::adopt);
         adminServer.tableCopies(platform::encodedCopy);
-        adminServer.dump(() -> "active=" + forwarder.activeCount() + " configuration="
+        adminServer.dump(() -> "active=" + forwarder.activeCount() + " held_bytes=" + bufferBudget.heldBytes()
+                + " configuration="
                 + configurationVersion() + " engines_heard=" + forwarder.freshEngineCount()
                 + " suspects=" + suspects.countSuspected()
                 + " quarantined_parts=" + suspects.promptParts().countQuarantined() + " missing="
@@ -165,7 +169,19 @@
      * @return the running process.
      */
     public static HostedEntry start(EventLoop loop, HostSettings settings) {
-        return new HostedEntry(loop, settings);
+        return start(loop, settings, BufferBudget.ofHeapShare());
+    }
+
+    /**
+     * Starts the process with a budget for what it holds for callers; called on the loop.
+     *
+     * @param loop the event loop on which everything runs.
+     * @param settings the settings of the process.
+     * @param bufferBudget the budget.
+     * @return the running process.
+     */
+    static HostedEntry start(EventLoop loop, HostSettings settings, BufferBudget bufferBudget) {
+        return new HostedEntry(loop, settings, bufferBudget);
     }
 
     /** {@inheritDoc} */
@@ -197,6 +213,10 @@
                 settings.dataCentre());
     }
 
+    private HttpFields memoryRefusalFields() {
+        return forwarder.codec().refusalFields(Optional.of(forwarder.jitter(MEMORY_RETRY_AFTER_MILLIS)));
+    }
+
     private void onSuspectsChanged() {
         forwarder.updateSoon();
     }
@@ -246,6 +266,8 @@
             forwarder.adapterReply(
                     datagram.getAdapterReply().getId(),
                     datagram.getAdapterReply().isPresent());
+        } else if (datagram.isSetSlotReply()) {
+            forwarder.slotReply(datagram.getSlotReply());
         }
     }
 
@@ -259,6 +281,11 @@
         }
     }
 
+    private DatagramPacer createRoundPacer() {
+        return new DatagramPacer(
+                settings.bounds().linkBytesPerSecond(), loop::schedule, EventLoop::nowMillis, peers::send);
+    }
+
     private void sendUpdates() {
         Set<HostPort> sides =
                 forwarder.engineAddresses().stream().map(this::sideAddressOf).collect(Collectors.toSet());
@@ -269,13 +296,22 @@
                 new TableVersions(configurationVersion(), replicaList.number(), replicaList.timeline());
         List<SuspectNews> suspectPage = suspects.nextUpdate();
         List<PromptPartNews> promptPartPage = suspects.promptParts().nextUpdate();
-        forwarder
-                .entryUpdates(settings.vmName())
-                .forEach((engine, update) -> peers.send(
-                        sideAddressOf(engine),
-                        PeerDatagram.entry(update.setTables(versions)
-                                .setSuspects(suspectPage.isEmpty() ? null : suspectPage)
-                                .setPromptParts(promptPartPage.isEmpty() ? null : promptPartPage))));
+        forwarder.entryUpdates(settings.vmName()).forEach((engine, update) -> {
+            update.setTables(versions)
+                    .setSuspects(suspectPage.isEmpty() ? null : suspectPage)
+                    .setPromptParts(promptPartPage.isEmpty() ? null : promptPartPage);
+            send(sideAddressOf(engine), update);
+        });
+    }
+
+    /** Sends an update of what is in use at once, and one of a round as fast as the link permits. */
+    private void send(HostPort side, EntryNews update) {
+        byte[] encoded = peers.encode(PeerDatagram.entry(update));
+        if (update.isSetDemand()) {
+            roundPacer.send(side, encoded);
+        } else {
+            peers.send(side, encoded);
+        }
     }
 
     /** Tells which processes add up spending; reports that did not get through are repeated here. */
@@ -331,51 +367,6 @@
                 settings.bounds().quotaTolerance());
     }
 
-    private final class PeerMessages implements EngineNotifier {
-
-        /** {@inheritDoc} */
-        @Override
-        public void requestAdapter(HostPort engine, long id, String model, String adapter) {
-            peers.send(sideAddressOf(engine), PeerDatagram.adapterCall(new AdapterCall(id, model, adapter)));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void report(HostPort process, OriginReport report) {
-            peers.send(process, PeerDatagram.originReport(report));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void ask(HostPort process, OriginQuestion question) {
-            peers.send(process, PeerDatagram.originQuestion(question));
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void spendingReportDue() {
-            if (!spendingReportScheduled) {
-                spendingReportScheduled = true;
-                loop.schedule(SPENDING_REPORT_DELAY_MILLIS, () -> {
-                    spendingReportScheduled = false;
-                    sendSpendingReports();
-                });
-            }
-        }
-
-        /** {@inheritDoc} */
-        @Override
-        public void demandChanged() {
-            if (!urgentUpdateScheduled) {
-                urgentUpdateScheduled = true;
-                loop.schedule(URGENT_UPDATE_DELAY_MILLIS, () -> {
-                    urgentUpdateScheduled = false;
-                    sendUpdates();
-                });
-            }
-        }
-    }
-
     /** Applies each newer configuration; the table may hold an older one after the store was restored from a copy. */
     private final class ConfigurationListener implements TableWatch.Listener<Manifest> {
 
--- a/src/main/java/io/waxwingquay/residency/EngineManager.java
+++ b/src/main/java/io/waxwingquay/residency/EngineManager.java
@@ -4,11 +4,14 @@
 import io.waxwingquay.fleet.EngineReport;
 import io.waxwingquay.manifest.Engine;
 import io.waxwingquay.net.EventLoop;
+import io.waxwingquay.pace.PacePromptPacer;
+import io.waxwingquay.reservation.AdapterGate;
 import io.waxwingquay.transport.generated.AdapterCall;
 import io.waxwingquay.transport.generated.AdapterReply;
 import io.waxwingquay.transport.generated.PeerDatagram;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /** Manages one engine: polls its state, sends status updates about it, and issues orders to it one at a time. */
 public final class EngineManager {
@@ -26,19 +29,14 @@
 
     private static final System.Logger LOG = System.getLogger("waxwingquay.residency");
 
-    /** The interval at which an engine that has not named its id is asked again. */
-    private static final long IDENTIFY_MILLIS = 1_000L;
-
     /** The interval at which the engine's state is logged. */
     private static final long STATE_LOG_MILLIS = 2_000L;
 
     private final EventLoop loop;
-    private final HostPort address;
     private final String service;
-    private final EngineControl control;
     private final Sender sender;
-    private final WeightLoadLimiter loadLimiter;
-    private final AdapterScheduler adapterScheduler = new AdapterScheduler();
+    private final AdapterPlaces adapterPlaces = new AdapterPlaces(this::adapterState, this::issueNextOrderSoon);
+    private final AdapterScheduler adapterScheduler = new AdapterScheduler(adapterPlaces);
     private final PeerUpdates peers;
     private final OrderTracker orders;
     private Optional<Engine> engine = Optional.empty();
@@ -46,9 +44,9 @@
     private Optional<EngineReport> lastReport = Optional.empty();
     private final ModelMover mover = new ModelMover();
     private final EnginePlanner planner;
-    private boolean pollInFlight;
-    private long identifyAtMillis = Long.MIN_VALUE;
-    private boolean earlyPollScheduled;
+    private final EngineIdentifier identifier;
+    private final EnginePoller poller;
+    private final SlotGranting granting;
     private final EngineUpdates updates;
 
     /**
@@ -69,15 +67,22 @@
             Sender sender,
             WeightLoadLimiter loadLimiter) {
         this.loop = loop;
-        this.address = address;
         this.service = service;
         this.peers = new PeerUpdates(service);
-        this.control = control;
         this.sender = sender;
-        this.loadLimiter = loadLimiter;
         this.orders = new OrderTracker(control, EventLoop::nowMillis);
         this.planner = new EnginePlanner(address, peers, orders, loadLimiter);
-        this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, sender);
+        this.identifier = new EngineIdentifier(control, orders, EventLoop::nowMillis);
+        this.poller = new EnginePoller(control, loop::schedule, new Reports());
+        this.granting = SlotGranting.withBook(
+                peers,
+                new PacePromptPacer(),
+                adapterPlaces,
+                EventLoop::nowMillis,
+                loop::schedule,
+                poller::poll,
+                sender);
+        this.updates = new EngineUpdates(address, service, peers, mover, loadLimiter, granting::isInForce, sender);
     }
 
     /** Starts polling; called on the loop. */
@@ -89,7 +94,7 @@
 
     private void pollPeriodically() {
         loop.schedule(isIdle() ? IDLE_POLL_MILLIS : POLL_MILLIS, this::pollPeriodically);
-        poll();
+        poller.poll();
     }
 
     private boolean isIdle() {
@@ -112,15 +117,36 @@
                 current.kvUsedTokens(),
                 current.executingOrder(),
                 current.modelNames()));
+        granting.logState();
     }
 
     /**
-     * Sets the engine's specification.
+     * Sets the engine's specification; its slots are granted when there are enough entries.
      *
      * @param newer the specification in the configuration in force.
      */
     public void configure(Optional<Engine> newer) {
+        configureWithoutGranting(newer);
+        granting.configure(newer);
+    }
+
+    /**
+     * Sets the engine's specification where its slots are not granted.
+     *
+     * @param newer the specification in the configuration in force.
+     */
+    public void configureWithoutGranting(Optional<Engine> newer) {
         engine = newer;
+        granting.configure(Optional.empty());
+    }
+
+    /**
+     * Returns the gate that loads the adapters of requests for slots of the engine.
+     *
+     * @return the gate, to be used on the loop.
+     */
+    public AdapterGate adapterGate() {
+        return adapterPlaces;
     }
 
     /**
@@ -169,6 +195,8 @@
             }
         } else if (datagram.isSetAdapterCall()) {
             onAdapterCall(from, datagram.getAdapterCall());
+        } else if (datagram.isSetSlotRequest() || datagram.isSetSlotCancel()) {
+            granting.onDatagram(from, datagram);
         }
     }
 
@@ -188,21 +216,6 @@
         issueNextOrder();
     }
 
-    private void poll() {
-        if (pollInFlight) {
-            return;
-        }
-        pollInFlight = true;
-        control.report().whenComplete((newer, failure) -> {
-            pollInFlight = false;
-            if (failure == null) {
-                onReport(newer);
-            } else {
-                onReportFailed(failure);
-            }
-        });
-    }
-
     private void onReport(EngineReport newer) {
         boolean restarted = lastReport.map(known -> hasRestarted(known, newer)).orElse(true);
         lastReport = Optional.of(newer);
@@ -218,33 +231,16 @@
         report = Optional.of(newer);
         orders.onReport(newer, restarted);
         if (restarted) {
-            identifyAtMillis = Long.MIN_VALUE;
+            identifier.restarted();
+        }
+        if (engine.isPresent()) {
+            identifier.identify();
         }
-        identify();
         issueNextOrder();
+        granting.onReport(newer, updates.routableModelNames(newer));
         sendUpdate();
     }
 
-    /** Asks for the id of the engine's current incarnation while it is unknown. */
-    private void identify() {
-        long nowMillis = EventLoop.nowMillis();
-        if (engine.isEmpty() || orders.isIdentified() || nowMillis < identifyAtMillis) {
-            return;
-        }
-        identifyAtMillis = nowMillis + IDENTIFY_MILLIS;
-        control.identify().whenComplete((id, failure) -> {
-            if (failure == null) {
-                orders.onIdentified(id);
-                LOG.log(System.Logger.Level.INFO, "residency: engine identified id={0}", id);
-            } else {
-                LOG.log(
-                        System.Logger.Level.WARNING,
-                        "residency: engine not identified cause={0}",
-                        failure.getMessage());
-            }
-        });
-    }
-
     /** A restarted engine has another start time; if it reports none, it is empty and has accepted no order. */
     private static boolean hasRestarted(EngineReport before, EngineReport current) {
         boolean isEmptied = current.models().isEmpty() && !before.models().isEmpty();
@@ -257,13 +253,35 @@
         if (report.isPresent()) {
             LOG.log(System.Logger.Level.WARNING, "residency: engine lost cause={0}", failure.getMessage());
             adapterScheduler.rejectAll(this::sendAdapterReply);
+            granting.onEngineLost();
         }
         report = Optional.empty();
     }
 
+    /** Returns the state that decides which adapters can be loaded. */
+    private Optional<AdapterPlaces.EngineState> adapterState(long nowMillis) {
+        return report.flatMap(current -> engine.map(known -> new AdapterPlaces.EngineState(
+                current,
+                known.adapterSlots() - orders.reservedAdapterSlots(current),
+                () -> peers.adaptersInUse(nowMillis).stream()
+                        .map(AdapterName::parse)
+                        .collect(Collectors.toSet()))));
+    }
+
+    /** Issues the next order after the current task, which may be a decision about slots. */
+    private void issueNextOrderSoon() {
+        loop.execute(this::issueNextOrder);
+    }
+
+    /** Returns whether a request for a slot waits for its adapter. */
+    private boolean isAdapterNeeded() {
+        return report.filter(current -> adapterPlaces.hasWaiting(current, EventLoop.nowMillis()))
+                .isPresent();
+    }
+
     /** Issues the next order, if there is one. */
     private void issueNextOrder() {
-        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer()) {
+        if (report.isEmpty() || engine.isEmpty() || orders.isAwaitingAnswer() || poller.isOutdated()) {
             return;
         }
         EngineReport current = report.get();
@@ -282,12 +300,9 @@
     private void scheduleEarlyPoll() {
         boolean isMoving = mover.loadingModel().isPresent()
                 && report.filter(EngineReport::executingOrder).isEmpty();
-        if ((adapterScheduler.hasWaiters() || isMoving) && !earlyPollScheduled) {
-            earlyPollScheduled = true;
-            loop.schedule(adapterScheduler.hasWaiters() ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS, () -> {
-                earlyPollScheduled = false;
-                poll();
-            });
+        boolean isAdapterAwaited = adapterScheduler.hasWaiters() || isAdapterNeeded();
+        if (isAdapterAwaited || isMoving) {
+            poller.pollEarly(isAdapterAwaited ? ADAPTER_POLL_MILLIS : MOVE_POLL_MILLIS);
         }
     }
 
@@ -302,7 +317,9 @@
     }
 
     private void issue(EngineControl.Order order) {
+        adapterPlaces.issued(order, EventLoop.nowMillis());
         orders.issue(order, answer -> {
+            adapterPlaces.answered(order, answer, EventLoop.nowMillis());
             mover.onAnswer(order, answer, EventLoop.nowMillis());
             LOG.log(
                     System.Logger.Level.INFO,
@@ -312,10 +329,19 @@
                     order.adapter().orElse(""),
                     order.expectedOrdersTaken(),
                     answer);
-            poll();
+            pollAfterOrder();
         });
     }
 
+    /** Polls the engine after an order, so that the next order follows at once. */
+    private void pollAfterOrder() {
+        if (isAdapterNeeded()) {
+            poller.pollAnew();
+        } else {
+            poller.poll();
+        }
+    }
+
     private void sendAdapterReply(HostPort entry, long id, boolean present) {
         sender.send(entry, PeerDatagram.adapterReply(new AdapterReply(id, present)));
     }
@@ -324,6 +350,22 @@
         report.ifPresent(current -> updates.sendDue(current, engine, EventLoop.nowMillis()));
     }
 
+    /** Takes the results of polls. */
+    private final class Reports implements EnginePoller.Listener {
+
+        /** {@inheritDoc} */
+        @Override
+        public void onReport(EngineReport newer) {
+            EngineManager.this.onReport(newer);
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void onReportFailed(Throwable failure) {
+            EngineManager.this.onReportFailed(failure);
+        }
+    }
+
     /** Sends datagrams to other processes. */
     public interface Sender {
 
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -4,6 +4,7 @@
 
 import io.waxwingquay.account.QuotaTolerance;
 import io.waxwingquay.common.HostPort;
+import io.waxwingquay.net.BufferBudget;
 import io.waxwingquay.net.EventLoop;
 import io.waxwingquay.standin.prepared.ReplicaStandin;
 import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
@@ -54,16 +55,22 @@
 
     private final EventLoop standinLoop = EventLoop.start("outside");
     private EventLoop processLoop = EventLoop.start("inside");
-    private final int basePort = FreePorts.adjacent(PORT_COUNT, HOSTS);
+    final int basePort = FreePorts.adjacent(PORT_COUNT, HOSTS);
     final StoreStandin store = StoreStandin.start(standinLoop, new HostPort("127.0.0.1", basePort));
     final ReplicaStandin engine1 = startReplica("e1", "127.0.0.2", List.of("m"), Behaviour.stream(1, 0));
     final ReplicaStandin engine2 = startReplica("e2", "127.0.0.3", List.of("m"), Behaviour.stream(1, 0));
     final ReplicaStandin plain1 = startReplica("p1", "127.0.0.4", List.of(), Behaviour.ECHO);
     final ReplicaStandin plain2 = startReplica("p2", "127.0.0.5", List.of(), Behaviour.ECHO);
+    private final BufferBudget bufferBudget;
     private HostedProcess entry;
     private Optional<HostedProcess> secondEntry = Optional.empty();
 
     HostedDeployment() throws Exception {
+        this(BufferBudget.disabled());
+    }
+
+    HostedDeployment(BufferBudget bufferBudget) throws Exception {
+        this.bufferBudget = bufferBudget;
         configure(1);
         register(engine1, "e1", "engines", "ready");
         register(engine2, "e2", "engines", "ready");
@@ -86,8 +93,8 @@
             try {
                 HostedSide.start(processLoop, sideSettings("127.0.0.2"));
                 HostedSide.start(processLoop, sideSettings("127.0.0.3"));
-                started.complete(
-                        HostedEntry.start(processLoop, entrySettings("127.0.0.1", store.address(), List.of())));
+                started.complete(HostedEntry.start(
+                        processLoop, entrySettings("127.0.0.1", store.address(), List.of()), bufferBudget));
             } catch (RuntimeException failure) {
                 started.completeExceptionally(failure);
             }
@@ -115,6 +122,14 @@
         store.put("servers", id, replica.row(service, "z", state));
     }
 
+    /** Writes a row of a replica with another address than its own, and waits until the entry knows it. */
+    void listAt(HostPort address, ReplicaStandin replica, String id, String service) throws Exception {
+        String row = replica.row(service, "z", "ready");
+        store.put(
+                "servers", id, row.replace(new HostPort(address.host(), basePort + 1).toString(), address.toString()));
+        Await.until(() -> dump().contains("id=" + id));
+    }
+
     /** Drops the row of a replica, and waits until the entry no longer uses it. */
     void unlist(String id) throws Exception {
         store.remove("servers", id);
@@ -274,6 +289,13 @@
         return all.toString();
     }
 
+    /** Returns the bytes that the first entry holds for its callers. */
+    long heldBytes() throws Exception {
+        CompletableFuture<Long> held = new CompletableFuture<>();
+        processLoop.execute(() -> held.complete(bufferBudget.heldBytes()));
+        return Await.value(held);
+    }
+
     static Answer exchange(Socket socket, String request) throws IOException {
         socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
@@ -286,7 +308,7 @@
         standinLoop.close();
     }
 
-    private ReplicaStandin startReplica(String id, String host, List<String> models, Behaviour behaviour) {
+    ReplicaStandin startReplica(String id, String host, List<String> models, Behaviour behaviour) {
         return ReplicaStandin.start(standinLoop, id, new HostPort(host, basePort + 1), models, behaviour);
     }
 
@@ -325,7 +347,7 @@
     }
 
     private static HostSettings.Bounds bounds() {
-        return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, new QuotaTolerance(8_000, 0.1, 20));
+        return new HostSettings.Bounds(2_000, 8_000, 0.2, 200, 5_000, 1.1, new QuotaTolerance(8_000, 0.1, 20), 125e6);
     }
 
     /**
