Log how unanswered requests stand at an exit, silent replicas, and responses that are cut while being sent

An exit logged the ids of unanswered requests. A request that is still being received has none, and neither a response that its caller has not accepted; what a request with an id was waiting for was not to be seen. The line at the exit gets states=, receiving= and sending=; the other two cases get lines of their own.

No decision changes.

--- a/src/main/java/io/waxwingquay/forward/ActiveRequests.java
+++ b/src/main/java/io/waxwingquay/forward/ActiveRequests.java
@@ -80,6 +80,11 @@
         return exchanges.stream().map(exchange -> exchange.head().id()).toList();
     }
 
+    /** Returns the states of the requests, in the order of {@link #ids}. */
+    List<String> states() {
+        return exchanges.stream().map(exchange -> exchange.state().name()).toList();
+    }
+
     /**
      * Rejects the requests that wait here, and from now on each one that its replica rejects, instead of letting them
      * wait.
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -18,6 +18,7 @@
 
     private static final int SERVER_ERROR = 500;
     private static final byte[] NO_BODY = {};
+    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
     private final ForwardContext context;
     private final ServerExchange caller;
@@ -84,6 +85,10 @@
         return suspicion;
     }
 
+    ExchangeState state() {
+        return state;
+    }
+
     boolean isStream() {
         return terms.isStream();
     }
@@ -133,6 +138,13 @@
     }
 
     private void giveUpOn(Attempt stalled, long nowMillis) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "forward: silent id={0} replica={1} silent_ms={2} sent={3}",
+                head.id(),
+                stalled.target().id(),
+                nowMillis - stalled.lastReceivedMillis(),
+                retries.attempts());
         stalled.cancel();
         failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
     }
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -248,6 +248,12 @@
         return activeRequests.ids();
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public List<String> activeStates() {
+        return activeRequests.states();
+    }
+
     /** {@inheritDoc} */
     @Override
     public MessageCodec codec() {
--- a/src/main/java/io/waxwingquay/forward/RequestDrain.java
+++ b/src/main/java/io/waxwingquay/forward/RequestDrain.java
@@ -21,6 +21,13 @@
      */
     List<String> activeIds();
 
+    /**
+     * Returns how the requests in progress stand.
+     *
+     * @return the state of each, in the order of {@link #activeIds}.
+     */
+    List<String> activeStates();
+
     /**
      * Rejects, from now on, requests that may not end before the exit: those that wait here, streams, and finally all.
      *
--- a/src/main/java/io/waxwingquay/hosted/GracefulShutdown.java
+++ b/src/main/java/io/waxwingquay/hosted/GracefulShutdown.java
@@ -92,9 +92,15 @@
         loop.schedule(FLUSH_MILLIS, this::complete);
     }
 
-    /** Logs the ids of the requests that the exit aborts, as these get no log line of their own. */
+    /** Logs how the requests stand that the exit aborts, as these get no log line of their own. */
     private void complete() {
-        LOG.log(System.Logger.Level.INFO, "hosted: exits unanswered={0}", requests.activeIds());
+        LOG.log(
+                System.Logger.Level.INFO,
+                "hosted: exits unanswered={0} states={1} receiving={2} sending={3}",
+                requests.activeIds(),
+                requests.activeStates(),
+                server.receivingCount(),
+                server.sendingCount());
         completion.complete(null);
     }
 }
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -108,6 +108,24 @@
         return connections.size();
     }
 
+    /**
+     * Returns the number of connections over which a request is being received.
+     *
+     * @return the number of requests that are incomplete.
+     */
+    public long receivingCount() {
+        return connections.stream().filter(ServerConnection::isReceiving).count();
+    }
+
+    /**
+     * Returns the number of connections over which a response is being sent that is complete here.
+     *
+     * @return the number of responses that their callers have not accepted yet.
+     */
+    public long sendingCount() {
+        return connections.stream().filter(ServerConnection::isSending).count();
+    }
+
     ServerLimits limits() {
         return limits;
     }
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -150,6 +150,15 @@
         return exchange == null && !requestStarted && !isWriteInProgress();
     }
 
+    boolean isReceiving() {
+        return exchange == null && requestStarted && !closing;
+    }
+
+    /** Returns whether the caller has yet to accept a part of a response that is complete here. */
+    boolean isSending() {
+        return exchange == null && isWriteInProgress();
+    }
+
     /** Called when the exchange is complete; the next request may already be buffered. */
     void onResponseComplete(boolean closesConnection) {
         exchange = null;
@@ -176,7 +185,7 @@
         }
         if (isWriteInProgress()) {
             // A caller that stops reading would otherwise keep its response in memory for ever.
-            closeIf(writeStalledMillis() > server.limits().idleTimeoutMillis());
+            closeIfStalled();
             return;
         }
         long elapsedMillis = nowMillis - phaseStartMillis;
@@ -204,6 +213,18 @@
         }
     }
 
+    private void closeIfStalled() {
+        long stalledMillis = writeStalledMillis();
+        if (stalledMillis > server.limits().idleTimeoutMillis()) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "net: connection closed within a response unsent_bytes={0} stalled_ms={1}",
+                    Long.toString(unsentBytes()),
+                    stalledMillis);
+            close();
+        }
+    }
+
     private void closeIf(boolean condition) {
         if (condition) {
             close();
--- a/src/test/java/io/waxwingquay/hosted/GracefulShutdownTest.java
+++ b/src/test/java/io/waxwingquay/hosted/GracefulShutdownTest.java
@@ -83,6 +83,12 @@
             return List.of();
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public List<String> activeStates() {
+            return List.of();
+        }
+
         /** {@inheritDoc} */
         @Override
         public void drainWithin(long millis) {
