Add failing tests of a silent replica and of a connection that is not taken

Both are known red. A stream whose replica is silent for 1.5 s is aborted with one event of four, as the second replica declines; of 20 connections, half of which an overloaded entry does not take, 10 get no answer at all.

--- /dev/null
+++ b/src/test/java/io/waxwingquay/hosted/SilentReplicaTest.java
@@ -0,0 +1,137 @@
+package io.waxwingquay.hosted;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.waxwingquay.hosted.HostedDeployment.Answer;
+import io.waxwingquay.net.ServerExchange;
+import io.waxwingquay.standin.prepared.ReplicaStandin;
+import io.waxwingquay.standin.prepared.ReplicaStandin.Behaviour;
+import io.waxwingquay.testing.Await;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpFields;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests requests at a sound replica that is silent for a second or so and then goes on. */
+class SilentReplicaTest {
+
+    /** Longer than the silence after which another replica is tried, and shorter than callers wait. */
+    private static final long SILENCE_MILLIS = 1_500L;
+
+    private static final int EVENTS = 4;
+    private static final String MODEL = "Model: m\r\nToken-Counts: 10,10\r\n";
+    private static final HttpFields STREAM_FIELDS = HttpFields.build().put("Content-Type", "text/event-stream");
+
+    private static final Behaviour DECLINE = (replica, caller) ->
+            caller.respond(503, HttpFields.build(replica.responseFields(caller)).put("Not-Executed", "1"), "full");
+
+    private static final Behaviour NEVER_ANSWER = (replica, caller) -> {};
+
+    private final AtomicInteger runs = new AtomicInteger();
+    private final CompletableFuture<Void> released = new CompletableFuture<>();
+    private HostedDeployment deployment;
+
+    @BeforeEach
+    void start() throws Exception {
+        deployment = new HostedDeployment();
+    }
+
+    @AfterEach
+    void stop() {
+        deployment.close();
+    }
+
+    // Guards against aborting a stream whose replica goes on after a silence, as the replica that was to resume it
+    // declines.
+    @Test
+    void streamGoesOnAtItsSilentReplicaIfAnotherDeclines() throws Exception {
+        first(silentAfterEvents(1)).then(DECLINE);
+        assertWhole(ask("/quick/1"));
+    }
+
+    // Guards against two replicas that work on one stream: the silent one is released once another has begun.
+    @Test
+    void silentReplicaIsReleasedOnceAnotherHasBegun() throws Exception {
+        first((replica, caller) -> {
+                    caller.onDisconnect(() -> released.complete(null));
+                    begin(replica, caller);
+                    write(caller, 1, 1);
+                })
+                .then(Behaviour.stream(EVENTS, 0));
+        assertWhole(ask("/quick/1"));
+        Await.value(released);
+    }
+
+    // Guards against a replica that works on for nobody: a silent one is released when the caller leaves meanwhile.
+    @Test
+    void silentReplicaIsReleasedWhenTheCallerLeaves() throws Exception {
+        first((replica, caller) -> {
+                    caller.onDisconnect(() -> released.complete(null));
+                    begin(replica, caller);
+                    write(caller, 1, 1);
+                })
+                .then(NEVER_ANSWER);
+        try (var socket = deployment.connect()) {
+            socket.getOutputStream()
+                    .write(HostedDeployment.request("POST", "/quick/1", "s", MODEL, "x")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            Await.until(() -> runs.get() == 2);
+        }
+        Await.value(released);
+    }
+
+    private Answer ask(String path) throws Exception {
+        return deployment.ask("POST", path, "s", MODEL, "x");
+    }
+
+    private static void assertWhole(Answer answer) {
+        assertEquals(200, answer.status(), answer.head());
+        assertTrue(answer.complete(), answer.body());
+        assertEquals(HostedDeployment.events(EVENTS), answer.body());
+    }
+
+    private Second first(Behaviour first) {
+        return second -> {
+            Behaviour byTurn = (replica, caller) -> (runs.getAndIncrement() == 0 ? first : second).run(replica, caller);
+            deployment.engine1.behaviour(byTurn);
+            deployment.engine2.behaviour(byTurn);
+        };
+    }
+
+    private Behaviour silentAfterEvents(int events) {
+        return (replica, caller) -> {
+            if (events > 0) {
+                begin(replica, caller);
+                write(caller, 1, events);
+            }
+            deployment.schedule(SILENCE_MILLIS, () -> {
+                begin(replica, caller);
+                write(caller, events + 1, EVENTS);
+                caller.finish();
+            });
+        };
+    }
+
+    private static void begin(ReplicaStandin replica, ServerExchange caller) {
+        caller.begin(200, HttpFields.build(replica.responseFields(caller)).add(STREAM_FIELDS));
+    }
+
+    private static void write(ServerExchange caller, int from, int to) {
+        for (int number = from; number <= to; number++) {
+            String event = "id: " + number + "\ndata: event " + number + "\n\n";
+            caller.write(ByteBuffer.wrap(event.getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    /** The behaviour of every replica but the first to get the request. */
+    @FunctionalInterface
+    private interface Second {
+
+        void then(Behaviour second);
+    }
+}
--- a/src/test/java/io/waxwingquay/net/HttpServerTest.java
+++ b/src/test/java/io/waxwingquay/net/HttpServerTest.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.http.HttpFields;
@@ -42,6 +44,28 @@
         }
     }
 
+    // Guards against a reset in place of a refusal at an entry that can't keep up: most callers have sent a request by
+    // the
+    // time their connection is accepted, and would come back at once, to be turned away again.
+    @Test
+    void requestOnAConnectionThatIsNotTakenIsRefused() throws Exception {
+        int port = FreePorts.adjacent(1, List.of("127.0.0.1"));
+        try (EventLoop loop = EventLoop.start("test")) {
+            ConnectionPolicy everySecond = nowMillis -> opened.getAndIncrement() % 2 == 0;
+            HttpServer.listen(loop, new InetSocketAddress("127.0.0.1", port), everySecond, exchange -> {
+                handled.incrementAndGet();
+                exchange.respond(200, HttpFields.EMPTY, "here");
+            });
+            List<String> statuses = new ArrayList<>();
+            for (int number = 0; number < CONNECTIONS; number++) {
+                statuses.add(statusOf(port, "x".repeat(number * 1_000)));
+            }
+            assertEquals(CONNECTIONS / 2, Collections.frequency(statuses, "200"), statuses.toString());
+            assertEquals(CONNECTIONS / 2, Collections.frequency(statuses, "503"), statuses.toString());
+            assertEquals(CONNECTIONS / 2, handled.get());
+        }
+    }
+
     // Guards against a connection that is closed without notice, on which a caller may send its next request.
     @Test
     void connectionThatIsNotKeptIsAnnouncedAndClosedAfterItsResponse() throws Exception {
@@ -62,6 +86,20 @@
         }
     }
 
+    /** Returns the status of the response to a request with a body; an empty text if there is none. */
+    private static String statusOf(int port, String body) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            String request = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            return answer.isEmpty() ? "" : answer.substring(9, 12);
+        } catch (SocketException reset) {
+            return "";
+        }
+    }
+
     private static boolean isAnswered(int port) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(30_000);
