Keep a silent replica's attempt until another replica has begun its answer

What callers saw: a stream that ended without its last event, or 502, although the replica that ran the request would have gone on.

Cause: after 0.9 s of silence within a stream (1.2 s before its first event) an entry cancelled the attempt and only then sought another replica. If that one declined or failed, or no slot, model or connection was left, or the caller was expected to leave before the other one's first event, nothing was left that could answer. A sound replica may be silent for a second and go on.

Change: the silent attempt is kept while another replica is sought, and cancelled when that one accepts the stream or answers. If the silent one answers first, or nobody takes the request over, it goes on there (TakeOver; event CONTINUE of the exchange chart). Why that is enough: each way in which the search can end passes RequestFailure, which goes back first.

Run: SilentReplicaTest 7 of 7, HostedPathTest, BrokenStreamTest, SlotGrantTest, SoftwareVersionTest, ExchangeStateTest, OperationsTest green.

--- a/src/main/java/io/waxwingquay/forward/Attempt.java
+++ b/src/main/java/io/waxwingquay/forward/Attempt.java
@@ -70,6 +70,11 @@
         return lastReceivedMillis;
     }
 
+    /** Waits for the replica anew, as no other one has taken the request over. */
+    void awaitAgain(long nowMillis) {
+        lastReceivedMillis = nowMillis;
+    }
+
     /** Returns whether nothing has come for so long that another replica should take the request over. */
     boolean isStalled(Route route, ExchangeState state, long nowMillis) {
         if (paused) {
@@ -172,7 +177,9 @@
             response.refusesForMillis().ifPresent(millis -> target.announcedRefusal(millis, EventLoop.nowMillis()));
         }
         streaming = status == OK && exchange.isStream() && !response.didNotRun();
-        if (!streaming) {
+        if (streaming) {
+            exchange.streamAccepted(this);
+        } else {
             exchange.answerBegan(this);
         }
     }
--- a/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -2,9 +2,16 @@
 
 import io.waxwingquay.manifest.Route;
 import io.waxwingquay.net.EventLoop;
+import java.util.HashSet;
 import java.util.Optional;
-
-/** The attempt of a request that is in progress, if there is one, and whether any of its attempts may have run. */
+import java.util.Set;
+
+/**
+ * The attempt of a request that is in progress, if there is one, and whether any of its attempts may have run.
+ *
+ * <p>While another replica is sought for a request whose replica is silent, the silent attempt is kept. If it were given
+ * up first and no other replica took the request, an answer that was on its way would be lost.
+ */
 final class CurrentAttempt {
 
     /** Silence of a stream at an engine that grants slots after which another one resumes it; callers leave after 2 s. */
@@ -16,7 +23,8 @@
     private final Runnable onUnsent;
     private final long bodyBytes;
     private Optional<Attempt> running = Optional.empty();
-    private boolean bodyHeld;
+    private Optional<Attempt> silent = Optional.empty();
+    private final Set<Attempt> bodyHolders = new HashSet<>();
     private boolean mayHaveRun;
 
     /**
@@ -45,12 +53,45 @@
                         EngineRequirements.kvTokensAt(next.target(), head, next.sentMillis()),
                         next.sentMillis());
         next.target().bodyShare().sent(bodyBytes);
-        bodyHeld = true;
+        bodyHolders.add(next);
         head.model().ifPresent(context.demandMeter()::started);
     }
 
     boolean isRunning() {
-        return running.isPresent();
+        return running.isPresent() || silent.isPresent();
+    }
+
+    /** Returns whether the attempt is kept although its replica is silent. */
+    boolean isSilent(Attempt attempt) {
+        return silent.filter(kept -> kept == attempt).isPresent();
+    }
+
+    /** Keeps the running attempt, whose replica is silent, while another replica is sought. */
+    void keepSilent() {
+        silent = running;
+        running = Optional.empty();
+        mayHaveRun = true;
+        suspicion.ended();
+    }
+
+    /** Goes on with the silent attempt and cancels the running one; returns whether there is a silent one. */
+    boolean returnToSilent(long nowMillis) {
+        if (silent.isEmpty()) {
+            return false;
+        }
+        cancelRunning();
+        running = silent;
+        silent = Optional.empty();
+        running.get().awaitAgain(nowMillis);
+        return true;
+    }
+
+    /** Cancels the silent attempt, as another replica has begun its answer. */
+    void cancelSilent() {
+        silent.ifPresent(attempt -> {
+            attempt.cancel();
+            release(attempt);
+        });
     }
 
     /** Returns whether a replica may have begun to run the request. */
@@ -74,7 +115,13 @@
         cancel();
     }
 
+    /** Cancels all that is in progress. */
     void cancel() {
+        cancelSilent();
+        cancelRunning();
+    }
+
+    private void cancelRunning() {
         running.ifPresent(attempt -> {
             boolean unsent = !attempt.mayHaveBeenSent();
             attempt.cancel();
@@ -91,28 +138,31 @@
     }
 
     private void releaseBody(Attempt from) {
-        if (bodyHeld) {
-            bodyHeld = false;
+        if (bodyHolders.remove(from)) {
             from.target().bodyShare().ended(bodyBytes);
         }
     }
 
     /** Notes that an attempt has ended. */
     void release(Attempt ended) {
+        if (!isSilent(ended)) {
+            suspicion.ended();
+        }
         running = running.filter(attempt -> attempt != ended);
-        suspicion.ended();
+        silent = silent.filter(attempt -> attempt != ended);
         ended.target().requestEnded(head.model(), head.adapter());
         releaseBody(ended);
         head.model().ifPresent(model -> context.demandMeter().ended(model, EventLoop.nowMillis() - ended.sentMillis()));
     }
 
     /**
-     * Returns the running attempt if nothing has come for so long that another replica should take the request over. A
-     * stream at an engine that grants slots and is heard is given longer: the engine holds no more requests than slots, so
+     * Returns the running attempt if nothing has come for so long that another replica should take the request over, and
+     * none is silent already. A stream at an engine that grants slots and is heard is given longer: the engine holds no more requests than slots, so
      * the stream most likely goes on, and elsewhere it has to wait for a slot first.
      */
     Optional<Attempt> stalled(Route route, ExchangeState state, long nowMillis) {
-        return running.filter(attempt -> attempt.isStalled(route, state, nowMillis))
+        return running.filter(attempt -> silent.isEmpty())
+                .filter(attempt -> attempt.isStalled(route, state, nowMillis))
                 .filter(attempt -> state != ExchangeState.STREAMING
                         || !attempt.target().grantsSlots(nowMillis)
                         || nowMillis - attempt.lastReceivedMillis() > GRANTED_STALL_MILLIS);
--- a/src/main/java/io/waxwingquay/forward/Exchange.java
+++ b/src/main/java/io/waxwingquay/forward/Exchange.java
@@ -18,7 +18,6 @@
 
     private static final int SERVER_ERROR = 500;
     private static final byte[] NO_BODY = {};
-    private static final System.Logger LOG = System.getLogger("waxwingquay.forward");
 
     private final ForwardContext context;
     private final ServerExchange caller;
@@ -35,6 +34,7 @@
     private boolean callerGone;
     private final StreamProgress stream;
     private final RequestFailure failure;
+    private final TakeOver takeOver;
     private final RequestWaits waits;
 
     Exchange(
@@ -61,7 +61,9 @@
                 EventLoop::nowMillis,
                 this::onSlotDecided);
         this.attempt = new CurrentAttempt(context, terms, suspicion, slotWait::unsent);
-        this.failure = new RequestFailure(responder, terms, stream, attempt, this::end);
+        this.failure = new RequestFailure(responder, terms, stream, attempt, this::goBackToSilentReplica, this::end);
+        this.takeOver = new TakeOver(
+                new TakeOver.Parts(context, head, attempt, retries, stream, slotWait, queuedRequest), () -> state);
         this.waits = new RequestWaits(
                 new RequestWaits.Parts(context, terms, stream, queuedRequest, slotWait, responder, failure),
                 () -> state,
@@ -126,27 +128,21 @@
             return;
         }
         Optional<Attempt> stalled = attempt.stalled(route, state, nowMillis);
-        if (stalled.isPresent()
-                && route.isSafeToRetry()
-                && !callerGone
-                && retries.canRetryElsewhere(stream, nowMillis)) {
-            giveUpOn(stalled.get(), nowMillis);
+        if (stalled.isPresent() && route.isSafeToRetry() && !callerGone && takeOver.begin(stalled.get(), nowMillis)) {
+            failure.lastReason("silent for " + (nowMillis - stalled.get().lastReceivedMillis()) + " ms");
+            retry();
         } else if (attempt.isDoubtful(nowMillis)
                 && WaitPolicy.isCallerAboutToLeave(route, stream.callerIdleMillis(nowMillis))) {
             giveUpOnDoubtfulTarget();
         }
     }
 
-    private void giveUpOn(Attempt stalled, long nowMillis) {
-        LOG.log(
-                System.Logger.Level.INFO,
-                "forward: silent id={0} replica={1} silent_ms={2} sent={3}",
-                head.id(),
-                stalled.target().id(),
-                nowMillis - stalled.lastReceivedMillis(),
-                retries.attempts());
-        stalled.cancel();
-        failed(stalled, true, "silent for " + (nowMillis - stalled.lastReceivedMillis()) + " ms");
+    private boolean goBackToSilentReplica(String why) {
+        boolean isBack = takeOver.goBack(why);
+        if (isBack) {
+            transition(ExchangeState.Event.CONTINUE);
+        }
+        return isBack;
     }
 
     /**
@@ -245,6 +241,11 @@
 
     /** Handles a complete response of any status. */
     void answered(Attempt from, MessageCodec.ResponseHead response, byte[] body) {
+        if (attempt.isSilent(from) && (response.didNotRun() || from.status() >= SERVER_ERROR)) {
+            attempt.release(from);
+            return;
+        }
+        preferIfSilent(from);
         attempt.release(from);
         if (response.didNotRun()) {
             rejected(from, response);
@@ -254,7 +255,9 @@
             from.recordFailure(true);
             attempt.noteMayHaveRun();
             failure.lastReason("status " + from.status());
-            if (!stream.hasBegun() && route.isSafeToRetry() && tryRetry()) {
+            if (!stream.hasBegun()
+                    && route.isSafeToRetry()
+                    && (tryRetry() || goBackToSilentReplica(failure.lastReason()))) {
                 return;
             }
         } else {
@@ -267,12 +270,27 @@
         end(responder.respond(from, body), "answered by " + from.target().id());
     }
 
+    /** Ends what is under way elsewhere if a replica that was silent answers first. */
+    private void preferIfSilent(Attempt from) {
+        if (attempt.isSilent(from)) {
+            goBackToSilentReplica("it answers");
+        }
+    }
+
+    /** Notes that a replica has accepted a stream: it runs there now, and must not go on at a silent one as well. */
+    void streamAccepted(Attempt from) {
+        if (!attempt.isSilent(from)) {
+            attempt.cancelSilent();
+        }
+    }
+
     /** Notes that a replica has begun its answer. */
     void answerBegan(Attempt from) {
         attempt.answerBegan(from);
     }
 
     void eventReceived(Attempt from, byte[] bytes, OptionalLong id) {
+        preferIfSilent(from);
         if (stream.wasDelivered(id)) {
             return;
         }
@@ -293,6 +311,7 @@
 
     /** Handles the end of a stream, which is not within an event. */
     void streamEnded(Attempt from) {
+        preferIfSilent(from);
         attempt.release(from);
         String replica = from.target().id();
         String streamEnd = from.describeStreamEnd();
@@ -305,7 +324,11 @@
 
     /** Handles an attempt that ended without a complete response. */
     void failed(Attempt from, boolean sent, String why) {
+        boolean wasSilent = attempt.isSilent(from);
         attempt.release(from);
+        if (wasSilent) {
+            return;
+        }
         failure.lastReason(why);
         from.recordFailure(sent);
         if (sent) {
@@ -386,6 +409,7 @@
     }
 
     private void end(int status, String why) {
+        attempt.cancelSilent();
         slotWait.cancel();
         slotWait.forgetDenials();
         queuedRequest.leaveQueue();
--- a/src/main/java/io/waxwingquay/forward/ExchangeState.java
+++ b/src/main/java/io/waxwingquay/forward/ExchangeState.java
@@ -33,6 +33,8 @@
         BEGIN,
         /** Another replica is to be chosen. */
         RETRY,
+        /** The request goes on at a replica that was silent, and whatever was sought elsewhere is given up. */
+        CONTINUE,
         /** The request ends. */
         END
     }
--- a/src/main/java/io/waxwingquay/forward/ForwardContext.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardContext.java
@@ -11,6 +11,8 @@
 
     MessageCodec codec();
 
+    ForwardMetrics metrics();
+
     TargetChooser chooser();
 
     AdapterRequester adapterRequester();
--- a/src/main/java/io/waxwingquay/forward/ForwardMetrics.java
+++ b/src/main/java/io/waxwingquay/forward/ForwardMetrics.java
@@ -20,6 +20,12 @@
     /** Counts a request refused because the quota of its client account is spent. */
     void overQuota();
 
+    /** Counts a request for which another replica is sought, as its own is silent. */
+    void silentReplica();
+
+    /** Counts a request that goes on at its silent replica, as that one answered first or no other one took it over. */
+    void returnedToSilentReplica();
+
     /**
      * Returns the counts of requests for slots.
      *
--- a/src/main/java/io/waxwingquay/forward/Forwarder.java
+++ b/src/main/java/io/waxwingquay/forward/Forwarder.java
@@ -260,6 +260,12 @@
         return codec;
     }
 
+    /** {@inheritDoc} */
+    @Override
+    public ForwardMetrics metrics() {
+        return metrics;
+    }
+
     /** {@inheritDoc} */
     @Override
     public TargetChooser chooser() {
--- a/src/main/java/io/waxwingquay/forward/RequestFailure.java
+++ b/src/main/java/io/waxwingquay/forward/RequestFailure.java
@@ -1,9 +1,10 @@
 package io.waxwingquay.forward;
 
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 
 /**
- * Ends one request that gets no complete answer of a replica. The response tells whether a replica may have begun to run
+ * Ends one request that gets no complete answer of a replica, unless one that was silent may still answer. The response tells whether a replica may have begun to run
  * the request, and a stream that has begun is aborted, so that it does not look complete.
  */
 final class RequestFailure {
@@ -15,6 +16,7 @@
     private final RequestTerms terms;
     private final StreamProgress stream;
     private final CurrentAttempt attempt;
+    private final Predicate<String> goBackToSilent;
     private final End end;
     private String lastReason = "";
 
@@ -25,14 +27,21 @@
      * @param terms the terms of the request.
      * @param stream the progress of its stream.
      * @param attempt tells whether the request may have run.
+     * @param goBackToSilent goes on, for a reason, at a replica that was silent; returns whether there is one.
      * @param end ends the request.
      */
     RequestFailure(
-            CallerResponder responder, RequestTerms terms, StreamProgress stream, CurrentAttempt attempt, End end) {
+            CallerResponder responder,
+            RequestTerms terms,
+            StreamProgress stream,
+            CurrentAttempt attempt,
+            Predicate<String> goBackToSilent,
+            End end) {
         this.responder = responder;
         this.terms = terms;
         this.stream = stream;
         this.attempt = attempt;
+        this.goBackToSilent = goBackToSilent;
         this.end = end;
     }
 
@@ -55,6 +64,9 @@
     }
 
     void giveUp(String why) {
+        if (goBackToSilent.test(why)) {
+            return;
+        }
         if (stream.hasBegun()) {
             abortStream(why);
         } else if (attempt.mayHaveRun()) {
@@ -65,7 +77,9 @@
     }
 
     void abortStream(String why) {
-        end.end(responder.abort(), why);
+        if (!goBackToSilent.test(why)) {
+            end.end(responder.abort(), why);
+        }
     }
 
     void deadlineExceeded() {
--- a/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
@@ -73,6 +73,9 @@
         private final Counter unauthorized =
                 Counter.builder("forward.unauthorized").register(registry);
         private final Counter overQuota = Counter.builder("forward.over.quota").register(registry);
+        private final Counter silent = Counter.builder("forward.silent").register(registry);
+        private final Counter silentReturned =
+                Counter.builder("forward.silent.returned").register(registry);
         private final SlotMetrics slots = new SlotMeters(registry);
 
         /** {@inheritDoc} */
@@ -99,6 +102,18 @@
             overQuota.increment();
         }
 
+        /** {@inheritDoc} */
+        @Override
+        public void silentReplica() {
+            silent.increment();
+        }
+
+        /** {@inheritDoc} */
+        @Override
+        public void returnedToSilentReplica() {
+            silentReturned.increment();
+        }
+
         /** {@inheritDoc} */
         @Override
         public SlotMetrics slots() {
--- a/src/test/java/io/waxwingquay/forward/ForwarderFixture.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderFixture.java
@@ -50,6 +50,16 @@
         public void overQuota() {
             // not counted here
         }
+
+        @Override
+        public void silentReplica() {
+            // not counted here
+        }
+
+        @Override
+        public void returnedToSilentReplica() {
+            // not counted here
+        }
     }
 
     private static final class SilentNotifier implements EngineNotifier {
--- a/src/test/java/io/waxwingquay/hosted/SilentReplicaTest.java
+++ b/src/test/java/io/waxwingquay/hosted/SilentReplicaTest.java
@@ -30,6 +30,9 @@
     private static final Behaviour DECLINE = (replica, caller) ->
             caller.respond(503, HttpFields.build(replica.responseFields(caller)).put("Not-Executed", "1"), "full");
 
+    private static final Behaviour FAIL =
+            (replica, caller) -> caller.respond(500, replica.responseFields(caller), "failed");
+
     private static final Behaviour NEVER_ANSWER = (replica, caller) -> {};
 
     private final AtomicInteger runs = new AtomicInteger();
@@ -54,6 +57,28 @@
         assertWhole(ask("/quick/1"));
     }
 
+    // Guards against the same if the other replica fails instead of declining.
+    @Test
+    void streamGoesOnAtItsSilentReplicaIfAnotherFails() throws Exception {
+        first(silentAfterEvents(1)).then(FAIL);
+        assertWhole(ask("/quick/1"));
+    }
+
+    // Guards against a failure in place of an answer that was on its way, as the replica tried meanwhile declines.
+    @Test
+    void answerOfASilentReplicaIsDeliveredIfAnotherDeclines() throws Exception {
+        first(silentAfterEvents(0)).then(DECLINE);
+        assertWhole(ask("/quick/1"));
+    }
+
+    // Guards against losing a stream between two replicas if the one that was to resume it is silent as well.
+    @Test
+    void streamGoesOnAtItsSilentReplicaIfAnotherIsSilentToo() throws Exception {
+        first(silentAfterEvents(1)).then(NEVER_ANSWER);
+        assertWhole(ask("/quick/1"));
+        assertEquals(2, runs.get());
+    }
+
     // Guards against two replicas that work on one stream: the silent one is released once another has begun.
     @Test
     void silentReplicaIsReleasedOnceAnotherHasBegun() throws Exception {
@@ -85,6 +110,23 @@
         Await.value(released);
     }
 
+    // Guards against a shutdown that ends a stream between two replicas, although its replica would have gone on.
+    @Test
+    void streamBetweenTwoReplicasOutlastsTheStartOfAShutdown() throws Exception {
+        first(silentAfterEvents(1)).then(NEVER_ANSWER);
+        CompletableFuture<Answer> asked = CompletableFuture.supplyAsync(() -> {
+            try {
+                return ask("/quick/1");
+            } catch (Exception failure) {
+                throw new IllegalStateException(failure);
+            }
+        });
+        Await.until(() -> runs.get() == 1);
+        CompletableFuture<Void> exited = deployment.exitEntry();
+        assertWhole(Await.value(asked));
+        Await.value(exited);
+    }
+
     private Answer ask(String path) throws Exception {
         return deployment.ask("POST", path, "s", MODEL, "x");
     }
