Limit stalled writes by a time of their own instead of the idle timeout

What callers saw: a response that ended early, beside a change of the configuration that lowered the idle timeout.

Cause: a connection whose caller accepts nothing for the idle timeout was closed, also within a response that was complete here. An idle timeout is about connections without a request; one that owes a response is not idle.

Evidence: ServerConnectionTest#responseSentSlowlyOutlastsALoweredIdleTimeout; before, 3,919,823 bytes of 33,554,432 arrived. The size of a response that is kept is bounded by the memory budget, whose limit resets the slowest readers first.

--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -23,6 +23,12 @@
     /** How long a caller has to close the connection after its last response; its input is discarded meanwhile. */
     private static final long LINGER_MILLIS = 1_000L;
 
+    /**
+     * How long a caller may accept nothing of a response. This does not depend on the idle timeout, which a configuration
+     * may lower to less than a caller needs to accept what it is owed.
+     */
+    private static final long MAX_WRITE_STALL_MILLIS = 60_000L;
+
     private static final int OUTPUT_SLACK_BYTES = 512;
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int BAD_REQUEST = 400;
@@ -215,7 +221,7 @@
 
     private void closeIfStalled() {
         long stalledMillis = writeStalledMillis();
-        if (stalledMillis > server.limits().idleTimeoutMillis()) {
+        if (stalledMillis > MAX_WRITE_STALL_MILLIS) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "net: connection closed within a response unsent_bytes={0} stalled_ms={1}",
--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -22,6 +22,8 @@
     /** More than the kernel buffers for a peer that reads nothing. */
     private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
 
+    private static final long SHORT_IDLE_MILLIS = 50L;
+
     private final CompletableFuture<Void> answered = new CompletableFuture<>();
     private final CompletableFuture<ServerConnection> accepted = new CompletableFuture<>();
     private final CompletableFuture<ServerExchange> held = new CompletableFuture<>();
@@ -67,6 +69,21 @@
         }
     }
 
+    // Guards against a truncated response when a configuration lowers the idle timeout: a connection whose caller reads
+    // slowly owes it the rest, and is not idle.
+    @Test
+    void responseSentSlowlyOutlastsALoweredIdleTimeout() throws Exception {
+        try (Socket socket = requestLongBody()) {
+            ServerConnection connection = Await.value(accepted);
+            Await.until(() -> writeStalledMillis(connection) > SHORT_IDLE_MILLIS);
+            onLoop(() -> {
+                server.updateLimits(new ServerLimits(32_768, 10, 60_000, SHORT_IDLE_MILLIS));
+                connection.checkTimeouts(EventLoop.nowMillis());
+            });
+            assertEquals(LONG_BODY_BYTES, readBodyBytes(socket));
+        }
+    }
+
     // Guards against a reset in place of a response: a request that arrived while the loop was busy is still unread
     // when the idle timeout of its connection is checked.
     @Test
@@ -172,6 +189,12 @@
         }
     }
 
+    private long writeStalledMillis(ServerConnection connection) throws Exception {
+        CompletableFuture<Long> stalled = new CompletableFuture<>();
+        loop.execute(() -> stalled.complete(connection.writeStalledMillis()));
+        return Await.value(stalled);
+    }
+
     private int connectionCount() throws Exception {
         CompletableFuture<Integer> count = new CompletableFuture<>();
         loop.execute(() -> count.complete(server.connectionCount()));
