Refuse requests on connections that are not taken, instead of closing these unread

What callers saw: a whole request that got neither an answer nor a refusal, but a reset, at an entry whose event loop was busy, with nothing wrong but planned work: other entries being stopped, changes of the configuration, many callers.

Cause: a saturated loop closed new connections as it accepted them. Most callers had sent a request by then. They learned neither that it had not run nor when to come back, opened another connection at once, and were turned away again.

--- a/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedAdminServer.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.hosted;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -49,6 +50,12 @@
         tableCopies = newCopies;
     }
 
+    /** Counts the connections that a server does not take. */
+    void countRefusedConnections(HttpServer server) {
+        FunctionCounter.builder("net.connections.refused", server, HttpServer::refusedCount)
+                .register(registry);
+    }
+
     ForwardMetrics forwardMeters() {
         return new PrometheusForwardMeters();
     }
--- a/src/main/java/io/waxwingquay/hosted/HostedEntry.java
+++ b/src/main/java/io/waxwingquay/hosted/HostedEntry.java
@@ -74,9 +74,6 @@
 
     private static final long COPY_CHECK_MILLIS = 200L;
 
-    /** Retry-after delay of a request whose body this entry has no memory for; its caller soon reaches another entry. */
-    private static final long MEMORY_RETRY_AFTER_MILLIS = 200L;
-
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
@@ -123,7 +120,7 @@
                 loop,
                 socketAddress(callerAddress),
                 loop.acceptWhileResponsive(),
-                new ServerMemory(bufferBudget, this::memoryRefusalFields),
+                new ServerMemory(bufferBudget, this::refusalFields),
                 forwarder);
         HttpServer.listen(loop, socketAddress(readinessAddress), this::answerReadiness);
         this.gracefulShutdown =
@@ -191,6 +188,7 @@
     }
 
     private void startTasks() {
+        adminServer.countRefusedConnections(server);
         new QuarantineKeeper(suspects.promptParts(), platform.quarantineArchive(), loop::schedule, random).start();
         configurationWatch.start();
         replicaWatch.start();
@@ -213,8 +211,8 @@
                 settings.dataCentre());
     }
 
-    private HttpFields memoryRefusalFields() {
-        return forwarder.codec().refusalFields(Optional.of(forwarder.jitter(MEMORY_RETRY_AFTER_MILLIS)));
+    private HttpFields refusalFields(long retryAfterMillis) {
+        return forwarder.codec().refusalFields(Optional.of(forwarder.jitter(retryAfterMillis)));
     }
 
     private void onSuspectsChanged() {
--- a/src/main/java/io/waxwingquay/net/EventLoop.java
+++ b/src/main/java/io/waxwingquay/net/EventLoop.java
@@ -56,7 +56,7 @@
     private final ByteBuffer outputBuffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
     private final Queue<Runnable> postedTasks = new ConcurrentLinkedQueue<>();
     private final TimerQueue timers = new TimerQueue();
-    private final Map<SocketAddress, ListenPoint> listenPoints = new HashMap<>();
+    private final Map<SocketAddress, Function<EndPoint, Connection>> connectionFactories = new HashMap<>();
     private final LoopLoad load = new LoopLoad();
     private final LoopSelectorManager selectorManager;
     private volatile Thread thread;
@@ -130,13 +130,11 @@
      * Listens for connections.
      *
      * @param address the address to bind.
-     * @param policy decides which connections are taken.
      * @param connectionFactory creates the connection for an accepted channel.
      * @return the bound port.
      * @throws UncheckedIOException if the address can't be bound.
      */
-    public int listen(
-            InetSocketAddress address, ConnectionPolicy policy, Function<EndPoint, Connection> connectionFactory) {
+    public int listen(InetSocketAddress address, Function<EndPoint, Connection> connectionFactory) {
         try {
             ServerSocketChannel server = ServerSocketChannel.open();
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -144,7 +142,7 @@
             server.configureBlocking(false);
             InetSocketAddress local = (InetSocketAddress) server.getLocalAddress();
             execute(() -> {
-                listenPoints.put(local, new ListenPoint(policy, connectionFactory));
+                connectionFactories.put(local, connectionFactory);
                 selectorManager.acceptor(server);
             });
             return local.getPort();
@@ -288,14 +286,6 @@
      */
     private record ChannelAttachment(Function<EndPoint, Connection> connectionFactory, Consumer<Throwable> onFailure) {}
 
-    /**
-     * What handles the connections to one address.
-     *
-     * @param policy decides which are taken.
-     * @param connectionFactory creates those that are.
-     */
-    private record ListenPoint(ConnectionPolicy policy, Function<EndPoint, Connection> connectionFactory) {}
-
     /**
      * The executor given to Jetty: the first task is the selector loop and gets a thread, all others run on that
      * loop.
@@ -404,14 +394,10 @@
         @Override
         protected void accepted(SelectableChannel channel) throws IOException {
             SocketChannel socket = (SocketChannel) channel;
-            ListenPoint point = listenPoints.get(socket.getLocalAddress());
-            if (!point.policy.accepts(nowMillis())) {
-                closeQuietly(socket);
-                return;
-            }
+            Function<EndPoint, Connection> connectionFactory = connectionFactories.get(socket.getLocalAddress());
             socket.configureBlocking(false);
             configure(socket);
-            accept(channel, new ChannelAttachment(point.connectionFactory, failure -> {}));
+            accept(channel, new ChannelAttachment(connectionFactory, failure -> {}));
         }
 
         /** {@inheritDoc} */
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -23,6 +23,7 @@
     private final Set<ServerConnection> connections = new HashSet<>();
     private ServerLimits limits = ServerLimits.DEFAULT;
     private boolean draining;
+    private long refusedCount;
 
     private HttpServer(EventLoop loop, ConnectionPolicy policy, ServerMemory memory, ServerHandler handler) {
         this.loop = loop;
@@ -75,7 +76,7 @@
             ServerMemory memory,
             ServerHandler handler) {
         HttpServer server = new HttpServer(loop, policy, memory, handler);
-        loop.listen(address, policy, endPoint -> new ServerConnection(endPoint, loop, server));
+        loop.listen(address, endPoint -> new ServerConnection(endPoint, loop, server));
         loop.execute(() -> loop.every(TIMEOUT_CHECK_MILLIS, server::checkTimeouts));
         return server;
     }
@@ -142,6 +143,27 @@
         return draining;
     }
 
+    /** Returns whether requests are taken on a connection that has just been opened. */
+    boolean takesConnection() {
+        boolean isTaken = policy.accepts(EventLoop.nowMillis());
+        refusedCount += isTaken ? 0 : 1;
+        return isTaken;
+    }
+
+    /** Returns when the caller of a connection that is not taken may open another one. */
+    long retryAfterMillis() {
+        return policy.retryAfterMillis(EventLoop.nowMillis());
+    }
+
+    /**
+     * Returns how many connections were not taken so far.
+     *
+     * @return the number of connections.
+     */
+    public long refusedCount() {
+        return refusedCount;
+    }
+
     /** Returns whether a connection stays open after the response that begins now. */
     boolean keepsConnections() {
         return !draining && policy.keeps(EventLoop.nowMillis());
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -29,6 +29,9 @@
      */
     private static final long MAX_WRITE_STALL_MILLIS = 60_000L;
 
+    /** Delay after which a caller may retry that soon reaches another server. */
+    private static final long OTHER_SERVER_RETRY_AFTER_MILLIS = 200L;
+
     private static final int OUTPUT_SLACK_BYTES = 512;
     private static final int PAYLOAD_TOO_LARGE = 413;
     private static final int BAD_REQUEST = 400;
@@ -39,6 +42,7 @@
     private final HttpServer server;
     private final HttpParser parser;
     private final CallerBuffers buffers;
+    private final boolean taken;
     private final ByteArrayOutputStream pipelined = new ByteArrayOutputStream(0);
     private HttpFields.Mutable fields = HttpFields.build();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -58,6 +62,7 @@
         super(endPoint, loop);
         this.server = server;
         this.buffers = new CallerBuffers(this, server.memory().budget(), server.backPressure());
+        this.taken = server.takesConnection();
         this.parser = Parsers.forRequests(this, server.limits().maxHeaderBytes());
         server.onOpened(this);
     }
@@ -312,7 +317,11 @@
                 System.Logger.Level.INFO,
                 "net: request with a body refused, no memory for it held_bytes={0}",
                 Long.toString(budget().heldBytes()));
-        reject(UNAVAILABLE, server.memory().refusalFields().get(), "it has not run: no memory for its body");
+        refuse(OTHER_SERVER_RETRY_AFTER_MILLIS, "no memory for its body");
+    }
+
+    private void refuse(long retryAfterMillis, String why) {
+        reject(UNAVAILABLE, server.memory().refusalFields().apply(retryAfterMillis), "it has not run: " + why);
     }
 
     private void rejectTooLong() {
@@ -360,6 +369,10 @@
     /** {@inheritDoc} */
     @Override
     public boolean headerComplete() {
+        if (!taken) {
+            refuse(server.retryAfterMillis(), "too much work here");
+            return true;
+        }
         if (parser.getContentLength() > server.limits().maxBodyBytes()) {
             rejectTooLong();
             return true;
