Answer requests that are still being received when an entry exits

What callers saw: a reset in place of a refusal, for a request whose body or head was not complete at the exit of its entry.

Cause: the shutdown counted requests by their ids, which they have only once they are complete, and answered these alone at the exit.

Change: such requests get 503 with a retry time at the end of admission and again just before the exit, and the exit waits up to 0.2 s more while callers have yet to accept a response that is complete.

--- a/src/main/java/io/waxwingquay/hosted/GracefulShutdown.java
+++ b/src/main/java/io/waxwingquay/hosted/GracefulShutdown.java
@@ -18,7 +18,8 @@
  *
  * <p>While all entries shut down, the platform routes callers to them although none is ready. A request could then
  * arrive between the check that finds no request in progress and the exit, be forwarded, and be aborted by the exit.
- * So that check also ends admission: no request can start afterwards, however long the exit itself takes.
+ * So that check also ends admission: no request can start afterwards, however long the exit itself takes. Requests that
+ * are still being received then are rejected, as their callers would get a reset instead.
  */
 final class GracefulShutdown {
 
@@ -30,9 +31,14 @@
     /** Part of the grace period that is reserved for the exit itself. */
     private static final long EXIT_RESERVE_MILLIS = 500L;
 
-    /** Time to send the last responses. */
+    /** Time in which the last responses reach callers that read them. */
     private static final long FLUSH_MILLIS = 60L;
 
+    /** The longest time after that to wait for callers that have yet to accept a part of their response. */
+    private static final long MAX_SLOW_FLUSH_MILLIS = 200L;
+
+    private static final long SLOW_FLUSH_CHECK_MILLIS = 20L;
+
     private static final System.Logger LOG = System.getLogger("waxwingquay.hosted");
 
     private final EventLoop loop;
@@ -89,7 +95,18 @@
     private void beginExit() {
         LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", requests.activeCount());
         requests.endAdmission();
-        loop.schedule(FLUSH_MILLIS, this::complete);
+        server.rejectIncomplete();
+        long flushedByMillis = clockMillis.getAsLong() + FLUSH_MILLIS + MAX_SLOW_FLUSH_MILLIS;
+        loop.schedule(FLUSH_MILLIS, () -> completeOnceSent(flushedByMillis));
+    }
+
+    private void completeOnceSent(long latestMillis) {
+        server.rejectIncomplete();
+        if (server.sendingCount() > 0 && clockMillis.getAsLong() < latestMillis) {
+            loop.schedule(SLOW_FLUSH_CHECK_MILLIS, () -> completeOnceSent(latestMillis));
+        } else {
+            complete();
+        }
     }
 
     /** Logs how the requests stand that the exit aborts, as these get no log line of their own. */
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -100,6 +100,11 @@
         new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
     }
 
+    /** Rejects all requests that are still being received, as they would be cut off by the exit of this process. */
+    public void rejectIncomplete() {
+        new ArrayList<>(connections).forEach(ServerConnection::rejectIfReceiving);
+    }
+
     /**
      * Returns the number of open connections.
      *
--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -224,6 +224,13 @@
         }
     }
 
+    /** Rejects a request that is still being received, as this process exits. */
+    void rejectIfReceiving() {
+        if (isReceiving()) {
+            refuse(OTHER_SERVER_RETRY_AFTER_MILLIS, "this process exits");
+        }
+    }
+
     private void closeIfStalled() {
         long stalledMillis = writeStalledMillis();
         if (stalledMillis > MAX_WRITE_STALL_MILLIS) {
--- a/src/test/java/io/waxwingquay/forward/ForwarderFixture.java
+++ b/src/test/java/io/waxwingquay/forward/ForwarderFixture.java
@@ -29,6 +29,11 @@
                 random);
     }
 
+    /** Returns metrics that count nothing. */
+    static ForwardMetrics uncounted() {
+        return new UncountedMetrics();
+    }
+
     private static final class UncountedMetrics implements ForwardMetrics {
 
         @Override
--- a/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedDeployment.java
@@ -360,7 +360,7 @@
      */
     record Answer(int status, String head, String body, boolean complete) {
 
-        private static Answer read(InputStream in) throws IOException {
+        static Answer read(InputStream in) throws IOException {
             StringBuilder head = new StringBuilder();
             while (head.indexOf("\r\n\r\n") < 0) {
                 int next = in.read();
--- a/src/test/java/io/waxwingquay/hosted/HostedExitTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedExitTest.java
@@ -1,6 +1,7 @@
 package io.waxwingquay.hosted;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.hosted.HostedDeployment.Answer;
@@ -8,9 +9,13 @@
 import io.waxwingquay.testing.Await;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +26,9 @@
     /** More requests than one caller can send one after the other within the grace period. */
     private static final int MAX_REQUESTS = 10_000;
 
+    /** More than the kernel buffers for a caller that reads nothing. */
+    private static final int LONG_BODY_BYTES = 7 * 1024 * 1024;
+
     private HostedDeployment deployment;
 
     @BeforeEach
@@ -100,6 +108,79 @@
         Await.value(exited);
     }
 
+    // Guards against a reset in place of a refusal: a request that is still being received at the exit has not run, and
+    // its caller can turn to another entry at once.
+    @Test
+    void requestStillBeingReceivedIsRefusedAtExit() throws Exception {
+        try (Socket socket = deployment.connect()) {
+            send(socket, "POST /once/1 HTTP/1.1\r\nHost: x.test\r\nAttempt-Id: a31\r\nContent-Length: 10\r\n\r\npart");
+            CompletableFuture<Void> exited = deployment.exitEntry();
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+            assertTrue(answer.contains("Retry-After: "), answer);
+            Await.value(exited);
+        }
+        assertEquals(List.of(), plainRuns());
+    }
+
+    // Guards against the same for a request of which only a part of the head has arrived.
+    @Test
+    void requestWithoutACompleteHeadIsRefusedAtExit() throws Exception {
+        try (Socket socket = deployment.connect()) {
+            send(socket, "POST /once/1 HTTP/1.1\r\nHost: x.test\r\n");
+            CompletableFuture<Void> exited = deployment.exitEntry();
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+            Await.value(exited);
+        }
+    }
+
+    // Guards against a response that is lost at the exit because its caller reads it slowly: the process stays until
+    // the
+    // response has been sent.
+    @Test
+    void responseThatItsCallerReadsSlowlyIsSentBeforeTheExit() throws Exception {
+        byte[] body = new byte[LONG_BODY_BYTES];
+        setPlainBehaviour((engine, caller) -> caller.respond(200, engine.responseFields(caller), body));
+        try (Socket socket = deployment.connect()) {
+            send(socket, HostedDeployment.request("POST", "/p/1", "a32", "", "x"));
+            Await.until(
+                    () -> deployment.dump().contains("active=0") && plainRuns().contains("a32"));
+            CompletableFuture<Void> exited = deployment.exitEntry();
+            Await.until(() -> deployment.readyStatus() == 503);
+            assertEquals(
+                    LONG_BODY_BYTES,
+                    HostedDeployment.Answer.read(socket.getInputStream()).body().length());
+            Await.value(exited);
+        }
+    }
+
+    // Guards against a stream that looks complete, or ends within an event, if it is still running at the exit.
+    @Test
+    void streamThatOutlastsTheGracePeriodEndsIncompleteBetweenTwoEvents() throws Exception {
+        String half = "id: 2\ndata: ev";
+        Behaviour endless = (engine, caller) -> {
+            caller.begin(200, HttpFields.build(engine.responseFields(caller)).put("Content-Type", "text/event-stream"));
+            caller.write(ByteBuffer.wrap((HostedDeployment.events(1) + half).getBytes(StandardCharsets.UTF_8)));
+        };
+        deployment.engine1.behaviour(endless);
+        deployment.engine2.behaviour(endless);
+        try (Socket socket = deployment.connect()) {
+            send(socket, HostedDeployment.request("POST", "/live/1", "a33", "Model: m\r\nToken-Counts: 10,10\r\n", ""));
+            Await.until(() -> deployment.dump().contains("active=1"));
+            CompletableFuture<Void> exited = deployment.exitEntry();
+            Answer answer = HostedDeployment.Answer.read(socket.getInputStream());
+            assertEquals(HostedDeployment.events(1), answer.body());
+            assertFalse(answer.complete(), answer.body());
+            Await.value(exited);
+        }
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
     private boolean isAnswered(String id) {
         try {
             return deployment.ask("POST", "/brief/1", id, "", "pay").status() == 200;
