--- a/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -57,6 +57,7 @@
         head.model().ifPresent(context.demandMeter()::started);
     }
 
+    /** Returns whether a replica works on the request, as far as this entry knows. */
     boolean isRunning() {
         return running.isPresent() || silent.isPresent();
     }
@@ -157,8 +158,8 @@
 
     /**
      * Returns the running attempt if nothing has come for so long that another replica should take the request over, and
-     * none is silent already. A stream at an engine that grants slots and is heard is given longer: the engine holds no more requests than slots, so
-     * the stream most likely goes on, and elsewhere it has to wait for a slot first.
+     * none is silent already. A stream at an engine that grants slots and is heard is given longer: the engine holds no
+     * more requests than slots, so the stream most likely goes on, and elsewhere it has to wait for a slot first.
      */
     Optional<Attempt> stalled(Route route, ExchangeState state, long nowMillis) {
         return running.filter(attempt -> silent.isEmpty())
