--- a/src/test/java/io/waxwingquay/hosted/SlotGrantTest.java
+++ b/src/test/java/io/waxwingquay/hosted/SlotGrantTest.java
@@ -10,11 +10,14 @@
 import io.waxwingquay.transport.generated.SlotDecision;
 import io.waxwingquay.transport.generated.SlotReply;
 import io.waxwingquay.transport.generated.SlotRequest;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -93,6 +96,25 @@
         assertEquals(List.of(), engine.startedAttemptIds());
     }
 
+    // Guards against a request that waits for a slot until its entry exits, and against a place that is kept for it.
+    @Test
+    void requestThatWaitsForASlotIsRefusedDuringShutdown() throws Exception {
+        start(request -> Optional.of(reply(request, SlotDecision.QUEUED, 5_000)));
+        CompletableFuture<HostedDeployment.Answer> asked = CompletableFuture.supplyAsync(() -> {
+            try {
+                return deployment.ask("POST", "/s/1", "x1", MODEL, "x");
+            } catch (IOException failure) {
+                throw new UncheckedIOException(failure);
+            }
+        });
+        Await.until(() -> !side.requests.isEmpty());
+        CompletableFuture<Void> exited = deployment.shutdownEntry();
+        assertEquals(503, Await.value(asked).status());
+        Await.value(exited);
+        Await.until(() -> side.cancelledIds.contains(side.requests.get(0).getId()));
+        assertEquals(List.of(), engine.startedAttemptIds());
+    }
+
     // Guards against a request that waits beyond its time for a place for its adapter, and against a refusal that does
     // not name the adapter.
     @Test
