Give a caller time for its first request before its connection is closed as idle

What callers saw: a reset in place of a response, for the first request on a connection to an entry that shuts down.

Cause: from 2.6 s after its stop signal an entry closes idle connections every 50 ms. One that was accepted just before has no request yet, as that follows a round trip later, and was closed under it. While all entries shut down, callers are routed to them all the same.

Evidence: ServerConnectionTest#connectionThatHasJustBeenOpenedIsNotClosedAtShutdown, red before (no byte of a response).

Change: a connection without a request counts as idle only 300 ms after it was opened. A caller that sends nothing holds the exit up for no longer than that.

--- a/src/main/java/io/waxwingquay/net/ServerConnection.java
+++ b/src/main/java/io/waxwingquay/net/ServerConnection.java
@@ -29,6 +29,9 @@
      */
     private static final long MAX_WRITE_STALL_MILLIS = 60_000L;
 
+    /** Time from the opening of a connection within which its first request usually arrives. */
+    private static final long FIRST_REQUEST_MILLIS = 300L;
+
     /** Delay after which a caller may retry that soon reaches another server. */
     private static final long OTHER_SERVER_RETRY_AFTER_MILLIS = 200L;
 
@@ -210,20 +213,25 @@
     }
 
     /**
-     * Closes the connection if it has no request, not even an unread one.
+     * Closes the connection if it has no request, not even an unread one, and none is about to come.
      *
      * <p>A request may have arrived while the loop was busy. Closing with unread bytes resets the connection, and the
      * caller gets no response. So pending input is read first, and a connection that had any is kept. A request that
      * is still in transit can't be detected, but has not run either.
      */
     void closeIfIdle() {
-        if (isIdle()) {
+        if (isIdle() && !isFirstRequestDue()) {
             long readCountBefore = readCount;
             onFillable();
             closeIf(isIdle() && readCount == readCountBefore);
         }
     }
 
+    /** Returns whether the caller has just opened the connection, so that its first request is still in transit. */
+    private boolean isFirstRequestDue() {
+        return readCount == 0 && EventLoop.nowMillis() - phaseStartMillis < FIRST_REQUEST_MILLIS;
+    }
+
     /** Rejects a request that is still being received, as this process exits. */
     void rejectIfReceiving() {
         if (isReceiving()) {
--- a/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
+++ b/src/test/java/io/waxwingquay/net/ServerConnectionTest.java
@@ -136,6 +136,34 @@
         }
     }
 
+    // Guards against a reset in place of a response: the first request of a caller follows a round trip after its
+    // connection is accepted, and idle connections are closed in between.
+    @Test
+    void connectionThatHasJustBeenOpenedIsNotClosedAtShutdown() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            Await.value(accepted);
+            onLoop(server::closeIdle);
+            write(socket, "GET / HTTP/1.1\r\nHost: x.test\r\nConnection: close\r\n\r\n");
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+        }
+    }
+
+    // Guards against a shutdown that waits for callers that open a connection and send nothing.
+    @Test
+    void connectionWithoutARequestIsClosedAtShutdownAfterAWhile() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(30_000);
+            Await.value(accepted);
+            Await.until(() -> {
+                onLoop(server::closeIdle);
+                return connectionCount() == 0;
+            });
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
     // Guards against closing the connection of a caller that pipelines more than the buffer holds: its first request
     // has already been forwarded and would get no response. Reading has to pause instead.
     @Test
