--- a/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
+++ b/src/main/java/io/waxwingquay/forward/CurrentAttempt.java
@@ -7,10 +7,8 @@
 import java.util.Set;
 
 /**
- * The attempt of a request that is in progress, if there is one, and whether any of its attempts may have run.
- *
- * <p>While another replica is sought for a request whose replica is silent, the silent attempt is kept. If it were given
- * up first and no other replica took the request, an answer that was on its way would be lost.
+ * The attempt of a request that is in progress, if there is one, and whether any of its attempts may have run. While
+ * another replica is sought for a request whose replica is silent, there may be two.
  */
 final class CurrentAttempt {
 
--- a/src/main/java/io/waxwingquay/forward/RequestFailure.java
+++ b/src/main/java/io/waxwingquay/forward/RequestFailure.java
@@ -4,8 +4,9 @@
 import java.util.function.Predicate;
 
 /**
- * Ends one request that gets no complete answer of a replica, unless one that was silent may still answer. The response tells whether a replica may have begun to run
- * the request, and a stream that has begun is aborted, so that it does not look complete.
+ * Ends one request that gets no complete answer of a replica, unless one that was silent may still answer. The response
+ * tells whether a replica may have begun to run the request, and a stream that has begun is aborted, so that it does not
+ * look complete.
  */
 final class RequestFailure {
 
--- a/src/main/java/io/waxwingquay/forward/RetryRules.java
+++ b/src/main/java/io/waxwingquay/forward/RetryRules.java
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Returns whether another replica could take the request over. A stalled attempt is given up only in that case: if
-     * all replicas are slow for a moment, the caller would get a failure though its answer was on its way.
+     * Returns whether another replica could take the request over. One is sought only in that case: if all replicas are
+     * slow for a moment, each search would use up a retry for nothing.
      */
     boolean canRetryElsewhere(StreamProgress stream, long nowMillis) {
         return mayRetry(nowMillis)
