Stop listening at the end of admission, before the process exits

What callers saw: a reset in place of a response for requests whose connection the kernel accepted just before the exit.

Cause: an entry went on listening until its process was gone. What the kernel had accepted by then, with a request that nobody had read, was reset.

Evidence: HostedExitTest#entryAcceptsNoConnectionOnceItMayExit, red before (a connection could be opened after the shutdown was complete).

Callers that come later can't connect and turn to another entry at once, knowing that nothing has run.

Run: HostedExitTest, HttpServerTest, GracefulShutdownTest, ServerConnectionTest, LoopConnectionTest green.

--- a/src/main/java/io/waxwingquay/hosted/GracefulShutdown.java
+++ b/src/main/java/io/waxwingquay/hosted/GracefulShutdown.java
@@ -95,6 +95,7 @@
     private void beginExit() {
         LOG.log(System.Logger.Level.INFO, "hosted: left active={0}", requests.activeCount());
         requests.endAdmission();
+        server.stopListening();
         server.rejectIncomplete();
         long flushedByMillis = clockMillis.getAsLong() + FLUSH_MILLIS + MAX_SLOW_FLUSH_MILLIS;
         loop.schedule(FLUSH_MILLIS, () -> completeOnceSent(flushedByMillis));
--- a/src/main/java/io/waxwingquay/net/EventLoop.java
+++ b/src/main/java/io/waxwingquay/net/EventLoop.java
@@ -1,5 +1,6 @@
 package io.waxwingquay.net;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -49,6 +50,10 @@
     private static final int BUFFER_BYTES = 65_536;
     private static final int SECOND_BUFFER_BYTES = 1_024;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Time in which the selector forgets a listener: its channel stays open in the kernel until then. */
+    private static final long DEREGISTRATION_MILLIS = 5L;
+
     private static final System.Logger LOG = System.getLogger("waxwingquay.net");
 
     private final ByteBuffer inputBuffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
@@ -57,6 +62,7 @@
     private final Queue<Runnable> postedTasks = new ConcurrentLinkedQueue<>();
     private final TimerQueue timers = new TimerQueue();
     private final Map<SocketAddress, Function<EndPoint, Connection>> connectionFactories = new HashMap<>();
+    private final Map<SocketAddress, Listener> listeners = new HashMap<>();
     private final LoopLoad load = new LoopLoad();
     private final LoopSelectorManager selectorManager;
     private volatile Thread thread;
@@ -143,7 +149,7 @@
             InetSocketAddress local = (InetSocketAddress) server.getLocalAddress();
             execute(() -> {
                 connectionFactories.put(local, connectionFactory);
-                selectorManager.acceptor(server);
+                listeners.put(local, new Listener(server, selectorManager.acceptor(server)));
             });
             return local.getPort();
         } catch (IOException failure) {
@@ -151,6 +157,29 @@
         }
     }
 
+    /**
+     * Accepts the connections that the kernel holds for an address, and no more from then on; called on the loop.
+     *
+     * @param address the address on which this loop listens.
+     */
+    public void stopListening(InetSocketAddress address) {
+        Listener listener = listeners.remove(address);
+        if (listener != null) {
+            closeQuietly(listener.acceptor);
+            schedule(DEREGISTRATION_MILLIS, () -> acceptRemaining(listener.channel));
+        }
+    }
+
+    private void acceptRemaining(ServerSocketChannel server) {
+        try (server) {
+            for (SocketChannel next = server.accept(); next != null; next = server.accept()) {
+                selectorManager.accepted(next);
+            }
+        } catch (IOException failure) {
+            LOG.log(System.Logger.Level.DEBUG, "net: accepting the last connections failed: {0}", failure);
+        }
+    }
+
     /**
      * Opens a connection; called on the loop.
      *
@@ -248,7 +277,7 @@
         channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, KEEP_ALIVE_PROBES);
     }
 
-    private static void closeQuietly(SocketChannel channel) {
+    private static void closeQuietly(Closeable channel) {
         if (channel == null) {
             return;
         }
@@ -330,6 +359,14 @@
         }
     }
 
+    /**
+     * A listening channel.
+     *
+     * @param channel the channel.
+     * @param acceptor ends the acceptance of its connections when closed.
+     */
+    private record Listener(ServerSocketChannel channel, Closeable acceptor) {}
+
     /** A Jetty selector manager that runs this loop's timers and posted tasks between two selections. */
     private final class LoopSelectorManager extends SelectorManager {
 
--- a/src/main/java/io/waxwingquay/net/HttpServer.java
+++ b/src/main/java/io/waxwingquay/net/HttpServer.java
@@ -22,6 +22,7 @@
     private final BackPressure backPressure;
     private final Set<ServerConnection> connections = new HashSet<>();
     private ServerLimits limits = ServerLimits.DEFAULT;
+    private InetSocketAddress address;
     private boolean draining;
     private long refusedCount;
 
@@ -76,7 +77,8 @@
             ServerMemory memory,
             ServerHandler handler) {
         HttpServer server = new HttpServer(loop, policy, memory, handler);
-        loop.listen(address, endPoint -> new ServerConnection(endPoint, loop, server));
+        int port = loop.listen(address, endPoint -> new ServerConnection(endPoint, loop, server));
+        server.address = new InetSocketAddress(address.getAddress(), port);
         loop.execute(() -> loop.every(TIMEOUT_CHECK_MILLIS, server::checkTimeouts));
         return server;
     }
@@ -100,6 +102,14 @@
         new ArrayList<>(connections).forEach(ServerConnection::closeIfIdle);
     }
 
+    /**
+     * Accepts no further connections: those that the kernel would accept for a process that exits could only be reset,
+     * while callers that can't connect turn to another server at once.
+     */
+    public void stopListening() {
+        loop.stopListening(address);
+    }
+
     /** Rejects all requests that are still being received, as they would be cut off by the exit of this process. */
     public void rejectIncomplete() {
         new ArrayList<>(connections).forEach(ServerConnection::rejectIfReceiving);
--- a/src/test/java/io/waxwingquay/hosted/HostedExitTest.java
+++ b/src/test/java/io/waxwingquay/hosted/HostedExitTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.waxwingquay.hosted.HostedDeployment.Answer;
@@ -9,6 +10,7 @@
 import io.waxwingquay.testing.Await;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -135,6 +137,14 @@
         }
     }
 
+    // Guards against connections that the kernel still accepts for an entry whose exit resets them, with requests that
+    // nobody has read. Callers that can't connect go to another entry at once.
+    @Test
+    void entryAcceptsNoConnectionOnceItMayExit() throws Exception {
+        Await.value(deployment.shutdownEntry());
+        assertThrows(ConnectException.class, () -> deployment.connect());
+    }
+
     // Guards against a response that is lost at the exit because its caller reads it slowly: the process stays until
     // the
     // response has been sent.
--- a/src/test/java/io/waxwingquay/net/HttpServerTest.java
+++ b/src/test/java/io/waxwingquay/net/HttpServerTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.waxwingquay.testing.Await;
 import io.waxwingquay.testing.FreePorts;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -12,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.Test;
@@ -47,6 +50,41 @@
         }
     }
 
+    // Guards against a reset of connections that the kernel has accepted by the time at which a server stops listening.
+    @Test
+    void connectionsHeldByTheKernelAreServedWhenListeningStops() throws Exception {
+        int port = FreePorts.adjacent(1, List.of("127.0.0.1"));
+        CountDownLatch connected = new CountDownLatch(1);
+        try (EventLoop loop = EventLoop.start("test")) {
+            HttpServer server = HttpServer.listen(
+                    loop,
+                    new InetSocketAddress("127.0.0.1", port),
+                    exchange -> exchange.respond(200, HttpFields.EMPTY, "here"));
+            loop.execute(() -> {
+                Await.latch(connected);
+                server.stopListening();
+            });
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout(30_000);
+                socket.getOutputStream()
+                        .write("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                                .getBytes(StandardCharsets.US_ASCII));
+                connected.countDown();
+                String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+                assertTrue(answer.endsWith("here"), answer);
+            }
+            Await.until(() -> isRefused(port));
+        }
+    }
+
+    private static boolean isRefused(int port) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            return !socket.isConnected();
+        } catch (ConnectException refused) {
+            return true;
+        }
+    }
+
     // Guards against a connection that is closed without notice, on which a caller may send its next request.
     @Test
     void connectionThatIsNotKeptIsAnnouncedAndClosedAfterItsResponse() throws Exception {
