Let the silent replica of the tests go on after another one was tried, not after a time

A loop that stalls for half a second would try the other replica later than the silent one goes on, and the test would show nothing. The shutdown's test has its replica silent until after the entry refuses what waits.

--- a/src/test/java/io/waxwingquay/hosted/SilentReplicaTest.java
+++ b/src/test/java/io/waxwingquay/hosted/SilentReplicaTest.java
@@ -20,8 +20,11 @@
 /** Tests requests at a sound replica that is silent for a second or so and then goes on. */
 class SilentReplicaTest {
 
-    /** Longer than the silence after which another replica is tried, and shorter than callers wait. */
-    private static final long SILENCE_MILLIS = 1_500L;
+    /** How long a silent replica stays so once another one was tried. */
+    private static final long REMAINING_SILENCE_MILLIS = 300L;
+
+    /** Longer than an entry that leaves accepts streams, and shorter than its grace period. */
+    private static final long LONG_SILENCE_MILLIS = 3_200L;
 
     private static final int EVENTS = 4;
     private static final String MODEL = "Model: m\r\nToken-Counts: 10,10\r\n";
@@ -36,6 +39,7 @@
     private static final Behaviour NEVER_ANSWER = (replica, caller) -> {};
 
     private final AtomicInteger runs = new AtomicInteger();
+    private final CompletableFuture<Void> tried = new CompletableFuture<>();
     private final CompletableFuture<Void> released = new CompletableFuture<>();
     private HostedDeployment deployment;
 
@@ -113,7 +117,12 @@
     // Guards against a shutdown that ends a stream between two replicas, although its replica would have gone on.
     @Test
     void streamBetweenTwoReplicasOutlastsTheStartOfAShutdown() throws Exception {
-        first(silentAfterEvents(1)).then(NEVER_ANSWER);
+        first((replica, caller) -> {
+                    begin(replica, caller);
+                    write(caller, 1, 1);
+                    deployment.schedule(LONG_SILENCE_MILLIS, () -> finish(caller, 2));
+                })
+                .then(NEVER_ANSWER);
         CompletableFuture<Answer> asked = CompletableFuture.supplyAsync(() -> {
             try {
                 return ask("/quick/1");
@@ -139,26 +148,37 @@
 
     private Second first(Behaviour first) {
         return second -> {
-            Behaviour byTurn = (replica, caller) -> (runs.getAndIncrement() == 0 ? first : second).run(replica, caller);
+            Behaviour byTurn = (replica, caller) -> {
+                boolean isFirst = runs.getAndIncrement() == 0;
+                (isFirst ? first : second).run(replica, caller);
+                if (!isFirst) {
+                    tried.complete(null);
+                }
+            };
             deployment.engine1.behaviour(byTurn);
             deployment.engine2.behaviour(byTurn);
         };
     }
 
+    /** Returns a behaviour that writes some events, and the rest a while after another replica was tried. */
     private Behaviour silentAfterEvents(int events) {
         return (replica, caller) -> {
             if (events > 0) {
                 begin(replica, caller);
                 write(caller, 1, events);
             }
-            deployment.schedule(SILENCE_MILLIS, () -> {
+            tried.thenRun(() -> deployment.schedule(REMAINING_SILENCE_MILLIS, () -> {
                 begin(replica, caller);
-                write(caller, events + 1, EVENTS);
-                caller.finish();
-            });
+                finish(caller, events + 1);
+            }));
         };
     }
 
+    private static void finish(ServerExchange caller, int from) {
+        write(caller, from, EVENTS);
+        caller.finish();
+    }
+
     private static void begin(ReplicaStandin replica, ServerExchange caller) {
         caller.begin(200, HttpFields.build(replica.responseFields(caller)).add(STREAM_FIELDS));
     }
