--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -271,6 +271,7 @@
             overcommitted = "ordered to load %s beside %s: %.0f MB of %.0f MB, by %s"
                     .formatted(model, held, (held.size() + 1) * modelMb, weightsMb, order);
             recorder.say("LIMIT broken: %s", overcommitted);
+            crash(2_000);
             return "202 Accepted, and crashed";
         }
         busy = true;
--- a/review/standins/LateOrderAfterPowerLoss.java
+++ b/review/standins/LateOrderAfterPowerLoss.java
@@ -7,7 +7,7 @@
 
 /**
  * Demand moves, so that a model replica is ordered to replace models. One of the orders gets no answer and is carried out
- * late. Right after it the machine of the replica, with the side process, loses power for a moment.
+ * late. One second after it the machine of the replica, with the side process, loses power for a moment.
  */
 final class LateOrderAfterPowerLoss {
 
@@ -16,6 +16,7 @@
     private static final long STORE_LOAD_MILLIS = 6_400;
     private static final long DISK_LOAD_MILLIS = 1_300;
     private static final long LATE_MILLIS = 11_000;
+    private static final long POWER_LOSS_AFTER_MILLIS = 1_000;
     private static final long DARK_MILLIS = 1_500;
     private static final long INTERVAL_MILLIS = 60;
     private static final String ENTRY = "127.0.0.11";
@@ -72,15 +73,18 @@
                     recorder.say("no order came that could be left unanswered");
                     return 2;
                 }
+                long orderedMillis = recorder.nowMillis();
+                Threads.sleep(POWER_LOSS_AFTER_MILLIS);
                 side.destroyForcibly().waitFor();
                 engine.losePower();
-                long lostMillis = recorder.nowMillis();
+                recorder.say("the machine loses power, with the replica and the side process");
                 asked = List.of("m1", "m2", "m4");
                 recorder.say("demand moves from m5 to m2");
                 Threads.sleep(DARK_MILLIS);
                 engine.restart();
+                recorder.say("both begin again, the replica empty and under the same id");
                 deployment.startSide("side-1", SIDE, "log-readers", SIDE + ":" + port, false);
-                Threads.sleep(lostMillis + LATE_MILLIS + 1_500 - recorder.nowMillis());
+                Threads.sleep(orderedMillis + LATE_MILLIS + 1_500 - recorder.nowMillis());
             }
             recorder.say("models at the end %s, seq %d", engine.models(), engine.seq());
             deployment.log("side-1").lines().forEach(line -> recorder.add("log side-1 %s", line));
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -5,15 +5,14 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * The platform's metadata store: rows-get, rows-feed and rows-tx of tables with an empty part. {@link #silence} makes all
- * channels that are open now go silent for good, while new ones work.
+ * The platform's metadata store: rows-get and rows-feed of tables with an empty part. It answers rows-tx, but keeps nothing of the
+ * system's own tables.
  */
 final class Store implements AutoCloseable {
 
@@ -50,12 +49,6 @@
         notifyAll();
     }
 
-    /** Makes the open channels silent; returns how many there are. */
-    int silence() {
-        channels.forEach(channel -> channel.silent = true);
-        return channels.size();
-    }
-
     private void accept() {
         while (!server.isClosed()) {
             try {
@@ -108,7 +101,6 @@
 
     private final class Channel {
         private final Socket socket;
-        private volatile boolean silent;
 
         private Channel(Socket socket) throws IOException {
             this.socket = socket;
@@ -120,10 +112,7 @@
                 for (Http.Message call = Http.read(socket.getInputStream());
                         call != null;
                         call = Http.read(socket.getInputStream())) {
-                    byte[] answer = answer(call);
-                    if (!silent) {
-                        Http.write(socket.getOutputStream(), answer);
-                    }
+                    Http.write(socket.getOutputStream(), answer(call));
                 }
             } catch (IOException | InterruptedException ended) {
                 // The caller has closed the channel.
@@ -157,5 +146,4 @@
         }
         return pairs;
     }
-
 }
