--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -9,14 +9,17 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
- * The platform's metadata store: rows-get and rows-feed of tables with an empty part. It answers rows-tx, but keeps nothing of the
- * system's own tables.
+ * The platform's metadata store: rows-get, rows-feed and rows-tx of tables with an empty part. Transactions have no
+ * preconditions, as the system writes none.
  */
 final class Store implements AutoCloseable {
 
     private static final int MAX_PENDING = 200;
+    private static final Pattern ROW = Pattern.compile("\\{[^{}\\[\\]]*\"table\"[^{}]*\\}");
 
     private record Row(String key, String value, long version, boolean deleted) {}
 
@@ -75,6 +78,23 @@
                 + "}";
     }
 
+    /** Applies the writes and the removals of a transaction. */
+    private synchronized String commit(String transaction) {
+        int removals = transaction.indexOf("\"remove\"");
+        Matcher row = ROW.matcher(transaction);
+        while (row.find()) {
+            String entry = row.group();
+            boolean isRemoval = removals >= 0 && row.start() > removals;
+            write(field(entry, "table"), field(entry, "key"), isRemoval ? "" : field(entry, "value"), isRemoval);
+        }
+        return page("", 0, false);
+    }
+
+    private static String field(String entry, String name) {
+        Matcher matcher = Pattern.compile("\"" + name + "\"\\s*:\\s*\"([^\"]*)\"").matcher(entry);
+        return matcher.find() ? matcher.group(1) : "";
+    }
+
     private synchronized boolean hasChanges(String table, long after) {
         return tables.getOrDefault(table, new TreeMap<>()).values().stream().anyMatch(row -> row.version > after);
     }
@@ -131,8 +151,7 @@
                 body = awaitChanges(
                         query.get("table"), Long.parseLong(query.get("after")), Long.parseLong(query.get("wait_ms")));
             } else {
-                // The system's own table is of no concern here.
-                body = page("none", 0, false);
+                body = commit(call.text());
             }
             return Http.response("200 OK", Map.of("Content-Type", "application/json"), body.getBytes());
         }
