--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,10 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$folder/../.." && pwd)"
 [ -f "$root/target/waxwingquay.jar" ] && [ -f "$root/target/review/PoisonStream.class" ] || exit 2
-exec timeout 115 java -Xmx256m -cp "$root/target/review" PoisonStream "$folder" "$root"
+timeout 115 java -Xmx256m -cp "$root/target/review" PoisonStream "$folder" "$root" &
+program=$!
+trap 'kill "$program"' TERM INT
+wait "$program"
+result=$?
+[ "$result" -le 1 ] && exit "$result"
+exit 2
