--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -18,6 +18,9 @@
     private final Set<Http.Channel> channels = ConcurrentHashMap.newKeySet();
     volatile Behaviour behaviour;
 
+    /** The time after which an idle channel is closed; below a second, there are no whole seconds to state. */
+    volatile int idleMillis = 900;
+
     Replica(String id, String host, Behaviour behaviour) throws IOException {
         this.id = id;
         this.behaviour = behaviour;
@@ -52,6 +55,7 @@
         channels.add(channel);
         try (channel) {
             while (true) {
+                channel.socket.setSoTimeout(idleMillis);
                 Http.Message request = Http.read(channel.in);
                 String addressee = request.field("Target-Replica");
                 if (request.path().equals("/health")) {
